--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+INSTALLED := $(VENV)/.installed
+
+.PHONY: demo test lint histories bench-cost clean
+
+demo: $(INSTALLED)
+	$(BIN)/savorydyke-bench demo
+
+test: $(INSTALLED) lint
+	$(BIN)/behave --no-capture --format progress2 features
+
+lint: $(INSTALLED)
+	$(BIN)/ruff check src features
+	$(BIN)/ruff format --check src features
+	$(BIN)/mypy
+
+SEEDS ?= 1 2 3
+histories: $(INSTALLED)
+	$(BIN)/savorydyke-bench histories $(SEEDS)
+
+bench-cost: $(INSTALLED)
+	$(BIN)/savorydyke-bench cost
+
+$(INSTALLED): requirements/lock.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --only-binary :all: --require-hashes -r requirements/lock.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(INSTALLED)
+
+clean:
+	rm -rf $(VENV) run
--- /dev/null
+++ b/src/savorydyke/_adapters.py
@@ -0,0 +1,179 @@
+"""HTTP towards endpoints: open a request, take up a stream, cancel it.
+
+Results say whether a byte of the request may have left this process, since
+that alone decides what a refusal may claim.
+"""
+
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import cast
+
+import httpx
+import trio
+
+from savorydyke._manifest import Endpoint
+
+CONNECT_TIMEOUT_S = 1.0
+CONTROL_TIMEOUT_S = 2.0
+KEEPALIVE_S = 4.0
+MAX_CONNECTIONS = 4000
+STREAM_IDLE_TIMEOUT_S = 60.0
+HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"host",
+        b"content-length",
+        b"authorization",
+        b"expect",
+    }
+)
+
+
+@dataclass(frozen=True)
+class NotSent:
+    """No byte of the request can have left."""
+
+    cause: str
+
+
+@dataclass(frozen=True)
+class Lost:
+    """The request may have arrived, but no answer came."""
+
+    cause: str
+
+
+@dataclass
+class Opened:
+    """An answer whose headers have arrived.
+
+    Attributes
+    ----------
+    chunks : AsyncIterator of bytes
+        The body as it comes. It raises `httpx.HTTPError` if the endpoint ends
+        it early.
+    """
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    chunks: AsyncIterator[bytes]
+    response: httpx.Response
+
+    async def close(self) -> None:
+        """Close the connection unless the body has been read to its end."""
+        with trio.CancelScope(shield=True):
+            await self.response.aclose()
+
+    def is_event_stream(self) -> bool:
+        """Return whether the body is a stream of server-sent events."""
+        kind = self.response.headers.get("content-type", "")
+        return kind.startswith("text/event-stream")
+
+
+OpenResult = Opened | Lost | NotSent
+
+
+class Adapter:
+    """Requests to all endpoints over kept connections."""
+
+    def __init__(self) -> None:
+        limits = httpx.Limits(
+            max_connections=MAX_CONNECTIONS,
+            max_keepalive_connections=MAX_CONNECTIONS,
+            keepalive_expiry=KEEPALIVE_S,
+        )
+        timeout = httpx.Timeout(
+            STREAM_IDLE_TIMEOUT_S, connect=CONNECT_TIMEOUT_S, pool=CONNECT_TIMEOUT_S
+        )
+        self.client = httpx.AsyncClient(
+            limits=limits, timeout=timeout, trust_env=False, follow_redirects=False
+        )
+
+    async def open(
+        self,
+        endpoint: Endpoint,
+        method: str,
+        target: str,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> OpenResult:
+        """Send a request once and return when the headers of its answer arrive."""
+        request = self.client.build_request(
+            method,
+            f"http://{endpoint.address}{target}",
+            headers=end_to_end(headers),
+            content=body,
+        )
+        try:
+            response = await self.client.send(request, stream=True)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            return NotSent(type(error).__name__)
+        except httpx.HTTPError as error:
+            return Lost(type(error).__name__)
+        return _opened(response)
+
+    async def take_up(
+        self, endpoint: Endpoint, stream_id: str, after_event: int
+    ) -> OpenResult:
+        """Resume a stream behind an event that has been relayed."""
+        headers = [(b"last-event-id", str(after_event).encode())]
+        return await self.open(
+            endpoint, "GET", f"/v1/streams/{stream_id}", headers, b""
+        )
+
+    async def knows(self, endpoint: Endpoint, stream_id: str) -> bool | None:
+        """Return whether an endpoint has a stream; None if it does not say."""
+        status = await self._control(endpoint, "HEAD", f"/v1/streams/{stream_id}")
+        return None if status is None else status == 200
+
+    async def cancel(self, endpoint: Endpoint, stream_id: str) -> bool:
+        """Cancel a stream, and return whether the endpoint has confirmed it."""
+        status = await self._control(endpoint, "DELETE", f"/v1/streams/{stream_id}")
+        return status in {200, 204, 404}
+
+    async def _control(
+        self, endpoint: Endpoint, method: str, target: str
+    ) -> int | None:
+        try:
+            with trio.fail_after(CONTROL_TIMEOUT_S):
+                response = await self.client.request(
+                    method, f"http://{endpoint.address}{target}"
+                )
+        except (httpx.HTTPError, trio.TooSlowError):
+            return None
+        return response.status_code
+
+    async def get_json(self, endpoint: Endpoint, target: str) -> dict | None:
+        """Return the JSON object at a path of an endpoint, or None."""
+        try:
+            with trio.fail_after(CONTROL_TIMEOUT_S):
+                response = await self.client.get(f"http://{endpoint.address}{target}")
+                value = json.loads(response.content)
+        except (httpx.HTTPError, trio.TooSlowError, ValueError):
+            return None
+        return value if isinstance(value, dict) else None
+
+
+def _opened(response: httpx.Response) -> Opened:
+    # The raw stream carries the body as it comes, without httpx's re-chunking
+    # and decoding, which a relay has no use for.
+    stream = cast(httpx.AsyncByteStream, response.stream)
+    return Opened(
+        response.status_code,
+        end_to_end(response.headers.raw),
+        stream.__aiter__(),
+        response,
+    )
+
+
+def end_to_end(headers: list[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
+    """Return the headers that a relay passes on."""
+    return [(n, v) for n, v in headers if n.lower() not in HOP_HEADERS]
--- /dev/null
+++ b/src/savorydyke/_cell.py
@@ -0,0 +1,557 @@
+"""The cell: all scheduling decisions for one pool.
+
+The home instance of a pool holds its cell. A cell takes acquisitions and
+releases and returns decisions; it holds only soft state, which entries
+register again when the home moves. Times are seconds on the home's monotonic
+clock and are passed in, so that decisions depend on nothing else.
+"""
+
+import heapq
+import random
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import Enum
+
+from savorydyke._endpoint_load import EndpointLoad, Running, new_load
+from savorydyke._fair_queue import FairQueue, Waiting
+from savorydyke._ids import (
+    EndpointId,
+    InstanceId,
+    PoolId,
+    Reason,
+    RequestKey,
+    TeamId,
+)
+from savorydyke._manifest import Manifest, PoolKind
+from savorydyke._messages import Acquire, Grant, Refuse, Register, Release, Started
+from savorydyke._prefixes import PrefixIndex
+
+RECENT_KEPT = 20_000
+RECENT_S = 600.0
+"""For how long a finished request id is remembered."""
+YOUNG_S = 60.0
+"""For how long after taking over a home may lack earlier request ids."""
+RETRY_RANGE_S = (1.0, 60.0)
+MIN_OUTPUT_RATIO = 0.05
+RATIO_LEARNING_RATE = 0.1
+MAX_WAIT_RATIO = 1.5
+"""How much longer a free endpoint may take than the best busy one."""
+
+
+class ReleaseResult(Enum):
+    """How a granted request ended at its entry.
+
+    DROPPED means that the caller has gone and may come back for a stream that
+    still runs; the home cancels it when the caller stays away.
+    """
+
+    COMPLETE = "complete"
+    CANCELLED = "cancelled"
+    CUT = "cut"
+    DROPPED = "dropped"
+    NOT_SENT = "not-sent"
+    UNREACHABLE = "unreachable"
+
+
+@dataclass(frozen=True)
+class Decision:
+    """An answer of the cell for one entry."""
+
+    entry: InstanceId
+    answer: Grant | Refuse
+
+
+@dataclass(frozen=True)
+class Recent:
+    """A request that was dispatched earlier and is no longer in flight."""
+
+    endpoint: EndpointId
+    ended: float
+
+
+@dataclass
+class Cell:
+    """Waiting requests, credits and speeds of one pool.
+
+    Attributes
+    ----------
+    share : float
+        Part of each endpoint's credits that this home may use; below 1 while
+        it is cut off from most of its peers.
+    born : float
+        When this instance became the home.
+    settled : bool
+        Whether grants may be given; false until the entries have registered
+        what they have in flight.
+    """
+
+    pool: PoolId
+    manifest: Manifest
+    born: float
+    rng: random.Random
+    share: float = 1.0
+    settled: bool = True
+    endpoints: dict[EndpointId, EndpointLoad] = field(default_factory=dict)
+    queue: FairQueue = field(default_factory=FairQueue)
+    placed: dict[RequestKey, EndpointId] = field(default_factory=dict)
+    recent: OrderedDict[RequestKey, Recent] = field(default_factory=OrderedDict)
+    prefixes: PrefixIndex = field(default_factory=PrefixIndex)
+    output_ratio: dict[TeamId, float] = field(default_factory=dict)
+    expiry: list[tuple[float, RequestKey, int]] = field(default_factory=list)
+
+    # Configuration
+
+    def reconfigure(self, manifest: Manifest, now: float) -> list[Decision]:
+        """Take over a new manifest; waiting requests are judged again."""
+        self.manifest = manifest
+        specs = {e.id: e for e in manifest.endpoints.values() if e.pool == self.pool}
+        pool = manifest.pools.get(self.pool)
+        kind = pool.kind if pool else PoolKind.ENGINE
+        for name, spec in specs.items():
+            if name in self.endpoints:
+                self.endpoints[name].spec = spec
+            else:
+                self.endpoints[name] = new_load(spec, kind)
+        for name, load in self.endpoints.items():
+            load.leaving = load.leaving or name not in specs
+        return self._recheck_access() + self.pump(now)
+
+    def _recheck_access(self) -> list[Decision]:
+        decisions = []
+        for item in list(self.queue.by_key.values()):
+            item.allowed = self.manifest.reachable(item.team, self.pool)
+            if not item.allowed:
+                self.queue.remove(item.key)
+                detail = "the approval was withdrawn"
+                decisions.append(_refuse(item, Reason.NOT_APPROVED, detail, None))
+        return decisions
+
+    def set_leaving(self, endpoint: EndpointId, leaving: bool) -> None:
+        """Record that an endpoint leaves or has come back."""
+        load = self.endpoints.get(endpoint)
+        if load is None or load.leaving == leaving:
+            return
+        load.leaving = leaving
+        if leaving:
+            self.prefixes.forget(endpoint)
+
+    # Requests
+
+    def acquire(
+        self, message: Acquire, entry: InstanceId, now: float
+    ) -> list[Decision]:
+        """Take in a request and return what can be decided at once."""
+        earlier = self._known(message, entry)
+        if earlier is not None:
+            return earlier
+        if message.resume_only:
+            return [_deny(message, entry, Reason.NOT_FOUND, "no such request")]
+        if message.team not in self.manifest.teams:
+            return [_deny(message, entry, Reason.NOT_APPROVED, "unknown team")]
+        item = self._waiting(message, entry, now)
+        refusal = self._admit(item, now)
+        if refusal is not None:
+            return [refusal]
+        self.queue.push(item)
+        latest = item.deadline - self._least_s(item)
+        heapq.heappush(self.expiry, (latest, item.key, item.attempt))
+        return self._shed(now) + self.pump(now)
+
+    def withdraw(self, key: RequestKey) -> None:
+        """Forget a waiting request whose caller has gone."""
+        self.queue.remove(key)
+
+    def started(self, message: Started, now: float) -> list[Decision]:
+        """Take in that the first byte of an answer has arrived."""
+        load = self.endpoints.get(self.placed.get(message.key, EndpointId("")))
+        if load is None:
+            return []
+        load.start(load.running[message.key], message.first_byte_ms / 1000)
+        return self.pump(now)
+
+    def release(
+        self, message: Release, entry: InstanceId, now: float
+    ) -> list[Decision]:
+        """Take a grant back and return what its credits make possible."""
+        load = self.endpoints.get(message.endpoint)
+        item = load.running.get(message.key) if load else None
+        if load is None or item is None:
+            return []
+        if (item.entry, item.attempt) != (entry, message.attempt):
+            return []
+        if message.result == ReleaseResult.DROPPED.value:
+            item.orphaned = now
+            return []
+        self._end(load, item, now, ReleaseResult(message.result), message)
+        return self.pump(now)
+
+    def _end(
+        self,
+        load: EndpointLoad,
+        item: Running,
+        now: float,
+        result: ReleaseResult,
+        message: Release,
+    ) -> None:
+        load.remove(item.key)
+        self.placed.pop(item.key, None)
+        if result in {ReleaseResult.NOT_SENT, ReleaseResult.UNREACHABLE}:
+            if result is ReleaseResult.UNREACHABLE:
+                load.fail(now, self.rng)
+                self.prefixes.forget(load.id)
+            return
+        self._remember(item.key, load.id, now)
+        if result is ReleaseResult.CUT:
+            load.fail(now, self.rng)
+            return
+        if result is ReleaseResult.COMPLETE:
+            load.succeed()
+            load.learn_decode(message.output_tokens, message.decode_ms / 1000)
+            self._learn_output(item, message.output_tokens)
+
+    def register(self, message: Register, entry: InstanceId, now: float) -> None:
+        """Take over the requests that an entry has in flight."""
+        for row in message.running:
+            load = self.endpoints.get(row.endpoint)
+            if load is None or row.key in self.placed:
+                continue
+            uncached = 0 if row.started else row.prompt_tokens
+            running = Running(
+                key=row.key,
+                attempt=row.attempt,
+                entry=entry,
+                team=row.team,
+                prompt_tokens=row.prompt_tokens,
+                output_tokens=row.output_tokens,
+                uncached_tokens=uncached,
+                granted=now,
+                predicted_first_s=load.first_byte_s(uncached),
+                predicted_total_s=load.total_s(uncached, row.output_tokens),
+                started=row.started,
+            )
+            self.queue.remove(row.key)
+            load.add(running)
+            self.placed[row.key] = load.id
+
+    def entry_lost(self, entry: InstanceId, now: float) -> None:
+        """Drop what a dead entry had waiting, mark what it had in flight."""
+        for item in list(self.queue.by_key.values()):
+            if item.entry == entry:
+                self.queue.remove(item.key)
+        for load in self.endpoints.values():
+            for running in load.running.values():
+                if running.entry == entry and running.orphaned is None:
+                    running.orphaned = now
+
+    def take_orphans(
+        self, before: float, now: float
+    ) -> list[tuple[EndpointId, Running]]:
+        """Release requests orphaned before a time; the caller cancels them."""
+        orphans = [
+            (load.id, item)
+            for load in self.endpoints.values()
+            for item in load.running.values()
+            if item.orphaned is not None and item.orphaned <= before
+        ]
+        for endpoint, item in orphans:
+            self.endpoints[endpoint].remove(item.key)
+            self.placed.pop(item.key, None)
+            self._remember(item.key, endpoint, now)
+        return orphans
+
+    # Decisions
+
+    def tick(self, now: float) -> list[Decision]:
+        """Refuse what can no longer be in time, and grant what can be."""
+        for load in self.endpoints.values():
+            load.learn_overdue(now)
+        decisions = self._expire(now)
+        self._forget_old(now)
+        return decisions + self.pump(now)
+
+    def pump(self, now: float) -> list[Decision]:
+        """Give all grants that credits allow, in order of tier and fairness."""
+        if not self.settled:
+            return []
+        decisions: list[Decision] = []
+        progress = True
+        while progress:
+            progress = False
+            blocked: set[EndpointId] = set()
+            for item in self.queue.heads():
+                load = self._choose(item, blocked, now)
+                if load is None:
+                    continue
+                decisions.append(self._grant(item, load, now))
+                progress = True
+                break
+        return decisions
+
+    def _choose(
+        self, item: Waiting, blocked: set[EndpointId], now: float
+    ) -> EndpointLoad | None:
+        """Return the endpoint for a request, or None and what it waits for."""
+        best: EndpointLoad | None = None
+        best_s = best_busy_s = float("inf")
+        for load in self._candidates(item, now):
+            if load.id in blocked:
+                continue
+            uncached = self._uncached(load, item)
+            total_s = load.total_s(uncached, self._output(item))
+            tokens = item.prompt_tokens + item.output_tokens
+            if not load.has_room(tokens, uncached, self.share):
+                best_busy_s = min(best_busy_s, total_s)
+                blocked.add(load.id)
+            elif total_s < best_s:
+                best, best_s = load, total_s
+        if best is None:
+            return None
+        too_slow = best_s > item.deadline - now
+        if too_slow or best_s > MAX_WAIT_RATIO * best_busy_s:
+            # A busy endpoint would still be faster. Lower tiers may use this one.
+            return None if best_busy_s < best_s else best
+        return best
+
+    def _grant(self, item: Waiting, load: EndpointLoad, now: float) -> Decision:
+        uncached = self._uncached(load, item)
+        output = self._output(item)
+        running = Running(
+            key=item.key,
+            attempt=item.attempt,
+            entry=item.entry,
+            team=item.team,
+            prompt_tokens=item.prompt_tokens,
+            output_tokens=item.output_tokens,
+            uncached_tokens=uncached,
+            granted=now,
+            predicted_first_s=load.first_byte_s(uncached),
+            predicted_total_s=load.total_s(uncached, output),
+        )
+        self.queue.charge(item)
+        load.add(running)
+        self.placed[item.key] = load.id
+        self.prefixes.add(load.id, item.prefix)
+        probe = self._probe(item, now)
+        grant = Grant(item.key, item.attempt, load.id, resume=False, probe=probe)
+        return Decision(item.entry, grant)
+
+    def _probe(self, item: Waiting, now: float) -> tuple[EndpointId, ...]:
+        if not item.named or now - self.born > YOUNG_S:
+            return ()
+        return tuple(sorted(e.id for e in self.endpoints.values() if e.spec.resumes))
+
+    def _known(self, message: Acquire, entry: InstanceId) -> list[Decision] | None:
+        """Answer an id that waits, runs or ran; None if it is new."""
+        waiting = self.queue.by_key.get(message.key)
+        if waiting is not None:
+            if waiting.entry == entry:
+                self.queue.remove(message.key)
+                return None
+            detail = "the same request waits at another instance"
+            return [_deny(message, entry, Reason.DUPLICATE, detail, ran=True)]
+        endpoint = self.placed.get(message.key)
+        if endpoint is not None:
+            return self._take_up(message, entry, endpoint)
+        recent = self.recent.get(message.key)
+        if recent is not None:
+            return [self._resume(message, entry, recent.endpoint)]
+        return None
+
+    def _take_up(
+        self, message: Acquire, entry: InstanceId, endpoint: EndpointId
+    ) -> list[Decision]:
+        running = self.endpoints[endpoint].running[message.key]
+        if (running.entry, running.attempt) == (entry, message.attempt):
+            grant = Grant(message.key, message.attempt, endpoint, False, ())
+            return [Decision(entry, grant)]
+        if running.orphaned is not None:
+            running.entry = entry
+            running.attempt = message.attempt
+            running.orphaned = None
+        return [self._resume(message, entry, endpoint)]
+
+    def _resume(
+        self, message: Acquire, entry: InstanceId, endpoint: EndpointId
+    ) -> Decision:
+        load = self.endpoints.get(endpoint)
+        if load is None or not load.spec.resumes:
+            detail = "the request was dispatched earlier"
+            return _deny(message, entry, Reason.DUPLICATE, detail, ran=True)
+        grant = Grant(message.key, message.attempt, endpoint, True, ())
+        return Decision(entry, grant)
+
+    # Admission
+
+    def _waiting(self, message: Acquire, entry: InstanceId, now: float) -> Waiting:
+        team = self.manifest.teams[message.team]
+        item = Waiting(
+            key=message.key,
+            attempt=message.attempt,
+            entry=entry,
+            team=message.team,
+            rank=self.manifest.rank(message.team),
+            weight=team.weight,
+            prompt_tokens=message.prompt_tokens,
+            output_tokens=message.output_tokens,
+            prefix=message.prefix,
+            allowed=self.manifest.reachable(message.team, self.pool),
+            avoid=frozenset(message.avoid),
+            deadline=now + message.deadline_ms / 1000,
+            arrived=now,
+            cost_s=0.0,
+            named=message.named,
+        )
+        item.cost_s = self._cost_s(item)
+        return item
+
+    def _admit(self, item: Waiting, now: float) -> Decision | None:
+        """Return a refusal, or None if the request may wait."""
+        if not item.allowed:
+            detail = "the team is not approved for this pool"
+            return _refuse(item, Reason.NOT_APPROVED, detail, None)
+        if not self._candidates(item, now):
+            detail = "no endpoint of the pool takes new work"
+            return _refuse(item, Reason.NO_ENDPOINT, detail, RETRY_RANGE_S[0])
+        limit = self.manifest.teams[item.team].max_waiting
+        if self.queue.team_length(item.rank, item.team) >= limit:
+            detail = f"{limit} requests of the team wait"
+            return _refuse(item, Reason.TEAM_LIMIT, detail, self.drain_s(item.rank))
+        left_s = item.deadline - now
+        if self._least_s(item) > left_s:
+            detail = "no endpoint can answer within the deadline"
+            return _refuse(item, Reason.DEADLINE, detail, None)
+        if self._wait_s(item) + self._least_s(item) > left_s:
+            detail = "the queue is too long for the deadline"
+            return _refuse(item, Reason.DEADLINE, detail, self.drain_s(item.rank))
+        return None
+
+    def _shed(self, now: float) -> list[Decision]:
+        """Refuse from the lowest tier while too many requests wait."""
+        decisions = []
+        limit = self.manifest.pools[self.pool].max_waiting
+        while len(self.queue) > limit:
+            item = self.queue.lowest()
+            if item is None:
+                break
+            self.queue.remove(item.key)
+            retry_s = self.drain_s(item.rank)
+            detail = f"{limit} requests wait in the pool"
+            decisions.append(_refuse(item, Reason.OVERLOADED, detail, retry_s))
+        return decisions
+
+    def _expire(self, now: float) -> list[Decision]:
+        decisions = []
+        while self.expiry and self.expiry[0][0] <= now:
+            _, key, attempt = heapq.heappop(self.expiry)
+            item = self.queue.by_key.get(key)
+            if item is None or item.attempt != attempt:
+                continue
+            self.queue.remove(key)
+            detail = "the deadline can no longer be met"
+            retry_s = self.drain_s(item.rank)
+            decisions.append(_refuse(item, Reason.DEADLINE, detail, retry_s))
+        return decisions
+
+    # Estimates
+
+    def drain_s(self, rank: int) -> float:
+        """Return when a request of this tier could expect to be granted."""
+        ahead_s = sum(t.cost_s for r, t in self.queue.tiers.items() if r <= rank)
+        low, high = RETRY_RANGE_S
+        return min(high, max(low, ahead_s / max(1, self._usable_count())))
+
+    def _usable_count(self) -> int:
+        return sum(
+            1
+            for load in self.endpoints.values()
+            if not load.leaving and not load.spec.drained
+        )
+
+    def _candidates(self, item: Waiting, now: float) -> list[EndpointLoad]:
+        loads = [
+            self.endpoints[name]
+            for name in sorted(item.allowed)
+            if name in self.endpoints and self.endpoints[name].usable(now)
+        ]
+        fresh = [load for load in loads if load.id not in item.avoid]
+        return fresh or loads
+
+    def _open(self, item: Waiting) -> list[EndpointLoad]:
+        return [
+            self.endpoints[name]
+            for name in item.allowed
+            if name in self.endpoints and not self.endpoints[name].leaving
+        ]
+
+    def _uncached(self, load: EndpointLoad, item: Waiting) -> int:
+        cached = self.prefixes.cached_tokens(load.id, item.prefix)
+        return max(1, item.prompt_tokens - cached)
+
+    def _output(self, item: Waiting) -> int:
+        ratio = self.output_ratio.get(item.team, 1.0)
+        return int(item.output_tokens * ratio)
+
+    def _least_s(self, item: Waiting) -> float:
+        """Return the least time in which an idle endpoint would answer."""
+        output = self._output(item)
+        times = [
+            load.prefill_s(self._uncached(load, item))
+            + output / load.decode_tokens_per_s
+            for load in self._open(item)
+        ]
+        return min(times, default=0.0)
+
+    def _cost_s(self, item: Waiting) -> float:
+        loads = self._open(item)
+        if not loads:
+            return 0.0
+        output = self._output(item)
+        costs = [load.engine_s(item.prompt_tokens, output) for load in loads]
+        return len(costs) / sum(1 / max(cost, 1e-6) for cost in costs)
+
+    def _wait_s(self, item: Waiting) -> float:
+        ahead_s = self.queue.cost_ahead_s(item.rank, item.team, item.weight)
+        return ahead_s / max(1, self._usable_count())
+
+    def _learn_output(self, item: Running, tokens: int) -> None:
+        if item.output_tokens <= 0:
+            return
+        ratio = min(1.0, max(MIN_OUTPUT_RATIO, tokens / item.output_tokens))
+        known = self.output_ratio.get(item.team, 1.0)
+        self.output_ratio[item.team] = known + RATIO_LEARNING_RATE * (ratio - known)
+
+    def _remember(self, key: RequestKey, endpoint: EndpointId, now: float) -> None:
+        self.recent[key] = Recent(endpoint, now)
+        if len(self.recent) > RECENT_KEPT:
+            self.recent.popitem(last=False)
+
+    def _forget_old(self, now: float) -> None:
+        while self.recent:
+            key, recent = next(iter(self.recent.items()))
+            if now - recent.ended < RECENT_S:
+                return
+            del self.recent[key]
+
+
+def new_cell(
+    pool: PoolId, manifest: Manifest, now: float, rng: random.Random | None = None
+) -> Cell:
+    """Return a cell that knows the endpoints of the manifest and no requests."""
+    cell = Cell(pool, manifest, now, rng or random.Random())
+    cell.reconfigure(manifest, now)
+    return cell
+
+
+def _refuse(
+    item: Waiting, reason: Reason, detail: str, retry_s: float | None
+) -> Decision:
+    retry_ms = -1 if retry_s is None else int(retry_s * 1000)
+    refusal = Refuse(item.key, item.attempt, reason.value, detail, retry_ms, False)
+    return Decision(item.entry, refusal)
+
+
+def _deny(
+    message: Acquire, entry: InstanceId, reason: Reason, detail: str, ran: bool = False
+) -> Decision:
+    refusal = Refuse(message.key, message.attempt, reason.value, detail, -1, ran)
+    return Decision(entry, refusal)
--- /dev/null
+++ b/src/savorydyke/_claims.py
@@ -0,0 +1,353 @@
+"""Claims: at most one dispatch for each idempotency key.
+
+Before a request that may not be repeated is dispatched, its key is claimed in
+the platform's key-value service by compare-and-swap. A claim names its
+attempt. An attempt that claimed but did not dispatch releases its claim; a
+claim whose attempt has dispatched is never given away.
+"""
+
+import base64
+import hashlib
+import json
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+import trio
+
+from savorydyke import _logs
+from savorydyke._exceptions import PlatformUnavailableError, ProtocolError
+from savorydyke._ids import InstanceId, PoolId, TeamId
+from savorydyke._membership import Membership
+from savorydyke._platform import (
+    Absent,
+    Conflict,
+    Platform,
+    Stored,
+    Unknown,
+    Written,
+    backoff_s,
+)
+from savorydyke._timers import TimerService
+
+PREFIX = "savorydyke/claims"
+MAX_KEPT_BYTES = 200_000
+"""Largest answer that is kept for replay."""
+CLAIM_TIMEOUT_S = 3.0
+RETRY_BASE_S = 0.05
+RETRY_MOST_S = 2.0
+RELEASE_LIMIT_S = 600.0
+RETENTION_S = 7 * 86_400.0
+SWEEP_S = 60.0
+SWEEP_PACE_S = 0.05
+SHARDS = 256
+
+log = _logs.part("claims")
+
+
+class ClaimState(Enum):
+    """State of a claim."""
+
+    TAKEN = "taken"
+    DONE = "done"
+    RELEASED = "released"
+
+
+@dataclass(frozen=True)
+class KeptAnswer:
+    """A complete answer, kept to be replayed."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclass(frozen=True)
+class Claim:
+    """A claim as the platform holds it.
+
+    Attributes
+    ----------
+    attempt : str
+        Random name of the attempt that took the claim.
+    digest : str
+        Digest of the request, to find a key that is used for another one.
+    at : float
+        Unix time at which the claim was written.
+    answer : KeptAnswer or None
+        The answer, once done and if small enough.
+    """
+
+    state: ClaimState
+    attempt: str
+    instance: InstanceId
+    digest: str
+    at: float
+    answer: KeptAnswer | None = None
+
+    def to_bytes(self) -> bytes:
+        """Return the form that the platform holds."""
+        value: dict[str, object] = {
+            "state": self.state.value,
+            "attempt": self.attempt,
+            "instance": self.instance,
+            "digest": self.digest,
+            "at": self.at,
+        }
+        if self.answer is not None:
+            value["answer"] = {
+                "status": self.answer.status,
+                "headers": self.answer.headers,
+                "body": base64.b64encode(self.answer.body).decode(),
+            }
+        return json.dumps(value).encode()
+
+
+def read_claim(data: bytes) -> Claim:
+    """Return the claim in `data`.
+
+    Raises
+    ------
+    ProtocolError
+        If `data` is no claim.
+    """
+    try:
+        value = json.loads(data)
+        kept = value.get("answer")
+        answer = None
+        if kept is not None:
+            headers = tuple((str(n), str(v)) for n, v in kept["headers"])
+            body = base64.b64decode(kept["body"])
+            answer = KeptAnswer(int(kept["status"]), headers, body)
+        return Claim(
+            ClaimState(value["state"]),
+            str(value["attempt"]),
+            InstanceId(str(value["instance"])),
+            str(value["digest"]),
+            float(value["at"]),
+            answer,
+        )
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        raise ProtocolError(f"no claim: {error!r}") from None
+
+
+@dataclass(frozen=True)
+class Free:
+    """The key may be claimed, by a write against this revision."""
+
+    revision: int
+
+
+@dataclass(frozen=True)
+class Taken:
+    """Another attempt holds the claim and has not finished."""
+
+    claim: Claim
+    revision: int
+
+
+@dataclass(frozen=True)
+class Done:
+    """The request ran; `answer` is None if it was too large to keep."""
+
+    claim: Claim
+    answer: KeptAnswer | None
+
+
+@dataclass(frozen=True)
+class Reused:
+    """The key was used for another request."""
+
+
+@dataclass(frozen=True)
+class Mine:
+    """This attempt holds the claim and may dispatch."""
+
+
+@dataclass(frozen=True)
+class Unavailable:
+    """The platform did not answer; nothing may be dispatched."""
+
+    cause: str
+
+
+LookResult = Free | Taken | Done | Reused | Unavailable
+TakeResult = Mine | Taken | Done | Reused | Unavailable
+
+
+def claim_key(team: TeamId, pool: PoolId, idempotency_key: str) -> str:
+    """Return the platform's key of a claim, in one of `SHARDS` folders."""
+    name = f"{team}|{pool}|{idempotency_key}".encode()
+    digest = hashlib.sha256(name).hexdigest()
+    return f"{PREFIX}/{digest[:2]}/{digest}"
+
+
+@dataclass
+class Claims:
+    """All claims that this instance makes.
+
+    Attributes
+    ----------
+    now_unix : callable
+        Returns the Unix time in seconds.
+    settling : int
+        Claims whose final state is still being written.
+    """
+
+    platform: Platform
+    membership: Membership
+    nursery: trio.Nursery
+    rng: random.Random
+    now_unix: Callable[[], float] = time.time
+    settling: int = 0
+
+    async def look(self, key: str, digest: str, attempt: str = "") -> LookResult | Mine:
+        """Return what is known of a key."""
+        try:
+            stored = await self.platform.read(key)
+            return self._judge(stored, digest, attempt)
+        except (PlatformUnavailableError, ProtocolError) as error:
+            return Unavailable(str(error))
+
+    async def wait(self, key: str, digest: str, taken: Taken) -> LookResult | Mine:
+        """Return what is known of a key once that may have changed."""
+        try:
+            stored = await self.platform.watch(key, taken.revision)
+            return self._judge(stored, digest, "")
+        except (PlatformUnavailableError, ProtocolError) as error:
+            return Unavailable(str(error))
+
+    def _judge(
+        self, stored: Stored | Absent, digest: str, attempt: str
+    ) -> LookResult | Mine:
+        if isinstance(stored, Absent):
+            return Free(0)
+        claim = read_claim(stored.value)
+        if claim.state is ClaimState.RELEASED:
+            return Free(stored.revision)
+        if claim.digest != digest:
+            return Reused()
+        if claim.state is ClaimState.DONE:
+            return Done(claim, claim.answer)
+        if claim.attempt == attempt:
+            return Mine()
+        return Taken(claim, stored.revision)
+
+    async def take(self, key: str, digest: str, attempt: str, free: Free) -> TakeResult:
+        """Claim a key that was found free.
+
+        A write whose answer was lost is read back before anything is decided.
+        If that fails too, the claim is released in the background.
+        """
+        claim = self._claim(ClaimState.TAKEN, attempt, digest)
+        state: LookResult | Mine = free
+        is_written = False
+        tries = 0
+        with trio.move_on_after(CLAIM_TIMEOUT_S):
+            while True:
+                if isinstance(state, Free):
+                    is_written = True
+                    result = await self.platform.write(
+                        key, claim.to_bytes(), state.revision
+                    )
+                    if isinstance(result, Written):
+                        return Mine()
+                elif not isinstance(state, Unavailable):
+                    return state
+                tries += 1
+                if tries > 1:
+                    wait_s = backoff_s(tries, RETRY_BASE_S, RETRY_MOST_S, self.rng)
+                    await trio.sleep(wait_s)
+                state = await self.look(key, digest, attempt)
+        if is_written:
+            self.release_later(key, digest, attempt)
+        return Unavailable("the claim could not be confirmed in time")
+
+    def _claim(
+        self,
+        state: ClaimState,
+        attempt: str,
+        digest: str,
+        answer: KeptAnswer | None = None,
+    ) -> Claim:
+        at = self.now_unix()
+        return Claim(state, attempt, self.membership.id, digest, at, answer)
+
+    def finish_later(
+        self, key: str, digest: str, attempt: str, answer: KeptAnswer
+    ) -> None:
+        """Record that the request ran, with its answer; retried in an outage."""
+        kept = answer if len(answer.body) <= MAX_KEPT_BYTES else None
+        done = self._claim(ClaimState.DONE, attempt, digest, kept)
+        self.nursery.start_soon(self._settle, key, done, True)
+
+    def release_later(self, key: str, digest: str, attempt: str) -> None:
+        """Release a claim that was, or may have been, taken and not used.
+
+        Writing over an absent value keeps a delayed write from landing.
+        """
+        released = self._claim(ClaimState.RELEASED, attempt, digest)
+        self.nursery.start_soon(self._settle, key, released, False)
+
+    async def _settle(self, key: str, claim: Claim, only_over_own: bool) -> None:
+        """Write the final state of an own claim, until it is known to be there."""
+        self.settling += 1
+        try:
+            await self._settle_until(key, claim, only_over_own)
+        finally:
+            self.settling -= 1
+
+    async def _settle_until(self, key: str, claim: Claim, only_over_own: bool) -> None:
+        with trio.move_on_after(RELEASE_LIMIT_S):
+            tries = 0
+            while not await self._settle_once(key, claim, only_over_own):
+                tries += 1
+                wait_s = backoff_s(tries, RETRY_BASE_S, RETRY_MOST_S, self.rng)
+                await trio.sleep(wait_s)
+            return
+        log.error("A claim could not be settled.", extra={"attempt": claim.attempt})
+
+    async def _settle_once(self, key: str, claim: Claim, only_over_own: bool) -> bool:
+        try:
+            stored = await self.platform.read(key)
+            if isinstance(stored, Absent):
+                if only_over_own:
+                    return True
+                revision = 0
+            else:
+                found = read_claim(stored.value)
+                own = found.attempt == claim.attempt
+                if not own or found.state is not ClaimState.TAKEN:
+                    return True
+                revision = stored.revision
+        except (PlatformUnavailableError, ProtocolError):
+            return False
+        result = await self.platform.write(key, claim.to_bytes(), revision)
+        return not isinstance(result, Conflict | Unknown)
+
+    # Sweeping
+
+    async def sweep(self, timers: TimerService) -> None:
+        """Delete claims older than `RETENTION_S`, one shard at each tick."""
+        shard = self.rng.randrange(SHARDS)
+        async with timers.every(SWEEP_S) as ticks:
+            async for _ in ticks:
+                if self.membership.is_chosen(PREFIX, 1):
+                    shard = (shard + 1) % SHARDS
+                    await self._sweep_shard(f"{PREFIX}/{shard:02x}/")
+
+    async def _sweep_shard(self, prefix: str) -> None:
+        try:
+            for key in await self.platform.list_keys(prefix):
+                await trio.sleep(SWEEP_PACE_S)
+                stored = await self.platform.read(key)
+                if isinstance(stored, Stored) and self._is_old(stored):
+                    await self.platform.delete(key, stored.revision)
+        except (PlatformUnavailableError, ProtocolError) as error:
+            log.warning("Sweep failed.", extra={"error": str(error)})
+
+    def _is_old(self, stored: Stored) -> bool:
+        age_s = self.now_unix() - read_claim(stored.value).at
+        return age_s > RETENTION_S
--- /dev/null
+++ b/src/savorydyke/_daemon.py
@@ -0,0 +1,495 @@
+"""``savorydyked``: one instance of the scheduler."""
+
+import argparse
+import gc
+import logging
+import random
+import signal
+import socket
+import ssl
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import trio
+from hypercorn.config import Config as ServerConfig
+from hypercorn.trio import serve
+
+from savorydyke import _logs
+from savorydyke._adapters import Adapter
+from savorydyke._callers import Callers
+from savorydyke._calls import stream_id
+from savorydyke._claims import Claims
+from savorydyke._configuration import Configuration
+from savorydyke._dispatch import Dispatcher
+from savorydyke._endpoint_load import Running
+from savorydyke._endpoint_states import EndpointStates
+from savorydyke._exceptions import FindingsError
+from savorydyke._homes import Homes
+from savorydyke._ids import EndpointId, InstanceId, PoolId, RequestId
+from savorydyke._membership import HEARTBEAT_S, Membership
+from savorydyke._messages import (
+    Acquire,
+    ConfigurationPush,
+    ConfigurationRequest,
+    Grant,
+    Heartbeat,
+    Message,
+    Refuse,
+    Register,
+    Release,
+    Started,
+    Withdraw,
+)
+from savorydyke._metrics import Metrics
+from savorydyke._monitor import Monitor
+from savorydyke._pages import new_callers_pages, new_operators_pages
+from savorydyke._peers import Peers
+from savorydyke._platform import Platform, open_platform
+from savorydyke._scheduler import Scheduler
+from savorydyke._settings import Settings, TlsFiles, read_settings
+from savorydyke._timers import TimerService
+
+STALLED_CALLER_MS = 30_000
+"""Time after which a caller that does not read loses its connection."""
+BACKLOG = 1024
+STOP_CHECK_S = 0.05
+LEAVE_NOTICE_S = 1.0
+"""Time in which peers learn that an instance leaves."""
+GRACE_AFTER_STOP_S = 0.5
+EXIT_FINDINGS = 2
+EXIT_CUT = 1
+
+log = _logs.part("daemon")
+
+
+@dataclass
+class Instance:
+    """The parts of one instance and how messages travel between them."""
+
+    settings: Settings
+    timers: TimerService
+    rng: random.Random
+    metrics: Metrics
+    platform: Platform
+    adapter: Adapter
+    membership: Membership
+    peers: Peers
+    configuration: Configuration
+    states: EndpointStates
+    homes: Homes
+    scheduler: Scheduler
+    monitor: Monitor
+
+    def deliver(self, instance: InstanceId, message: Message) -> None:
+        """Send a message to an instance, possibly this one."""
+        if instance == self.membership.id:
+            self.handle(instance, message)
+        else:
+            self.peers.send(instance, message)
+
+    def handle(self, sender: InstanceId, message: Message) -> None:
+        """Hand a message to the part that it is for."""
+        match message:
+            case Acquire() | Register() | Release() | Started() | Withdraw():
+                self.homes.handle(sender, message)
+            case Grant() | Refuse():
+                self.scheduler.handle(sender, message)
+            case Heartbeat():
+                now = trio.current_time()
+                self.membership.hear_heartbeat(sender, message, now)
+                self.configuration.hear_heartbeat(sender, message)
+                self.states.hear(message.leaving_endpoints, now)
+            case ConfigurationRequest():
+                self.configuration.answer(sender, message)
+            case ConfigurationPush():
+                self.configuration.take_push(sender, message)
+
+    async def beat(self) -> None:
+        """Send heartbeats and judge members until cancelled."""
+        async with self.timers.every(HEARTBEAT_S) as ticks:
+            async for _ in ticks:
+                now = trio.current_time()
+                counter = self.membership.beat(now)
+                self._send_heartbeats(counter, now)
+                self.states.update(now)
+                self.membership.update(now)
+
+    def _send_heartbeats(self, counter: int, now: float) -> None:
+        peers = list(self.peers.links)
+        informed = self.rng.choice(peers) if peers else None
+        for peer in peers:
+            member = self.membership.members.get(peer)
+            rows = self.membership.rows() if peer == informed else ()
+            beat = Heartbeat(
+                counter=counter,
+                echo=member.direct_counter if member else 0,
+                leaving=self.membership.leaving,
+                revision=self.configuration.revision,
+                confirmed_ms=self.configuration.confirmed_ms(now),
+                leaving_endpoints=self.states.first_hand(),
+                rows=rows,
+            )
+            self.peers.send(peer, beat)
+
+    def is_ready(self) -> bool:
+        """Return whether new work is taken."""
+        if self.membership.leaving:
+            return False
+        return self.configuration.current(trio.current_time()) is not None
+
+    def status(self) -> dict[str, Any]:
+        """Return what an operator wants to know, and update the gauges."""
+        now = trio.current_time()
+        membership = self.membership
+        cells = {}
+        for pool, hosted in self.homes.hosted.items():
+            cells[pool] = _cell_status(hosted.cell, now)
+        status = {
+            "instance": membership.id,
+            "data_centre": membership.data_centre,
+            "revision": self.configuration.revision,
+            "confirmed_ms": self.configuration.confirmed_ms(now),
+            "ready": self.is_ready(),
+            "leaving": membership.leaving,
+            "members": {
+                member.id: {
+                    "state": membership.states[member.id].value,
+                    "address": member.address,
+                    "data_centre": member.data_centre,
+                    "linked": member.linked,
+                }
+                for member in membership.members.values()
+                if member.id in membership.states
+            },
+            "homes": {pool: membership.home(pool) for pool in self._pools()},
+            "cells": cells,
+            "leaving_endpoints": sorted(self.states.leaving),
+            "pending": len(self.scheduler.pending),
+            "in_flight": len(self.scheduler.in_flight),
+            "platform_calls": self.platform.calls,
+            "peer_bytes_sent": self.peers.traffic.bytes_sent,
+            "peer_frames_sent": self.peers.traffic.frames_sent,
+            "refused_frames": self.peers.traffic.refused,
+        }
+        for kind, value in status.items():
+            if isinstance(value, int):
+                self.metrics.state.set({"kind": kind}, int(value))
+        return status
+
+    def _pools(self) -> list[PoolId]:
+        manifest = self.configuration.manifest
+        return list(manifest.pools) if manifest else []
+
+    def cancel_orphan(self, nursery: trio.Nursery) -> Callable:
+        """Return a function that cancels a request which no entry looks after."""
+
+        def cancel(endpoint: EndpointId, item: Running) -> None:
+            manifest = self.configuration.manifest
+            spec = manifest.endpoints.get(endpoint) if manifest else None
+            if spec is None or not spec.resumes:
+                return
+            request_id = RequestId(item.key.removeprefix(f"{item.team}/"))
+            nursery.start_soon(
+                self.adapter.cancel, spec, stream_id(item.team, request_id)
+            )
+
+        return cancel
+
+
+def _cell_status(cell: Any, now: float) -> dict[str, Any]:
+    return {
+        "settled": cell.settled,
+        "share": round(cell.share, 3),
+        "waiting": len(cell.queue),
+        "endpoints": {
+            load.id: {
+                "in_flight": len(load.running),
+                "tokens": load.tokens,
+                "usable": load.usable(now),
+                "leaving": load.leaving,
+                "failures": load.failures,
+                "prefill_factor": round(load.prefill_factor, 2),
+                "decode_tokens_per_s": round(load.decode_tokens_per_s, 1),
+            }
+            for load in cell.endpoints.values()
+        },
+    }
+
+
+def new_instance(settings: Settings) -> Instance:
+    """Return the parts of an instance, connected with each other."""
+    rng = random.Random()
+    metrics = Metrics()
+    platform = open_platform(settings.platform)
+    platform.on_call = lambda kind: metrics.platform_calls.inc({"kind": kind})
+    adapter = Adapter()
+    membership = Membership(
+        settings.instance,
+        settings.advertise or settings.peers,
+        settings.data_centre,
+        time.time_ns() // 1_000_000,
+    )
+    client_tls, server_tls = _tls_contexts(settings.tls)
+    peers = Peers(
+        membership,
+        settings.shared_key,
+        lambda sender, message: instance.handle(sender, message),
+        rng,
+        client_tls,
+        server_tls,
+    )
+    peers.seeds = set(settings.seeds)
+    configuration = Configuration(platform, membership, peers)
+    states = EndpointStates()
+    homes = Homes(
+        membership=membership,
+        states=states,
+        manifest=lambda: configuration.manifest,
+        answer=lambda entry, answer: instance.deliver(entry, answer),
+        cancel_orphan=lambda endpoint, item: None,
+        orphan_grace_s=settings.limits.resume_grace_s,
+        rng=rng,
+    )
+    scheduler = Scheduler(
+        membership=membership,
+        send=lambda peer, message: instance.deliver(peer, message),
+        link=lambda peer: peers.links.get(peer),
+        pools=lambda: instance._pools(),
+    )
+    monitor = Monitor(
+        homes,
+        states,
+        adapter,
+        platform,
+        membership,
+        peers,
+        lambda: configuration.manifest,
+    )
+    instance = Instance(
+        settings,
+        TimerService(rng),
+        rng,
+        metrics,
+        platform,
+        adapter,
+        membership,
+        peers,
+        configuration,
+        states,
+        homes,
+        scheduler,
+        monitor,
+    )
+    _connect(instance)
+    return instance
+
+
+def _connect(instance: Instance) -> None:
+    """Subscribe parts to each other's events."""
+    membership, homes = instance.membership, instance.homes
+    membership.listeners.append(instance.scheduler.follow_homes)
+    membership.lost.append(homes.entry_lost)
+    instance.states.listeners.append(homes.set_leaving)
+    instance.configuration.listeners.append(homes.reconfigure)
+    instance.configuration.listeners.append(
+        lambda manifest: instance.scheduler.follow_homes()
+    )
+
+
+async def run(settings: Settings) -> int:
+    """Run an instance until it is told to stop; return the exit status."""
+    instance = new_instance(settings)
+    async with trio.open_nursery() as nursery:
+        instance.homes.cancel_orphan = instance.cancel_orphan(nursery)
+        claims = Claims(instance.platform, instance.membership, nursery, instance.rng)
+        dispatcher = Dispatcher(
+            instance.scheduler,
+            instance.configuration,
+            claims,
+            instance.adapter,
+            nursery,
+        )
+        callers = _new_callers(instance, dispatcher)
+        for task in _tasks(instance, claims):
+            nursery.start_soon(task)
+        stopped = trio.Event()
+        await nursery.start(instance.peers.listen, settings.peers)
+        await _serve_http(instance, callers, nursery, stopped)
+        log.info("Started.", extra={"callers": settings.callers})
+        gc.freeze()
+        status = await _wait_for_stop(instance, callers, claims)
+        stopped.set()
+        await trio.sleep(GRACE_AFTER_STOP_S)
+        nursery.cancel_scope.cancel()
+    log.info("Stopped.", extra={"status": status})
+    return status
+
+
+def _tasks(instance: Instance, claims: Claims) -> list[Callable]:
+    timers = instance.timers
+    return [
+        timers.run,
+        instance.beat,
+        instance.peers.manage,
+        instance.configuration.watch,
+        lambda: instance.homes.run(timers),
+        lambda: instance.monitor.follow_endpoints(timers),
+        lambda: instance.monitor.follow_list(timers),
+        lambda: claims.sweep(timers),
+    ]
+
+
+def _new_callers(instance: Instance, dispatcher: Dispatcher) -> Callers:
+    configuration = instance.configuration
+    pages = new_callers_pages(
+        instance.is_ready, lambda: configuration.current(trio.current_time())
+    )
+    return Callers(
+        dispatcher,
+        configuration,
+        instance.metrics,
+        instance.settings.limits,
+        pages,  # type: ignore[arg-type]
+    )
+
+
+async def _serve_http(
+    instance: Instance, callers: Callers, nursery: trio.Nursery, stopped: trio.Event
+) -> None:
+    settings = instance.settings
+    operators = new_operators_pages(
+        instance.is_ready,
+        instance.configuration,
+        instance.metrics,
+        instance.status,
+        settings.operator_key,
+    )
+    for app, address in ((callers, settings.callers), (operators, settings.operators)):
+        config, listener = _server_config(settings, address)
+        await nursery.start(_serve_one, app, config, listener, stopped)
+
+
+async def _serve_one(
+    app: Any,
+    config: ServerConfig,
+    listener: socket.socket,
+    stopped: trio.Event,
+    *,
+    task_status: trio.TaskStatus[Any],
+) -> None:
+    with listener:
+        await serve(app, config, shutdown_trigger=stopped.wait, task_status=task_status)
+
+
+def _server_config(
+    settings: Settings, address: str
+) -> tuple[ServerConfig, socket.socket]:
+    listener = open_listener(address)
+    config = ServerConfig()
+    config.bind = [f"fd://{listener.fileno()}"]
+    config.accesslog = None
+    config.errorlog = logging.getLogger("savorydyke.http")
+    config.errorlog.setLevel("WARNING")
+    config.keep_alive_timeout = settings.limits.header_timeout_s
+    config.graceful_timeout = GRACE_AFTER_STOP_S
+    config.include_server_header = False
+    config.backlog = BACKLOG
+    if settings.tls.certificate:
+        config.certfile = settings.tls.certificate
+        config.keyfile = settings.tls.key
+    return config, listener
+
+
+def open_listener(address: str) -> socket.socket:
+    """Return a listening socket that drops callers which stop reading."""
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if host.startswith("[") else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    # The server sends under a shield; only the kernel can end a stalled send.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, STALLED_CALLER_MS)
+    listener.bind((host.strip("[]"), int(port)))
+    listener.listen(BACKLOG)
+    return listener
+
+
+def _tls_contexts(
+    files: TlsFiles,
+) -> tuple[ssl.SSLContext | None, ssl.SSLContext | None]:
+    """Return contexts for dialling and accepting links, both authenticated."""
+    if not files.certificate:
+        return None, None
+    client = ssl.create_default_context(cafile=files.authority)
+    client.load_cert_chain(files.certificate, files.key)
+    server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=files.authority)
+    server.load_cert_chain(files.certificate, files.key)
+    server.verify_mode = ssl.CERT_REQUIRED
+    return client, server
+
+
+# Stopping
+
+
+async def _wait_for_stop(instance: Instance, callers: Callers, claims: Claims) -> int:
+    """Wait for a signal, then until all work has ended; return the exit status."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        await anext(signals)
+        log.info("Stopping.", extra={"active": callers.active})
+        callers.stopping = True
+        instance.membership.leaving = True
+        instance.membership.notify()
+        status = 0
+        async with trio.open_nursery() as nursery:
+
+            async def stop_sooner(why: str, wait: Callable) -> None:
+                nonlocal status
+                await wait()
+                status = EXIT_CUT
+                log.warning(why, extra={"cut": callers.active})
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(stop_sooner, "Second signal.", signals.__anext__)
+            limit_s = instance.settings.limits.stop_limit_s
+            if limit_s:
+                nursery.start_soon(
+                    stop_sooner, "Stop limit reached.", lambda: trio.sleep(limit_s)
+                )
+            await trio.sleep(LEAVE_NOTICE_S)
+            while callers.active or claims.settling or instance.scheduler.in_flight:
+                await trio.sleep(STOP_CHECK_S)
+            nursery.cancel_scope.cancel()
+    return status
+
+
+def main() -> None:
+    """Run the daemon's command line."""
+    parser = argparse.ArgumentParser(
+        prog="savorydyked", description="Run one instance of the scheduler."
+    )
+    parser.add_argument("--config", required=True, help="settings file")
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    options = parser.parse_args()
+    try:
+        settings = read_settings(options.config)
+    except OSError as error:
+        print(f"savorydyked: {options.config}: {error.strerror}", file=sys.stderr)
+        sys.exit(EXIT_FINDINGS)
+    except FindingsError as error:
+        for finding in error.findings:
+            print(finding, file=sys.stderr)
+        sys.exit(EXIT_FINDINGS)
+    if options.check:
+        print(f"{options.config}: no findings")
+        return
+    _logs.configure(settings.log_level, settings.instance)
+    sys.exit(trio.run(run, settings))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/savorydyke/_dispatch.py
@@ -0,0 +1,509 @@
+"""Dispatch: one task takes one request from arrival to its final answer.
+
+This is the only place that sends a request to an endpoint, and it does so at
+most once. Once a byte may have left, a refusal says "may have run".
+"""
+
+import json
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field, replace
+
+import httpx
+import trio
+
+from savorydyke import _logs
+from savorydyke._adapters import Adapter, Lost, NotSent, Opened, OpenResult
+from savorydyke._calls import Call, not_approved
+from savorydyke._cell import ReleaseResult
+from savorydyke._claims import (
+    Claims,
+    Done,
+    Free,
+    KeptAnswer,
+    Mine,
+    Reused,
+    Taken,
+    Unavailable,
+    claim_key,
+)
+from savorydyke._configuration import Configuration
+from savorydyke._ids import EndpointId, Outcome, Reason
+from savorydyke._manifest import Endpoint
+from savorydyke._problems import Refusal
+from savorydyke._relay import Progress
+from savorydyke._scheduler import GRANT_VALID_S, Granted, Refused, Scheduler
+
+MAX_ATTEMPTS = 4
+RESUME_TRIES = 4
+RESUME_PAUSE_S = 0.1
+MAX_USAGE_BYTES = 1_000_000
+
+log = _logs.part("dispatch")
+
+
+@dataclass
+class Reply:
+    """The caller's connection.
+
+    Attributes
+    ----------
+    start : callable
+        Sends status and headers.
+    body : callable
+        Sends bytes of the body.
+    is_gone : callable
+        Returns whether the caller has left.
+    """
+
+    start: Callable[[int, list[tuple[bytes, bytes]]], Awaitable[None]]
+    body: Callable[[bytes], Awaitable[None]]
+    is_gone: Callable[[], bool] = lambda: False
+
+
+@dataclass(frozen=True)
+class Complete:
+    """The whole answer went to the caller."""
+
+    status: int
+
+
+@dataclass(frozen=True)
+class CutOff:
+    """The answer could not be completed; the caller's connection must be cut."""
+
+    cause: str
+
+
+DispatchResult = Complete | CutOff | Refusal
+
+
+@dataclass
+class Dispatch:
+    """State of one request.
+
+    Attributes
+    ----------
+    sent : bool
+        Whether a byte of the request may have left.
+    granted_at : float or None
+        When the grant arrived.
+    """
+
+    call: Call
+    reply: Reply
+    sent: bool = False
+    result: ReleaseResult = ReleaseResult.NOT_SENT
+    granted_at: float | None = None
+    progress: Progress = field(default_factory=Progress)
+    output_tokens: int = 0
+    endpoint: Endpoint | None = None
+    replying: bool = False
+
+
+@dataclass
+class Dispatcher:
+    """Everything that dispatching a request needs."""
+
+    scheduler: Scheduler
+    configuration: Configuration
+    claims: Claims
+    adapter: Adapter
+    background: trio.Nursery
+
+    async def run(self, dispatch: Dispatch) -> DispatchResult:
+        """Answer a request, and return how it ended."""
+        call = dispatch.call
+        if call.idempotency_key:
+            return await self._run_once(dispatch)
+        avoid: tuple[EndpointId, ...] = ()
+        for _ in range(MAX_ATTEMPTS):
+            answer = await self.scheduler.acquire(call.demand, avoid)
+            if isinstance(answer, Refused):
+                return _refusal(answer)
+            if answer.resume:
+                return await self._use_resume(dispatch, answer)
+            result = await self._use(dispatch, answer)
+            if result is not None:
+                return result
+            avoid = (*avoid, answer.endpoint)
+        detail = f"{MAX_ATTEMPTS} endpoints in turn could not be reached"
+        return Refusal(Reason.NO_ENDPOINT, detail)
+
+    # A request that may be repeated
+
+    async def _use(self, dispatch: Dispatch, granted: Granted) -> DispatchResult | None:
+        """Use a grant; None if nothing was sent and another may be tried."""
+        call = dispatch.call
+        dispatch.granted_at = granted.received
+        dispatch.result = ReleaseResult.NOT_SENT
+        try:
+            endpoint = self._permitted(call, granted)
+            if not isinstance(endpoint, Endpoint):
+                return endpoint
+            found = await self._probe(call, granted.probe)
+            if found is not None:
+                return await self._resume(dispatch, found)
+            if self._is_expired(granted):
+                return None
+            return await self._send(dispatch, endpoint)
+        finally:
+            self._release(dispatch)
+
+    def _is_expired(self, granted: Granted) -> bool:
+        return trio.current_time() - granted.received > GRANT_VALID_S
+
+    def _permitted(self, call: Call, granted: Granted) -> Endpoint | Refusal | None:
+        """Return the granted endpoint if the team may reach it right now."""
+        if self._is_expired(granted):
+            return None
+        manifest = self.configuration.current(trio.current_time())
+        if manifest is None:
+            detail = "this instance can not tell whether its configuration is current"
+            return Refusal(Reason.STALE_CONFIGURATION, detail)
+        if granted.endpoint in manifest.reachable(call.team, call.pool.id):
+            return manifest.endpoints[granted.endpoint]
+        if not manifest.reachable(call.team, call.pool.id):
+            return not_approved(call.pool.id)
+        return None
+
+    async def _probe(
+        self, call: Call, names: Iterable[EndpointId]
+    ) -> EndpointId | None:
+        """Return the endpoint that already has this request, if any."""
+        if not names or self.configuration.manifest is None:
+            return None
+        found: list[EndpointId] = []
+        endpoints = self.configuration.manifest.endpoints
+
+        async def ask(name: EndpointId) -> None:
+            if await self.adapter.knows(endpoints[name], call.stream_id):
+                found.append(name)
+
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                if name in endpoints:
+                    nursery.start_soon(ask, name)
+        return found[0] if found else None
+
+    async def _send(
+        self, dispatch: Dispatch, endpoint: Endpoint
+    ) -> DispatchResult | None:
+        call = dispatch.call
+        dispatch.sent = True
+        dispatch.endpoint = endpoint
+        dispatch.result = ReleaseResult.CANCELLED
+        opened = await self.adapter.open(
+            endpoint, call.head.method, call.target, self._headers(call), call.body
+        )
+        if isinstance(opened, NotSent):
+            dispatch.sent = False
+            dispatch.result = ReleaseResult.UNREACHABLE
+            return None
+        if isinstance(opened, Lost):
+            dispatch.result = ReleaseResult.CUT
+            opened = await self._reopen(dispatch, endpoint, call.streamed)
+        if not isinstance(opened, Opened):
+            detail = "the endpoint did not answer"
+            return Refusal(Reason.ENDPOINT_FAILED, detail, Outcome.MAY_HAVE_RUN)
+        return await self._relay(dispatch, endpoint, opened)
+
+    def _headers(self, call: Call) -> list[tuple[bytes, bytes]]:
+        kept = [(n, v) for n, v in call.head.headers if n.lower() != b"x-request-id"]
+        return [*kept, (b"x-request-id", call.stream_id.encode())]
+
+    # Relaying
+
+    async def _relay(
+        self, dispatch: Dispatch, endpoint: Endpoint, opened: Opened
+    ) -> DispatchResult:
+        """Relay an answer, taking it up again where the endpoint can."""
+        headers = [
+            (n, v) for n, v in opened.headers if n.lower() != b"x-request-id"
+        ] + [(b"x-request-id", dispatch.call.head.request_id.encode())]
+        dispatch.replying = True
+        await dispatch.reply.start(opened.status, headers)
+        is_stream = opened.is_event_stream()
+        for _ in range(RESUME_TRIES):
+            if await self._pump(dispatch, opened, is_stream):
+                return self._completed(dispatch, opened.status)
+            again = await self._reopen(dispatch, endpoint, is_stream)
+            if not isinstance(again, Opened):
+                break
+            opened = again
+        dispatch.result = ReleaseResult.CUT
+        return CutOff("the endpoint ended the answer early")
+
+    async def _pump(self, dispatch: Dispatch, opened: Opened, is_stream: bool) -> bool:
+        """Relay one connection's bytes; return whether the answer is complete."""
+        progress = dispatch.progress
+        last = b""
+        try:
+            async for chunk in opened.chunks:
+                fresh = progress.feed(chunk)
+                if progress.first_byte == progress.last_byte:
+                    self._first_byte(dispatch)
+                if fresh:
+                    await dispatch.reply.body(fresh)
+                    last = fresh
+        except httpx.HTTPError as error:
+            log.warning(
+                "Answer broke off.",
+                extra={
+                    "request": dispatch.call.head.request_id,
+                    "error": repr(error),
+                    "events": progress.events,
+                },
+            )
+            return False
+        finally:
+            await opened.close()
+        if is_stream:
+            dispatch.output_tokens = max(0, progress.events - 1)
+            return progress.is_finished()
+        dispatch.output_tokens = _usage(last)
+        return True
+
+    def _first_byte(self, dispatch: Dispatch) -> None:
+        if dispatch.granted_at is not None and dispatch.progress.first_byte:
+            waited_s = dispatch.progress.first_byte - dispatch.granted_at
+            self.scheduler.started(dispatch.call.demand.key, waited_s)
+
+    def _completed(self, dispatch: Dispatch, status: int) -> Complete:
+        dispatch.result = ReleaseResult.COMPLETE
+        return Complete(status)
+
+    async def _reopen(
+        self, dispatch: Dispatch, endpoint: Endpoint, is_stream: bool
+    ) -> OpenResult:
+        """Take a broken answer up behind what has been relayed."""
+        if not endpoint.resumes:
+            return Lost("the endpoint does not resume")
+        progress = dispatch.progress
+        result: OpenResult = Lost("not tried")
+        for attempt in range(RESUME_TRIES):
+            await trio.sleep(RESUME_PAUSE_S * attempt)
+            progress.rewind(is_stream)
+            result = await self.adapter.take_up(
+                endpoint, dispatch.call.stream_id, progress.events
+            )
+            if isinstance(result, Opened):
+                if result.status == 200:
+                    return result
+                await result.close()
+                return Lost(f"status {result.status}")
+        return result
+
+    async def _use_resume(self, dispatch: Dispatch, granted: Granted) -> DispatchResult:
+        """Use a grant that only permits to take up an earlier dispatch."""
+        dispatch.result = ReleaseResult.DROPPED
+        try:
+            return await self._resume(dispatch, granted.endpoint)
+        finally:
+            self._release(dispatch)
+
+    async def _resume(self, dispatch: Dispatch, name: EndpointId) -> DispatchResult:
+        """Answer a request that runs at an endpoint already; sends no new one."""
+        dispatch.sent = True
+        manifest = self.configuration.current(trio.current_time())
+        endpoint = manifest.endpoints.get(name) if manifest else None
+        detail = "the request was dispatched earlier and can not be taken up"
+        lost = Refusal(Reason.UNKNOWN_OUTCOME, detail, Outcome.MAY_HAVE_RUN)
+        if endpoint is None:
+            return lost
+        dispatch.progress.events = dispatch.call.head.last_event
+        opened = await self._reopen(dispatch, endpoint, is_stream=True)
+        if not isinstance(opened, Opened):
+            return lost
+        return await self._relay(dispatch, endpoint, opened)
+
+    async def take_up(self, dispatch: Dispatch, calls: list[Call]) -> DispatchResult:
+        """Take up a request that was dispatched earlier, in any of its pools."""
+        for call in calls:
+            dispatch.call = call
+            answer = await self.scheduler.acquire(call.demand)
+            if isinstance(answer, Granted):
+                return await self._use_resume(dispatch, answer)
+        manifest = self.configuration.current(trio.current_time())
+        for call in calls if manifest else []:
+            assert manifest is not None
+            names = manifest.reachable(call.team, call.pool.id)
+            able = [name for name in names if manifest.endpoints[name].resumes]
+            found = await self._probe(call, able)
+            if found is not None:
+                dispatch.call = call
+                return await self._resume(dispatch, found)
+        detail = "no endpoint has a request of this id; it may have run and ended"
+        return Refusal(Reason.NOT_FOUND, detail, Outcome.MAY_HAVE_RUN)
+
+    def _release(self, dispatch: Dispatch) -> None:
+        if dispatch.result is ReleaseResult.CANCELLED:
+            self._give_up_stream(dispatch)
+        self.scheduler.release(
+            dispatch.call.demand.key,
+            dispatch.result,
+            dispatch.output_tokens,
+            dispatch.progress.decode_s(),
+        )
+
+    def _give_up_stream(self, dispatch: Dispatch) -> None:
+        """Cancel the stream of a departed caller, unless it may come back."""
+        if not dispatch.sent or dispatch.endpoint is None:
+            return
+        if not dispatch.endpoint.resumes:
+            return
+        if dispatch.call.head.named:
+            dispatch.result = ReleaseResult.DROPPED
+            return
+        self.background.start_soon(
+            self.adapter.cancel, dispatch.endpoint, dispatch.call.stream_id
+        )
+
+    # A request that must run at most once
+
+    async def _run_once(self, dispatch: Dispatch) -> DispatchResult:
+        """Answer a request under a claim of its idempotency key."""
+        call = dispatch.call
+        key = claim_key(call.team, call.pool.id, call.idempotency_key)
+        deadline = call.demand.deadline
+        avoid: tuple[EndpointId, ...] = ()
+        for _ in range(MAX_ATTEMPTS):
+            state = await self.claims.look(key, call.digest)
+            while isinstance(state, Taken) and trio.current_time() < deadline:
+                if self._is_stuck(state):
+                    break
+                state = await self.claims.wait(key, call.digest, state)
+            if not isinstance(state, Free):
+                return await self._claimed(dispatch, state)
+            answer = await self.scheduler.acquire(call.demand, avoid)
+            if isinstance(answer, Refused):
+                return _refusal(answer)
+            with trio.CancelScope(shield=True):
+                result = await self._use_once(dispatch, answer, key, state)
+            if result is not None:
+                return result
+            avoid = (*avoid, answer.endpoint)
+        detail = f"{MAX_ATTEMPTS} endpoints in turn could not be reached"
+        return Refusal(Reason.NO_ENDPOINT, detail)
+
+    def _is_stuck(self, taken: Taken) -> bool:
+        """Return whether the claim's holder has died, so that waiting is vain."""
+        membership = self.scheduler.membership
+        holder = taken.claim.instance
+        return holder != membership.id and holder not in membership.live()
+
+    async def _claimed(self, dispatch: Dispatch, state: object) -> DispatchResult:
+        """Answer a request whose key is not free."""
+        match state:
+            case Done(answer=KeptAnswer() as answer):
+                request_id = dispatch.call.head.request_id.encode()
+                headers = [(n.encode(), v.encode()) for n, v in answer.headers]
+                headers += [(b"x-request-id", request_id), (b"x-replayed", b"true")]
+                dispatch.replying = True
+                await dispatch.reply.start(answer.status, headers)
+                await dispatch.reply.body(answer.body)
+                return Complete(answer.status)
+            case Done():
+                detail = "the request ran earlier; its answer was too large to keep"
+                return Refusal(Reason.DUPLICATE, detail, Outcome.MAY_HAVE_RUN)
+            case Reused():
+                detail = "the Idempotency-Key was used for another request"
+                return Refusal(Reason.KEY_REUSED, detail)
+            case Taken() if self._is_stuck(state):
+                detail = "an earlier attempt may have run; its instance has gone"
+                return Refusal(Reason.UNKNOWN_OUTCOME, detail, Outcome.MAY_HAVE_RUN)
+            case Taken():
+                detail = "an earlier attempt is in progress"
+                return Refusal(Reason.IN_PROGRESS, detail, Outcome.MAY_HAVE_RUN)
+        cause = state.cause if isinstance(state, Unavailable) else "no answer"
+        detail = f"the claim of the key can not be made: {cause}"
+        return Refusal(Reason.CLAIMS_UNAVAILABLE, detail)
+
+    async def _use_once(
+        self, dispatch: Dispatch, granted: Granted, key: str, free: Free
+    ) -> DispatchResult | None:
+        """Claim the key and use a grant; None if another may be tried."""
+        call = dispatch.call
+        attempt = f"{call.stream_id}#{self.scheduler.membership.incarnation}"
+        attempt += f".{granted.attempt}"
+        dispatch.granted_at = granted.received
+        dispatch.result = ReleaseResult.NOT_SENT
+        try:
+            taken = await self.claims.take(key, call.digest, attempt, free)
+            if not isinstance(taken, Mine):
+                return await self._claimed(dispatch, taken)
+            endpoint = self._permitted(call, granted)
+            result: DispatchResult | None
+            if isinstance(endpoint, Endpoint):
+                result = await self._send_once(dispatch, endpoint, key, attempt)
+            else:
+                result = endpoint
+            if not dispatch.sent:
+                self.claims.release_later(key, call.digest, attempt)
+            return result
+        finally:
+            self._release(dispatch)
+
+    async def _send_once(
+        self, dispatch: Dispatch, endpoint: Endpoint, key: str, attempt: str
+    ) -> DispatchResult | None:
+        """Send under a claim, and keep the answer for replays."""
+        call = dispatch.call
+        kept = _Keeper(dispatch.reply)
+        keeping = replace(dispatch, reply=kept.reply())
+        result = await self._send(keeping, endpoint)
+        dispatch.sent = keeping.sent
+        dispatch.result = keeping.result
+        dispatch.replying = keeping.replying
+        if isinstance(result, Complete):
+            self.claims.finish_later(key, call.digest, attempt, kept.answer())
+        return result
+
+
+class _Keeper:
+    """Passes an answer on to the caller and keeps a copy of it.
+
+    The request goes on without its caller, since it must not be sent again.
+    """
+
+    def __init__(self, reply: Reply) -> None:
+        self.target = reply
+        self.status = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.chunks: list[bytes] = []
+
+    def reply(self) -> Reply:
+        return Reply(self._start, self._body, self.target.is_gone)
+
+    async def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        self.status = status
+        self.headers = headers
+        if not self.target.is_gone():
+            await self.target.start(status, headers)
+
+    async def _body(self, data: bytes) -> None:
+        self.chunks.append(data)
+        if not self.target.is_gone():
+            await self.target.body(data)
+
+    def answer(self) -> KeptAnswer:
+        headers = tuple(
+            (n.decode("latin-1"), v.decode("latin-1"))
+            for n, v in self.headers
+            if n.lower() != b"x-request-id"
+        )
+        return KeptAnswer(self.status, headers, b"".join(self.chunks))
+
+
+def _refusal(refused: Refused) -> Refusal:
+    outcome = Outcome.MAY_HAVE_RUN if refused.may_have_run else Outcome.NOT_RUN
+    return Refusal(refused.reason, refused.detail, outcome, refused.retry_s)
+
+
+def _usage(chunk: bytes) -> int:
+    """Return the generated tokens that a whole answer reports, or 0."""
+    if len(chunk) > MAX_USAGE_BYTES:
+        return 0
+    try:
+        return int(json.loads(chunk)["usage"]["completion_tokens"])
+    except (ValueError, KeyError, TypeError):
+        return 0
--- /dev/null
+++ b/src/savorydyke/_fair_queue.py
@@ -0,0 +1,166 @@
+"""Waiting requests by tier, and within a tier fairly among calling teams.
+
+Tiers are strictly ordered. Within a tier the team with the least virtual time
+is next; dispatching a request advances its team's virtual time by the cost
+divided by the team's weight (start-time fair queueing).
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from savorydyke._ids import EndpointId, InstanceId, RequestKey, TeamId
+
+
+@dataclass
+class Waiting:
+    """A request that waits for a grant.
+
+    Attributes
+    ----------
+    rank : int
+        Rank of its tier, 0 for the highest.
+    deadline, arrived : float
+        Times on the home's monotonic clock, in seconds.
+    cost_s : float
+        Estimated engine time, in seconds.
+    """
+
+    key: RequestKey
+    attempt: int
+    entry: InstanceId
+    team: TeamId
+    rank: int
+    weight: float
+    prompt_tokens: int
+    output_tokens: int
+    prefix: tuple[int, ...]
+    allowed: frozenset[EndpointId]
+    avoid: frozenset[EndpointId]
+    deadline: float
+    arrived: float
+    cost_s: float
+    named: bool
+
+
+@dataclass
+class TeamQueue:
+    """The waiting requests of one team in one tier, in order of arrival."""
+
+    weight: float
+    virtual_s: float = 0.0
+    cost_s: float = 0.0
+    waiting: OrderedDict[RequestKey, Waiting] = field(default_factory=OrderedDict)
+
+    def head(self) -> Waiting:
+        """Return the request that arrived first."""
+        return next(iter(self.waiting.values()))
+
+    def newest(self) -> Waiting:
+        """Return the request that arrived last."""
+        return next(reversed(self.waiting.values()))
+
+
+@dataclass
+class TierQueue:
+    """The teams of one tier that have waiting requests."""
+
+    teams: dict[TeamId, TeamQueue] = field(default_factory=dict)
+    idle_virtual_s: dict[TeamId, float] = field(default_factory=dict)
+    virtual_now_s: float = 0.0
+    cost_s: float = 0.0
+    length: int = 0
+
+
+class FairQueue:
+    """All waiting requests of one pool."""
+
+    def __init__(self) -> None:
+        self.tiers: dict[int, TierQueue] = {}
+        self.by_key: dict[RequestKey, Waiting] = {}
+
+    def __len__(self) -> int:
+        return len(self.by_key)
+
+    def push(self, item: Waiting) -> None:
+        """Add a request behind the others of its team."""
+        tier = self.tiers.setdefault(item.rank, TierQueue())
+        team = tier.teams.get(item.team)
+        if team is None:
+            earlier = tier.idle_virtual_s.pop(item.team, 0.0)
+            team = TeamQueue(item.weight, max(earlier, tier.virtual_now_s))
+            tier.teams[item.team] = team
+        team.waiting[item.key] = item
+        team.cost_s += item.cost_s
+        tier.cost_s += item.cost_s
+        tier.length += 1
+        self.by_key[item.key] = item
+
+    def remove(self, key: RequestKey) -> Waiting | None:
+        """Take a request out without charging its team."""
+        item = self.by_key.pop(key, None)
+        if item is None:
+            return None
+        tier = self.tiers[item.rank]
+        team = tier.teams[item.team]
+        del team.waiting[key]
+        team.cost_s -= item.cost_s
+        tier.cost_s -= item.cost_s
+        tier.length -= 1
+        if not team.waiting:
+            tier.idle_virtual_s[item.team] = team.virtual_s
+            del tier.teams[item.team]
+        if not tier.teams:
+            tier.cost_s = 0.0
+            tier.idle_virtual_s.clear()
+        return item
+
+    def charge(self, item: Waiting) -> None:
+        """Take a request out because it was granted, and charge its team."""
+        tier = self.tiers[item.rank]
+        team = tier.teams[item.team]
+        tier.virtual_now_s = max(tier.virtual_now_s, team.virtual_s)
+        team.virtual_s += item.cost_s / team.weight
+        self.remove(item.key)
+
+    def heads(self) -> Iterator[Waiting]:
+        """Yield each team's first request, in the order of dispatch."""
+        for rank in sorted(self.tiers):
+            teams = sorted(
+                self.tiers[rank].teams.values(), key=lambda team: team.virtual_s
+            )
+            for team in teams:
+                yield team.head()
+
+    def lowest(self) -> Waiting | None:
+        """Return the request to shed next.
+
+        It is in the lowest tier that waits, of the team with the most waiting
+        cost for its weight, and the one that arrived last.
+        """
+        ranks = [rank for rank, tier in self.tiers.items() if tier.length]
+        if not ranks:
+            return None
+        teams = self.tiers[max(ranks)].teams.values()
+        return max(teams, key=lambda team: team.cost_s / team.weight).newest()
+
+    def team_length(self, rank: int, team: TeamId) -> int:
+        """Return how many requests of `team` wait."""
+        tier = self.tiers.get(rank)
+        queue = tier.teams.get(team) if tier else None
+        return len(queue.waiting) if queue else 0
+
+    def cost_ahead_s(self, rank: int, team: TeamId, weight: float) -> float:
+        """Return the engine time that will be granted before a new request."""
+        above = sum(tier.cost_s for r, tier in self.tiers.items() if r < rank)
+        tier = self.tiers.get(rank)
+        if tier is None:
+            return above
+        own = tier.teams.get(team)
+        own_cost_s = own.cost_s if own else 0.0
+        others = [queue for name, queue in tier.teams.items() if name != team]
+        others_weight = sum(queue.weight for queue in others)
+        others_cost_s = sum(queue.cost_s for queue in others)
+        return (
+            above + own_cost_s + min(others_cost_s, own_cost_s * others_weight / weight)
+        )
--- /dev/null
+++ b/src/savorydyke/_homes.py
@@ -0,0 +1,216 @@
+"""The cells of which this instance is the home.
+
+Messages from entries are handed to the cell of their pool and its decisions
+sent back. A cell is made when the first message for its pool arrives, waits
+until the other entries have registered what they have in flight, and is
+dropped when it has been idle for a while.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from savorydyke import _logs
+from savorydyke._cell import Cell, Decision, new_cell
+from savorydyke._endpoint_load import Running
+from savorydyke._endpoint_states import EndpointStates
+from savorydyke._ids import EndpointId, InstanceId, PoolId, Reason
+from savorydyke._manifest import Manifest
+from savorydyke._membership import Membership
+from savorydyke._messages import (
+    Acquire,
+    Grant,
+    Message,
+    Refuse,
+    Register,
+    Release,
+    Started,
+    Withdraw,
+)
+from savorydyke._timers import TimerService
+
+TICK_S = 0.1
+SETTLE_S = 1.0
+IDLE_S = 60.0
+ORPHAN_CHECK_S = 0.5
+
+log = _logs.part("home")
+
+Answer = Callable[[InstanceId, Grant | Refuse], None]
+CancelOrphan = Callable[[EndpointId, Running], None]
+
+
+@dataclass
+class Hosted:
+    """A cell with what its home knows about it.
+
+    Attributes
+    ----------
+    unregistered : set of InstanceId
+        Entries that have not yet registered what they have in flight.
+    """
+
+    cell: Cell
+    settle_at: float
+    unregistered: set[InstanceId]
+    used: float
+
+
+@dataclass
+class Homes:
+    """All cells hosted here.
+
+    Attributes
+    ----------
+    answer : callable
+        Sends a grant or a refusal to an entry.
+    cancel_orphan : callable
+        Cancels a request at its endpoint that no entry looks after.
+    """
+
+    membership: Membership
+    states: EndpointStates
+    manifest: Callable[[], Manifest | None]
+    answer: Answer
+    cancel_orphan: CancelOrphan
+    orphan_grace_s: float
+    rng: random.Random
+    hosted: dict[PoolId, Hosted] = field(default_factory=dict)
+
+    # Messages
+
+    def handle(self, sender: InstanceId, message: Message) -> None:
+        """Take in a message of an entry."""
+        now = trio.current_time()
+        match message:
+            case Acquire():
+                self._acquire(sender, message, now)
+            case Register():
+                self._register(sender, message, now)
+            case Release() | Started() | Withdraw():
+                hosted = self.hosted.get(message.pool)
+                if hosted is not None:
+                    hosted.used = now
+                    self._send(self._apply(hosted.cell, sender, message, now))
+
+    def _apply(
+        self,
+        cell: Cell,
+        sender: InstanceId,
+        message: Release | Started | Withdraw,
+        now: float,
+    ) -> list[Decision]:
+        match message:
+            case Release():
+                return cell.release(message, sender, now)
+            case Started():
+                return cell.started(message, now)
+            case Withdraw():
+                cell.withdraw(message.key)
+                return []
+
+    def _acquire(self, sender: InstanceId, message: Acquire, now: float) -> None:
+        hosted = self._host(message.pool, now)
+        if hosted is None:
+            reason = Reason.NO_CONFIGURATION
+            detail = "the home of the pool has no configuration in force"
+            refusal = Refuse(
+                message.key, message.attempt, reason.value, detail, 1000, False
+            )
+            self.answer(sender, refusal)
+            return
+        hosted.used = now
+        self._send(hosted.cell.acquire(message, sender, now))
+
+    def _register(self, sender: InstanceId, message: Register, now: float) -> None:
+        hosted = self._host(message.pool, now)
+        if hosted is None:
+            return
+        hosted.cell.register(message, sender, now)
+        hosted.unregistered.discard(sender)
+        if not hosted.unregistered:
+            self._settle(hosted, now)
+
+    def _send(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            self.answer(decision.entry, decision.answer)
+
+    # Cells
+
+    def _host(self, pool: PoolId, now: float) -> Hosted | None:
+        hosted = self.hosted.get(pool)
+        if hosted is not None:
+            return hosted
+        manifest = self.manifest()
+        if manifest is None or pool not in manifest.pools:
+            return None
+        cell = new_cell(pool, manifest, now, self.rng)
+        cell.settled = False
+        for endpoint in self.states.leaving:
+            cell.set_leaving(endpoint, True)
+        entries = {*self.membership.live(), self.membership.id}
+        hosted = Hosted(cell, now + SETTLE_S, entries, now)
+        self.hosted[pool] = hosted
+        log.info("Cell hosted.", extra={"pool": pool})
+        return hosted
+
+    def _settle(self, hosted: Hosted, now: float) -> None:
+        if hosted.cell.settled:
+            return
+        hosted.cell.settled = True
+        self._send(hosted.cell.pump(now))
+
+    def set_share(self, cell: Cell) -> None:
+        """Limit the credits of a cell whose home may not be the only one."""
+        alone = self.membership.is_home(cell.pool)
+        most = self.membership.reaches_majority(trio.current_time())
+        cell.share = 1.0 if alone and most else 1.0 / self.membership.known()
+
+    # Events
+
+    def reconfigure(self, manifest: Manifest) -> None:
+        """Hand a new manifest to all cells."""
+        now = trio.current_time()
+        for hosted in list(self.hosted.values()):
+            self._send(hosted.cell.reconfigure(manifest, now))
+            for endpoint in self.states.leaving:
+                hosted.cell.set_leaving(endpoint, True)
+
+    def set_leaving(self, endpoint: EndpointId, leaving: bool) -> None:
+        """Tell all cells that an endpoint leaves or has come back."""
+        for hosted in self.hosted.values():
+            hosted.cell.set_leaving(endpoint, leaving)
+
+    def entry_lost(self, entry: InstanceId) -> None:
+        """Tell all cells that an instance has died."""
+        now = trio.current_time()
+        for hosted in self.hosted.values():
+            hosted.cell.entry_lost(entry, now)
+            hosted.unregistered.discard(entry)
+
+    # Periodic work
+
+    async def run(self, timers: TimerService) -> None:
+        """Tick all cells until cancelled."""
+        async with timers.every(TICK_S) as ticks:
+            async for _ in ticks:
+                now = trio.current_time()
+                for pool, hosted in list(self.hosted.items()):
+                    self._tick(pool, hosted, now)
+
+    def _tick(self, pool: PoolId, hosted: Hosted, now: float) -> None:
+        cell = hosted.cell
+        if now >= hosted.settle_at or not hosted.unregistered:
+            self._settle(hosted, now)
+        self.set_share(cell)
+        for endpoint, item in cell.take_orphans(now - self.orphan_grace_s, now):
+            self.cancel_orphan(endpoint, item)
+        self._send(cell.tick(now))
+        busy = len(cell.queue) > 0 or cell.placed
+        if busy or self.membership.is_home(pool):
+            hosted.used = now
+        elif now - hosted.used > IDLE_S:
+            del self.hosted[pool]
+            log.info("Cell dropped.", extra={"pool": pool})
--- /dev/null
+++ b/src/savorydyke/_ids.py
@@ -0,0 +1,66 @@
+"""Identifier types and the states that several modules share."""
+
+from enum import Enum
+from typing import NewType
+
+TeamId = NewType("TeamId", str)
+TierId = NewType("TierId", str)
+PoolId = NewType("PoolId", str)
+EndpointId = NewType("EndpointId", str)
+InstanceId = NewType("InstanceId", str)
+DataCentreId = NewType("DataCentreId", str)
+RequestId = NewType("RequestId", str)
+RequestKey = NewType("RequestKey", str)
+"""Team and request id together, since request ids are unique only in a team."""
+Revision = NewType("Revision", int)
+
+
+def request_key(team: TeamId, request: RequestId) -> RequestKey:
+    """Return the fleet-wide key of one team's request.
+
+    >>> request_key(TeamId("drivers"), RequestId("r1"))
+    'drivers/r1'
+    """
+    return RequestKey(f"{team}/{request}")
+
+
+class Outcome(Enum):
+    """What a refusal says about whether the request ran."""
+
+    NOT_RUN = "not run"
+    MAY_HAVE_RUN = "may have run"
+
+
+class Reason(Enum):
+    """Machine-readable cause of a refusal."""
+
+    BAD_REQUEST = "bad-request"
+    BAD_KEY = "bad-key"
+    NOT_APPROVED = "not-approved"
+    UNKNOWN_MODEL = "unknown-model"
+    UNKNOWN_POOL = "unknown-pool"
+    TOO_LARGE = "too-large"
+    KEY_REQUIRED = "idempotency-key-required"
+    KEY_REUSED = "idempotency-key-reused"
+    IN_PROGRESS = "in-progress"
+    UNKNOWN_OUTCOME = "unknown-outcome"
+    DUPLICATE = "duplicate-request"
+    OVERLOADED = "overloaded"
+    TEAM_LIMIT = "team-limit"
+    DEADLINE = "deadline"
+    NO_ENDPOINT = "no-endpoint"
+    NO_CONFIGURATION = "no-configuration"
+    STALE_CONFIGURATION = "stale-configuration"
+    CLAIMS_UNAVAILABLE = "claims-unavailable"
+    STOPPING = "stopping"
+    ENDPOINT_FAILED = "endpoint-failed"
+    NOT_FOUND = "not-found"
+    INTERNAL = "internal-error"
+
+
+class MemberState(Enum):
+    """State of an instance as its peers see it."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    DEAD = "dead"
--- /dev/null
+++ b/src/savorydyke/_membership.py
@@ -0,0 +1,246 @@
+"""Membership: which instances are alive, and which is the home of a pool.
+
+An instance is added on anyone's word and removed only on own evidence: its
+counter has not advanced for `DEAD_AFTER_S`. Counters rise with each heartbeat
+and travel through peers, so that a message out of order changes nothing.
+"""
+
+import hashlib
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from savorydyke._ids import DataCentreId, InstanceId, MemberState, PoolId
+from savorydyke._messages import Heartbeat, MemberRow
+
+HEARTBEAT_S = 0.3
+DEAD_AFTER_S = 1.5
+ACKNOWLEDGED_WITHIN_S = 2.0
+FORGET_AFTER_S = 120.0
+FULL_MESH = 16
+"""Largest fleet in which every instance links to every other."""
+SUCCESSORS = 4
+"""Links that each instance of a larger fleet opens along the ring of ids."""
+SENT_KEPT = 64
+
+
+@dataclass
+class Member:
+    """Another instance, as seen from here.
+
+    Attributes
+    ----------
+    heard : float
+        When its counter last advanced, on the local monotonic clock.
+    linked : bool
+        Whether a link to it is open.
+    acknowledged : float
+        When the latest heartbeat of ours that it has answered was sent.
+    """
+
+    id: InstanceId
+    address: str
+    data_centre: DataCentreId
+    incarnation: int
+    counter: int
+    leaving: bool
+    heard: float
+    linked: bool = False
+    acknowledged: float = float("-inf")
+    direct_counter: int = 0
+
+
+@dataclass
+class Membership:
+    """The members and what follows from them.
+
+    Attributes
+    ----------
+    listeners : list of callable
+        Called after each change of a member's state.
+    lost : list of callable
+        Called with an instance that died or restarted.
+    """
+
+    id: InstanceId
+    address: str
+    data_centre: DataCentreId
+    incarnation: int
+    counter: int = 0
+    leaving: bool = False
+    members: dict[InstanceId, Member] = field(default_factory=dict)
+    sent: OrderedDict[int, float] = field(default_factory=OrderedDict)
+    states: dict[InstanceId, MemberState] = field(default_factory=dict)
+    listeners: list[Callable[[], None]] = field(default_factory=list)
+    lost: list[Callable[[InstanceId], None]] = field(default_factory=list)
+
+    # What is heard
+
+    def hear(self, row: MemberRow, now: float) -> None:
+        """Take in a row about an instance, first-hand or from a peer."""
+        if row.instance == self.id:
+            return
+        member = self.members.get(row.instance)
+        if member is None or row.incarnation > member.incarnation:
+            self._add(row, now, member)
+            return
+        if row.incarnation < member.incarnation or row.counter <= member.counter:
+            return
+        member.counter = row.counter
+        member.leaving = member.leaving or row.leaving
+        member.heard = now
+
+    def _add(self, row: MemberRow, now: float, earlier: Member | None) -> None:
+        if earlier is not None:
+            self._report_lost(row.instance)
+        self.members[row.instance] = Member(
+            id=row.instance,
+            address=row.address,
+            data_centre=DataCentreId(row.data_centre),
+            incarnation=row.incarnation,
+            counter=row.counter,
+            leaving=row.leaving,
+            heard=now,
+            linked=earlier.linked if earlier else False,
+        )
+
+    def hear_heartbeat(self, peer: InstanceId, beat: Heartbeat, now: float) -> None:
+        """Take in a heartbeat that came over a direct link."""
+        member = self.members.get(peer)
+        if member is None:
+            return
+        member.direct_counter = max(member.direct_counter, beat.counter)
+        if beat.counter > member.counter:
+            member.counter = beat.counter
+            member.heard = now
+        member.leaving = member.leaving or beat.leaving
+        sent = self.sent.get(beat.echo)
+        if sent is not None:
+            member.acknowledged = max(member.acknowledged, sent)
+        for row in beat.rows:
+            self.hear(row, now)
+
+    def beat(self, now: float) -> int:
+        """Advance the own counter and remember when it was sent."""
+        self.counter += 1
+        self.sent[self.counter] = now
+        if len(self.sent) > SENT_KEPT:
+            self.sent.popitem(last=False)
+        return self.counter
+
+    def update(self, now: float) -> None:
+        """Judge all members again and tell listeners of changes."""
+        states = {}
+        for member in list(self.members.values()):
+            if now - member.heard > FORGET_AFTER_S:
+                del self.members[member.id]
+                continue
+            states[member.id] = self._state(member, now)
+        died = [
+            name
+            for name, state in self.states.items()
+            if state is not MemberState.DEAD
+            and states.get(name, MemberState.DEAD) is MemberState.DEAD
+        ]
+        changed = states != self.states
+        self.states = states
+        for name in died:
+            self._report_lost(name)
+        if changed:
+            self.notify()
+
+    def _state(self, member: Member, now: float) -> MemberState:
+        if now - member.heard > DEAD_AFTER_S:
+            return MemberState.DEAD
+        return MemberState.LEAVING if member.leaving else MemberState.LIVE
+
+    def notify(self) -> None:
+        """Tell listeners that something they may depend on has changed."""
+        for listener in self.listeners:
+            listener()
+
+    def _report_lost(self, instance: InstanceId) -> None:
+        for listener in self.lost:
+            listener(instance)
+
+    # What follows
+
+    def live(self) -> list[InstanceId]:
+        """Return the instances that take new work, this one included."""
+        others = [
+            name for name, state in self.states.items() if state is MemberState.LIVE
+        ]
+        return others if self.leaving else [*others, self.id]
+
+    def home(self, pool: PoolId) -> InstanceId:
+        """Return the home of `pool` in this instance's view.
+
+        The highest of the rendezvous hashes of all live instances wins. Only
+        instances that this one can send to are candidates.
+        """
+        candidates = [
+            name for name in self.live() if name == self.id or self._sendable(name)
+        ]
+        if not candidates:
+            return self.id
+        return max(candidates, key=lambda name: rendezvous_score(pool, name))
+
+    def _sendable(self, name: InstanceId) -> bool:
+        return self.members[name].linked or len(self.members) >= FULL_MESH
+
+    def is_home(self, pool: PoolId) -> bool:
+        """Return whether this instance is the home of `pool` in its own view."""
+        return self.home(pool) == self.id
+
+    def known(self) -> int:
+        """Return how many instances may be running, this one included."""
+        return 1 + sum(
+            1
+            for member in self.members.values()
+            if not (member.leaving and self.states.get(member.id) is MemberState.DEAD)
+        )
+
+    def reaches_majority(self, now: float) -> bool:
+        """Return whether most known instances answered lately."""
+        answered = 1 + sum(
+            1
+            for member in self.members.values()
+            if now - member.acknowledged <= ACKNOWLEDGED_WITHIN_S
+        )
+        return 2 * answered > self.known()
+
+    def is_chosen(self, task: str, count: int) -> bool:
+        """Return whether this instance is among `count` chosen for a task."""
+        ranked = sorted(
+            [*self.live(), self.id],
+            key=lambda name: rendezvous_score(task, name),
+            reverse=True,
+        )
+        return self.id in dict.fromkeys(ranked[: count + 1])
+
+    def wanted_links(self) -> list[Member]:
+        """Return the members that this instance should hold a link to."""
+        others = [m for m in self.members.values() if m.id not in self._dead()]
+        if len(others) < FULL_MESH:
+            return [member for member in others if member.id > self.id]
+        ring = sorted(others, key=lambda m: (m.id < self.id, m.id))
+        return ring[:SUCCESSORS]
+
+    def _dead(self) -> set[InstanceId]:
+        return {n for n, s in self.states.items() if s is MemberState.DEAD}
+
+    def rows(self) -> tuple[MemberRow, ...]:
+        """Return a row for each member that is not dead."""
+        dead = self._dead()
+        return tuple(
+            MemberRow(
+                m.id, m.address, m.data_centre, m.incarnation, m.counter, m.leaving
+            )
+            for m in self.members.values()
+            if m.id not in dead
+        )
+
+
+def rendezvous_score(what: str, instance: InstanceId) -> bytes:
+    """Return the weight of `instance` for `what` in rendezvous hashing."""
+    return hashlib.blake2b(f"{what}|{instance}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/src/savorydyke/_messages.py
@@ -0,0 +1,364 @@
+"""Messages between instances and their CBOR encoding.
+
+A frame is a CBOR array of messages; a message is an array whose first element
+is its tag and whose others are the fields in order. Frames from peers are
+decoded strictly: a field of the wrong type makes the frame invalid.
+"""
+
+import types
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, fields
+from typing import Any, NewType, Union, get_args, get_origin, get_type_hints
+
+import cbor2
+
+from savorydyke._exceptions import ProtocolError
+from savorydyke._ids import (
+    EndpointId,
+    InstanceId,
+    PoolId,
+    RequestKey,
+    Revision,
+    TeamId,
+)
+
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 2_000_000
+
+
+@dataclass(frozen=True)
+class Challenge:
+    """First frame of the accepting side; the nonce must be signed."""
+
+    version: int
+    instance: InstanceId
+    nonce: bytes
+
+
+@dataclass(frozen=True)
+class Hello:
+    """Answer of the dialling side, with its own nonce."""
+
+    version: int
+    instance: InstanceId
+    address: str
+    data_centre: str
+    incarnation: int
+    nonce: bytes
+    signature: bytes
+
+
+@dataclass(frozen=True)
+class Welcome:
+    """Last frame of the handshake, signed by the accepting side."""
+
+    address: str
+    data_centre: str
+    incarnation: int
+    signature: bytes
+
+
+@dataclass(frozen=True)
+class MemberRow:
+    """What the sender knows of one instance."""
+
+    instance: InstanceId
+    address: str
+    data_centre: str
+    incarnation: int
+    counter: int
+    leaving: bool
+
+
+@dataclass(frozen=True)
+class Heartbeat:
+    """Sign of life, with what must spread quickly.
+
+    Attributes
+    ----------
+    echo : int
+        The latest counter received from the peer that this goes to, so that
+        the peer can bound the age of what it is told without a common clock.
+    confirmed_ms : int
+        Age of the latest confirmation that `revision` is the newest; -1 for
+        none.
+    leaving_endpoints : tuple of EndpointId
+        Endpoints that the sender knows to be leaving.
+    rows : tuple of MemberRow
+        The sender's view of the fleet; only on one link at each tick.
+    """
+
+    counter: int
+    echo: int
+    leaving: bool
+    revision: Revision
+    confirmed_ms: int
+    leaving_endpoints: tuple[EndpointId, ...]
+    rows: tuple[MemberRow, ...]
+
+
+@dataclass(frozen=True)
+class ConfigurationRequest:
+    """Asks a peer for its configuration if newer than `revision`."""
+
+    revision: Revision
+
+
+@dataclass(frozen=True)
+class ConfigurationPush:
+    """A configuration record as the platform holds it."""
+
+    revision: Revision
+    record: bytes
+
+
+@dataclass(frozen=True)
+class Acquire:
+    """Asks the home of a pool for a grant.
+
+    Attributes
+    ----------
+    attempt : int
+        Counts the entry's acquisitions for this request.
+    prompt_tokens, output_tokens : int
+        Estimated cost.
+    prefix : tuple of int
+        Digests of the prompt's leading blocks, shortest first.
+    deadline_ms : int
+        Time left when the message was sent.
+    avoid : tuple of EndpointId
+        Endpoints that were unreachable on earlier attempts.
+    named : bool
+        Whether the caller chose the request id, so that it may be a retry.
+    resume_only : bool
+        Whether to take up a request that was dispatched earlier, or nothing.
+    """
+
+    key: RequestKey
+    attempt: int
+    pool: PoolId
+    team: TeamId
+    model: str
+    prompt_tokens: int
+    output_tokens: int
+    prefix: tuple[int, ...]
+    deadline_ms: int
+    avoid: tuple[EndpointId, ...]
+    named: bool
+    resume_only: bool
+
+
+@dataclass(frozen=True)
+class Grant:
+    """Permits one dispatch to one endpoint.
+
+    Attributes
+    ----------
+    resume : bool
+        Take up a stream that runs at the endpoint; send no new request.
+    probe : tuple of EndpointId
+        Endpoints to ask for this request id first, since the home is too
+        young to know whether an earlier instance dispatched it.
+    """
+
+    key: RequestKey
+    attempt: int
+    endpoint: EndpointId
+    resume: bool
+    probe: tuple[EndpointId, ...]
+
+
+@dataclass(frozen=True)
+class Refuse:
+    """Refuses a request.
+
+    Attributes
+    ----------
+    retry_ms : int
+        When coming back makes sense; -1 for never.
+    """
+
+    key: RequestKey
+    attempt: int
+    reason: str
+    detail: str
+    retry_ms: int
+    may_have_run: bool
+
+
+@dataclass(frozen=True)
+class Started:
+    """The first byte of the answer arrived, so the prefill is done."""
+
+    key: RequestKey
+    pool: PoolId
+    first_byte_ms: int
+
+
+@dataclass(frozen=True)
+class Release:
+    """Returns a grant.
+
+    Attributes
+    ----------
+    result : str
+        Value of a `ReleaseResult`.
+    output_tokens, decode_ms : int
+        What was generated, and in which time after the first byte.
+    """
+
+    key: RequestKey
+    attempt: int
+    pool: PoolId
+    endpoint: EndpointId
+    result: str
+    output_tokens: int
+    decode_ms: int
+
+
+@dataclass(frozen=True)
+class Withdraw:
+    """The entry gives up a waiting request."""
+
+    key: RequestKey
+    pool: PoolId
+
+
+@dataclass(frozen=True)
+class RunningRow:
+    """One request in flight, as its entry reports it to a new home."""
+
+    key: RequestKey
+    attempt: int
+    team: TeamId
+    endpoint: EndpointId
+    prompt_tokens: int
+    output_tokens: int
+    started: bool
+
+
+@dataclass(frozen=True)
+class Register:
+    """All requests in flight of one entry in one pool, to a new home."""
+
+    pool: PoolId
+    running: tuple[RunningRow, ...]
+
+
+Message = (
+    Challenge
+    | Hello
+    | Welcome
+    | Heartbeat
+    | ConfigurationRequest
+    | ConfigurationPush
+    | Acquire
+    | Grant
+    | Refuse
+    | Started
+    | Release
+    | Withdraw
+    | Register
+)
+_NESTED = (MemberRow, RunningRow)
+_TAGS = {kind: tag for tag, kind in enumerate(get_args(Message))}
+_KINDS = {tag: kind for kind, tag in _TAGS.items()}
+
+Check = Callable[[Any], Any]
+
+
+def encode(messages: Iterable[Message]) -> bytes:
+    """Return one frame with `messages`."""
+    return cbor2.dumps([[_TAGS[type(m)], *_plain(m)] for m in messages])
+
+
+def decode(frame: bytes) -> list[Message]:
+    """Return the messages of one frame.
+
+    Raises
+    ------
+    ProtocolError
+        If the frame is not valid.
+    """
+    try:
+        rows = cbor2.loads(frame)
+    except Exception as error:
+        raise ProtocolError(f"not CBOR: {error}") from None
+    if not isinstance(rows, list):
+        raise ProtocolError("a frame must be an array")
+    return [_decode_message(row) for row in rows]
+
+
+def _plain(message: Any) -> list[Any]:
+    return [_plain_value(value) for value in message.__dict__.values()]
+
+
+def _plain_value(value: Any) -> Any:
+    if isinstance(value, tuple):
+        return [_plain(x) if isinstance(x, _NESTED) else x for x in value]
+    return value
+
+
+def _decode_message(row: Any) -> Message:
+    if not isinstance(row, list) or not row or type(row[0]) is not int:
+        raise ProtocolError("a message must be an array with a tag")
+    kind = _KINDS.get(row[0])
+    if kind is None:
+        raise ProtocolError(f"unknown tag {row[0]}")
+    return _build(kind, row[1:])
+
+
+def _build(kind: type, values: list) -> Any:
+    checks = _CHECKS[kind]
+    if len(values) != len(checks):
+        raise ProtocolError(f"{kind.__name__} has {len(values)} fields")
+    return kind(*[check(v) for check, v in zip(checks, values, strict=True)])
+
+
+def _exactly(expected: type) -> Check:
+    def check(value: Any) -> Any:
+        if type(value) is not expected:
+            raise ProtocolError(f"expected {expected.__name__}")
+        return value
+
+    return check
+
+
+def _tuple_of(item: Check) -> Check:
+    def check(value: Any) -> tuple:
+        if type(value) is not list:
+            raise ProtocolError("expected an array")
+        return tuple([item(x) for x in value])
+
+    return check
+
+
+def _nested(kind: type) -> Check:
+    def check(value: Any) -> Any:
+        if type(value) is not list:
+            raise ProtocolError("expected an array")
+        return _build(kind, value)
+
+    return check
+
+
+def _check_for(hint: Any) -> Check:
+    if isinstance(hint, NewType):
+        return _check_for(hint.__supertype__)
+    if get_origin(hint) is tuple:
+        return _tuple_of(_check_for(get_args(hint)[0]))
+    if get_origin(hint) in {Union, types.UnionType}:
+        raise TypeError("union fields have no encoding")
+    if hint in _NESTED:
+        return _nested(hint)
+    return _exactly(hint)
+
+
+def _checks_of(kind: type) -> list[Check]:
+    hints = get_type_hints(kind)
+    return [_check_for(hints[item.name]) for item in fields(kind)]
+
+
+_CHECKS: dict[type, list[Check]] = {
+    kind: _checks_of(kind) for kind in (*get_args(Message), *_NESTED)
+}
--- /dev/null
+++ b/src/savorydyke/_metrics.py
@@ -0,0 +1,123 @@
+"""Metrics in the Prometheus format, with histograms by tier and team.
+
+Label values come from the manifest or from enumerations, so that their number
+is bounded. Histograms of a stream's events are gathered locally and merged
+once, since one observation costs more than relaying an event should.
+"""
+
+from bisect import bisect_left
+from dataclasses import dataclass, field
+
+from aioprometheus import render
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+
+from savorydyke._ids import Outcome, Reason, TeamId, TierId
+
+SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.82, 1.5, 3, 6, 12, 30, 60)
+EVENT_SECONDS = (0.002, 0.005, 0.01, 0.02, 0.028, 0.04, 0.06, 0.1, 0.25, 1, 5)
+
+
+@dataclass
+class EventTimes:
+    """Times between the events of one stream, to be merged at its end."""
+
+    counts: list[int] = field(default_factory=lambda: [0] * (len(EVENT_SECONDS) + 1))
+    total_s: float = 0.0
+
+    def add(self, seconds: float) -> None:
+        """Count one interval."""
+        self.counts[bisect_left(EVENT_SECONDS, seconds)] += 1
+        self.total_s += seconds
+
+
+class Metrics:
+    """All metrics of one instance."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.waiting = self._histogram(
+            "savorydyke_waiting_seconds", "Time until a grant or a refusal."
+        )
+        self.first_token = self._histogram(
+            "savorydyke_first_token_seconds", "Time from arrival to the first byte."
+        )
+        self.total = self._histogram(
+            "savorydyke_total_seconds", "Time from arrival to the last byte."
+        )
+        self.between_tokens = self._histogram(
+            "savorydyke_between_tokens_seconds",
+            "Time between events of a stream.",
+            EVENT_SECONDS,
+        )
+        self.answers = self._counter(
+            "savorydyke_answers_total", "Requests by how they ended."
+        )
+        self.refusals = self._counter(
+            "savorydyke_refusals_total", "Refusals by reason and outcome."
+        )
+        self.wasted_prefill = self._counter(
+            "savorydyke_wasted_prefill_tokens_total",
+            "Prompt tokens whose answer was late, cancelled or cut.",
+        )
+        self.platform_calls = self._counter(
+            "savorydyke_platform_calls_total", "Calls of the platform's service."
+        )
+        self.state = self._gauge(
+            "savorydyke_state",
+            "Revision, members, waiting, in flight and peer traffic, by kind.",
+        )
+
+    def _histogram(
+        self, name: str, doc: str, bounds: tuple[float, ...] = SECONDS
+    ) -> Histogram:
+        buckets = (*bounds, float("inf"))
+        return Histogram(name, doc, registry=self.registry, buckets=buckets)
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(name, doc, registry=self.registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(name, doc, registry=self.registry)
+
+    def observe(
+        self, histogram: Histogram, tier: TierId, team: TeamId, seconds: float
+    ) -> None:
+        """Add one observation for a tier and a team."""
+        histogram.observe({"tier": tier, "team": team}, float(seconds))
+
+    def merge_events(self, tier: TierId, team: TeamId, times: EventTimes) -> None:
+        """Add the intervals of one stream."""
+        labels = {"tier": tier, "team": team}
+        if not any(times.counts):
+            return
+        try:
+            target = self.between_tokens.get_value(labels)
+        except KeyError:
+            self.between_tokens.observe(labels, 0.0)
+            target = self.between_tokens.get_value(labels)
+            for bound in target.buckets:  # type: ignore[union-attr]
+                target.buckets[bound] = 0  # type: ignore[union-attr]
+            target.observations = 0  # type: ignore[union-attr]
+        cumulative = 0
+        bounds = target.buckets  # type: ignore[union-attr]
+        for bound, count in zip(bounds, times.counts, strict=True):
+            cumulative += count
+            bounds[bound] += cumulative
+        target.sum += times.total_s  # type: ignore[union-attr]
+        target.observations += cumulative  # type: ignore[union-attr]
+
+    def refused(
+        self, tier: TierId, team: TeamId, reason: Reason, outcome: Outcome
+    ) -> None:
+        """Count a refusal."""
+        labels = {
+            "tier": tier,
+            "team": team,
+            "reason": reason.value,
+            "outcome": outcome.value,
+        }
+        self.refusals.inc(labels)
+
+    def render(self, accepts: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the exposition and its headers."""
+        return render(self.registry, accepts)
--- /dev/null
+++ b/src/savorydyke/_monitor.py
@@ -0,0 +1,132 @@
+"""Follows endpoints: their load reports, cache events and the platform's list."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from savorydyke import _logs
+from savorydyke._adapters import Adapter
+from savorydyke._endpoint_states import EndpointStates
+from savorydyke._exceptions import PlatformUnavailableError
+from savorydyke._homes import Homes
+from savorydyke._ids import EndpointId, MemberState
+from savorydyke._manifest import Endpoint, Manifest, PoolKind
+from savorydyke._membership import Membership
+from savorydyke._peers import Peers
+from savorydyke._platform import Platform
+from savorydyke._timers import TimerService
+
+REPORT_S = 0.5
+LIST_S = 1.0
+LIST_READERS = 16
+INSTANCES = "savorydyke"
+ENDPOINTS = "savorydyke-endpoints"
+
+log = _logs.part("monitor")
+
+
+@dataclass
+class Monitor:
+    """Polls the endpoints of hosted cells and the platform's list.
+
+    Attributes
+    ----------
+    cache_serial : dict
+        The last cache event seen of each endpoint.
+    """
+
+    homes: Homes
+    states: EndpointStates
+    adapter: Adapter
+    platform: Platform
+    membership: Membership
+    peers: Peers
+    manifest: Callable[[], Manifest | None]
+    cache_serial: dict[EndpointId, int] = field(default_factory=dict)
+
+    async def follow_endpoints(self, timers: TimerService) -> None:
+        """Poll all endpoints of the cells hosted here until cancelled."""
+        polling: set[EndpointId] = set()
+
+        async def poll(endpoint: Endpoint, is_engine: bool) -> None:
+            try:
+                await self._poll_load(endpoint)
+                if is_engine:
+                    await self._poll_cache(endpoint)
+            finally:
+                polling.discard(endpoint.id)
+
+        async with trio.open_nursery() as nursery, timers.every(REPORT_S) as ticks:
+            async for _ in ticks:
+                manifest = self.manifest()
+                for endpoint in self._hosted(manifest):
+                    if endpoint.id in polling or manifest is None:
+                        continue
+                    polling.add(endpoint.id)
+                    kind = manifest.pools[endpoint.pool].kind
+                    nursery.start_soon(poll, endpoint, kind is PoolKind.ENGINE)
+
+    def _hosted(self, manifest: Manifest | None) -> list[Endpoint]:
+        if manifest is None:
+            return []
+        endpoints = manifest.endpoints.values()
+        return [e for e in endpoints if e.pool in self.homes.hosted]
+
+    async def _poll_load(self, endpoint: Endpoint) -> None:
+        report = await self.adapter.get_json(endpoint, "/load")
+        hosted = self.homes.hosted.get(endpoint.pool)
+        if report is None or hosted is None:
+            return
+        requests = report.get("requests")
+        load = hosted.cell.endpoints.get(endpoint.id)
+        if type(requests) is int and load is not None:
+            load.report(requests)
+        leaving = report.get("leaving") is True
+        self.states.set_reported(endpoint.id, leaving, trio.current_time())
+
+    async def _poll_cache(self, endpoint: Endpoint) -> None:
+        """Take in cache events; after a gap nothing is known any more."""
+        last = self.cache_serial.get(endpoint.id, 0)
+        target = f"/cache-events?after={last}"
+        report = await self.adapter.get_json(endpoint, target)
+        hosted = self.homes.hosted.get(endpoint.pool)
+        if report is None or hosted is None:
+            return
+        events = report.get("events")
+        for event in events if isinstance(events, list) else []:
+            if not isinstance(event, dict) or type(event.get("serial")) is not int:
+                continue
+            serial, evicted = event["serial"], event.get("evicted")
+            if serial != last + 1:
+                hosted.cell.prefixes.forget(endpoint.id)
+            elif isinstance(evicted, list):
+                digests = tuple(x for x in evicted if type(x) is int)
+                hosted.cell.prefixes.evict(endpoint.id, digests)
+            last = serial
+        self.cache_serial[endpoint.id] = last
+
+    async def follow_list(self, timers: TimerService) -> None:
+        """Read the platform's list of instances and endpoints until cancelled."""
+        async with timers.every(LIST_S) as ticks:
+            async for _ in ticks:
+                if self.membership.is_chosen(ENDPOINTS, LIST_READERS):
+                    await self._read_list()
+
+    async def _read_list(self) -> None:
+        now = trio.current_time()
+        try:
+            instances = await self.platform.list_instances(INSTANCES)
+            endpoints = await self.platform.list_instances(ENDPOINTS)
+        except PlatformUnavailableError as error:
+            log.debug("List not read.", extra={"error": str(error)})
+            return
+        self.peers.listed = {
+            item.address for item in instances if item.state is MemberState.LIVE
+        }
+        leaving = {
+            EndpointId(item.name)
+            for item in endpoints
+            if item.state is not MemberState.LIVE
+        }
+        self.states.set_listed(leaving, now)
--- /dev/null
+++ b/src/savorydyke/_peers.py
@@ -0,0 +1,369 @@
+"""Links between instances: authenticated WebSockets that carry CBOR frames.
+
+Each link is one task that reads and one that writes. The writer sends all that
+is queued as one frame.
+"""
+
+import hashlib
+import hmac
+import random
+import secrets
+import ssl
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+import trio
+from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.trio.client import connect
+from websockets.trio.connection import Connection
+from websockets.trio.server import ServerConnection, serve
+
+from savorydyke import _logs
+from savorydyke._exceptions import HandshakeError, ProtocolError
+from savorydyke._ids import InstanceId
+from savorydyke._membership import Membership
+from savorydyke._messages import (
+    MAX_FRAME_BYTES,
+    PROTOCOL_VERSION,
+    Challenge,
+    Hello,
+    MemberRow,
+    Message,
+    Welcome,
+    decode,
+    encode,
+)
+from savorydyke._platform import backoff_s
+
+HANDSHAKE_TIMEOUT_S = 2.0
+NONCE_BYTES = 16
+MAX_QUEUED = 20_000
+"""Messages queued for a peer before its link counts as stuck."""
+DIAL_BASE_S = 0.2
+DIAL_MOST_S = 5.0
+MANAGE_S = 0.25
+
+log = _logs.part("peers")
+
+M = TypeVar("M", bound=Message)
+Handler = Callable[[InstanceId, Message], None]
+
+
+@dataclass
+class Traffic:
+    """Counts of what the links carried."""
+
+    frames_sent: int = 0
+    bytes_sent: int = 0
+    frames_received: int = 0
+    bytes_received: int = 0
+    refused: int = 0
+
+
+@dataclass(eq=False)
+class Link:
+    """An open connection to one peer.
+
+    Attributes
+    ----------
+    dialler : InstanceId
+        The side that opened it; of two links between the same pair the one of
+        the smaller id stays.
+    """
+
+    peer: InstanceId
+    dialler: InstanceId
+    websocket: Connection
+    scope: trio.CancelScope
+    queue: list[Message] = field(default_factory=list)
+    wake: trio.Event = field(default_factory=trio.Event)
+
+    def send(self, message: Message) -> None:
+        """Queue a message; a peer that does not read loses its link."""
+        self.queue.append(message)
+        self.wake.set()
+        if len(self.queue) > MAX_QUEUED:
+            self.scope.cancel()
+
+
+class Peers:
+    """All links of this instance.
+
+    Parameters
+    ----------
+    handler : callable
+        Called with each message and the instance that sent it.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        shared_key: str,
+        handler: Handler,
+        rng: random.Random,
+        client_tls: ssl.SSLContext | None = None,
+        server_tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.membership = membership
+        self.shared_key = shared_key.encode()
+        self.handler = handler
+        self.rng = rng
+        self.client_tls = client_tls
+        self.server_tls = server_tls
+        self.links: dict[InstanceId, Link] = {}
+        self.dialling: set[str] = set()
+        self.wanted: set[InstanceId] = set()
+        self.seeds: set[str] = set()
+        self.listed: set[str] = set()
+        self.seed_owners: dict[str, InstanceId] = {}
+        self.traffic = Traffic()
+
+    def send(self, peer: InstanceId, message: Message) -> bool:
+        """Queue a message for `peer`; return False if there is no link."""
+        link = self.links.get(peer)
+        if link is None:
+            self.wanted.add(peer)
+            return False
+        link.send(message)
+        return True
+
+    # Accepting and dialling
+
+    async def listen(self, address: str, task_status: trio.TaskStatus[Any]) -> None:
+        """Accept links on `address` until cancelled."""
+        host, _, port = address.rpartition(":")
+        await serve(
+            self._accept,
+            int(port),
+            host=host.strip("[]"),
+            ssl=self.server_tls,
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            ping_interval=None,
+            open_timeout=HANDSHAKE_TIMEOUT_S,
+            task_status=task_status,
+        )
+
+    async def manage(self) -> None:
+        """Open the links that membership wants, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                for address in self._missing():
+                    self.dialling.add(address)
+                    nursery.start_soon(self._dial, address)
+                await trio.sleep(MANAGE_S)
+
+    def _missing(self) -> list[str]:
+        members = self.membership.members
+        wanted = {m.id: m.address for m in self.membership.wanted_links()}
+        for peer in self.wanted & members.keys():
+            wanted[peer] = members[peer].address
+        self.wanted.clear()
+        addresses = {a for peer, a in wanted.items() if peer not in self.links}
+        known = {member.address for member in members.values()}
+        linked = {members[p].address for p in self.links if p in members}
+        addresses |= self.listed - known
+        for seed in self.seeds - linked:
+            if self.seed_owners.get(seed) not in self.links:
+                addresses.add(seed)
+        return sorted(addresses - self.dialling - {self.membership.address})
+
+    async def _dial(self, address: str) -> None:
+        attempt = 0
+        scheme = "wss" if self.client_tls else "ws"
+        try:
+            while attempt < 3:
+                try:
+                    async with connect(
+                        f"{scheme}://{address}",
+                        ssl=self.client_tls,
+                        compression=None,
+                        max_size=MAX_FRAME_BYTES,
+                        ping_interval=None,
+                        open_timeout=HANDSHAKE_TIMEOUT_S,
+                        close_timeout=0.2,
+                        proxy=None,
+                    ) as websocket:
+                        with trio.fail_after(HANDSHAKE_TIMEOUT_S):
+                            peer = await self._greet(websocket)
+                        self.seed_owners[address] = peer
+                        if peer == self.membership.id:
+                            return
+                        await self._run(websocket, peer, self.membership.id)
+                    return
+                except (OSError, WebSocketException, trio.TooSlowError) as error:
+                    log.debug(
+                        "Dialling failed.",
+                        extra={"address": address, "error": repr(error)},
+                    )
+                except (HandshakeError, ProtocolError) as error:
+                    self._refuse(str(error))
+                attempt += 1
+                await trio.sleep(backoff_s(attempt, DIAL_BASE_S, DIAL_MOST_S, self.rng))
+        finally:
+            self.dialling.discard(address)
+
+    async def _accept(self, websocket: ServerConnection) -> None:
+        try:
+            with trio.fail_after(HANDSHAKE_TIMEOUT_S):
+                peer = await self._welcome(websocket)
+        except (HandshakeError, ProtocolError, trio.TooSlowError) as error:
+            self._refuse(str(error) or "handshake timed out")
+            return
+        except WebSocketException:
+            return
+        await self._run(websocket, peer, peer)
+
+    def _refuse(self, error: str) -> None:
+        self.traffic.refused += 1
+        log.warning("Link refused.", extra={"error": error})
+
+    # Handshake
+
+    async def _greet(self, websocket: Connection) -> InstanceId:
+        """Authenticate on the dialling side and return the peer's id."""
+        challenge = await self._receive(websocket, Challenge)
+        _check_version(challenge.version)
+        me = self.membership
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        signature = self._sign(b"hello", challenge.nonce, me.id)
+        await websocket.send(
+            encode(
+                [
+                    Hello(
+                        PROTOCOL_VERSION,
+                        me.id,
+                        me.address,
+                        me.data_centre,
+                        me.incarnation,
+                        nonce,
+                        signature,
+                    )
+                ]
+            )
+        )
+        if challenge.instance == me.id:
+            return me.id
+        welcome = await self._receive(websocket, Welcome)
+        self._check(welcome.signature, b"welcome", nonce, challenge.instance)
+        self._meet(challenge.instance, welcome)
+        return challenge.instance
+
+    async def _welcome(self, websocket: Connection) -> InstanceId:
+        """Authenticate on the accepting side and return the peer's id."""
+        me = self.membership
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        await websocket.send(encode([Challenge(PROTOCOL_VERSION, me.id, nonce)]))
+        hello = await self._receive(websocket, Hello)
+        _check_version(hello.version)
+        self._check(hello.signature, b"hello", nonce, hello.instance)
+        if hello.instance == me.id:
+            raise HandshakeError("a peer has this instance's own id")
+        signature = self._sign(b"welcome", hello.nonce, me.id)
+        welcome = Welcome(me.address, me.data_centre, me.incarnation, signature)
+        await websocket.send(encode([welcome]))
+        self._meet(hello.instance, hello)
+        return hello.instance
+
+    async def _receive(self, websocket: Connection, kind: type[M]) -> M:
+        frame = await websocket.recv()
+        if not isinstance(frame, bytes):
+            raise ProtocolError("text frame")
+        messages = decode(frame)
+        if len(messages) != 1 or not isinstance(messages[0], kind):
+            raise HandshakeError(f"expected {kind.__name__}")
+        return messages[0]
+
+    def _sign(self, role: bytes, nonce: bytes, instance: InstanceId) -> bytes:
+        text = role + nonce + instance.encode()
+        return hmac.new(self.shared_key, text, hashlib.sha256).digest()
+
+    def _check(
+        self, signature: bytes, role: bytes, nonce: bytes, instance: InstanceId
+    ) -> None:
+        if not hmac.compare_digest(signature, self._sign(role, nonce, instance)):
+            raise HandshakeError(f"wrong signature from {instance!r}")
+
+    def _meet(self, peer: InstanceId, seen: Hello | Welcome) -> None:
+        row = MemberRow(
+            peer, seen.address, seen.data_centre, seen.incarnation, 0, False
+        )
+        self.membership.hear(row, trio.current_time())
+
+    # One link
+
+    async def _run(
+        self, websocket: Connection, peer: InstanceId, dialler: InstanceId
+    ) -> None:
+        with trio.CancelScope() as scope:
+            link = Link(peer, dialler, websocket, scope)
+            if not self._keep(link):
+                return
+            log.info("Link opened.", extra={"peer": peer})
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._write, link)
+                    await self._read(link)
+                    nursery.cancel_scope.cancel()
+            finally:
+                self._drop(link)
+
+    def _keep(self, link: Link) -> bool:
+        """Enter a link, and return False if an earlier one stays instead."""
+        earlier = self.links.get(link.peer)
+        if earlier is not None:
+            if earlier.dialler < link.dialler:
+                return False
+            earlier.scope.cancel()
+        self.links[link.peer] = link
+        self._set_linked(link.peer, True)
+        return True
+
+    def _drop(self, link: Link) -> None:
+        if self.links.get(link.peer) is not link:
+            return
+        del self.links[link.peer]
+        self._set_linked(link.peer, False)
+        log.info("Link closed.", extra={"peer": link.peer})
+
+    def _set_linked(self, peer: InstanceId, linked: bool) -> None:
+        member = self.membership.members.get(peer)
+        if member is not None:
+            member.linked = linked
+        self.membership.update(trio.current_time())
+        self.membership.notify()
+
+    async def _read(self, link: Link) -> None:
+        try:
+            async for frame in link.websocket:
+                self.traffic.frames_received += 1
+                self.traffic.bytes_received += len(frame)
+                if not isinstance(frame, bytes):
+                    raise ProtocolError("text frame")
+                for message in decode(frame):
+                    self.handler(link.peer, message)
+        except ConnectionClosed:
+            return
+        except ProtocolError as error:
+            self._refuse(f"{link.peer}: {error}")
+
+    async def _write(self, link: Link) -> None:
+        while True:
+            await link.wake.wait()
+            link.wake = trio.Event()
+            messages, link.queue = link.queue, []
+            if not messages:
+                continue
+            frame = encode(messages)
+            self.traffic.frames_sent += 1
+            self.traffic.bytes_sent += len(frame)
+            try:
+                await link.websocket.send(frame)
+            except ConnectionClosed:
+                return
+
+
+def _check_version(version: int) -> None:
+    if version != PROTOCOL_VERSION:
+        raise HandshakeError(f"peer speaks version {version}, not {PROTOCOL_VERSION}")
--- /dev/null
+++ b/src/savorydyke/_scheduler.py
@@ -0,0 +1,349 @@
+"""The entry's side of scheduling: asks homes for grants and keeps them posted.
+
+A request is acquired at the home of its pool. When the home changes, all that
+waits or runs here is registered with the next one. Of several grants for one
+request the first is taken and the others are given back.
+"""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+import trio
+
+from savorydyke import _logs
+from savorydyke._cell import ReleaseResult
+from savorydyke._ids import (
+    EndpointId,
+    InstanceId,
+    PoolId,
+    Reason,
+    RequestKey,
+    TeamId,
+)
+from savorydyke._membership import Membership
+from savorydyke._messages import (
+    Acquire,
+    Grant,
+    Message,
+    Refuse,
+    Register,
+    Release,
+    RunningRow,
+    Started,
+    Withdraw,
+)
+
+GRANT_VALID_S = 1.0
+"""Age beyond which a grant is given back instead of being used."""
+
+log = _logs.part("scheduler")
+
+
+@dataclass(frozen=True)
+class Demand:
+    """What a request asks of a pool.
+
+    Attributes
+    ----------
+    deadline : float
+        Time by which the whole answer is due, on the local monotonic clock.
+    named : bool
+        Whether the caller chose the request id.
+    """
+
+    key: RequestKey
+    pool: PoolId
+    team: TeamId
+    model: str
+    prompt_tokens: int
+    output_tokens: int
+    prefix: tuple[int, ...]
+    deadline: float
+    named: bool
+    resume_only: bool = False
+
+
+@dataclass(frozen=True)
+class Granted:
+    """Permission to dispatch a request once.
+
+    Attributes
+    ----------
+    home : InstanceId
+        The instance that gave the grant.
+    received : float
+        When the grant arrived, on the local monotonic clock.
+    """
+
+    home: InstanceId
+    endpoint: EndpointId
+    attempt: int
+    resume: bool
+    probe: tuple[EndpointId, ...]
+    received: float
+
+
+@dataclass(frozen=True)
+class Refused:
+    """The home refused, or none answered.
+
+    Attributes
+    ----------
+    retry_s : float or None
+        When coming back makes sense.
+    """
+
+    reason: Reason
+    detail: str
+    retry_s: float | None = None
+    may_have_run: bool = False
+
+
+@dataclass
+class Pending:
+    """An acquisition without an answer."""
+
+    demand: Demand
+    message: Acquire
+    answer: Granted | Refused | None = None
+    answered: trio.Event = field(default_factory=trio.Event)
+
+
+@dataclass
+class InFlight:
+    """A granted request of this entry."""
+
+    demand: Demand
+    granted: Granted
+    started: bool = False
+
+
+@dataclass(frozen=True)
+class HomeLink:
+    """The home that an entry has registered with, and over which link."""
+
+    home: InstanceId
+    incarnation: int
+    link: object
+
+
+@dataclass
+class Scheduler:
+    """All acquisitions and grants of this entry.
+
+    Attributes
+    ----------
+    send : callable
+        Sends a message to an instance, possibly this one.
+    link : callable
+        Returns the identity of the open link to an instance, or None.
+    """
+
+    membership: Membership
+    send: Callable[[InstanceId, Message], None]
+    link: Callable[[InstanceId], object]
+    pools: Callable[[], list[PoolId]]
+    pending: dict[RequestKey, Pending] = field(default_factory=dict)
+    in_flight: dict[RequestKey, InFlight] = field(default_factory=dict)
+    homes: dict[PoolId, HomeLink] = field(default_factory=dict)
+    attempts: int = 0
+
+    # Acquiring
+
+    async def acquire(
+        self, demand: Demand, avoid: tuple[EndpointId, ...] = ()
+    ) -> Granted | Refused:
+        """Wait for a grant or a refusal, until the deadline at the latest."""
+        if demand.key in self.pending or demand.key in self.in_flight:
+            detail = "the same request is in progress"
+            return Refused(Reason.DUPLICATE, detail, may_have_run=True)
+        self.attempts += 1
+        pending = Pending(demand, self._message(demand, self.attempts, avoid))
+        self.pending[demand.key] = pending
+        try:
+            self._ensure_home(demand.pool)
+            self.send(self.homes[demand.pool].home, self._refreshed(pending))
+            with trio.move_on_at(demand.deadline):
+                await pending.answered.wait()
+        except BaseException:
+            # A grant may have arrived in the moment of the cancellation.
+            self._take(pending)
+            self.release(demand.key, ReleaseResult.NOT_SENT)
+            raise
+        return self._take(pending)
+
+    def _take(self, pending: Pending) -> Granted | Refused:
+        """Close an acquisition and return its answer."""
+        demand, answer = pending.demand, pending.answer
+        self.pending.pop(demand.key, None)
+        if answer is None:
+            self._withdraw(demand)
+            return Refused(Reason.DEADLINE, "no endpoint came free in time", 1.0)
+        if isinstance(answer, Granted):
+            item = InFlight(demand, answer)
+            self.in_flight[demand.key] = item
+            home = self.homes.get(demand.pool)
+            if home is not None and home.home != answer.home and not answer.resume:
+                row = _running_row(item)
+                self.send(home.home, Register(demand.pool, (row,)))
+        return answer
+
+    def _message(
+        self, demand: Demand, attempt: int, avoid: tuple[EndpointId, ...]
+    ) -> Acquire:
+        return Acquire(
+            key=demand.key,
+            attempt=attempt,
+            pool=demand.pool,
+            team=demand.team,
+            model=demand.model,
+            prompt_tokens=demand.prompt_tokens,
+            output_tokens=demand.output_tokens,
+            prefix=demand.prefix,
+            deadline_ms=0,
+            avoid=avoid,
+            named=demand.named,
+            resume_only=demand.resume_only,
+        )
+
+    def _refreshed(self, pending: Pending) -> Acquire:
+        left_s = pending.demand.deadline - trio.current_time()
+        return replace(pending.message, deadline_ms=max(0, math.floor(left_s * 1000)))
+
+    def _withdraw(self, demand: Demand) -> None:
+        home = self.homes.get(demand.pool)
+        if home is not None:
+            self.send(home.home, Withdraw(demand.key, demand.pool))
+
+    def handle(self, sender: InstanceId, message: Grant | Refuse) -> None:
+        """Take in the answer of a home."""
+        pending = self.pending.get(message.key)
+        if (
+            pending is None
+            or pending.answer is not None
+            or pending.message.attempt != message.attempt
+        ):
+            if isinstance(message, Grant):
+                self._give_back(sender, message, pending)
+            return
+        if isinstance(message, Grant):
+            pending.answer = Granted(
+                sender,
+                message.endpoint,
+                message.attempt,
+                message.resume,
+                message.probe,
+                trio.current_time(),
+            )
+        else:
+            retry_s = None if message.retry_ms < 0 else message.retry_ms / 1000
+            pending.answer = Refused(
+                Reason(message.reason), message.detail, retry_s, message.may_have_run
+            )
+        pending.answered.set()
+
+    def _give_back(
+        self, sender: InstanceId, grant: Grant, pending: Pending | None
+    ) -> None:
+        """Return a late or second grant, unless it names the one in use."""
+        if grant.resume:
+            return
+        in_flight = self.in_flight.get(grant.key)
+        used = in_flight.granted if in_flight else None
+        if pending is not None and isinstance(pending.answer, Granted):
+            used = pending.answer
+        demand = in_flight.demand if in_flight else pending.demand if pending else None
+        if used and (used.attempt, used.endpoint) == (grant.attempt, grant.endpoint):
+            return
+        for pool in [demand.pool] if demand else self.pools():
+            release = Release(
+                grant.key,
+                grant.attempt,
+                pool,
+                grant.endpoint,
+                ReleaseResult.NOT_SENT.value,
+                0,
+                0,
+            )
+            self.send(sender, release)
+
+    # Grants in use
+
+    def started(self, key: RequestKey, first_byte_s: float) -> None:
+        """Tell the home that the first byte of an answer has arrived."""
+        item = self.in_flight.get(key)
+        if item is None or item.started:
+            return
+        item.started = True
+        milliseconds = math.ceil(first_byte_s * 1000)
+        self._tell_home(item.demand.pool, Started(key, item.demand.pool, milliseconds))
+
+    def release(
+        self,
+        key: RequestKey,
+        result: ReleaseResult,
+        output_tokens: int = 0,
+        decode_s: float = 0.0,
+    ) -> None:
+        """Give a grant back."""
+        item = self.in_flight.pop(key, None)
+        if item is None:
+            return
+        message = Release(
+            key,
+            item.granted.attempt,
+            item.demand.pool,
+            item.granted.endpoint,
+            result.value,
+            output_tokens,
+            int(decode_s * 1000),
+        )
+        self._tell_home(item.demand.pool, message)
+
+    def _tell_home(self, pool: PoolId, message: Message) -> None:
+        home = self.homes.get(pool)
+        if home is not None:
+            self.send(home.home, message)
+
+    # Homes
+
+    def _home_link(self, pool: PoolId) -> HomeLink:
+        home = self.membership.home(pool)
+        member = self.membership.members.get(home)
+        return HomeLink(home, member.incarnation if member else 0, self.link(home))
+
+    def _ensure_home(self, pool: PoolId) -> None:
+        if pool not in self.homes:
+            self._register(pool, self._home_link(pool))
+
+    def follow_homes(self) -> None:
+        """Register with the next home wherever the home has changed."""
+        for pool in {*self.homes, *self.pools()}:
+            link = self._home_link(pool)
+            if self.homes.get(pool) != link:
+                self._register(pool, link)
+
+    def _register(self, pool: PoolId, link: HomeLink) -> None:
+        self.homes[pool] = link
+        rows = tuple(
+            _running_row(item)
+            for item in self.in_flight.values()
+            if item.demand.pool == pool
+        )
+        self.send(link.home, Register(pool, rows))
+        for pending in self.pending.values():
+            if pending.demand.pool == pool and pending.answer is None:
+                self.send(link.home, self._refreshed(pending))
+
+
+def _running_row(item: InFlight) -> RunningRow:
+    return RunningRow(
+        item.demand.key,
+        item.granted.attempt,
+        item.demand.team,
+        item.granted.endpoint,
+        item.demand.prompt_tokens,
+        item.demand.output_tokens,
+        item.started,
+    )
--- /dev/null
+++ b/src/savorydyke/_timers.py
@@ -0,0 +1,76 @@
+"""The timer service: parts subscribe to periodic ticks.
+
+One task sleeps until the next tick is due. A subscriber that is late gets one
+tick, not a backlog of them.
+"""
+
+import heapq
+import itertools
+import math
+import random
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing, asynccontextmanager
+
+import trio
+
+JITTER = 0.1
+"""Share of a period by which each tick is moved at random."""
+
+
+class TimerService:
+    """Delivers ticks to subscribers.
+
+    Examples
+    --------
+    >>> async with timers.every(0.5) as ticks:  # doctest: +SKIP
+    ...     async for _ in ticks:
+    ...         send_heartbeat()
+    """
+
+    def __init__(self, rng: random.Random | None = None) -> None:
+        self.rng = rng or random.Random()
+        self.heap: list[tuple[float, int, float, trio.MemorySendChannel[None]]] = []
+        self.serial = itertools.count()
+        self.changed = trio.Event()
+
+    @asynccontextmanager
+    async def every(self, period_s: float) -> AsyncIterator[AsyncIterator[None]]:
+        """Subscribe to a tick each `period_s` seconds, with jitter."""
+        send, receive = trio.open_memory_channel[None](1)
+        first = trio.current_time() + self._jittered(period_s)
+        heapq.heappush(self.heap, (first, next(self.serial), period_s, send))
+        self.changed.set()
+        try:
+            async with receive, aclosing(_iterate(receive)) as ticks:
+                yield ticks
+        finally:
+            send.close()
+
+    def _jittered(self, period_s: float) -> float:
+        return period_s * (1 + JITTER * (2 * self.rng.random() - 1))
+
+    async def run(self) -> None:
+        """Deliver ticks until cancelled."""
+        while True:
+            self.changed = trio.Event()
+            due = self.heap[0][0] if self.heap else math.inf
+            with trio.move_on_at(due):
+                await self.changed.wait()
+            self._deliver(trio.current_time())
+
+    def _deliver(self, now: float) -> None:
+        while self.heap and self.heap[0][0] <= now:
+            _, _, period_s, send = heapq.heappop(self.heap)
+            try:
+                send.send_nowait(None)
+            except trio.WouldBlock:
+                pass
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                continue
+            due = now + self._jittered(period_s)
+            heapq.heappush(self.heap, (due, next(self.serial), period_s, send))
+
+
+async def _iterate(receive: trio.MemoryReceiveChannel[None]) -> AsyncGenerator[None]:
+    async for tick in receive:
+        yield tick
