--- a/src/savorydyke/_claims.py
+++ b/src/savorydyke/_claims.py
@@ -163,7 +163,7 @@
 
 @dataclass(frozen=True)
 class Mine:
-    """This attempt holds the claim and may dispatch."""
+    """The asking attempt holds the claim and may dispatch."""
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/savorydyke/_operators.py
@@ -0,0 +1,115 @@
+"""A client of the operators' interface of instances, for the tool."""
+
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import httpx
+
+CALL_TIMEOUT_S = 8.0
+POLL_S = 0.1
+
+
+@dataclass(frozen=True)
+class Unreachable:
+    """No configured instance answered."""
+
+    causes: list[str]
+
+
+@dataclass(frozen=True)
+class Answer:
+    """An instance's answer.
+
+    Attributes
+    ----------
+    address : str
+        The instance that answered.
+    """
+
+    address: str
+    status: int
+    value: dict[str, Any]
+
+
+class OperatorsClient:
+    """Calls instances at their operators' addresses.
+
+    Examples
+    --------
+    >>> client = OperatorsClient(["127.0.0.1:7003"], "key")  # doctest: +SKIP
+    >>> client.configuration().value["revision"]  # doctest: +SKIP
+    4
+    """
+
+    def __init__(self, addresses: list[str], key: str) -> None:
+        self.addresses = addresses
+        headers = {"authorization": f"Bearer {key}"}
+        self.client = httpx.Client(
+            timeout=CALL_TIMEOUT_S, headers=headers, trust_env=False
+        )
+
+    def _call(
+        self, method: str, address: str, path: str, body: Any = None
+    ) -> Answer | Unreachable:
+        url = f"http://{address}{path}"
+        try:
+            response = self.client.request(method, url, json=body)
+            value = response.json()
+        except (httpx.HTTPError, ValueError) as error:
+            return Unreachable([f"{address}: {error or type(error).__name__}"])
+        if not isinstance(value, dict):
+            return Unreachable([f"{address}: unexpected answer"])
+        return Answer(address, response.status_code, value)
+
+    def _first(self, method: str, path: str, body: Any = None) -> Answer | Unreachable:
+        causes: list[str] = []
+        for address in self.addresses:
+            answer = self._call(method, address, path, body)
+            if isinstance(answer, Answer):
+                return answer
+            causes += answer.causes
+        return Unreachable(causes)
+
+    def configuration(self) -> Answer | Unreachable:
+        """Return the newest configuration that the asked instances know."""
+        best: Answer | Unreachable = Unreachable([])
+        causes: list[str] = []
+        for address in self.addresses:
+            answer = self._call("GET", address, "/configuration")
+            if isinstance(answer, Unreachable):
+                causes += answer.causes
+            elif answer.status != 200:
+                causes.append(f"{address}: {answer.value.get('detail', answer.status)}")
+            elif (
+                isinstance(best, Unreachable)
+                or answer.value["revision"] > best.value["revision"]
+            ):
+                best = answer
+        return best if isinstance(best, Answer) else Unreachable(causes)
+
+    def apply(self, text: str, base: int, by: str) -> Answer | Unreachable:
+        """Apply a manifest through the first instance that answers."""
+        body = {"text": text, "base": base, "by": by}
+        return self._first("POST", "/configuration", body)
+
+    def statuses(self) -> list[tuple[str, Answer | Unreachable]]:
+        """Return the status of each configured instance."""
+        return [(a, self._call("GET", a, "/status")) for a in self.addresses]
+
+    def wait_in_force(
+        self, revision: int, limit_s: float, clock: Callable[[], float] = time.monotonic
+    ) -> Iterator[dict[str, int | None]]:
+        """Yield the revision of each instance until all have reached one."""
+        until = clock() + limit_s
+        while True:
+            seen: dict[str, int | None] = {}
+            for address, answer in self.statuses():
+                is_known = isinstance(answer, Answer) and answer.status == 200
+                seen[address] = answer.value["revision"] if is_known else None  # type: ignore[union-attr]
+            yield seen
+            known = [value for value in seen.values() if value is not None]
+            if all(value >= revision for value in known) or clock() > until:
+                return
+            time.sleep(POLL_S)
--- /dev/null
+++ b/src/savorydyke_bench/_client.py
@@ -0,0 +1,216 @@
+"""A caller: sends requests and records what came back."""
+
+import json
+import uuid
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+import httpx
+import trio
+
+
+class Ended(Enum):
+    """How a request ended for its caller."""
+
+    COMPLETE = "complete"
+    REFUSED = "refused"
+    CUT = "cut"
+    NO_ANSWER = "no-answer"
+
+
+@dataclass
+class CallerRecord:
+    """What one caller sent and saw.
+
+    Attributes
+    ----------
+    text : str
+        The generated text, as far as it arrived.
+    events : int
+        Whole events that arrived.
+    not_run : bool
+        Whether a refusal said that the request was not run.
+    first_s, total_s : float
+        Time to the first byte of the body and to the end.
+    gaps_s : list of float
+        Times between events.
+    """
+
+    request_id: str
+    team: str = ""
+    tier: str = ""
+    pool: str = ""
+    prompt: str = ""
+    output_tokens: int = 0
+    idempotency_key: str = ""
+    instance: str = ""
+    sent: float = 0.0
+    ended: Ended = Ended.NO_ANSWER
+    status: int = 0
+    reason: str = ""
+    not_run: bool = False
+    retry_after: float = 0.0
+    text: str = ""
+    body: str = ""
+    events: int = 0
+    first_s: float = 0.0
+    total_s: float = 0.0
+    deadline_s: float = 0.0
+    gaps_s: list[float] = field(default_factory=list)
+    taken_up: int = 0
+
+
+def new_id() -> str:
+    """Return a request id that no other run uses."""
+    return uuid.uuid4().hex
+
+
+def chat_body(
+    model: str, prompt: str, output_tokens: int, stream: bool = True
+) -> dict[str, Any]:
+    """Return the body of a chat completion."""
+    return {
+        "model": model,
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": output_tokens,
+        "stream": stream,
+    }
+
+
+def prompt_bytes(prompt: str) -> bytes:
+    """Return a chat prompt in the form that engines digest."""
+    return f"user\n{prompt}\n".encode()
+
+
+async def chat(
+    client: httpx.AsyncClient,
+    address: str,
+    key: str,
+    record: CallerRecord,
+    model: str,
+    *,
+    stream: bool = True,
+    headers: dict[str, str] | None = None,
+) -> CallerRecord:
+    """Send a chat completion and record the answer."""
+    sent = {"authorization": f"Bearer {key}", "x-request-id": record.request_id}
+    if record.deadline_s:
+        sent["x-deadline-seconds"] = str(record.deadline_s)
+    sent.update(headers or {})
+    body = chat_body(model, record.prompt, record.output_tokens, stream)
+    url = f"http://{address}/v1/chat/completions"
+    request = client.build_request("POST", url, json=body, headers=sent)
+    return await _run(client, request, record, stream)
+
+
+async def take_up(
+    client: httpx.AsyncClient, address: str, key: str, record: CallerRecord
+) -> CallerRecord:
+    """Take up a broken answer by its request id through another instance."""
+    record.taken_up += 1
+    sent = {
+        "authorization": f"Bearer {key}",
+        "last-event-id": str(record.events),
+    }
+    url = f"http://{address}/v1/requests/{record.request_id}"
+    request = client.build_request("GET", url, headers=sent)
+    return await _run(client, request, record, True)
+
+
+async def service_call(
+    client: httpx.AsyncClient,
+    address: str,
+    key: str,
+    record: CallerRecord,
+    path: str,
+    body: dict[str, Any] | None = None,
+    method: str = "POST",
+) -> CallerRecord:
+    """Call a plain service and record the answer."""
+    sent = {"authorization": f"Bearer {key}", "x-request-id": record.request_id}
+    if record.idempotency_key:
+        sent["idempotency-key"] = record.idempotency_key
+    if record.deadline_s:
+        sent["x-deadline-seconds"] = str(record.deadline_s)
+    url = f"http://{address}/v1/services/{record.pool}/{path}"
+    request = client.build_request(method, url, json=body, headers=sent)
+    return await _run(client, request, record, False)
+
+
+async def _run(
+    client: httpx.AsyncClient,
+    request: httpx.Request,
+    record: CallerRecord,
+    stream: bool,
+) -> CallerRecord:
+    start = trio.current_time()
+    record.sent = record.sent or start
+    record.ended = Ended.NO_ANSWER
+    try:
+        response = await client.send(request, stream=True)
+        record.status = response.status_code
+        try:
+            if response.status_code >= 400:
+                _read_refusal(record, response, await response.aread())
+            elif stream:
+                await _read_stream(record, response)
+            else:
+                await _read_whole(record, response)
+        finally:
+            await response.aclose()
+    except (httpx.RemoteProtocolError, httpx.ReadError, httpx.ReadTimeout):
+        record.ended = Ended.CUT if record.status else Ended.NO_ANSWER
+    except httpx.HTTPError:
+        record.ended = Ended.NO_ANSWER
+    record.total_s = trio.current_time() - record.sent
+    return record
+
+
+def _read_refusal(record: CallerRecord, response: httpx.Response, body: bytes) -> None:
+    record.ended = Ended.REFUSED
+    record.retry_after = float(response.headers.get("retry-after", 0))
+    try:
+        value = json.loads(body)
+    except ValueError:
+        record.reason = body.decode("utf-8", "replace")[:200]
+        return
+    record.reason = str(value.get("title", ""))
+    record.not_run = value.get("outcome") == "not run"
+
+
+async def _read_stream(record: CallerRecord, response: httpx.Response) -> None:
+    pending = b""
+    last = 0.0
+    async for chunk in response.aiter_raw():
+        now = trio.current_time()
+        if not record.first_s:
+            record.first_s = now - record.sent
+        if last:
+            record.gaps_s.append(now - last)
+        last = now
+        pending += chunk
+        *events, pending = pending.split(b"\n\n")
+        for event in events:
+            _take_event(record, event)
+    if record.ended is not Ended.COMPLETE:
+        record.ended = Ended.CUT
+
+
+def _take_event(record: CallerRecord, event: bytes) -> None:
+    data = event[event.index(b"data: ") + 6 :]
+    if data == b"[DONE]":
+        record.ended = Ended.COMPLETE
+        return
+    record.events += 1
+    record.text += json.loads(data)["choices"][0]["delta"]["content"]
+
+
+async def _read_whole(record: CallerRecord, response: httpx.Response) -> None:
+    body = await response.aread()
+    record.first_s = trio.current_time() - record.sent
+    record.body = body.decode()
+    record.ended = Ended.COMPLETE
+    value = json.loads(body)
+    if "choices" in value:
+        record.text = value["choices"][0]["message"]["content"]
--- /dev/null
+++ b/src/savorydyke_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of what savorydyke meets: platform, engines, plain services."""
--- /dev/null
+++ b/src/savorydyke_standins/_service.py
@@ -0,0 +1,81 @@
+"""A plain service's stand-in: it does what it is told once for each call."""
+
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from savorydyke_standins._server import json_answer, read_json, serve_app
+
+
+@dataclass
+class Service:
+    """State and record of one plain service.
+
+    Attributes
+    ----------
+    work_s : float
+        Time that each call takes.
+    """
+
+    name: str
+    rng: random.Random
+    work_s: float = 0.02
+    leaving: bool = False
+    active: int = 0
+    record: list[dict[str, Any]] = field(default_factory=list)
+
+
+def new_app(service: Service) -> QuartTrio:
+    """Return the application of the stand-in."""
+    app = QuartTrio(service.name)
+    app.config["MAX_CONTENT_LENGTH"] = 64_000_000
+
+    @app.get("/load")
+    async def load() -> Response:
+        return json_answer({"requests": service.active, "leaving": service.leaving})
+
+    @app.put("/control")
+    async def control() -> Response:
+        for name, value in (await read_json()).items():
+            setattr(service, name, value)
+        return json_answer("ok")
+
+    @app.get("/record")
+    async def record() -> Response:
+        return json_answer(service.record)
+
+    @app.route("/<path:path>", methods=["GET", "POST", "PUT", "PATCH", "DELETE"])
+    async def call(path: str) -> Response:
+        return await _call(service, path)
+
+    return app
+
+
+async def _call(service: Service, path: str) -> Response:
+    body = (await request.get_data(as_text=False)).decode("utf-8", "replace")
+    entry = {
+        "kind": "request",
+        "method": request.method,
+        "path": path,
+        "id": request.headers.get("x-request-id", ""),
+        "idempotency_key": request.headers.get("idempotency-key", ""),
+        "at": trio.current_time(),
+    }
+    service.record.append(entry)
+    service.active += 1
+    try:
+        await trio.sleep(service.work_s)
+    finally:
+        service.active -= 1
+    number = len(service.record)
+    value = {"service": service.name, "path": path, "number": number, "echo": body}
+    return json_answer(value, 200 if request.method == "GET" else 201)
+
+
+async def run(address: str, name: str, work_s: float, seed: int) -> None:
+    """Run the stand-in until cancelled."""
+    await serve_app(new_app(Service(name, random.Random(seed), work_s)), address)
