Add seeded histories under faults, with a checker for each point

A request id sent through two instances was refused as not run by one that was stopping, while the other had run it. Cause: an instance can not vouch for an id that its caller chose. Ruled out: a second dispatch (each id is in the engines' records once).

--- a/src/savorydyke/_callers.py
+++ b/src/savorydyke/_callers.py
@@ -35,7 +35,7 @@
     DispatchResult,
     Reply,
 )
-from savorydyke._ids import Reason, RequestId, TeamId, TierId, request_key
+from savorydyke._ids import Outcome, Reason, RequestId, TeamId, TierId, request_key
 from savorydyke._manifest import Manifest, PoolKind
 from savorydyke._metrics import Metrics
 from savorydyke._problems import Refusal
@@ -191,7 +191,10 @@
         manifest = self.configuration.current(now)
         refusal = self._refuse_early(head, manifest)
         if refusal is not None:
-            return refusal
+            # Another instance may have run what the caller names the same.
+            is_named = head.named or head.idempotency_key
+            outcome = Outcome.MAY_HAVE_RUN if is_named else Outcome.NOT_RUN
+            return replace(refusal, outcome=outcome)
         assert manifest is not None
         team = manifest.team_with_key(head.bearer) if head.bearer else None
         if team is None:
--- a/src/savorydyke/_calls.py
+++ b/src/savorydyke/_calls.py
@@ -7,7 +7,14 @@
 from dataclasses import dataclass
 from typing import Any
 
-from savorydyke._ids import PoolId, Reason, RequestId, TeamId, request_key
+from savorydyke._ids import (
+    PoolId,
+    Reason,
+    RequestId,
+    RequestKey,
+    TeamId,
+    request_key,
+)
 from savorydyke._manifest import SERVICE_CALL_TOKENS, Manifest, Pool, PoolKind
 from savorydyke._prefixes import BYTES_PER_TOKEN, prefix_digests
 from savorydyke._problems import Refusal
@@ -262,6 +269,7 @@
         prompt_tokens=SERVICE_CALL_TOKENS,
         output_tokens=0,
         prefix=(),
+        once=once,
     )
     digest = hashlib.sha256(f"{head.method} {target}\n".encode() + body).hexdigest()
     return Call(
@@ -294,11 +302,16 @@
     prompt_tokens: int,
     output_tokens: int,
     prefix: tuple[int, ...],
+    once: bool = False,
 ) -> Demand:
     tier = manifest.tiers[manifest.teams[team].tier]
     seconds = head.deadline_s if head.deadline_s is not None else tier.deadline_s
+    key = request_key(team, head.request_id)
+    if once:
+        hashed = hashlib.sha256(head.idempotency_key.encode()).hexdigest()
+        key = RequestKey(f"{team}/{pool}#{hashed[:32]}")
     return Demand(
-        key=request_key(team, head.request_id),
+        key=key,
         pool=pool,
         team=team,
         model=model,
@@ -306,5 +319,5 @@
         output_tokens=output_tokens,
         prefix=prefix,
         deadline=now + seconds,
-        named=head.named,
+        named=head.named or once,
     )
--- a/src/savorydyke/_cell.py
+++ b/src/savorydyke/_cell.py
@@ -114,16 +114,18 @@
                 self.endpoints[name] = new_load(spec, kind)
         for name, load in self.endpoints.items():
             load.leaving = load.leaving or name not in specs
-        return self._recheck_access() + self.pump(now)
+        return self._recheck_access(now) + self.pump(now)
 
-    def _recheck_access(self) -> list[Decision]:
+    def _recheck_access(self, now: float) -> list[Decision]:
         decisions = []
         for item in list(self.queue.by_key.values()):
             item.allowed = self.manifest.reachable(item.team, self.pool)
             if not item.allowed:
                 self.queue.remove(item.key)
                 detail = "the approval was withdrawn"
-                decisions.append(_refuse(item, Reason.NOT_APPROVED, detail, None))
+                decisions.append(
+                    self._refuse(item, Reason.NOT_APPROVED, detail, None, now)
+                )
         return decisions
 
     def set_leaving(self, endpoint: EndpointId, leaving: bool) -> None:
@@ -145,7 +147,9 @@
         if earlier is not None:
             return earlier
         if message.resume_only:
-            return [_deny(message, entry, Reason.NOT_FOUND, "no such request")]
+            is_young = self._is_young(now)
+            detail = "no such request"
+            return [_deny(message, entry, Reason.NOT_FOUND, detail, ran=is_young)]
         if message.team not in self.manifest.teams:
             return [_deny(message, entry, Reason.NOT_APPROVED, "unknown team")]
         item = self._waiting(message, entry, now)
@@ -336,10 +340,28 @@
         return Decision(item.entry, grant)
 
     def _probe(self, item: Waiting, now: float) -> tuple[EndpointId, ...]:
-        if not item.named or now - self.born > YOUNG_S:
+        if not item.named or not self._is_young(now):
             return ()
         return tuple(sorted(e.id for e in self.endpoints.values() if e.spec.resumes))
 
+    def _is_young(self, now: float) -> bool:
+        """Return whether requests may be unknown that ran before."""
+        return now - self.born <= YOUNG_S
+
+    def _refuse(
+        self,
+        item: Waiting,
+        reason: Reason,
+        detail: str,
+        retry_s: float | None,
+        now: float,
+    ) -> Decision:
+        """Return a refusal; a young home can not vouch for a named request."""
+        ran = item.named and self._is_young(now)
+        retry_ms = -1 if retry_s is None else int(retry_s * 1000)
+        refusal = Refuse(item.key, item.attempt, reason.value, detail, retry_ms, ran)
+        return Decision(item.entry, refusal)
+
     def _known(self, message: Acquire, entry: InstanceId) -> list[Decision] | None:
         """Answer an id that waits, runs or ran; None if it is new."""
         waiting = self.queue.by_key.get(message.key)
@@ -408,21 +430,25 @@
         """Return a refusal, or None if the request may wait."""
         if not item.allowed:
             detail = "the team is not approved for this pool"
-            return _refuse(item, Reason.NOT_APPROVED, detail, None)
+            return self._refuse(item, Reason.NOT_APPROVED, detail, None, now)
         if not self._candidates(item, now):
             detail = "no endpoint of the pool takes new work"
-            return _refuse(item, Reason.NO_ENDPOINT, detail, RETRY_RANGE_S[0])
+            return self._refuse(item, Reason.NO_ENDPOINT, detail, RETRY_RANGE_S[0], now)
         limit = self.manifest.teams[item.team].max_waiting
         if self.queue.team_length(item.rank, item.team) >= limit:
             detail = f"{limit} requests of the team wait"
-            return _refuse(item, Reason.TEAM_LIMIT, detail, self.drain_s(item.rank))
+            return self._refuse(
+                item, Reason.TEAM_LIMIT, detail, self.drain_s(item.rank), now
+            )
         left_s = item.deadline - now
         if self._least_s(item) > left_s:
             detail = "no endpoint can answer within the deadline"
-            return _refuse(item, Reason.DEADLINE, detail, None)
+            return self._refuse(item, Reason.DEADLINE, detail, None, now)
         if self._wait_s(item) + self._least_s(item) > left_s:
             detail = "the queue is too long for the deadline"
-            return _refuse(item, Reason.DEADLINE, detail, self.drain_s(item.rank))
+            return self._refuse(
+                item, Reason.DEADLINE, detail, self.drain_s(item.rank), now
+            )
         return None
 
     def _shed(self, now: float) -> list[Decision]:
@@ -436,7 +462,9 @@
             self.queue.remove(item.key)
             retry_s = self.drain_s(item.rank)
             detail = f"{limit} requests wait in the pool"
-            decisions.append(_refuse(item, Reason.OVERLOADED, detail, retry_s))
+            decisions.append(
+                self._refuse(item, Reason.OVERLOADED, detail, retry_s, now)
+            )
         return decisions
 
     def _expire(self, now: float) -> list[Decision]:
@@ -449,7 +477,7 @@
             self.queue.remove(key)
             detail = "the deadline can no longer be met"
             retry_s = self.drain_s(item.rank)
-            decisions.append(_refuse(item, Reason.DEADLINE, detail, retry_s))
+            decisions.append(self._refuse(item, Reason.DEADLINE, detail, retry_s, now))
         return decisions
 
     # Estimates
@@ -542,14 +570,6 @@
     return cell
 
 
-def _refuse(
-    item: Waiting, reason: Reason, detail: str, retry_s: float | None
-) -> Decision:
-    retry_ms = -1 if retry_s is None else int(retry_s * 1000)
-    refusal = Refuse(item.key, item.attempt, reason.value, detail, retry_ms, False)
-    return Decision(item.entry, refusal)
-
-
 def _deny(
     message: Acquire, entry: InstanceId, reason: Reason, detail: str, ran: bool = False
 ) -> Decision:
--- a/src/savorydyke/_dispatch.py
+++ b/src/savorydyke/_dispatch.py
@@ -20,6 +20,7 @@
     Done,
     Free,
     KeptAnswer,
+    LookResult,
     Mine,
     Reused,
     Taken,
@@ -36,6 +37,7 @@
 MAX_ATTEMPTS = 4
 RESUME_TRIES = 4
 RESUME_PAUSE_S = 0.1
+OTHER_ATTEMPT_PAUSE_S = 0.2
 MAX_USAGE_BYTES = 1_000_000
 
 log = _logs.part("dispatch")
@@ -364,18 +366,18 @@
         """Answer a request under a claim of its idempotency key."""
         call = dispatch.call
         key = claim_key(call.team, call.pool.id, call.idempotency_key)
-        deadline = call.demand.deadline
         avoid: tuple[EndpointId, ...] = ()
-        for _ in range(MAX_ATTEMPTS):
-            state = await self.claims.look(key, call.digest)
-            while isinstance(state, Taken) and trio.current_time() < deadline:
-                if self._is_stuck(state):
-                    break
-                state = await self.claims.wait(key, call.digest, state)
+        while len(avoid) < MAX_ATTEMPTS:
+            state = await self._look(call, key)
+            if isinstance(state, Unavailable):
+                return await self._claims_unavailable(call, state)
             if not isinstance(state, Free):
                 return await self._claimed(dispatch, state)
             answer = await self.scheduler.acquire(call.demand, avoid)
             if isinstance(answer, Refused):
+                if self._must_wait(call, answer):
+                    await trio.sleep(OTHER_ATTEMPT_PAUSE_S)
+                    continue
                 return _refusal(answer)
             with trio.CancelScope(shield=True):
                 result = await self._use_once(dispatch, answer, key, state)
@@ -385,6 +387,30 @@
         detail = f"{MAX_ATTEMPTS} endpoints in turn could not be reached"
         return Refusal(Reason.NO_ENDPOINT, detail)
 
+    async def _look(self, call: Call, key: str) -> LookResult | Mine:
+        """Return the state of a claim once no live attempt holds it."""
+        state = await self.claims.look(key, call.digest)
+        while isinstance(state, Taken) and not self._is_stuck(state):
+            if trio.current_time() > call.demand.deadline:
+                return state
+            state = await self.claims.wait(key, call.digest, state)
+        return state
+
+    def _must_wait(self, call: Call, refused: Refused) -> bool:
+        """Return whether another attempt under the same key is under way."""
+        is_duplicate = refused.reason is Reason.DUPLICATE
+        return is_duplicate and trio.current_time() < call.demand.deadline
+
+    async def _claims_unavailable(self, call: Call, state: Unavailable) -> Refusal:
+        """Refuse while claims can not be read; ask the home what it knows."""
+        detail = f"the claim of the key can not be made: {state.cause}"
+        demand = replace(call.demand, resume_only=True)
+        answer = await self.scheduler.acquire(demand)
+        self.scheduler.release(demand.key, ReleaseResult.NOT_SENT)
+        is_new = isinstance(answer, Refused) and not answer.may_have_run
+        outcome = Outcome.NOT_RUN if is_new else Outcome.MAY_HAVE_RUN
+        return Refusal(Reason.CLAIMS_UNAVAILABLE, detail, outcome)
+
     def _is_stuck(self, taken: Taken) -> bool:
         """Return whether the claim's holder has died, so that waiting is vain."""
         membership = self.scheduler.membership
@@ -414,9 +440,9 @@
             case Taken():
                 detail = "an earlier attempt is in progress"
                 return Refusal(Reason.IN_PROGRESS, detail, Outcome.MAY_HAVE_RUN)
-        cause = state.cause if isinstance(state, Unavailable) else "no answer"
-        detail = f"the claim of the key can not be made: {cause}"
-        return Refusal(Reason.CLAIMS_UNAVAILABLE, detail)
+            case Unavailable():
+                return await self._claims_unavailable(dispatch.call, state)
+        raise AssertionError(f"a free claim was judged: {state}")
 
     async def _use_once(
         self, dispatch: Dispatch, granted: Granted, key: str, free: Free
@@ -429,6 +455,8 @@
         dispatch.result = ReleaseResult.NOT_SENT
         try:
             taken = await self.claims.take(key, call.digest, attempt, free)
+            if isinstance(taken, Unavailable):
+                return self._unconfirmed(taken)
             if not isinstance(taken, Mine):
                 return await self._claimed(dispatch, taken)
             endpoint = self._permitted(call, granted)
@@ -443,6 +471,11 @@
         finally:
             self._release(dispatch)
 
+    def _unconfirmed(self, taken: Unavailable) -> Refusal:
+        """Refuse a request whose key was free when it was looked up."""
+        detail = f"the claim of the key can not be made: {taken.cause}"
+        return Refusal(Reason.CLAIMS_UNAVAILABLE, detail)
+
     async def _send_once(
         self, dispatch: Dispatch, endpoint: Endpoint, key: str, attempt: str
     ) -> DispatchResult | None:
--- a/src/savorydyke_bench/_client.py
+++ b/src/savorydyke_bench/_client.py
@@ -1,13 +1,13 @@
 """A caller: sends requests and records what came back."""
 
 import json
+import time
 import uuid
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
 import httpx
-import trio
 
 
 class Ended(Enum):
@@ -144,7 +144,7 @@
     record: CallerRecord,
     stream: bool,
 ) -> CallerRecord:
-    start = trio.current_time()
+    start = time.monotonic()
     record.sent = record.sent or start
     record.ended = Ended.NO_ANSWER
     try:
@@ -163,7 +163,7 @@
         record.ended = Ended.CUT if record.status else Ended.NO_ANSWER
     except httpx.HTTPError:
         record.ended = Ended.NO_ANSWER
-    record.total_s = trio.current_time() - record.sent
+    record.total_s = time.monotonic() - record.sent
     return record
 
 
@@ -173,7 +173,7 @@
     try:
         value = json.loads(body)
     except ValueError:
-        record.reason = body.decode("utf-8", "replace")[:200]
+        record.reason = f"status {record.status}"
         return
     record.reason = str(value.get("title", ""))
     record.not_run = value.get("outcome") == "not run"
@@ -183,7 +183,7 @@
     pending = b""
     last = 0.0
     async for chunk in response.aiter_raw():
-        now = trio.current_time()
+        now = time.monotonic()
         if not record.first_s:
             record.first_s = now - record.sent
         if last:
@@ -208,7 +208,7 @@
 
 async def _read_whole(record: CallerRecord, response: httpx.Response) -> None:
     body = await response.aread()
-    record.first_s = trio.current_time() - record.sent
+    record.first_s = time.monotonic() - record.sent
     record.body = body.decode()
     record.ended = Ended.COMPLETE
     value = json.loads(body)
--- a/src/savorydyke_bench/_fleet.py
+++ b/src/savorydyke_bench/_fleet.py
@@ -52,7 +52,7 @@
 
     name: str
     callers: str
-    peers: str
+    advertised: str
     operators: str
     config: Path
     process: subprocess.Popen | None = None
@@ -104,6 +104,12 @@
             spec["shape"] = standin.shape  # type: ignore[assignment]
         elif standin.kind == "service":
             spec.update(standin.shape)
+        elif standin.kind == "wire":
+            spec.update(
+                address=standin.shape["wire"],
+                target=standin.shape["target"],
+                control=standin.address,
+            )
         standin.process = self._start(
             ["-m", "savorydyke_standins", json.dumps([spec])], standin.name
         )
@@ -117,6 +123,14 @@
         self.start_standin(standin)
         return standin
 
+    def add_wire(self, name: str, target: str) -> Standin:
+        """Start a relay to `target`; its address is in ``shape["wire"]``."""
+        shape = {"target": target, "wire": self.ports.take()}
+        standin = Standin(name, "wire", self.ports.take(), "", shape)
+        self.endpoints[name] = standin
+        self.start_standin(standin)
+        return standin
+
     async def control(self, standin: Standin, **faults: Any) -> None:
         """Switch faults or the shape of a stand-in."""
         url = f"http://{standin.address}/control"
@@ -134,14 +148,14 @@
     ) -> None:
         """Tell the platform which instances and endpoints are live or leaving."""
         instances = [
-            _row(i.name, i.peers, "dc-1", i.name in leaving)
+            _row(i.name, i.advertised, "dc-1", i.name in leaving)
             for i in self.instances.values()
             if i.name not in but
         ]
         endpoints = [
             _row(e.name, e.address, e.data_centre, e.name in leaving)
             for e in self.endpoints.values()
-            if e.name not in but
+            if e.name not in but and e.kind != "wire"
         ]
         url = f"http://{self.platform.address}/lists"
         lists = {INSTANCE_SERVICE: instances, ENDPOINT_SERVICE: endpoints}
@@ -152,7 +166,8 @@
     def add_instance(self, name: str, platform: str = "", **more: Any) -> None:
         """Write the settings of an instance and start it."""
         callers, peers, operators = (self.ports.take() for _ in range(3))
-        seeds = [instance.peers for instance in list(self.instances.values())[:3]]
+        seeds = [item.advertised for item in list(self.instances.values())[:3]]
+        advertised = more.get("advertise", peers)
         settings = {
             "instance": name,
             "data_centre": "dc-1",
@@ -168,7 +183,9 @@
         }
         config = self.folder / f"{name}.json"
         config.write_text(json.dumps(settings))
-        self.instances[name] = InstanceProcess(name, callers, peers, operators, config)
+        self.instances[name] = InstanceProcess(
+            name, callers, advertised, operators, config
+        )
         self.start_instance(name)
 
     def start_instance(self, name: str) -> None:
@@ -273,6 +290,13 @@
             env=environment,
         )
 
+    def copy_logs(self, folder: str) -> None:
+        """Keep the logs of all processes."""
+        target = Path(folder)
+        target.mkdir(parents=True, exist_ok=True)
+        for log in self.folder.glob("*.log"):
+            (target / log.name).write_bytes(log.read_bytes())
+
     # End
 
     def stop(self) -> None:
--- /dev/null
+++ b/src/savorydyke_bench/_histories.py
@@ -0,0 +1,512 @@
+"""Runs a fleet under a seeded schedule of faults and checks its history."""
+
+import random
+import signal
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import httpx
+import trio
+import typer
+
+from savorydyke_bench._checkers import check_all
+from savorydyke_bench._client import (
+    CallerRecord,
+    Ended,
+    chat,
+    new_id,
+    service_call,
+    take_up,
+)
+from savorydyke_bench._fleet import Fleet, InstanceProcess, Standin, open_fleet
+from savorydyke_bench._history import Apply, Fault, History, StatusSample, runs_of
+from savorydyke_bench._sites import EngineSpec, Site, TeamSpec
+
+INSTANCES = 5
+LOAD_S = 14.0
+FAULT_PAUSE_S = (0.3, 1.2)
+REQUESTS_PER_S = 30.0
+CLAIM_SHARE = 0.3
+BURST_AT_S = 5.0
+BURST_SIZE = 120
+MAX_WAITING = 40
+QUIET_S = 6.0
+TAKE_UP_TRIES = 40
+CLAIM_TRIES = 60
+MODEL = "digest-model"
+
+SITE = Site(
+    name="histories",
+    instances=INSTANCES,
+    tiers=(("high", 20.0), ("middle", 20.0), ("low", 20.0)),
+    teams=(
+        TeamSpec("crews", "high", ("digest", "claims")),
+        TeamSpec("drivers", "middle", ("digest", "claims")),
+        TeamSpec("archive", "low", ("digest", "claims")),
+        TeamSpec("guests", "low", ("digest", "claims")),
+    ),
+    model_pool="digest",
+    models=(MODEL,),
+    engines=(
+        EngineSpec("engine-1", "dc-1", 20_000, 100, 8),
+        EngineSpec("engine-2", "dc-1", 10_000, 80, 8),
+        EngineSpec("engine-3", "dc-1", 5_000, 50, 4),
+    ),
+    service_pool="claims",
+    services=(("desk-1", "dc-1"), ("desk-2", "dc-1")),
+    hop_s=0.0,
+    client_s=0.0,
+)
+TIER_OF = {team.name: team.tier for team in SITE.teams}
+ALWAYS_APPROVED = ("crews", "drivers", "archive")
+
+
+@dataclass
+class Wires:
+    """The relays around one instance."""
+
+    peers: Standin
+    platform: Standin
+
+
+@dataclass
+class Trial:
+    """One run under faults."""
+
+    fleet: Fleet
+    rng: random.Random
+    history: History
+    client: httpx.AsyncClient
+    wires: dict[str, Wires] = field(default_factory=dict)
+    busy: set[str] = field(default_factory=set)
+    leaving: set[str] = field(default_factory=set)
+    approved: tuple[str, ...] = (*ALWAYS_APPROVED, "guests")
+    loading: bool = True
+
+    def names(self) -> list[str]:
+        """Return the names of all instances."""
+        return list(self.fleet.instances)
+
+    def pick(self) -> InstanceProcess:
+        """Return a random instance."""
+        return self.fleet.instances[self.rng.choice(self.names())]
+
+    def free(self) -> InstanceProcess | None:
+        """Return a random instance that no fault holds, if a majority stays."""
+        names = [name for name in self.names() if name not in self.busy]
+        if len(self.busy) >= INSTANCES // 2 or not names:
+            return None
+        return self.fleet.instances[self.rng.choice(names)]
+
+    def begin(self, kind: str, target: str) -> Fault:
+        """Record that a fault starts."""
+        fault = Fault(kind, target, time.monotonic(), float("inf"))
+        self.history.faults.append(fault)
+        return fault
+
+
+# Faults
+
+
+async def _hold(trial: Trial, fault: Fault, low: float, high: float) -> None:
+    await trio.sleep(trial.rng.uniform(low, high))
+    fault.end = time.monotonic()
+
+
+async def _on_instance(
+    trial: Trial, kind: str, act: Callable[[InstanceProcess, Fault], Awaitable[None]]
+) -> None:
+    instance = trial.free()
+    if instance is None:
+        return
+    trial.busy.add(instance.name)
+    fault = trial.begin(kind, instance.name)
+    try:
+        await act(instance, fault)
+    finally:
+        fault.end = min(fault.end, time.monotonic())
+        trial.busy.discard(instance.name)
+
+
+async def kill(trial: Trial) -> None:
+    """Kill an instance and start it again."""
+
+    async def act(instance: InstanceProcess, fault: Fault) -> None:
+        instance.signal(signal.SIGKILL)
+        await _hold(trial, fault, 0.2, 2.0)
+        trial.fleet.start_instance(instance.name)
+        await trio.sleep(1.0)
+
+    await _on_instance(trial, "kill", act)
+
+
+async def freeze(trial: Trial) -> None:
+    """Pause an instance, for longer than its peers wait for it or not."""
+
+    async def act(instance: InstanceProcess, fault: Fault) -> None:
+        instance.signal(signal.SIGSTOP)
+        await _hold(trial, fault, 0.3, 4.0)
+        instance.signal(signal.SIGCONT)
+
+    await _on_instance(trial, "freeze", act)
+
+
+async def stop(trial: Trial) -> None:
+    """Stop an instance gracefully and start it again."""
+
+    async def act(instance: InstanceProcess, fault: Fault) -> None:
+        instance.signal(signal.SIGTERM)
+        process = instance.process
+        with trio.move_on_after(25):
+            while process is not None and process.poll() is None:
+                await trio.sleep(0.05)
+        status = process.poll() if process else None
+        trial.history.exits[f"{instance.name} at {fault.start:.1f}"] = status
+        fault.end = time.monotonic()
+        trial.fleet.start_instance(instance.name)
+        await trio.sleep(1.0)
+
+    await _on_instance(trial, "stop", act)
+
+
+async def cut_peers(trial: Trial) -> None:
+    """Cut the connections that others have opened to an instance."""
+
+    async def act(instance: InstanceProcess, fault: Fault) -> None:
+        wire = trial.wires[instance.name].peers
+        await trial.fleet.control(wire, cut=True)
+        await _hold(trial, fault, 0.5, 4.0)
+        await trial.fleet.control(wire, cut=False)
+
+    await _on_instance(trial, "cut-peers", act)
+
+
+async def cut_platform(trial: Trial) -> None:
+    """Cut one instance off from the platform."""
+
+    async def act(instance: InstanceProcess, fault: Fault) -> None:
+        wire = trial.wires[instance.name].platform
+        await trial.fleet.control(wire, cut=True)
+        await _hold(trial, fault, 1.0, 5.0)
+        await trial.fleet.control(wire, cut=False)
+
+    await _on_instance(trial, "cut-platform", act)
+
+
+async def _platform_fault(trial: Trial, kind: str, on: dict, off: dict) -> None:
+    if "platform" in trial.busy:
+        return
+    trial.busy.add("platform")
+    fault = trial.begin(kind, "")
+    await trial.fleet.control(trial.fleet.platform, **on)
+    await _hold(trial, fault, 0.5, 4.0)
+    await trial.fleet.control(trial.fleet.platform, **off)
+    trial.busy.discard("platform")
+
+
+async def platform_out(trial: Trial) -> None:
+    """Take the platform's service down for everyone."""
+    await _platform_fault(trial, "platform-out", {"out": True}, {"out": False})
+
+
+async def platform_slow(trial: Trial) -> None:
+    """Slow the platform's service down."""
+    on = {"delay_s": trial.rng.uniform(0.1, 0.8)}
+    await _platform_fault(trial, "platform-slow", on, {"delay_s": 0.0})
+
+
+async def platform_lossy(trial: Trial) -> None:
+    """Lose answers of writes that take effect, and writes, and watch events."""
+    on = {"lost_answers": 0.4, "lost_writes": 0.2, "lost_events": 0.5}
+    off = dict.fromkeys(on, 0.0)
+    await _platform_fault(trial, "platform-lossy", on, off)
+
+
+async def engine_slow(trial: Trial) -> None:
+    """Slow an engine to a fifth."""
+    engine = trial.fleet.endpoints[trial.rng.choice(SITE.engines).name]
+    fault = trial.begin("engine-slow", engine.name)
+    await trial.fleet.control(engine, slowdown=5.0)
+    await _hold(trial, fault, 1.0, 3.0)
+    await trial.fleet.control(engine, slowdown=1.0)
+
+
+async def engine_cut(trial: Trial) -> None:
+    """Cut every new stream of an engine once, after a few events."""
+    engine = trial.fleet.endpoints[trial.rng.choice(SITE.engines).name]
+    fault = trial.begin("engine-cut", engine.name)
+    await trial.fleet.control(engine, cut_after=trial.rng.randint(1, 8))
+    await _hold(trial, fault, 1.0, 3.0)
+    await trial.fleet.control(engine, cut_after=0)
+
+
+async def leave(trial: Trial) -> None:
+    """Announce that an endpoint leaves, by the list or by its own report."""
+    name = trial.rng.choice(["engine-1", "engine-2", "desk-1"])
+    if trial.leaving:
+        return
+    trial.leaving.add(name)
+    endpoint = trial.fleet.endpoints[name]
+    by_list = trial.rng.random() < 0.5 and "platform" not in trial.busy
+    if by_list:
+        await trial.fleet.publish_lists(leaving=frozenset({name}))
+    else:
+        await trial.fleet.control(endpoint, leaving=True)
+    fault = trial.begin("leaving", name)
+    await _hold(trial, fault, 5.0, 7.0)
+    await trial.fleet.publish_lists()
+    await trial.fleet.control(endpoint, leaving=False)
+    trial.leaving.discard(name)
+
+
+async def race_operators(trial: Trial) -> None:
+    """Let two operators apply different manifests made from one revision."""
+    base = max([a.revision for a in trial.history.applies] or [1])
+    trial.history.faults.append(
+        Fault("operators-race", "", time.monotonic(), time.monotonic())
+    )
+
+    async def operate(approved: tuple[str, ...]) -> None:
+        manifest = _manifest(trial.fleet, approved)
+        instance = trial.pick()
+        try:
+            answer = await trial.fleet.apply(manifest, base, instance.name)
+        except httpx.HTTPError:
+            answer = {"result": "undecided"}
+        now = time.monotonic()
+        revision = answer.get("revision", 0)
+        result = str(answer.get("result", "none"))
+        trial.history.applies.append(Apply(base, result, revision, now, approved))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(operate, ALWAYS_APPROVED)
+        nursery.start_soon(operate, (*ALWAYS_APPROVED, "guests"))
+
+
+FAULTS: list[Callable[[Trial], Awaitable[None]]] = [
+    kill,
+    freeze,
+    stop,
+    cut_peers,
+    cut_platform,
+    platform_out,
+    platform_slow,
+    platform_lossy,
+    engine_slow,
+    engine_cut,
+    leave,
+    race_operators,
+]
+
+
+def _manifest(fleet: Fleet, approved: tuple[str, ...]) -> dict[str, Any]:
+    unapproved = tuple(t.name for t in SITE.teams if t.name not in approved)
+    manifest = replace(SITE, unapproved=unapproved).manifest(fleet)
+    for pool in manifest["pools"]:
+        pool["max_waiting"] = MAX_WAITING
+    return manifest
+
+
+# Load
+
+
+async def _model_request(trial: Trial, tokens: int, repeat: float) -> None:
+    team = trial.rng.choice(SITE.teams)
+    record = CallerRecord(
+        new_id(),
+        team.name,
+        team.tier,
+        "digest",
+        prompt=f"{new_id()} " + "wind 247 deg; " * trial.rng.choice([1, 10, 100, 1000]),
+        output_tokens=tokens,
+    )
+    trial.history.requests.append(record)
+    twin = trial.rng.random() < repeat
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_ask_until_answered, trial, record, team.key)
+        if twin:
+            # The same request id through a second instance at the same time.
+            again = replace(record, gaps_s=[])
+            trial.history.requests.append(again)
+            nursery.start_soon(_ask_until_answered, trial, again, team.key)
+
+
+async def _ask_until_answered(trial: Trial, record: CallerRecord, key: str) -> None:
+    instance = trial.pick()
+    record.instance = instance.name
+    await chat(trial.client, instance.callers, key, record, MODEL)
+    for _ in range(TAKE_UP_TRIES):
+        if record.ended not in {Ended.CUT, Ended.NO_ANSWER}:
+            return
+        await trio.sleep(0.25)
+        other = trial.pick().callers
+        if record.status:
+            await take_up(trial.client, other, key, record)
+        else:
+            record.taken_up += 1
+            await chat(trial.client, other, key, record, MODEL)
+
+
+async def _claim(trial: Trial) -> None:
+    """Claim under one key, at one or two instances, until it is settled."""
+    team = trial.rng.choice([t for t in SITE.teams if t.name in ALWAYS_APPROVED])
+    key = new_id()
+    async with trio.open_nursery() as nursery:
+        for _ in range(trial.rng.choice([1, 2])):
+            nursery.start_soon(_claim_until_settled, trial, team, key)
+
+
+async def _claim_until_settled(trial: Trial, team: TeamSpec, key: str) -> None:
+    for _ in range(CLAIM_TRIES):
+        instance = trial.pick()
+        record = CallerRecord(
+            new_id(),
+            team.name,
+            team.tier,
+            "claims",
+            prompt=f"farm {key}",
+            idempotency_key=key,
+            instance=instance.name,
+            deadline_s=6.0,
+        )
+        trial.history.requests.append(record)
+        body = {"farm": record.prompt}
+        address = instance.callers
+        await service_call(trial.client, address, team.key, record, "permits", body)
+        if record.ended is Ended.COMPLETE:
+            return
+        if record.reason == "unknown-outcome" and not trial.loading:
+            return
+        await trio.sleep(trial.rng.uniform(0.2, 0.8))
+
+
+async def _load(trial: Trial, nursery: trio.Nursery) -> None:
+    start = trio.current_time()
+    burst_left = True
+    while trio.current_time() - start < LOAD_S:
+        await trio.sleep(trial.rng.expovariate(REQUESTS_PER_S))
+        if trial.rng.random() < CLAIM_SHARE:
+            nursery.start_soon(_claim, trial)
+        else:
+            tokens = trial.rng.randint(3, 60)
+            nursery.start_soon(_model_request, trial, tokens, 0.1)
+        if burst_left and trio.current_time() - start > BURST_AT_S:
+            burst_left = False
+            for _ in range(BURST_SIZE):
+                nursery.start_soon(_model_request, trial, 30, 0.0)
+    trial.loading = False
+
+
+async def _schedule(trial: Trial, nursery: trio.Nursery) -> None:
+    while trial.loading:
+        await trio.sleep(trial.rng.uniform(*FAULT_PAUSE_S))
+        if trial.loading:
+            nursery.start_soon(trial.rng.choice(FAULTS), trial)
+
+
+async def _watch_statuses(trial: Trial) -> None:
+    while True:
+        await trio.sleep(0.3)
+        for instance in list(trial.fleet.instances.values()):
+            asked = time.monotonic()
+            with trio.move_on_after(1.0):
+                status = await trial.fleet.status(instance)
+                if status is not None:
+                    sample = StatusSample(
+                        instance.name,
+                        asked,
+                        time.monotonic(),
+                        status["revision"],
+                        status["ready"],
+                    )
+                    trial.history.statuses.append(sample)
+
+
+# One run
+
+
+async def _start(trial: Trial) -> None:
+    fleet = trial.fleet
+    for engine in SITE.engines:
+        fleet.add_endpoint(
+            engine.name,
+            "engine",
+            engine.data_centre,
+            prefill_tokens_per_s=engine.prefill,
+            decode_tokens_per_s=engine.decode,
+            slots=engine.slots,
+        )
+    for name, data_centre in SITE.services:
+        fleet.add_endpoint(name, "service", data_centre)
+    for number in range(INSTANCES):
+        name = f"instance-{number + 1}"
+        peers = fleet.ports.take()
+        wires = Wires(
+            fleet.add_wire(f"{name}-peers", peers),
+            fleet.add_wire(f"{name}-platform", fleet.platform.address),
+        )
+        trial.wires[name] = wires
+        platform = wires.platform.shape["wire"]
+        advertise = wires.peers.shape["wire"]
+        fleet.add_instance(name, platform, peers=peers, advertise=advertise)
+    await fleet.wait_started()
+    await fleet.publish_lists()
+    answer = await fleet.apply(_manifest(fleet, trial.approved), 0)
+    applied = time.monotonic()
+    if answer.get("result") != "accepted":
+        raise RuntimeError(f"the first manifest was not accepted: {answer}")
+    trial.history.applies.append(Apply(0, "accepted", 1, applied, trial.approved))
+    await fleet.wait_ready()
+
+
+async def run_seed(seed: int, keep_logs: str = "") -> History:
+    """Run one seed and return its history."""
+    history = History(seed, ranks={name: i for i, (name, _) in enumerate(SITE.tiers)})
+    with open_fleet() as fleet:
+        limits = httpx.Limits(max_connections=None, max_keepalive_connections=0)
+        async with httpx.AsyncClient(
+            timeout=30, limits=limits, trust_env=False
+        ) as client:
+            trial = Trial(fleet, random.Random(seed), history, client)
+            await _start(trial)
+            async with trio.open_nursery() as watching:
+                watching.start_soon(_watch_statuses, trial)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(_load, trial, nursery)
+                    nursery.start_soon(_schedule, trial, nursery)
+                await trio.sleep(QUIET_S)
+                watching.cancel_scope.cancel()
+            for endpoint in fleet.endpoints.values():
+                if endpoint.kind != "wire":
+                    record = await fleet.record(endpoint)
+                    history.runs += runs_of(endpoint.name, record)
+        if keep_logs:
+            fleet.copy_logs(f"{keep_logs}/seed-{seed}")
+    return history
+
+
+def report(history: History) -> int:
+    """Print what a run showed; return the number of violations."""
+    faults = Counter(fault.kind for fault in history.faults)
+    ended = Counter(record.ended.value for record in history.requests)
+    reasons = Counter(r.reason for r in history.requests if r.ended is Ended.REFUSED)
+    typer.echo(
+        f"seed {history.seed}: {len(history.requests)} requests, "
+        f"{len(history.runs)} runs, {_counts(ended)}"
+    )
+    typer.echo(f"  refused: {_counts(reasons)}")
+    typer.echo(f"  faults: {_counts(faults)}")
+    count = 0
+    for point, violations in check_all(history).items():
+        count += len(violations)
+        typer.echo(f"  {point}: {len(violations)} violations")
+        for violation in violations[:5]:
+            typer.echo(f"    {violation}")
+    return count
+
+
+def _counts(counter: Counter) -> str:
+    return ", ".join(f"{name} {count}" for name, count in sorted(counter.items()))
--- a/src/savorydyke_bench/_main.py
+++ b/src/savorydyke_bench/_main.py
@@ -1,9 +1,11 @@
 """``savorydyke-bench``: demo, histories and measurements."""
 
+from typing import Annotated
+
 import trio
 import typer
 
-from savorydyke_bench import _demo
+from savorydyke_bench import _demo, _histories
 
 app = typer.Typer(no_args_is_help=True, help="Try out and measure savorydyke.")
 
@@ -20,6 +22,21 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def histories(
+    seeds: Annotated[list[int], typer.Argument(help="Seeds to run.")],
+    logs: Annotated[str, typer.Option(help="Folder to keep logs in.")] = "",
+) -> None:
+    """Run seeded faults against a fleet and check the histories."""
+    violations = 0
+    for seed in seeds:
+        history = trio.run(_histories.run_seed, seed, logs)
+        violations += _histories.report(history)
+    typer.echo(f"{len(seeds)} seeds, {violations} violations")
+    if violations:
+        raise typer.Exit(1)
+
+
 def main() -> None:
     """Run the command line."""
     app()
--- a/src/savorydyke_standins/_engine.py
+++ b/src/savorydyke_standins/_engine.py
@@ -10,6 +10,7 @@
 import hashlib
 import json
 import random
+import time
 from collections import OrderedDict, deque
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
@@ -108,7 +109,7 @@
 
     def note(self, kind: str, stream: str, **more: Any) -> None:
         """Add to the record."""
-        entry = {"kind": kind, "id": stream, "at": trio.current_time(), **more}
+        entry = {"kind": kind, "id": stream, "at": time.monotonic(), **more}
         self.record.append(entry)
 
     def inside(self) -> int:
--- a/src/savorydyke_standins/_key_values.py
+++ b/src/savorydyke_standins/_key_values.py
@@ -6,6 +6,7 @@
 
 import base64
 import random
+import time
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -90,7 +91,7 @@
         index = self.touch()
         created = entry.created if entry else index
         self.values[key] = Entry(value, created, index)
-        self.writes.append({"key": key, "index": index, "at": trio.current_time()})
+        self.writes.append({"key": key, "index": index, "at": time.monotonic()})
         return True
 
     def remove(self, key: str, cas: int | None) -> bool:
--- a/src/savorydyke_standins/_service.py
+++ b/src/savorydyke_standins/_service.py
@@ -1,6 +1,7 @@
 """A plain service's stand-in: it does what it is told once for each call."""
 
 import random
+import time
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -63,7 +64,7 @@
         "path": path,
         "id": request.headers.get("x-request-id", ""),
         "idempotency_key": request.headers.get("idempotency-key", ""),
-        "at": trio.current_time(),
+        "at": time.monotonic(),
     }
     service.record.append(entry)
     service.active += 1
--- a/src/savorydyke_standins/_wire.py
+++ b/src/savorydyke_standins/_wire.py
@@ -83,6 +83,10 @@
             wire.is_cut = False
         return json_answer("ok")
 
+    @app.get("/record")
+    async def record() -> Response:
+        return json_answer([])
+
     async with trio.open_nursery() as nursery:
         nursery.start_soon(serve_app, app, control)
         nursery.start_soon(lambda: trio.serve_tcp(wire.handle, int(port), host=host))
