--- a/src/savorydyke_bench/_checkers.py
+++ b/src/savorydyke_bench/_checkers.py
@@ -198,7 +198,20 @@
     return violations
 
 
+def check_answered(history: History) -> list[str]:
+    """Each request gets a final answer, or its connection ends, in time."""
+    if not history.hung:
+        return []
+    return [
+        f"{record.request_id} ({record.pool}, {record.team}) at {record.instance} "
+        f"had no final answer"
+        for record in history.requests
+        if not record.total_s
+    ] or ["a fault or a retry did not end"]
+
+
 CHECKERS: dict[str, Checker] = {
+    "0 final answer": check_answered,
     "1 dispatched at most once": check_dispatched_once,
     "2 tier order": check_tier_order,
     "3 complete own answer": check_complete,
--- a/src/savorydyke_bench/_fleet.py
+++ b/src/savorydyke_bench/_fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -17,6 +18,7 @@
 import trio
 
 HOST = "127.0.0.1"
+PORT_RANGE = (10_000, 32_000)
 SHARED_KEY = "a shared key for trials only"
 OPERATOR_KEY = "an operator key for trials only"
 START_LIMIT_S = 20.0
@@ -28,22 +30,27 @@
 class PortPool:
     """Hands out ports that were free, each once.
 
-    The sockets stay bound until the port is taken, so that two callers on one
-    machine do not get the same.
+    They lie below the range from which systems take the ports of outgoing
+    connections, so that none of those can come in between.
     """
 
     def __init__(self) -> None:
         self.given: set[int] = set()
+        self.rng = random.SystemRandom()
 
     def take(self) -> str:
         """Return an address with a free port."""
         while True:
+            port = self.rng.randint(*PORT_RANGE)
+            if port in self.given:
+                continue
+            self.given.add(port)
             with socket.socket() as probe:
-                probe.bind((HOST, 0))
-                port = probe.getsockname()[1]
-            if port not in self.given:
-                self.given.add(port)
-                return f"{HOST}:{port}"
+                try:
+                    probe.bind((HOST, port))
+                except OSError:
+                    continue
+            return f"{HOST}:{port}"
 
 
 @dataclass
--- a/src/savorydyke_bench/_histories.py
+++ b/src/savorydyke_bench/_histories.py
@@ -34,6 +34,8 @@
 BURST_SIZE = 120
 MAX_WAITING = 40
 QUIET_S = 6.0
+ANSWER_LIMIT_S = 75.0
+"""Time in which every request must have its final answer, deadlines included."""
 TAKE_UP_TRIES = 40
 CLAIM_TRIES = 60
 MODEL = "digest-model"
@@ -474,9 +476,11 @@
             await _start(trial)
             async with trio.open_nursery() as watching:
                 watching.start_soon(_watch_statuses, trial)
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(_load, trial, nursery)
-                    nursery.start_soon(_schedule, trial, nursery)
+                with trio.move_on_after(ANSWER_LIMIT_S) as limit:
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(_load, trial, nursery)
+                        nursery.start_soon(_schedule, trial, nursery)
+                history.hung = limit.cancelled_caught
                 await trio.sleep(QUIET_S)
                 watching.cancel_scope.cancel()
             for endpoint in fleet.endpoints.values():
--- a/src/savorydyke_bench/_history.py
+++ b/src/savorydyke_bench/_history.py
@@ -81,7 +81,13 @@
 
 @dataclass
 class History:
-    """Everything that the checkers read."""
+    """Everything that the checkers read.
+
+    Attributes
+    ----------
+    hung : bool
+        Whether some requests had no final answer when the run was ended.
+    """
 
     seed: int
     requests: list[CallerRecord] = field(default_factory=list)
@@ -89,6 +95,7 @@
     faults: list[Fault] = field(default_factory=list)
     applies: list[Apply] = field(default_factory=list)
     statuses: list[StatusSample] = field(default_factory=list)
+    hung: bool = False
     exits: dict[str, int | None] = field(default_factory=dict)
     ranks: dict[str, int] = field(default_factory=dict)
 
