--- /dev/null
+++ b/features/steps/cell_steps.py
@@ -0,0 +1,440 @@
+"""Steps about the cell, and the differential test against a naive scheduler."""
+
+import json
+import random
+from collections import Counter
+
+from behave import given, then, when
+from cell_naive import NaiveScheduler
+from hypothesis import given as with_cases
+from hypothesis import settings
+from hypothesis import strategies as st
+
+import savorydyke
+from savorydyke._cell import ReleaseResult, new_cell
+from savorydyke._fair_queue import FairQueue, Waiting
+from savorydyke._messages import Acquire, Grant, Refuse, Release, Started
+
+CASES = settings(derandomize=True, deadline=None, max_examples=200)
+TEAMS = {"high": "high", "mid": "mid", "low": "low", "busy": "mid", "quiet": "mid"}
+SECONDS_LONG_AGO = -1000.0
+
+
+def manifest_value(endpoints, max_waiting=5000, approved=tuple(TEAMS)):
+    return {
+        "tiers": [{"name": name} for name in ("high", "mid", "low")],
+        "teams": [{"name": n, "tier": t, "keys": []} for n, t in TEAMS.items()],
+        "pools": [
+            {
+                "name": "p",
+                "kind": "engine",
+                "models": ["m"],
+                "max_waiting": max_waiting,
+            }
+        ],
+        "endpoints": [
+            {
+                "name": name,
+                "pool": "p",
+                "address": "127.0.0.1:1",
+                "data_centre": "a",
+                "owner": "o",
+                "resumes": True,
+                "max_concurrency": slots,
+                "prefill_tokens_per_s": speed,
+                "decode_tokens_per_s": 100,
+            }
+            for name, slots, speed in endpoints
+        ],
+        "access": [{"team": team, "pool": "p"} for team in TEAMS],
+        "approvals": [
+            {"team": team, "pool": "p", "owner": "o", "by": "x", "at": "y"}
+            for team in approved
+        ],
+    }
+
+
+def make_cell(endpoints, max_waiting=5000, born=SECONDS_LONG_AGO):
+    value = manifest_value(endpoints, max_waiting)
+    manifest = savorydyke.read_manifest(json.dumps(value))
+    return new_cell("p", manifest, born, random.Random(1))
+
+
+def acquire(name, team, prompt=100, output=10, deadline_s=1000.0, **more):
+    fields = {
+        "key": name,
+        "attempt": 1,
+        "pool": "p",
+        "team": team,
+        "model": "m",
+        "prompt_tokens": prompt,
+        "output_tokens": output,
+        "prefix": (),
+        "deadline_ms": int(deadline_s * 1000),
+        "avoid": (),
+        "named": False,
+        "resume_only": False,
+    }
+    return Acquire(**{**fields, **more})
+
+
+def release(name, endpoint="e1", result=ReleaseResult.COMPLETE, tokens=10):
+    return Release(name, 1, "p", endpoint, result.value, tokens, 100)
+
+
+def grants(decisions):
+    return [d.answer.key for d in decisions if isinstance(d.answer, Grant)]
+
+
+def refusals(decisions):
+    return [d.answer for d in decisions if isinstance(d.answer, Refuse)]
+
+
+@given("a cell with one endpoint of {slots:d} credit")
+@given("a cell with one endpoint of {slots:d} credits")
+def one_endpoint(context, slots):
+    context.cell = make_cell([("e1", slots, 1000)])
+
+
+@given("a cell with one endpoint of 1 credit and room for {room:d} waiting")
+def limited_room(context, room):
+    context.room = room
+    context.cell = make_cell([("e1", 1, 1000)], room)
+
+
+@given("a cell with two endpoints")
+def two_endpoints(context):
+    context.cell = make_cell([("e1", 4, 1000), ("e2", 4, 1000)])
+
+
+def start_one(context):
+    decisions = context.cell.acquire(acquire("first", "mid"), "a", 0.0)
+    assert grants(decisions) == ["first"]
+
+
+@when("low-1 of low and high-1 of high arrive while one request runs")
+def two_tiers(context):
+    start_one(context)
+    assert not context.cell.acquire(acquire("low-1", "low"), "a", 0.1)
+    assert not context.cell.acquire(acquire("high-1", "high"), "b", 0.2)
+
+
+@when("the running request is released")
+def release_first(context):
+    context.decisions = context.cell.release(release("first"), "a", 1.0)
+
+
+@then("high-1 is granted next")
+def high_first(context):
+    assert grants(context.decisions) == ["high-1"], context.decisions
+
+
+def drain(cell, first, now=1.0):
+    """Release what runs, one after the other, and return the order of grants."""
+    order, running = [], first
+    while running:
+        found = grants(cell.release(release(running), "a", now))
+        order += found
+        running = found[0] if found else None
+        now += 0.01
+    return order
+
+
+@when("a busy team sends 30 requests and a quiet one of the same tier 3")
+def busy_and_quiet(context):
+    start_one(context)
+    for number in range(30):
+        context.cell.acquire(acquire(f"busy-{number}", "busy"), "a", 0.1)
+    for number in range(3):
+        context.cell.acquire(acquire(f"quiet-{number}", "quiet"), "a", 0.2)
+    context.order = drain(context.cell, "first")
+
+
+@then("the quiet team's 3 requests are among the first 7 grants")
+def quiet_early(context):
+    first = context.order[:7]
+    assert sum(name.startswith("quiet") for name in first) == 3, first
+    assert len(context.order) == 33
+
+
+@when("4 requests of low wait and 2 of high arrive")
+def overload(context):
+    start_one(context)
+    context.decisions = []
+    for number in range(4):
+        context.cell.acquire(acquire(f"low-{number}", "low"), "a", 0.1)
+    for number in range(2):
+        message = acquire(f"high-{number}", "high")
+        context.decisions += context.cell.acquire(message, "a", 0.2)
+
+
+@then("2 requests of low are refused as overloaded and none of high")
+def low_shed(context):
+    found = refusals(context.decisions)
+    assert [r.reason for r in found] == ["overloaded"] * 2
+    assert [r.key for r in found] == ["low-3", "low-2"], found
+    assert all(r.retry_ms >= 1000 and not r.may_have_run for r in found)
+
+
+@when("a request needs 10 s and its deadline is 5 s")
+def infeasible(context):
+    message = acquire("big", "high", prompt=10_000, deadline_s=5)
+    context.decisions = context.cell.acquire(message, "a", 0.0)
+
+
+@then("it is refused for its deadline, not run, before any grant")
+def refused_deadline(context):
+    assert not grants(context.decisions)
+    (found,) = refusals(context.decisions)
+    assert found.reason == "deadline" and not found.may_have_run
+
+
+@when("a request waits behind another until its deadline can not be met")
+def late(context):
+    start_one(context)
+    message = acquire("waits", "mid", deadline_s=2.0)
+    assert not context.cell.acquire(message, "a", 0.0)
+    assert not context.cell.tick(1.0)
+    context.decisions = context.cell.tick(1.9)
+
+
+@then("it is refused for its deadline with a time to come back")
+def refused_with_retry(context):
+    (found,) = refusals(context.decisions)
+    assert found.reason == "deadline" and found.retry_ms >= 1000
+
+
+@when("one of them is leaving and 6 requests arrive")
+def one_leaving(context):
+    context.cell.set_leaving("e1", True)
+    context.decisions = []
+    for number in range(6):
+        message = acquire(f"r{number}", "mid", prompt=1)
+        context.decisions += context.cell.acquire(message, "a", 0.0)
+
+
+@then("only the other one is granted")
+def only_other(context):
+    answers = [d.answer for d in context.decisions if isinstance(d.answer, Grant)]
+    assert answers and {answer.endpoint for answer in answers} == {"e2"}
+
+
+@when("a request waits and its team's approval is withdrawn")
+def withdrawn(context):
+    start_one(context)
+    context.cell.acquire(acquire("waits", "low"), "a", 0.0)
+    value = manifest_value([("e1", 1, 1000)], approved=("mid", "high"))
+    manifest = savorydyke.read_manifest(json.dumps(value))
+    context.decisions = context.cell.reconfigure(manifest, 1.0)
+
+
+@then("it is refused as not approved, not run")
+def refused_approval(context):
+    (found,) = refusals(context.decisions)
+    assert (found.key, found.reason) == ("waits", "not-approved")
+    assert not found.may_have_run
+
+
+@when("one request id is acquired by two entries")
+def same_id(context):
+    message = acquire("same", "mid", named=True)
+    context.first = context.cell.acquire(message, "a", 0.0)
+    context.second = context.cell.acquire(message, "b", 0.1)
+
+
+@then("one of them is granted and the other may only take it up")
+def take_up_only(context):
+    (first,), (second,) = context.first, context.second
+    assert isinstance(first.answer, Grant) and not first.answer.resume
+    assert isinstance(second.answer, Grant) and second.answer.resume
+    assert second.entry == "b"
+    context.cell.release(release("same"), "a", 1.0)
+    (third,) = context.cell.acquire(acquire("same", "mid"), "c", 2.0)
+    assert third.answer.resume
+
+
+@when("the entry of a running request dies")
+def entry_dies(context):
+    start_one(context)
+    context.cell.acquire(acquire("waits", "mid"), "b", 0.0)
+    context.cell.entry_lost("a", 10.0)
+
+
+@then("the credit is freed only after the grace and the orphan is named")
+def orphan(context):
+    assert not context.cell.take_orphans(9.0, 14.0)
+    assert not grants(context.cell.tick(14.0))
+    ((endpoint, item),) = context.cell.take_orphans(10.0, 15.0)
+    assert (endpoint, item.key) == ("e1", "first")
+    assert grants(context.cell.tick(15.0)) == ["waits"]
+
+
+def shed_named(room, now):
+    cell = make_cell([("e1", 1, 1000)], room, born=0.0)
+    decisions = []
+    for number in range(3):
+        message = acquire(f"n{number}", "mid", named=True)
+        decisions += cell.acquire(message, "a", now)
+    return refusals(decisions)
+
+
+@when("its home took over 10 s ago and sheds a named request")
+def young_home(context):
+    context.young = shed_named(context.room, 10.0)
+
+
+@then("the refusal says that the request may have run")
+def may_have_run(context):
+    assert [r.may_have_run for r in context.young] == [True], context.young
+
+
+@then("100 s after taking over it says that it was not run")
+def not_run(context):
+    old = shed_named(context.room, 100.0)
+    assert [r.may_have_run for r in old] == [False], old
+
+
+@when("a long prompt ran at one endpoint and comes again with a new end")
+def same_prefix(context):
+    prefix = (1, 2, 3, 4, 5)
+    message = acquire("one", "mid", prompt=8000, prefix=prefix)
+    (first,) = context.cell.acquire(message, "a", 0.0)
+    context.first = first.answer.endpoint
+    context.cell.release(release("one", context.first), "a", 9.0)
+    # Something short runs there, so that the other endpoint is idle.
+    other = acquire("busy", "mid", prompt=10, prefix=(9,))
+    (busy,) = context.cell.acquire(other, "a", 9.1)
+    assert busy.answer.endpoint == context.first
+    context.cell.started(Started("busy", "p", 20), 9.15)
+    message = acquire("two", "mid", prompt=8000, prefix=(*prefix, 6))
+    context.second = context.cell.acquire(message, "a", 9.2)
+
+
+@then("it is granted at the same endpoint")
+def same_endpoint(context):
+    (second,) = context.second
+    assert second.answer.endpoint == context.first
+
+
+@given("a cell with a fast endpoint that is full and a free one, slow by far")
+def fast_and_slow(context):
+    context.cell = make_cell([("fast", 1, 10_000), ("slow", 4, 100)])
+    (decision,) = context.cell.acquire(acquire("first", "mid"), "a", 0.0)
+    assert decision.answer.endpoint == "fast"
+
+
+@when("a request arrives that only the fast one answers in time")
+def needs_fast(context):
+    message = acquire("big", "mid", prompt=5000, deadline_s=10)
+    context.decisions = context.cell.acquire(message, "a", 0.1)
+
+
+@then("it waits for the fast one")
+def waits_for_fast(context):
+    assert not context.decisions
+    message = release("first", "fast")
+    (decision,) = context.cell.release(message, "a", 1.0)
+    assert decision.answer.endpoint == "fast"
+
+
+OPERATIONS = st.lists(
+    st.tuples(
+        st.sampled_from(["acquire", "release", "withdraw"]),
+        st.sampled_from(["high", "mid", "low"]),
+        st.integers(1, 50),
+    ),
+    max_size=80,
+)
+
+
+@then("hypothesis finds no load on which admission, order or credits differ")
+def differential(context):
+    @CASES
+    @with_cases(OPERATIONS, st.integers(1, 4), st.integers(2, 12))
+    def same(operations, slots, room):
+        compare_with_naive(operations, slots, room)
+
+    same()
+
+
+def compare_with_naive(operations, slots, room):
+    """Run both schedulers on one load with equal costs, one team a tier.
+
+    With equal costs and one team in each tier the fair order is the order of
+    arrival, so that grants and refusals must be the same, one by one.
+    """
+    cell = make_cell([("e1", slots, 10**9)], room)
+    naive = NaiveScheduler(slots, room)
+    running: list[str] = []
+    waiting: Counter = Counter()
+    now = 0.0
+    for number, (kind, team, pick) in enumerate(operations):
+        now += 0.001
+        decisions = []
+        if kind == "acquire":
+            name = f"r{number}"
+            decisions = cell.acquire(acquire(name, team), "a", now)
+            expected = naive.acquire(name, ["high", "mid", "low"].index(team))
+            waiting[name] = 1
+        elif kind == "release" and running:
+            name = running.pop(pick % len(running))
+            decisions = cell.release(release(name), "a", now)
+            expected = naive.release(name)
+        elif kind == "withdraw" and +waiting:
+            name = sorted(+waiting)[pick % len(+waiting)]
+            cell.withdraw(name)
+            naive.withdraw(name)
+            del waiting[name]
+            continue
+        else:
+            continue
+        granted, refused = grants(decisions), [r.key for r in refusals(decisions)]
+        assert granted == expected.granted, (granted, expected)
+        assert refused == expected.refused, (refused, expected)
+        running += granted
+        for name in granted + refused:
+            waiting.pop(name, None)
+        assert len(cell.endpoints["e1"].running) <= slots
+        assert len(cell.endpoints["e1"].running) + len(cell.queue) == len(
+            running
+        ) + len(+waiting), "a request was forgotten"
+
+
+@then("hypothesis finds no operations after which the queue's sums are wrong")
+def queue_sums(context):
+    @CASES
+    @with_cases(OPERATIONS)
+    def sums(operations):
+        queue, names = FairQueue(), []
+        for number, (kind, team, pick) in enumerate(operations):
+            if kind == "acquire":
+                names.append(push(queue, number, team, pick))
+            elif names:
+                name = names.pop(pick % len(names))
+                item = queue.by_key[name]
+                queue.charge(item) if kind == "release" else queue.remove(name)
+            check_sums(queue)
+
+    sums()
+
+
+def push(queue, number, team, cost):
+    rank = ["high", "mid", "low"].index(team)
+    none = frozenset()
+    item = Waiting(
+        f"r{number}", 1, "a", f"{team}{cost % 3}", rank, 1.0, 1, 1, (), none, none,
+        10.0, 0.0, cost / 10, False,
+    )  # fmt: skip
+    queue.push(item)
+    return item.key
+
+
+def check_sums(queue):
+    total = 0
+    for tier in queue.tiers.values():
+        items = [i for team in tier.teams.values() for i in team.waiting.values()]
+        assert tier.length == len(items)
+        assert abs(tier.cost_s - sum(i.cost_s for i in items)) < 1e-6
+        assert all(team.waiting for team in tier.teams.values())
+        total += len(items)
+    assert total == len(queue)
