--- a/features/environment.py
+++ b/features/environment.py
@@ -1,10 +1,23 @@
-"""Hooks of behave: one scenario's fleet is ended when the scenario ends."""
+"""Hooks of behave: one small fleet serves the scenarios that do not end it."""
+
+from contextlib import ExitStack
+
+
+def before_all(context):
+    context.shared = ExitStack()
+    context.shared_fleet = None
 
 
 def before_scenario(context, scenario):
-    context.stack = []
+    context.stack = ExitStack()
 
 
 def after_scenario(context, scenario):
-    for close in reversed(context.stack):
-        close()
+    context.stack.close()
+    if context.shared_fleet is not None and context.shared_fleet.spoiled:
+        context.shared.close()
+        context.shared_fleet = None
+
+
+def after_all(context):
+    context.shared.close()
--- a/features/steps/manifest_steps.py
+++ b/features/steps/manifest_steps.py
@@ -123,7 +123,7 @@
         "operator_key": "key",
     }
     folder = tempfile.TemporaryDirectory()
-    context.stack.append(folder.cleanup)
+    context.stack.callback(folder.cleanup)
     context.path = Path(folder.name) / "settings.json"
     context.path.write_text(json.dumps(value, indent=1))
 
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -47,7 +47,7 @@
 
 
 def row(name, counter, incarnation=1):
-    return MemberRow(name, f"{name}:1", "dc", incarnation, counter, False)
+    return MemberRow(name, f"{name}:1", "dc", incarnation, counter, 0, False)
 
 
 class MemoryFleet:
@@ -85,7 +85,7 @@
         peers = [peer for peer in self.links[member.id] if peer in self.alive]
         informed = self.rng.choice(peers)
         for peer in peers:
-            rows = member.rows() if peer == informed else ()
+            rows = member.rows(self.now) if peer == informed else ()
             self.most_rows = max(self.most_rows, len(rows))
             beat = Heartbeat(counter, 0, False, 1, 0, (), rows)
             self.alive[peer].hear_heartbeat(member.id, beat, self.now)
@@ -363,7 +363,7 @@
 
 NAMES = st.text(max_size=6)
 COUNTS = st.integers(0, 2**62)
-ROWS = st.builds(MemberRow, NAMES, NAMES, NAMES, COUNTS, COUNTS, st.booleans())
+ROWS = st.builds(MemberRow, NAMES, NAMES, NAMES, COUNTS, COUNTS, COUNTS, st.booleans())
 RUNNING = st.builds(
     RunningRow, NAMES, COUNTS, NAMES, NAMES, COUNTS, COUNTS, st.booleans()
 )
--- a/src/savorydyke/_callers.py
+++ b/src/savorydyke/_callers.py
@@ -109,6 +109,8 @@
         Whether new work is refused.
     active : int
         Requests held.
+    requests : set of RequestId
+        Those of them that were read and checked.
     held_bytes : int
         Bodies held.
     """
@@ -120,6 +122,7 @@
     pages: App
     stopping: bool = False
     active: int = 0
+    requests: set[RequestId] = field(default_factory=set)
     held_bytes: int = 0
     cut: int = 0
 
@@ -146,7 +149,11 @@
             return
         reply = Reply(exchange.start, exchange.body, lambda: exchange.gone)
         dispatch = Dispatch(calls[0], reply)
-        result = await self._run_while_present(exchange, dispatch, calls)
+        self.requests.add(exchange.request_id)
+        try:
+            result = await self._run_while_present(exchange, dispatch, calls)
+        finally:
+            self.requests.discard(exchange.request_id)
         self._measure(exchange, dispatch, result)
         if exchange.gone or result is None:
             return
--- a/src/savorydyke/_daemon.py
+++ b/src/savorydyke/_daemon.py
@@ -60,6 +60,7 @@
 LEAVE_NOTICE_S = 1.0
 """Time in which peers learn that an instance leaves."""
 GRACE_AFTER_STOP_S = 0.5
+MAX_NAMES_LOGGED = 100
 EXIT_FINDINGS = 2
 EXIT_CUT = 1
 
@@ -123,7 +124,7 @@
         informed = self.rng.choice(peers) if peers else None
         for peer in peers:
             member = self.membership.members.get(peer)
-            rows = self.membership.rows() if peer == informed else ()
+            rows = self.membership.rows(now) if peer == informed else ()
             beat = Heartbeat(
                 counter=counter,
                 echo=member.direct_counter if member else 0,
@@ -438,7 +439,9 @@
                 nonlocal status
                 await wait()
                 status = EXIT_CUT
-                log.warning(why, extra={"cut": callers.active})
+                names = sorted(callers.requests)[:MAX_NAMES_LOGGED]
+                extra = {"cut": len(callers.requests), "requests": names}
+                log.warning(why, extra=extra)
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(stop_sooner, "Second signal.", signals.__anext__)
--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -33,11 +33,13 @@
     Attributes
     ----------
     heard : float
-        When its counter last advanced, on the local monotonic clock.
+        When it was last alive, on the local monotonic clock.
     linked : bool
         Whether a link to it is open.
     direct : bool
         Whether its heartbeats come over a link, so that silence says more.
+    dial_failed : float
+        When a link to it could last not be opened.
     acknowledged : float
         When the latest heartbeat of ours that it has answered was sent.
     """
@@ -53,6 +55,7 @@
     direct: bool = False
     acknowledged: float = float("-inf")
     direct_counter: int = 0
+    dial_failed: float = float("-inf")
 
 
 @dataclass
@@ -94,7 +97,7 @@
             return
         member.counter = row.counter
         member.leaving = member.leaving or row.leaving
-        member.heard = now
+        member.heard = max(member.heard, now - row.age_ms / 1000)
 
     def _add(self, row: MemberRow, now: float, earlier: Member | None) -> None:
         if earlier is not None:
@@ -106,7 +109,7 @@
             incarnation=row.incarnation,
             counter=row.counter,
             leaving=row.leaving,
-            heard=now,
+            heard=now - row.age_ms / 1000,
             linked=earlier.linked if earlier else False,
         )
 
@@ -215,7 +218,11 @@
         return max(candidates, key=lambda name: rendezvous_score(pool, name))
 
     def _sendable(self, name: InstanceId) -> bool:
-        return self.members[name].linked or len(self.members) >= FULL_MESH
+        member = self.members[name]
+        if member.linked or len(self.members) < FULL_MESH:
+            return member.linked
+        # In a large fleet a link is opened when it is wanted.
+        return member.dial_failed < member.heard
 
     def is_home(self, pool: PoolId) -> bool:
         """Return whether this instance is the home of `pool` in its own view."""
@@ -261,7 +268,7 @@
     def _dead(self) -> set[InstanceId]:
         return {n for n, s in self.states.items() if s is MemberState.DEAD}
 
-    def rows(self) -> tuple[MemberRow, ...]:
+    def rows(self, now: float) -> tuple[MemberRow, ...]:
         """Return the next rows to pass on, of members that are not dead."""
         dead = self._dead()
         alive = [member for member in self.members.values() if member.id not in dead]
@@ -271,7 +278,13 @@
             alive = (alive + alive)[start : start + ROWS_PER_BEAT]
         return tuple(
             MemberRow(
-                m.id, m.address, m.data_centre, m.incarnation, m.counter, m.leaving
+                m.id,
+                m.address,
+                m.data_centre,
+                m.incarnation,
+                m.counter,
+                max(0, int((now - m.heard) * 1000)),
+                m.leaving,
             )
             for m in alive
         )
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -60,13 +60,20 @@
 
 @dataclass(frozen=True)
 class MemberRow:
-    """What the sender knows of one instance."""
+    """What the sender knows of one instance.
+
+    Attributes
+    ----------
+    age_ms : int
+        Time since the instance had this counter, as far as the sender knows.
+    """
 
     instance: InstanceId
     address: str
     data_centre: str
     incarnation: int
     counter: int
+    age_ms: int
     leaving: bool
 
 
--- a/src/savorydyke/_peers.py
+++ b/src/savorydyke/_peers.py
@@ -200,10 +200,16 @@
                 except (HandshakeError, ProtocolError) as error:
                     self._refuse(str(error))
                 attempt += 1
+                self._note_failure(address)
                 await trio.sleep(backoff_s(attempt, DIAL_BASE_S, DIAL_MOST_S, self.rng))
         finally:
             self.dialling.discard(address)
 
+    def _note_failure(self, address: str) -> None:
+        for member in self.membership.members.values():
+            if member.address == address:
+                member.dial_failed = trio.current_time()
+
     async def _accept(self, websocket: ServerConnection) -> None:
         try:
             with trio.fail_after(HANDSHAKE_TIMEOUT_S):
@@ -287,7 +293,7 @@
 
     def _meet(self, peer: InstanceId, seen: Hello | Welcome) -> None:
         row = MemberRow(
-            peer, seen.address, seen.data_centre, seen.incarnation, 0, False
+            peer, seen.address, seen.data_centre, seen.incarnation, 0, 0, False
         )
         self.membership.hear(row, trio.current_time())
 
--- a/src/savorydyke_bench/_cost.py
+++ b/src/savorydyke_bench/_cost.py
@@ -297,6 +297,7 @@
         f"dc-{number % 7}",
         1_700_000_000_000 + number,
         100_000 + counter,
+        350,
         False,
     )
 
--- a/src/savorydyke_standins/_service.py
+++ b/src/savorydyke_standins/_service.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -11,6 +12,8 @@
 
 from savorydyke_standins._server import json_answer, read_json, serve_app
 
+BIG_CHUNK = 65_536
+
 
 @dataclass
 class Service:
@@ -56,6 +59,11 @@
     return app
 
 
+async def _bytes(count: int) -> AsyncIterator[bytes]:
+    for _ in range(count // BIG_CHUNK):
+        yield b"x" * BIG_CHUNK
+
+
 async def _call(service: Service, path: str) -> Response:
     body = bytes(await request.data).decode("utf-8", "replace")
     entry = {
@@ -73,6 +81,8 @@
     finally:
         service.active -= 1
     number = len(service.record)
+    if path.startswith("bytes/"):
+        return Response(_bytes(int(path.removeprefix("bytes/"))))
     value = {"service": service.name, "path": path, "number": number, "echo": body}
     return json_answer(value, 200 if request.method == "GET" else 201)
 
