--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -20,9 +20,9 @@
 FORGET_AFTER_S = 120.0
 FULL_MESH = 16
 """Largest fleet in which every instance links to every other."""
-ROWS_PER_BEAT = 48
+ROWS_PER_BEAT = 72
 """Rows that one heartbeat carries; a larger view is sent in turns."""
-SPARE_HOPS = 3
+SPARE_HOPS = 8
 SENT_KEPT = 64
 
 
