--- a/src/savorydyke_bench/_cost.py
+++ b/src/savorydyke_bench/_cost.py
@@ -435,11 +435,15 @@
     ]
 
 
-def run(report: str) -> None:
-    """Measure, print a line each, and write a JSON report if a path is given."""
-    measurements = measure_in_process()
+def show(
+    measurements: list[Measurement], figures: dict[str, float], report: str
+) -> None:
+    """Print a line each, and write a JSON report if a path is given."""
     for measurement in measurements:
         typer.echo(measurement.text())
+    for name, value in figures.items():
+        typer.echo(f"{name}: {value:.2f}")
     if report:
+        slopes = [m.to_json() for m in measurements]
         with open(report, "w", encoding="utf-8") as file:
-            json.dump([m.to_json() for m in measurements], file, indent=1)
+            json.dump({"slopes": slopes, "figures": figures}, file, indent=1)
--- /dev/null
+++ b/src/savorydyke_bench/_cost_fleet.py
@@ -0,0 +1,212 @@
+"""Slopes that need running processes: relaying, platform calls, memory."""
+
+import os
+import re
+import statistics
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import httpx
+import trio
+
+from savorydyke_bench._client import CallerRecord, Ended, chat, new_id, service_call
+from savorydyke_bench._cost import Measurement
+from savorydyke_bench._fleet import Fleet, Standin, open_fleet
+from savorydyke_bench._sites import EngineSpec, Site, TeamSpec
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+TOKENS = 150
+DECODE_TOKENS_PER_S = 36.0
+IDLE_S = 8.0
+CLAIMS = (10, 20, 40, 80)
+DIRECT_CALLS = 200
+MODEL = "model"
+KEY = "key-of-team"
+
+
+def site(instances: int) -> Site:
+    """Return a site whose engines stream at the aimed 28 ms between tokens."""
+    engines = tuple(
+        EngineSpec(f"engine-{n}", "dc-1", 1e6, DECODE_TOKENS_PER_S, 64)
+        for n in range(3)
+    )
+    return Site(
+        name="cost",
+        instances=instances,
+        tiers=(("tier", 100.0),),
+        teams=(TeamSpec("team", "tier", ("pool", "desk")),),
+        model_pool="pool",
+        models=(MODEL,),
+        engines=engines,
+        service_pool="desk",
+        services=(("desk-1", "dc-1"),),
+        hop_s=0.0,
+        client_s=0.0,
+    )
+
+
+def processor_s(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process in MB."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    found = re.search(r"VmRSS:\s+(\d+) kB", status)
+    return int(found[1]) / 1000 if found else 0.0
+
+
+async def _stream_all(
+    fleet: Fleet, address: str, streams: int, tokens: int = TOKENS
+) -> list[CallerRecord]:
+    records = [
+        CallerRecord(new_id(), prompt=f"stream {n}", output_tokens=tokens)
+        for n in range(streams)
+    ]
+    async with trio.open_nursery() as nursery:
+        for record in records:
+            nursery.start_soon(chat, fleet.client, address, KEY, record, MODEL)
+    broken = [r for r in records if r.ended is not Ended.COMPLETE]
+    if broken:
+        raise RuntimeError(f"{len(broken)} streams broke: {broken[0]}")
+    return records
+
+
+async def _relay_points(
+    fleet: Fleet, address: str, pid: int, result: Measurement
+) -> None:
+    await _stream_all(fleet, address, 3, 10)
+    for streams in (10, 20, 40, 80):
+        before = processor_s(pid)
+        records = await _stream_all(fleet, address, streams)
+        events = sum(record.events for record in records)
+        result.points.append((events, processor_s(pid) - before))
+
+
+async def measure_relay() -> list[Measurement]:
+    """Measure the processor time of relayed events, ours and the plainest."""
+    ours = Measurement("relay through savorydyked", "s", "event")
+    plain = Measurement("plainest relay, httpx into quart", "s", "event")
+    with open_fleet() as fleet:
+        await site(1).start(fleet)
+        instance = next(iter(fleet.instances.values()))
+        assert instance.process is not None
+        await _relay_points(fleet, instance.callers, instance.process.pid, ours)
+        relay = Standin("plain-relay", "plain", fleet.ports.take(), "dc-1")
+        target = fleet.endpoints["engine-0"].address
+        fleet.endpoints[relay.name] = relay
+        relay.process = fleet.start_process(
+            ["-m", "savorydyke_bench._plain_relay", relay.address, target], relay.name
+        )
+        await fleet.wait_started()
+        await _relay_points(fleet, relay.address, relay.process.pid, plain)
+    return [ours, plain]
+
+
+async def measure_added_time() -> dict[str, float]:
+    """Measure the time that an instance adds to the first token, in ms."""
+    with open_fleet() as fleet:
+        await site(3).start(fleet)
+        engine = fleet.endpoints["engine-0"].address
+        instances = [i.callers for i in fleet.instances.values()]
+        await trio.sleep(2.0)
+        direct, through = [], []
+        async with httpx.AsyncClient(timeout=30, trust_env=False) as client:
+            fleet.client = client
+            for number in range(DIRECT_CALLS):
+                target = instances[number % len(instances)]
+                direct.append(await _first_s(fleet, engine))
+                through.append(await _first_s(fleet, target))
+    result = {}
+    for name, times in (("direct", direct), ("through", through)):
+        cuts = statistics.quantiles(times, n=100)
+        result[f"{name} median ms"] = statistics.median(times) * 1000
+        result[f"{name} 99th ms"] = cuts[98] * 1000
+    return result
+
+
+async def _first_s(fleet: Fleet, address: str) -> float:
+    record = CallerRecord(new_id(), prompt="short", output_tokens=1)
+    await chat(fleet.client, address, KEY, record, MODEL)
+    return record.first_s
+
+
+async def _platform_calls(fleet: Fleet) -> dict[str, int]:
+    return dict((await fleet.record(fleet.platform))["calls"])
+
+
+async def measure_idle() -> list[Measurement]:
+    """Measure an idle fleet's platform calls, traffic, processor and memory."""
+    calls = Measurement("platform calls of an idle fleet", "calls/s", "instance")
+    traffic = Measurement("an idle instance's peer traffic", "bytes/s", "instance")
+    processor = Measurement("an idle instance's processor time", "s/s", "instance")
+    memory = Measurement("an idle instance's resident memory", "MB", "instance")
+    for count in (3, 5, 7, 9):
+        with open_fleet() as fleet:
+            await site(count).start(fleet)
+            await trio.sleep(2.0)
+            used, sent = _used_s(fleet), await _sent(fleet)
+            before = sum((await _platform_calls(fleet)).values())
+            await trio.sleep(IDLE_S)
+            after = sum((await _platform_calls(fleet)).values())
+            calls.points.append((count, (after - before) / IDLE_S))
+            each = count * IDLE_S
+            traffic.points.append((count, (await _sent(fleet) - sent) / each))
+            processor.points.append((count, (_used_s(fleet) - used) / each))
+            pids = [i.process.pid for i in fleet.instances.values() if i.process]
+            memory.points.append((count, statistics.mean(map(resident_mb, pids))))
+    return [calls, traffic, processor, memory]
+
+
+def _used_s(fleet: Fleet) -> float:
+    processes = [i.process for i in fleet.instances.values()]
+    return sum(processor_s(process.pid) for process in processes if process)
+
+
+async def _sent(fleet: Fleet) -> float:
+    statuses = [await fleet.status(i) for i in fleet.instances.values()]
+    return sum(status["peer_bytes_sent"] for status in statuses if status)
+
+
+async def measure_claims() -> list[Measurement]:
+    """Measure the platform's reads and writes of claims."""
+    reads = Measurement("platform reads of claims", "calls", "claim")
+    writes = Measurement("platform writes of claims", "calls", "claim")
+    with open_fleet() as fleet:
+        await site(3).start(fleet)
+        addresses = [i.callers for i in fleet.instances.values()]
+        for count in CLAIMS:
+            idle_start = await _platform_calls(fleet)
+            start = trio.current_time()
+            await _claim_all(fleet, addresses, count)
+            await trio.sleep(1.0)
+            end = await _platform_calls(fleet)
+            took = trio.current_time() - start
+            # The list is read twice a second by each of the three instances.
+            idle = 6 * took
+            reads.points.append((count, end["read"] - idle_start["read"] - idle))
+            writes.points.append((count, end["write"] - idle_start.get("write", 0)))
+    return [reads, writes]
+
+
+async def _claim_all(fleet: Fleet, addresses: list[str], count: int) -> None:
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            record = CallerRecord(new_id(), pool="desk", idempotency_key=new_id())
+            address = addresses[number % len(addresses)]
+            call: Callable[..., Awaitable[Any]] = service_call
+            nursery.start_soon(
+                call, fleet.client, address, KEY, record, "tickets", {"load": number}
+            )
+
+
+async def measure_fleet() -> tuple[list[Measurement], dict[str, float]]:
+    """Run all measurements that need processes."""
+    measurements = await measure_relay()
+    added = await measure_added_time()
+    measurements += await measure_claims()
+    measurements += await measure_idle()
+    return measurements, added
--- a/src/savorydyke_bench/_fleet.py
+++ b/src/savorydyke_bench/_fleet.py
@@ -117,7 +117,7 @@
                 target=standin.shape["target"],
                 control=standin.address,
             )
-        standin.process = self._start(
+        standin.process = self.start_process(
             ["-m", "savorydyke_standins", json.dumps([spec])], standin.name
         )
 
@@ -198,11 +198,12 @@
     def start_instance(self, name: str) -> None:
         """Start an instance's process, again after it has ended."""
         instance = self.instances[name]
-        instance.process = self._start(
+        instance.process = self.start_process(
             ["-m", "savorydyke._daemon", "--config", str(instance.config)], name
         )
 
-    def _start(self, arguments: list[str], name: str) -> subprocess.Popen:
+    def start_process(self, arguments: list[str], name: str) -> subprocess.Popen:
+        """Start a Python process whose output goes to a log of its name."""
         log = (self.folder / f"{name}.log").open("ab")
         environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
         with log:
--- a/src/savorydyke_bench/_main.py
+++ b/src/savorydyke_bench/_main.py
@@ -5,7 +5,7 @@
 import trio
 import typer
 
-from savorydyke_bench import _cost, _demo, _histories
+from savorydyke_bench import _cost, _cost_fleet, _demo, _histories
 
 app = typer.Typer(no_args_is_help=True, help="Try out and measure savorydyke.")
 
@@ -40,9 +40,15 @@
 @app.command()
 def cost(
     report: Annotated[str, typer.Option(help="JSON report to write.")] = "",
+    fleet: Annotated[bool, typer.Option(help="Also measure processes.")] = True,
 ) -> None:
     """Measure processor time, bytes and memory by size."""
-    _cost.run(report)
+    measurements = _cost.measure_in_process()
+    figures: dict[str, float] = {}
+    if fleet:
+        more, figures = trio.run(_cost_fleet.measure_fleet)
+        measurements += more
+    _cost.show(measurements, figures, report)
 
 
 def main() -> None:
