--- a/features/service.feature
+++ b/features/service.feature
@@ -117,3 +117,9 @@
     Given the small fleet
     When an instance is told to stop twice while a stream runs
     Then it exits with 1 and its log names the cut stream
+
+  Scenario: TLS serves operators and callers and guards links
+    Given two instances with certificates of one authority
+    Then they link, and the tool applies a manifest over TLS
+    And a caller is answered over TLS
+    And a link without a certificate is refused
--- a/features/steps/service_steps.py
+++ b/features/steps/service_steps.py
@@ -4,12 +4,15 @@
 import re
 import signal
 import socket
+import ssl
 import time
 
 import httpx
 import openai
 import trio
+import trustme
 from behave import given, then, when
+from websockets.exceptions import WebSocketException
 from websockets.sync.client import connect
 
 from savorydyke._messages import Hello, encode
@@ -764,3 +767,82 @@
     assert context.records[0].ended is Ended.CUT
     log = (context.small.fleet.folder / f"{instance.name}.log").read_text()
     assert '"cut": 1' in log and context.records[0].request_id in log
+
+
+# TLS
+
+
+@given("two instances with certificates of one authority")
+def tls_fleet(context):
+    fleet = context.stack.enter_context(open_fleet())
+    context.small = SmallFleet(fleet)
+    authority = trustme.CA()
+    certificate = authority.issue_cert("127.0.0.1")
+    context.authority = str(fleet.folder / "authority.pem")
+    authority.cert_pem.write_to_path(context.authority)
+    certificate.private_key_pem.write_to_path(str(fleet.folder / "key.pem"))
+    chain = b"".join(blob.bytes() for blob in certificate.cert_chain_pems)
+    (fleet.folder / "certificate.pem").write_bytes(chain)
+    tls = {
+        "certificate": str(fleet.folder / "certificate.pem"),
+        "key": str(fleet.folder / "key.pem"),
+        "authority": context.authority,
+    }
+
+    async def start():
+        for engine in SITE.engines:
+            fleet.add_endpoint(engine.name, "engine", "dc-1", slots=8)
+        fleet.add_endpoint("desk-1", "service", "dc-1")
+        for name in ("instance-1", "instance-2"):
+            fleet.add_instance(name, tls=tls)
+        for endpoint in fleet.endpoints.values():
+            await fleet.wait_standin(endpoint)
+
+    context.small.run(start)
+    context.https = httpx.Client(
+        verify=ssl.create_default_context(cafile=context.authority)
+    )
+    context.stack.enter_context(context.https)
+
+
+@then("they link, and the tool applies a manifest over TLS")
+def tls_links(context):
+    manifest = context.small.fleet.folder / "manifest.json"
+    manifest.write_text(json.dumps(SITE.manifest(context.small.fleet)))
+    arguments = ("--authority", context.authority)
+    until = time.monotonic() + 15
+    while time.monotonic() < until:
+        code, out, _ = tool(context, *arguments, "status", "--json")
+        values = list(json.loads(out).values()) if code == 0 else []
+        linked = [v for v in values if any(m["linked"] for m in v["members"].values())]
+        if len(linked) == 2:
+            break
+        time.sleep(0.2)
+    assert len(linked) == 2, (code, out)
+    code, out, err = tool(context, *arguments, "apply", str(manifest))
+    assert code == 0, (out, err)
+
+
+@then("a caller is answered over TLS")
+def tls_caller(context):
+    address = context.small.instances()[1].callers
+    answer = context.https.post(
+        f"https://{address}{CHAT}",
+        json=chat_body(MODEL, "over TLS", 4, stream=False),
+        headers={"authorization": "Bearer key-of-crews"},
+    )
+    text = answer.json()["choices"][0]["message"]["content"]
+    assert text == expected_text(prompt_bytes("over TLS"), 4)
+
+
+@then("a link without a certificate is refused")
+def tls_stranger(context):
+    context_without = ssl.create_default_context(cafile=context.authority)
+    try:
+        with connect(
+            f"wss://{peers_address(context)}", ssl=context_without, compression=None
+        ) as link:
+            link.recv(timeout=3)
+        raise AssertionError("the link was opened")
+    except (OSError, WebSocketException, EOFError):
+        pass
--- a/src/savorydyke/_adapters.py
+++ b/src/savorydyke/_adapters.py
@@ -90,11 +90,11 @@
             max_keepalive_connections=MAX_CONNECTIONS,
             keepalive_expiry=KEEPALIVE_S,
         )
-        timeout = httpx.Timeout(
-            STREAM_IDLE_TIMEOUT_S, connect=CONNECT_TIMEOUT_S, pool=CONNECT_TIMEOUT_S
-        )
         self.client = httpx.AsyncClient(
-            limits=limits, timeout=timeout, trust_env=False, follow_redirects=False
+            limits=limits,
+            timeout=CONTROL_TIMEOUT_S,
+            trust_env=False,
+            follow_redirects=False,
         )
 
     async def open(
@@ -104,13 +104,22 @@
         target: str,
         headers: list[tuple[bytes, bytes]],
         body: bytes,
+        patience_s: float = 0.0,
     ) -> OpenResult:
-        """Send a request once and return when the headers of its answer arrive."""
+        """Send a request once and return when the headers of its answer arrive.
+
+        `patience_s` is how long the endpoint may be silent, if that is more
+        than `STREAM_IDLE_TIMEOUT_S`.
+        """
+        silence_s = max(STREAM_IDLE_TIMEOUT_S, patience_s)
         request = self.client.build_request(
             method,
             f"http://{endpoint.address}{target}",
             headers=end_to_end(headers),
             content=body,
+            timeout=httpx.Timeout(
+                silence_s, connect=CONNECT_TIMEOUT_S, pool=CONNECT_TIMEOUT_S
+            ),
         )
         try:
             response = await self.client.send(request, stream=True)
--- a/src/savorydyke/_cli.py
+++ b/src/savorydyke/_cli.py
@@ -8,6 +8,7 @@
 import json
 import os
 import sys
+from dataclasses import dataclass
 from datetime import UTC, datetime
 from pathlib import Path
 from typing import Annotated, Any, NoReturn
@@ -28,6 +29,15 @@
 EXIT_UNKNOWN = 4
 IN_FORCE_LIMIT_S = 4.0
 
+
+@dataclass
+class Session:
+    """Options that stand before the command."""
+
+    authority: str = ""
+
+
+SESSION = Session()
 app = typer.Typer(help="Operate a savorydyke fleet.", no_args_is_help=True)
 
 Instances = Annotated[
@@ -46,6 +56,14 @@
         help="Operator key; better given in the environment.",
     ),
 ]
+Authority = Annotated[
+    str,
+    typer.Option(
+        "--authority",
+        envvar="SAVORYDYKE_AUTHORITY",
+        help="PEM file of the authority, if instances serve TLS.",
+    ),
+]
 AsJson = Annotated[bool, typer.Option("--json", help="Print JSON.")]
 By = Annotated[str, typer.Option("--by", help="Who applies; the login by default.")]
 ManifestFile = Annotated[Path, typer.Argument(help="Manifest, JSON with comments.")]
@@ -64,6 +82,15 @@
     raise typer.Exit(status)
 
 
+@app.callback()
+def _options(authority: Authority = "") -> None:
+    """Operate a savorydyke fleet."""
+    if authority and not Path(authority).is_file():
+        text = f"--authority: no file {authority!r}"
+        _fail({"error": text}, text, False, EXIT_FINDINGS)
+    SESSION.authority = authority
+
+
 def _client(instances: str, key: str) -> OperatorsClient:
     addresses = [part.strip() for part in instances.split(",") if part.strip()]
     wrong = [address for address in addresses if not is_address(address)]
@@ -72,7 +99,7 @@
             f"--instances: not an IP number and a port: {', '.join(wrong) or '(none)'}"
         )
         _fail({"error": text}, text, False, EXIT_FINDINGS)
-    return OperatorsClient(addresses, key)
+    return OperatorsClient(addresses, key, SESSION.authority)
 
 
 def _answered(answer: Answer | Unreachable, as_json: bool) -> Answer:
--- a/src/savorydyke/_dispatch.py
+++ b/src/savorydyke/_dispatch.py
@@ -195,7 +195,12 @@
         dispatch.endpoint = endpoint
         dispatch.result = ReleaseResult.CANCELLED
         opened = await self.adapter.open(
-            endpoint, call.head.method, call.target, self._headers(call), call.body
+            endpoint,
+            call.head.method,
+            call.target,
+            self._headers(call),
+            call.body,
+            patience_s=call.demand.deadline - trio.current_time(),
         )
         if isinstance(opened, NotSent):
             dispatch.sent = False
--- a/src/savorydyke/_operators.py
+++ b/src/savorydyke/_operators.py
@@ -1,5 +1,6 @@
 """A client of the operators' interface of instances, for the tool."""
 
+import ssl
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -36,6 +37,12 @@
 class OperatorsClient:
     """Calls instances at their operators' addresses.
 
+    Parameters
+    ----------
+    authority : str
+        PEM file of the authority that signed the instances' certificates;
+        empty for plain HTTP.
+
     Examples
     --------
     >>> client = OperatorsClient(["127.0.0.1:7003"], "key")  # doctest: +SKIP
@@ -43,17 +50,21 @@
     4
     """
 
-    def __init__(self, addresses: list[str], key: str) -> None:
+    def __init__(self, addresses: list[str], key: str, authority: str = "") -> None:
         self.addresses = addresses
-        headers = {"authorization": f"Bearer {key}"}
+        self.scheme = "https" if authority else "http"
+        verify = ssl.create_default_context(cafile=authority) if authority else True
         self.client = httpx.Client(
-            timeout=CALL_TIMEOUT_S, headers=headers, trust_env=False
+            timeout=CALL_TIMEOUT_S,
+            headers={"authorization": f"Bearer {key}"},
+            trust_env=False,
+            verify=verify,
         )
 
     def _call(
         self, method: str, address: str, path: str, body: Any = None
     ) -> Answer | Unreachable:
-        url = f"http://{address}{path}"
+        url = f"{self.scheme}://{address}{path}"
         try:
             response = self.client.request(method, url, json=body)
             value = response.json()
--- a/src/savorydyke_bench/_fleet.py
+++ b/src/savorydyke_bench/_fleet.py
@@ -224,10 +224,14 @@
             If one does not in time.
         """
         for standin in [self.platform, *self.endpoints.values()]:
-            await self._wait_answer(standin.address, "/record", standin.name)
+            await self.wait_standin(standin)
         for instance in self.instances.values():
             await self._wait_answer(instance.operators, "/healthz", instance.name)
 
+    async def wait_standin(self, standin: Standin) -> None:
+        """Wait until a stand-in answers."""
+        await self._wait_answer(standin.address, "/record", standin.name)
+
     async def _wait_answer(self, address: str, path: str, name: str) -> None:
         with trio.move_on_after(START_LIMIT_S):
             while True:
