--- a/features/service.feature
+++ b/features/service.feature
@@ -123,3 +123,8 @@
     Then they link, and the tool applies a manifest over TLS
     And a caller is answered over TLS
     And a link without a certificate is refused
+
+  Scenario: A stopping instance does not vouch for what a caller named
+    Given the small fleet
+    When a request arrives at an instance that finishes a stream before it stops
+    Then it is refused as stopping, not run if unnamed, may have run if named
--- /dev/null
+++ b/features/steps/decoder_steps.py
@@ -0,0 +1,234 @@
+"""Steps about readers of bytes from outside."""
+
+import contextlib
+import itertools
+import json
+from types import SimpleNamespace
+
+import trio
+from behave import then
+from cell_steps import manifest_value
+from hypothesis import given as with_cases
+from hypothesis import settings
+from hypothesis import strategies as st
+
+import savorydyke
+from savorydyke._calls import Call, Head, read_head, read_model_call
+from savorydyke._cell import new_cell
+from savorydyke._claims import Claim, ClaimState, KeptAnswer, read_claim
+from savorydyke._configuration import read_record
+from savorydyke._endpoint_states import EndpointStates
+from savorydyke._exceptions import PlatformUnavailableError, ProtocolError
+from savorydyke._monitor import Monitor
+from savorydyke._platform import _decode_list, _decode_values
+from savorydyke._problems import Refusal
+from savorydyke._relay import STREAM_END, Progress
+
+CASES = settings(derandomize=True, deadline=None, max_examples=200)
+NAMES = st.sampled_from(
+    [
+        "Key",
+        "Value",
+        "ModifyIndex",
+        "Service",
+        "ID",
+        "Meta",
+        "state",
+        "answer",
+        "attempt",
+        "digest",
+        "events",
+        "serial",
+        "evicted",
+        "requests",
+        "leaving",
+        "model",
+        "messages",
+        "prompt",
+        "max_tokens",
+        "stream",
+        "content",
+        "revision",
+    ]
+)
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(NAMES, inner, max_size=6)
+    ),
+    max_leaves=25,
+)
+TEXTS = st.binary(max_size=30) | VALUES.map(lambda value: json.dumps(value).encode())
+
+
+def check(cases, function, *allowed):
+    @CASES
+    @with_cases(cases)
+    def run(case):
+        with contextlib.suppress(*allowed):
+            function(case)
+
+    run()
+
+
+@then("hypothesis finds no answer that fails other than as unavailable")
+def platform_answers(context):
+    check(TEXTS, _decode_values, PlatformUnavailableError)
+    check(TEXTS, _decode_list, PlatformUnavailableError)
+
+
+@then("hypothesis finds no stored claim that fails other than as a protocol error")
+def stored_claims(context):
+    check(TEXTS, read_claim, ProtocolError)
+
+
+@then("hypothesis finds no stored record that fails other than as a protocol error")
+def stored_records(context):
+    check(TEXTS, read_record, ProtocolError)
+
+
+@then("every claim survives being stored")
+def claims_survive(context):
+    text = st.text(max_size=8)
+    answers = st.builds(
+        KeptAnswer,
+        st.integers(100, 599),
+        st.lists(st.tuples(text, text), max_size=3).map(tuple),
+        st.binary(max_size=20),
+    )
+    claims = st.builds(
+        Claim,
+        st.sampled_from(ClaimState),
+        text,
+        text,
+        st.integers(0, 2**60),
+        text,
+        st.floats(0, 2e9),
+        st.none() | answers,
+    )
+
+    def same(claim):
+        assert read_claim(claim.to_bytes()) == claim
+
+    check(claims, same)
+
+
+def manifest():
+    return savorydyke.read_manifest(json.dumps(manifest_value([("e1", 2, 1000)])))
+
+
+@then("hypothesis finds no load report or cache events that break the monitor")
+def reports(context):
+    spec = manifest().endpoints["e1"]
+
+    def poll(report):
+        async def get_json(endpoint, target):
+            return report if isinstance(report, dict) else None
+
+        cell = new_cell("p", manifest(), 0.0)
+        homes = SimpleNamespace(hosted={"p": SimpleNamespace(cell=cell)})
+        adapter = SimpleNamespace(get_json=get_json)
+        monitor = Monitor(homes, EndpointStates(), adapter, None, None, None, manifest)
+        trio.run(monitor._poll_load, spec)
+        trio.run(monitor._poll_cache, spec)
+        assert cell.endpoints["e1"].credits(1.0) >= 1
+
+    check(VALUES, poll)
+
+
+HEADERS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            [
+                b"authorization",
+                b"content-length",
+                b"x-request-id",
+                b"last-event-id",
+                b"idempotency-key",
+                b"x-deadline-seconds",
+                b"x-other",
+            ]
+        ),
+        st.binary(max_size=12) | st.sampled_from([b"5", b"Bearer k", b"nan", b"-1"]),
+    ),
+    max_size=6,
+)
+
+
+@then("hypothesis finds no head or body that ends other than as a call or refusal")
+def heads(context):
+    checked = manifest()
+
+    def read(case):
+        headers, body, path = case
+        scope = {
+            "method": "POST",
+            "path": path,
+            "query_string": b"",
+            "headers": headers,
+        }
+        head = read_head(scope)
+        if isinstance(head, Refusal):
+            return
+        assert isinstance(head, Head)
+        call = read_model_call(head, "high", checked, body, 0.0)
+        assert isinstance(call, Call | Refusal)
+        if isinstance(call, Call):
+            assert call.demand.deadline > 0
+
+    paths = st.sampled_from(["/v1/chat/completions", "/v1/completions"])
+    known = VALUES.map(lambda v: {"model": "m", "messages": [{"content": v}]})
+    bodies = TEXTS | known.map(lambda value: json.dumps(value).encode())
+    check(st.tuples(HEADERS, bodies, paths), read)
+
+
+def stream_of(words):
+    events = [f"id: {i + 1}\ndata: {w}\n\n".encode() for i, w in enumerate(words)]
+    return events, b"".join(events) + STREAM_END
+
+
+WORDS = st.lists(st.text("ab{}: ", max_size=6), max_size=6)
+CUTS = st.lists(st.integers(0, 200), max_size=8)
+
+
+def pieces(data, cuts):
+    edges = sorted({0, len(data), *[cut % (len(data) + 1) for cut in cuts]})
+    return [data[a:b] for a, b in itertools.pairwise(edges)]
+
+
+async def relay_all(data, cuts, progress):
+    return b"".join([progress.feed(piece) for piece in pieces(data, cuts)])
+
+
+@then("hypothesis finds no pieces in which a stream is counted differently")
+def any_pieces(context):
+    def same(case):
+        words, cuts = case
+        _, data = stream_of(words)
+        progress = Progress()
+        assert trio.run(relay_all, data, cuts, progress) == data
+        assert progress.events == len(words) + 1
+        assert progress.is_finished()
+
+    check(st.tuples(WORDS, CUTS), same)
+
+
+@then("hypothesis finds no cut at which a resumed stream is not the whole")
+def any_cut(context):
+    def same(case):
+        words, cuts, at = case
+        events, data = stream_of(words)
+        at %= len(data)
+        progress = Progress()
+
+        async def relay():
+            relayed = await relay_all(data[:at], cuts, progress)
+            assert not progress.is_finished()
+            progress.rewind(is_stream=True)
+            rest = data[len(b"".join(events[: progress.events])) :]
+            return relayed + await relay_all(rest, cuts, progress)
+
+        assert trio.run(relay) == data
+        assert progress.is_finished()
+
+    check(st.tuples(WORDS, CUTS, st.integers(0, 10**6)), same)
--- a/features/steps/service_steps.py
+++ b/features/steps/service_steps.py
@@ -846,3 +846,32 @@
         raise AssertionError("the link was opened")
     except (OSError, WebSocketException, EOFError):
         pass
+
+
+@when("a request arrives at an instance that finishes a stream before it stops")
+def at_stopping(context):
+    context.small.spoiled = True
+    small = context.small
+    instance = small.instances()[0]
+    context.answers = {}
+
+    def act():
+        instance.signal(signal.SIGTERM)
+        time.sleep(0.3)
+        for named in (False, True):
+            headers = {"authorization": "Bearer key-of-crews"}
+            if named:
+                headers["x-request-id"] = new_id()
+            url = f"http://{instance.callers}{CHAT}"
+            answer = httpx.post(url, json=BODY, headers=headers, timeout=5)
+            context.answers[named] = answer.json()
+
+    stream_while(context, act, count=1, tokens=100)
+
+
+@then("it is refused as stopping, not run if unnamed, may have run if named")
+def stopping_outcomes(context):
+    outcomes = {n: (v["title"], v["outcome"]) for n, v in context.answers.items()}
+    assert outcomes[False] == ("stopping", "not run"), outcomes
+    assert outcomes[True] == ("stopping", "may have run"), outcomes
+    assert is_whole(context.records[0])
