--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 INSTALLED := $(VENV)/.installed
 
-.PHONY: demo test test-large lint histories bench-cost clean
+.PHONY: demo test test-large lint histories bench bench-cost clean
 
 demo: $(INSTALLED)
 	$(BIN)/savorydyke-bench demo
@@ -23,6 +23,9 @@
 histories: $(INSTALLED)
 	$(BIN)/savorydyke-bench histories $(SEEDS)
 
+bench: $(INSTALLED)
+	$(BIN)/savorydyke-bench policy
+
 bench-cost: $(INSTALLED)
 	$(BIN)/savorydyke-bench cost
 
--- a/features/steps/decoder_steps.py
+++ b/features/steps/decoder_steps.py
@@ -25,32 +25,11 @@
 from savorydyke._relay import STREAM_END, Progress
 
 CASES = settings(derandomize=True, deadline=None, max_examples=200)
-NAMES = st.sampled_from(
-    [
-        "Key",
-        "Value",
-        "ModifyIndex",
-        "Service",
-        "ID",
-        "Meta",
-        "state",
-        "answer",
-        "attempt",
-        "digest",
-        "events",
-        "serial",
-        "evicted",
-        "requests",
-        "leaving",
-        "model",
-        "messages",
-        "prompt",
-        "max_tokens",
-        "stream",
-        "content",
-        "revision",
-    ]
-)
+WORDS_USED = """
+Key Value ModifyIndex Service ID Meta state answer attempt digest events serial evicted
+requests leaving model messages prompt max_tokens stream content revision
+"""
+NAMES = st.sampled_from(WORDS_USED.split())
 VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
     lambda inner: (
@@ -136,20 +115,14 @@
     check(VALUES, poll)
 
 
+HEADER_NAMES = (
+    b"authorization content-length x-request-id last-event-id "
+    b"idempotency-key x-deadline-seconds x-other"
+)
+ODD_VALUES = st.sampled_from([b"5", b"Bearer k", b"nan", b"-1"])
 HEADERS = st.lists(
     st.tuples(
-        st.sampled_from(
-            [
-                b"authorization",
-                b"content-length",
-                b"x-request-id",
-                b"last-event-id",
-                b"idempotency-key",
-                b"x-deadline-seconds",
-                b"x-other",
-            ]
-        ),
-        st.binary(max_size=12) | st.sampled_from([b"5", b"Bearer k", b"nan", b"-1"]),
+        st.sampled_from(HEADER_NAMES.split()), st.binary(max_size=12) | ODD_VALUES
     ),
     max_size=6,
 )
--- a/src/savorydyke_bench/_main.py
+++ b/src/savorydyke_bench/_main.py
@@ -5,7 +5,8 @@
 import trio
 import typer
 
-from savorydyke_bench import _cost, _cost_fleet, _demo, _histories
+from savorydyke_bench import _cost, _cost_fleet, _demo, _histories, _policy_bench
+from savorydyke_bench._sites import SITES
 
 app = typer.Typer(no_args_is_help=True, help="Try out and measure savorydyke.")
 
@@ -51,6 +52,21 @@
     _cost.show(measurements, figures, report)
 
 
+@app.command()
+def policy(
+    seed: Annotated[int, typer.Option(help="Seed of the load.")] = 1,
+    site: Annotated[list[str] | None, typer.Option(help="Sites to run.")] = None,
+    policies: Annotated[list[str] | None, typer.Option("--policy")] = None,
+    lanes: Annotated[int, typer.Option(help="Fleets to run at once.")] = 2,
+    report: Annotated[str, typer.Option(help="JSON report to write.")] = "",
+) -> None:
+    """Measure goodput and wasted prefill against baselines and an oracle."""
+    names = site or list(SITES)
+    chosen = policies or list(_policy_bench.POLICIES)
+    results = trio.run(_policy_bench.run, seed, names, chosen, lanes)
+    _policy_bench.show(results, report)
+
+
 def main() -> None:
     """Run the command line."""
     app()
--- a/src/savorydyke_bench/_sites.py
+++ b/src/savorydyke_bench/_sites.py
@@ -134,6 +134,19 @@
 
     async def start_processes(self, fleet: Fleet, instances: int | None = None) -> None:
         """Start all endpoints and instances."""
+        self.add_endpoints(fleet)
+        for number in range(instances or self.instances):
+            fleet.add_instance(f"instance-{number + 1}")
+        await fleet.wait_started()
+        await fleet.publish_lists()
+
+    async def start_endpoints(self, fleet: Fleet) -> None:
+        """Start all endpoints, for policies that need no instance."""
+        self.add_endpoints(fleet)
+        await fleet.wait_started()
+
+    def add_endpoints(self, fleet: Fleet) -> None:
+        """Start the processes of all endpoints."""
         for engine in self.engines:
             fleet.add_endpoint(
                 engine.name,
@@ -145,10 +158,6 @@
             )
         for name, data_centre in self.services:
             fleet.add_endpoint(name, "service", data_centre)
-        for number in range(instances or self.instances):
-            fleet.add_instance(f"instance-{number + 1}")
-        await fleet.wait_started()
-        await fleet.publish_lists()
 
 
 BALLOONS = Site(
--- a/src/savorydyke_standins/_engine.py
+++ b/src/savorydyke_standins/_engine.py
@@ -137,7 +137,14 @@
             )
             tokens = max(1, len(stream.prompt) // BYTES_PER_TOKEN)
             uncached = max(1, tokens - prefix_tokens(depth))
-            self.note("prefill", stream.id, tokens=tokens, uncached=uncached)
+            self.note(
+                "prefill",
+                stream.id,
+                tokens=tokens,
+                uncached=uncached,
+                depth=depth,
+                digests=digests,
+            )
             speed = self.shape.prefill_tokens_per_s / self.shape.slowdown
             await trio.sleep(uncached / speed)
             self._keep(digests)
