--- a/features/steps/service_steps.py
+++ b/features/steps/service_steps.py
@@ -699,7 +699,7 @@
     assert is_whole(context.small.chat("at the third", 3, 2))
 
 
-def stream_while(context, act, count=4, tokens=80):
+def stream_while(context, act, count=4, tokens=200):
     """Run streams at all instances and do something in the middle of them."""
     small = context.small
     context.records = []
--- a/src/savorydyke_bench/_histories.py
+++ b/src/savorydyke_bench/_histories.py
@@ -30,6 +30,9 @@
 FAULT_PAUSE_S = (0.3, 1.2)
 REQUESTS_PER_S = 30.0
 CLAIM_SHARE = 0.3
+LONG_SHARE = 0.1
+LONG_TOKENS = (150, 250)
+SHORT_TOKENS = (3, 60)
 BURST_AT_S = 5.0
 BURST_SIZE = 120
 MAX_WAITING = 40
@@ -397,7 +400,8 @@
         if trial.rng.random() < CLAIM_SHARE:
             nursery.start_soon(_claim, trial)
         else:
-            tokens = trial.rng.randint(3, 60)
+            is_long = trial.rng.random() < LONG_SHARE
+            tokens = trial.rng.randint(*(LONG_TOKENS if is_long else SHORT_TOKENS))
             nursery.start_soon(_model_request, trial, tokens, 0.1)
         if burst_left and trio.current_time() - start > BURST_AT_S:
             burst_left = False
--- a/src/savorydyke_bench/_main.py
+++ b/src/savorydyke_bench/_main.py
@@ -57,7 +57,7 @@
     seed: Annotated[int, typer.Option(help="Seed of the load.")] = 1,
     site: Annotated[list[str] | None, typer.Option(help="Sites to run.")] = None,
     policies: Annotated[list[str] | None, typer.Option("--policy")] = None,
-    lanes: Annotated[int, typer.Option(help="Fleets to run at once.")] = 2,
+    lanes: Annotated[int, typer.Option(help="Fleets to run at once.")] = 3,
     report: Annotated[str, typer.Option(help="JSON report to write.")] = "",
 ) -> None:
     """Measure goodput and wasted prefill against baselines and an oracle."""
