Split off dispatch under claims; say at once that a claim's answer was lost

Read through: a claim whose endpoint broke off stayed taken by a live process, so that later attempts waited out their deadline for an answer that could not come. A claim can now be lost, which later attempts are told at once. A kept answer is held in memory only up to what is kept. A refusal behind a grant of a young home no longer says not run for a named request. The install from wheels alone failed on a fresh clone: quantile-python, which aioprometheus needs, is published as Python source only; it alone is exempt.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,9 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+PIP := $(BIN)/pip install --quiet --disable-pip-version-check
+# A requirement of aioprometheus that is published as plain Python source only.
+PURE_SDIST := quantile-python
 INSTALLED := $(VENV)/.installed
 
 .PHONY: demo test test-large lint histories bench bench-cost clean
@@ -29,10 +32,11 @@
 bench-cost: $(INSTALLED)
 	$(BIN)/savorydyke-bench cost
 
-$(INSTALLED): requirements/lock.txt pyproject.toml
+$(INSTALLED): requirements/build.txt requirements/lock.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --disable-pip-version-check --only-binary :all: --require-hashes -r requirements/lock.txt
-	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	$(PIP) --only-binary :all: --require-hashes -r requirements/build.txt
+	$(PIP) --only-binary :all: --no-binary $(PURE_SDIST) --no-build-isolation --require-hashes -r requirements/lock.txt
+	$(PIP) --no-deps --no-build-isolation -e .
 	touch $(INSTALLED)
 
 clean:
--- a/features/service.feature
+++ b/features/service.feature
@@ -128,3 +128,9 @@
     Given the small fleet
     When a request arrives at an instance that finishes a stream before it stops
     Then it is refused as stopping, not run if unnamed, may have run if named
+
+  Scenario: A claim whose answer is lost may have run, and that is said at once
+    Given the small fleet
+    When the desk breaks its connection after it has run a claim
+    Then the caller's connection breaks too
+    And the same key is told that it may have run within 2 s, and it ran once
--- a/features/steps/service_steps.py
+++ b/features/steps/service_steps.py
@@ -875,3 +875,25 @@
     assert outcomes[False] == ("stopping", "not run"), outcomes
     assert outcomes[True] == ("stopping", "may have run"), outcomes
     assert is_whole(context.records[0])
+
+
+@when("the desk breaks its connection after it has run a claim")
+def desk_breaks(context):
+    context.small.control("desk-1", breaks=True)
+    context.stack.callback(context.small.control, "desk-1", breaks=False)
+    context.key = new_id()
+    context.record = context.small.claim(context.key)
+
+
+@then("the caller's connection breaks too")
+def breaks_too(context):
+    assert context.record.ended is Ended.CUT, context.record
+
+
+@then("the same key is told that it may have run within 2 s, and it ran once")
+def told_unknown(context):
+    start = time.monotonic()
+    record = context.small.claim(context.key)
+    assert time.monotonic() - start < 2
+    assert record.reason == "unknown-outcome" and not record.not_run, record
+    assert context.small.runs_of_key(context.key) == 1
--- a/src/savorydyke/_callers.py
+++ b/src/savorydyke/_callers.py
@@ -35,6 +35,7 @@
     DispatchResult,
     Reply,
 )
+from savorydyke._dispatch_once import OnceDispatcher
 from savorydyke._ids import Outcome, Reason, RequestId, TeamId, TierId, request_key
 from savorydyke._manifest import Manifest, PoolKind
 from savorydyke._metrics import Metrics
@@ -116,6 +117,7 @@
     """
 
     dispatcher: Dispatcher
+    once: OnceDispatcher
     configuration: Configuration
     metrics: Metrics
     limits: Limits
@@ -178,13 +180,17 @@
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(watch_caller)
-            if calls[0].demand.resume_only:
-                result = await self.dispatcher.take_up(dispatch, calls)
-            else:
-                result = await self.dispatcher.run(dispatch)
+            result = await self._dispatch(dispatch, calls)
             nursery.cancel_scope.cancel()
         return result
 
+    async def _dispatch(self, dispatch: Dispatch, calls: list[Call]) -> DispatchResult:
+        if dispatch.call.demand.resume_only:
+            return await self.dispatcher.take_up(dispatch, calls)
+        if dispatch.call.idempotency_key:
+            return await self.once.run(dispatch)
+        return await self.dispatcher.run(dispatch)
+
     # Reading
 
     async def _read(self, scope: Scope, exchange: Exchange) -> list[Call] | Refusal:
--- a/src/savorydyke/_claims.py
+++ b/src/savorydyke/_claims.py
@@ -53,6 +53,7 @@
     TAKEN = "taken"
     DONE = "done"
     RELEASED = "released"
+    LOST = "lost"
 
 
 @dataclass(frozen=True)
@@ -161,6 +162,11 @@
     answer: KeptAnswer | None
 
 
+@dataclass(frozen=True)
+class Lapsed:
+    """The request was sent and its answer was lost; it may have run."""
+
+
 @dataclass(frozen=True)
 class Reused:
     """The key was used for another request."""
@@ -178,8 +184,8 @@
     cause: str
 
 
-LookResult = Free | Taken | Done | Reused | Unavailable
-TakeResult = Mine | Taken | Done | Reused | Unavailable
+LookResult = Free | Taken | Done | Lapsed | Reused | Unavailable
+TakeResult = Mine | Taken | Done | Lapsed | Reused | Unavailable
 
 
 def claim_key(team: TeamId, pool: PoolId, idempotency_key: str) -> str:
@@ -236,6 +242,8 @@
             return Reused()
         if claim.state is ClaimState.DONE:
             return Done(claim, claim.answer)
+        if claim.state is ClaimState.LOST:
+            return Lapsed()
         if claim.attempt == attempt:
             return Mine()
         return Taken(claim, stored.revision)
@@ -282,13 +290,17 @@
         return Claim(state, attempt, me.id, me.incarnation, digest, at, answer)
 
     def finish_later(
-        self, key: str, digest: str, attempt: str, answer: KeptAnswer
+        self, key: str, digest: str, attempt: str, answer: KeptAnswer | None
     ) -> None:
         """Record that the request ran, with its answer; retried in an outage."""
-        kept = answer if len(answer.body) <= MAX_KEPT_BYTES else None
-        done = self._claim(ClaimState.DONE, attempt, digest, kept)
+        done = self._claim(ClaimState.DONE, attempt, digest, answer)
         self.nursery.start_soon(self._settle, key, done, True)
 
+    def lose_later(self, key: str, digest: str, attempt: str) -> None:
+        """Record that the request was sent and that its answer was lost."""
+        lost = self._claim(ClaimState.LOST, attempt, digest)
+        self.nursery.start_soon(self._settle, key, lost, True)
+
     def release_later(self, key: str, digest: str, attempt: str) -> None:
         """Release a claim that was, or may have been, taken and not used.
 
--- a/src/savorydyke/_daemon.py
+++ b/src/savorydyke/_daemon.py
@@ -25,6 +25,7 @@
 from savorydyke._claims import Claims
 from savorydyke._configuration import Configuration
 from savorydyke._dispatch import Dispatcher
+from savorydyke._dispatch_once import OnceDispatcher
 from savorydyke._endpoint_load import Running
 from savorydyke._endpoint_states import EndpointStates
 from savorydyke._exceptions import FindingsError
@@ -308,13 +309,10 @@
         instance.homes.cancel_orphan = instance.cancel_orphan(nursery)
         claims = Claims(instance.platform, instance.membership, nursery, instance.rng)
         dispatcher = Dispatcher(
-            instance.scheduler,
-            instance.configuration,
-            claims,
-            instance.adapter,
-            nursery,
+            instance.scheduler, instance.configuration, instance.adapter, nursery
         )
-        callers = _new_callers(instance, dispatcher)
+        once = OnceDispatcher(dispatcher, claims)
+        callers = _new_callers(instance, dispatcher, once)
         for task in _tasks(instance, claims):
             nursery.start_soon(task)
         stopped = trio.Event()
@@ -345,13 +343,16 @@
     ]
 
 
-def _new_callers(instance: Instance, dispatcher: Dispatcher) -> Callers:
+def _new_callers(
+    instance: Instance, dispatcher: Dispatcher, once: OnceDispatcher
+) -> Callers:
     configuration = instance.configuration
     pages = new_callers_pages(
         instance.is_ready, lambda: configuration.current(trio.current_time())
     )
     return Callers(
         dispatcher,
+        once,
         configuration,
         instance.metrics,
         instance.settings.limits,
--- a/src/savorydyke/_dispatch.py
+++ b/src/savorydyke/_dispatch.py
@@ -15,18 +15,6 @@
 from savorydyke._adapters import Adapter, Lost, NotSent, Opened, OpenResult
 from savorydyke._calls import Call, not_approved
 from savorydyke._cell import ReleaseResult
-from savorydyke._claims import (
-    Claims,
-    Done,
-    Free,
-    KeptAnswer,
-    LookResult,
-    Mine,
-    Reused,
-    Taken,
-    Unavailable,
-    claim_key,
-)
 from savorydyke._configuration import Configuration
 from savorydyke._ids import EndpointId, Outcome, Reason
 from savorydyke._manifest import Endpoint
@@ -37,7 +25,6 @@
 MAX_ATTEMPTS = 4
 RESUME_TRIES = 4
 RESUME_PAUSE_S = 0.1
-OTHER_ATTEMPT_PAUSE_S = 0.2
 MAX_USAGE_BYTES = 1_000_000
 
 log = _logs.part("dispatch")
@@ -108,20 +95,17 @@
 
     scheduler: Scheduler
     configuration: Configuration
-    claims: Claims
     adapter: Adapter
     background: trio.Nursery
 
     async def run(self, dispatch: Dispatch) -> DispatchResult:
-        """Answer a request, and return how it ended."""
+        """Answer a request that may be repeated, and return how it ended."""
         call = dispatch.call
-        if call.idempotency_key:
-            return await self._run_once(dispatch)
         avoid: tuple[EndpointId, ...] = ()
         for _ in range(MAX_ATTEMPTS):
             answer = await self.scheduler.acquire(call.demand, avoid)
             if isinstance(answer, Refused):
-                return _refusal(answer)
+                return refusal_of(answer)
             if answer.resume:
                 return await self._use_resume(dispatch, answer)
             result = await self._use(dispatch, answer)
@@ -131,15 +115,16 @@
         detail = f"{MAX_ATTEMPTS} endpoints in turn could not be reached"
         return Refusal(Reason.NO_ENDPOINT, detail)
 
-    # A request that may be repeated
-
     async def _use(self, dispatch: Dispatch, granted: Granted) -> DispatchResult | None:
         """Use a grant; None if nothing was sent and another may be tried."""
         call = dispatch.call
         dispatch.granted_at = granted.received
         dispatch.result = ReleaseResult.NOT_SENT
         try:
-            endpoint = self._permitted(call, granted)
+            endpoint = self.permitted(call, granted)
+            if isinstance(endpoint, Refusal) and granted.probe:
+                # The home is too young to vouch for this request id.
+                return replace(endpoint, outcome=Outcome.MAY_HAVE_RUN)
             if not isinstance(endpoint, Endpoint):
                 return endpoint
             found = await self._probe(call, granted.probe)
@@ -147,14 +132,14 @@
                 return await self._resume(dispatch, found)
             if self._is_expired(granted):
                 return None
-            return await self._send(dispatch, endpoint)
+            return await self.send(dispatch, endpoint)
         finally:
-            self._release(dispatch)
+            self.release(dispatch)
 
     def _is_expired(self, granted: Granted) -> bool:
         return trio.current_time() - granted.received > GRANT_VALID_S
 
-    def _permitted(self, call: Call, granted: Granted) -> Endpoint | Refusal | None:
+    def permitted(self, call: Call, granted: Granted) -> Endpoint | Refusal | None:
         """Return the granted endpoint if the team may reach it right now."""
         if self._is_expired(granted):
             return None
@@ -187,9 +172,10 @@
                     nursery.start_soon(ask, name)
         return found[0] if found else None
 
-    async def _send(
+    async def send(
         self, dispatch: Dispatch, endpoint: Endpoint
     ) -> DispatchResult | None:
+        """Send a request once and relay its answer; None if nothing was sent."""
         call = dispatch.call
         dispatch.sent = True
         dispatch.endpoint = endpoint
@@ -306,7 +292,7 @@
         try:
             return await self._resume(dispatch, granted.endpoint)
         finally:
-            self._release(dispatch)
+            self.release(dispatch)
 
     async def _resume(self, dispatch: Dispatch, name: EndpointId) -> DispatchResult:
         """Answer a request that runs at an endpoint already; sends no new one."""
@@ -342,7 +328,8 @@
         detail = "no endpoint has a request of this id; it may have run and ended"
         return Refusal(Reason.NOT_FOUND, detail, Outcome.MAY_HAVE_RUN)
 
-    def _release(self, dispatch: Dispatch) -> None:
+    def release(self, dispatch: Dispatch) -> None:
+        """Give the grant back and tell the home how the request ended."""
         if dispatch.result is ReleaseResult.CANCELLED:
             self._give_up_stream(dispatch)
         self.scheduler.release(
@@ -365,173 +352,9 @@
             self.adapter.cancel, dispatch.endpoint, dispatch.call.stream_id
         )
 
-    # A request that must run at most once
-
-    async def _run_once(self, dispatch: Dispatch) -> DispatchResult:
-        """Answer a request under a claim of its idempotency key."""
-        call = dispatch.call
-        key = claim_key(call.team, call.pool.id, call.idempotency_key)
-        avoid: tuple[EndpointId, ...] = ()
-        while len(avoid) < MAX_ATTEMPTS:
-            state = await self._look(call, key)
-            if isinstance(state, Unavailable):
-                return await self._claims_unavailable(call, state)
-            if not isinstance(state, Free):
-                return await self._claimed(dispatch, state)
-            answer = await self.scheduler.acquire(call.demand, avoid)
-            if isinstance(answer, Refused):
-                if self._must_wait(call, answer):
-                    await trio.sleep(OTHER_ATTEMPT_PAUSE_S)
-                    continue
-                return _refusal(answer)
-            with trio.CancelScope(shield=True):
-                result = await self._use_once(dispatch, answer, key, state)
-            if result is not None:
-                return result
-            avoid = (*avoid, answer.endpoint)
-        detail = f"{MAX_ATTEMPTS} endpoints in turn could not be reached"
-        return Refusal(Reason.NO_ENDPOINT, detail)
-
-    async def _look(self, call: Call, key: str) -> LookResult | Mine:
-        """Return the state of a claim once no live attempt holds it."""
-        state = await self.claims.look(key, call.digest)
-        while isinstance(state, Taken) and not self._is_stuck(state):
-            if trio.current_time() > call.demand.deadline:
-                return state
-            state = await self.claims.wait(key, call.digest, state)
-        return state
-
-    def _must_wait(self, call: Call, refused: Refused) -> bool:
-        """Return whether another attempt under the same key is under way."""
-        is_duplicate = refused.reason is Reason.DUPLICATE
-        return is_duplicate and trio.current_time() < call.demand.deadline
-
-    async def _claims_unavailable(self, call: Call, state: Unavailable) -> Refusal:
-        """Refuse while claims can not be read; ask the home what it knows."""
-        detail = f"the claim of the key can not be made: {state.cause}"
-        demand = replace(call.demand, resume_only=True)
-        answer = await self.scheduler.acquire(demand)
-        self.scheduler.release(demand.key, ReleaseResult.NOT_SENT)
-        is_new = isinstance(answer, Refused) and not answer.may_have_run
-        outcome = Outcome.NOT_RUN if is_new else Outcome.MAY_HAVE_RUN
-        return Refusal(Reason.CLAIMS_UNAVAILABLE, detail, outcome)
-
-    def _is_stuck(self, taken: Taken) -> bool:
-        """Return whether the claim's holder has died, so that waiting is vain."""
-        claim = taken.claim
-        return not self.scheduler.membership.runs(claim.instance, claim.incarnation)
-
-    async def _claimed(self, dispatch: Dispatch, state: object) -> DispatchResult:
-        """Answer a request whose key is not free."""
-        match state:
-            case Done(answer=KeptAnswer() as answer):
-                request_id = dispatch.call.head.request_id.encode()
-                headers = [(n.encode(), v.encode()) for n, v in answer.headers]
-                headers += [(b"x-request-id", request_id), (b"x-replayed", b"true")]
-                dispatch.replying = True
-                await dispatch.reply.start(answer.status, headers)
-                await dispatch.reply.body(answer.body)
-                return Complete(answer.status)
-            case Done():
-                detail = "the request ran earlier; its answer was too large to keep"
-                return Refusal(Reason.DUPLICATE, detail, Outcome.MAY_HAVE_RUN)
-            case Reused():
-                detail = "the Idempotency-Key was used for another request"
-                return Refusal(Reason.KEY_REUSED, detail)
-            case Taken() if self._is_stuck(state):
-                detail = "an earlier attempt may have run; its instance has gone"
-                return Refusal(Reason.UNKNOWN_OUTCOME, detail, Outcome.MAY_HAVE_RUN)
-            case Taken():
-                detail = "an earlier attempt is in progress"
-                return Refusal(Reason.IN_PROGRESS, detail, Outcome.MAY_HAVE_RUN)
-            case Unavailable():
-                return await self._claims_unavailable(dispatch.call, state)
-        raise AssertionError(f"a free claim was judged: {state}")
-
-    async def _use_once(
-        self, dispatch: Dispatch, granted: Granted, key: str, free: Free
-    ) -> DispatchResult | None:
-        """Claim the key and use a grant; None if another may be tried."""
-        call = dispatch.call
-        attempt = f"{call.stream_id}#{self.scheduler.membership.incarnation}"
-        attempt += f".{granted.attempt}"
-        dispatch.granted_at = granted.received
-        dispatch.result = ReleaseResult.NOT_SENT
-        try:
-            taken = await self.claims.take(key, call.digest, attempt, free)
-            if isinstance(taken, Unavailable):
-                return self._unconfirmed(taken)
-            if not isinstance(taken, Mine):
-                return await self._claimed(dispatch, taken)
-            endpoint = self._permitted(call, granted)
-            result: DispatchResult | None
-            if isinstance(endpoint, Endpoint):
-                result = await self._send_once(dispatch, endpoint, key, attempt)
-            else:
-                result = endpoint
-            if not dispatch.sent:
-                self.claims.release_later(key, call.digest, attempt)
-            return result
-        finally:
-            self._release(dispatch)
-
-    def _unconfirmed(self, taken: Unavailable) -> Refusal:
-        """Refuse a request whose key was free when it was looked up."""
-        detail = f"the claim of the key can not be made: {taken.cause}"
-        return Refusal(Reason.CLAIMS_UNAVAILABLE, detail)
-
-    async def _send_once(
-        self, dispatch: Dispatch, endpoint: Endpoint, key: str, attempt: str
-    ) -> DispatchResult | None:
-        """Send under a claim, and keep the answer for replays."""
-        call = dispatch.call
-        kept = _Keeper(dispatch.reply)
-        keeping = replace(dispatch, reply=kept.reply())
-        result = await self._send(keeping, endpoint)
-        dispatch.sent = keeping.sent
-        dispatch.result = keeping.result
-        dispatch.replying = keeping.replying
-        if isinstance(result, Complete):
-            self.claims.finish_later(key, call.digest, attempt, kept.answer())
-        return result
-
-
-class _Keeper:
-    """Passes an answer on to the caller and keeps a copy of it.
-
-    The request goes on without its caller, since it must not be sent again.
-    """
-
-    def __init__(self, reply: Reply) -> None:
-        self.target = reply
-        self.status = 0
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.chunks: list[bytes] = []
-
-    def reply(self) -> Reply:
-        return Reply(self._start, self._body, self.target.is_gone)
-
-    async def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        self.status = status
-        self.headers = headers
-        if not self.target.is_gone():
-            await self.target.start(status, headers)
-
-    async def _body(self, data: bytes) -> None:
-        self.chunks.append(data)
-        if not self.target.is_gone():
-            await self.target.body(data)
-
-    def answer(self) -> KeptAnswer:
-        headers = tuple(
-            (n.decode("latin-1"), v.decode("latin-1"))
-            for n, v in self.headers
-            if n.lower() != b"x-request-id"
-        )
-        return KeptAnswer(self.status, headers, b"".join(self.chunks))
-
 
-def _refusal(refused: Refused) -> Refusal:
+def refusal_of(refused: Refused) -> Refusal:
+    """Return the final answer for a refusal of the home."""
     outcome = Outcome.MAY_HAVE_RUN if refused.may_have_run else Outcome.NOT_RUN
     return Refusal(refused.reason, refused.detail, outcome, refused.retry_s)
 
--- /dev/null
+++ b/src/savorydyke/_dispatch_once.py
@@ -0,0 +1,229 @@
+"""Dispatch of requests that must run at most once for each idempotency key.
+
+The key is claimed after the grant and just before the request is sent, so that
+an attempt that only waited leaves nothing behind.
+"""
+
+from dataclasses import dataclass, replace
+
+import trio
+
+from savorydyke._calls import Call
+from savorydyke._cell import ReleaseResult
+from savorydyke._claims import (
+    MAX_KEPT_BYTES,
+    Claims,
+    Done,
+    Free,
+    KeptAnswer,
+    Lapsed,
+    LookResult,
+    Mine,
+    Reused,
+    Taken,
+    Unavailable,
+    claim_key,
+)
+from savorydyke._dispatch import (
+    MAX_ATTEMPTS,
+    Complete,
+    Dispatch,
+    Dispatcher,
+    DispatchResult,
+    Reply,
+    refusal_of,
+)
+from savorydyke._ids import EndpointId, Outcome, Reason
+from savorydyke._manifest import Endpoint
+from savorydyke._problems import Refusal
+from savorydyke._scheduler import Granted, Refused, Scheduler
+
+OTHER_ATTEMPT_PAUSE_S = 0.2
+HOME_ANSWER_S = 1.0
+
+
+@dataclass
+class OnceDispatcher:
+    """Dispatches under claims."""
+
+    dispatcher: Dispatcher
+    claims: Claims
+
+    @property
+    def scheduler(self) -> Scheduler:
+        """Return the entry's scheduler."""
+        return self.dispatcher.scheduler
+
+    async def run(self, dispatch: Dispatch) -> DispatchResult:
+        """Answer a request under a claim of its idempotency key."""
+        call = dispatch.call
+        key = claim_key(call.team, call.pool.id, call.idempotency_key)
+        avoid: tuple[EndpointId, ...] = ()
+        while len(avoid) < MAX_ATTEMPTS:
+            state = await self._look(call, key)
+            if isinstance(state, Unavailable):
+                return await self._claims_unavailable(call, state)
+            if not isinstance(state, Free):
+                return await self._claimed(dispatch, state)
+            answer = await self.scheduler.acquire(call.demand, avoid)
+            if isinstance(answer, Refused):
+                if self._must_wait(call, answer):
+                    await trio.sleep(OTHER_ATTEMPT_PAUSE_S)
+                    continue
+                return refusal_of(answer)
+            with trio.CancelScope(shield=True):
+                result = await self._use_once(dispatch, answer, key, state)
+            if result is not None:
+                return result
+            avoid = (*avoid, answer.endpoint)
+        detail = f"{MAX_ATTEMPTS} endpoints in turn could not be reached"
+        return Refusal(Reason.NO_ENDPOINT, detail)
+
+    async def _look(self, call: Call, key: str) -> LookResult | Mine:
+        """Return the state of a claim once no live attempt holds it."""
+        state = await self.claims.look(key, call.digest)
+        while isinstance(state, Taken) and not self._is_stuck(state):
+            if trio.current_time() > call.demand.deadline:
+                return state
+            state = await self.claims.wait(key, call.digest, state)
+        return state
+
+    def _must_wait(self, call: Call, refused: Refused) -> bool:
+        """Return whether another attempt under the same key is under way."""
+        is_duplicate = refused.reason is Reason.DUPLICATE
+        return is_duplicate and trio.current_time() < call.demand.deadline
+
+    async def _claims_unavailable(self, call: Call, state: Unavailable) -> Refusal:
+        """Refuse while claims can not be read; ask the home what it knows."""
+        detail = f"the claim of the key can not be made: {state.cause}"
+        deadline = trio.current_time() + HOME_ANSWER_S
+        demand = replace(call.demand, resume_only=True, deadline=deadline)
+        answer = await self.scheduler.acquire(demand)
+        self.scheduler.release(demand.key, ReleaseResult.NOT_SENT)
+        is_new = isinstance(answer, Refused) and not answer.may_have_run
+        outcome = Outcome.NOT_RUN if is_new else Outcome.MAY_HAVE_RUN
+        return Refusal(Reason.CLAIMS_UNAVAILABLE, detail, outcome)
+
+    def _is_stuck(self, taken: Taken) -> bool:
+        """Return whether the claim's holder has died, so that waiting is vain."""
+        claim = taken.claim
+        return not self.scheduler.membership.runs(claim.instance, claim.incarnation)
+
+    async def _claimed(self, dispatch: Dispatch, state: object) -> DispatchResult:
+        """Answer a request whose key is not free."""
+        match state:
+            case Done(answer=KeptAnswer() as answer):
+                request_id = dispatch.call.head.request_id.encode()
+                headers = [(n.encode(), v.encode()) for n, v in answer.headers]
+                headers += [(b"x-request-id", request_id), (b"x-replayed", b"true")]
+                dispatch.replying = True
+                await dispatch.reply.start(answer.status, headers)
+                await dispatch.reply.body(answer.body)
+                return Complete(answer.status)
+            case Done():
+                detail = "the request ran earlier; its answer was too large to keep"
+                return Refusal(Reason.DUPLICATE, detail, Outcome.MAY_HAVE_RUN)
+            case Lapsed():
+                detail = "an earlier attempt was sent, but its answer was lost"
+                return Refusal(Reason.UNKNOWN_OUTCOME, detail, Outcome.MAY_HAVE_RUN)
+            case Reused():
+                detail = "the Idempotency-Key was used for another request"
+                return Refusal(Reason.KEY_REUSED, detail)
+            case Taken() if self._is_stuck(state):
+                detail = "an earlier attempt may have run; its instance has gone"
+                return Refusal(Reason.UNKNOWN_OUTCOME, detail, Outcome.MAY_HAVE_RUN)
+            case Taken():
+                detail = "an earlier attempt is in progress"
+                return Refusal(Reason.IN_PROGRESS, detail, Outcome.MAY_HAVE_RUN)
+            case Unavailable():
+                return await self._claims_unavailable(dispatch.call, state)
+        raise AssertionError(f"a free claim was judged: {state}")
+
+    async def _use_once(
+        self, dispatch: Dispatch, granted: Granted, key: str, free: Free
+    ) -> DispatchResult | None:
+        """Claim the key and use a grant; None if another may be tried."""
+        call = dispatch.call
+        attempt = f"{call.stream_id}#{self.scheduler.membership.incarnation}"
+        attempt += f".{granted.attempt}"
+        dispatch.granted_at = granted.received
+        dispatch.result = ReleaseResult.NOT_SENT
+        try:
+            taken = await self.claims.take(key, call.digest, attempt, free)
+            if isinstance(taken, Unavailable):
+                return self._unconfirmed(taken)
+            if not isinstance(taken, Mine):
+                return await self._claimed(dispatch, taken)
+            endpoint = self.dispatcher.permitted(call, granted)
+            result: DispatchResult | None
+            if isinstance(endpoint, Endpoint):
+                result = await self._send_once(dispatch, endpoint, key, attempt)
+            else:
+                result = endpoint
+            if not dispatch.sent:
+                self.claims.release_later(key, call.digest, attempt)
+            return result
+        finally:
+            self.dispatcher.release(dispatch)
+
+    def _unconfirmed(self, taken: Unavailable) -> Refusal:
+        """Refuse a request whose key was free when it was looked up."""
+        detail = f"the claim of the key can not be made: {taken.cause}"
+        return Refusal(Reason.CLAIMS_UNAVAILABLE, detail)
+
+    async def _send_once(
+        self, dispatch: Dispatch, endpoint: Endpoint, key: str, attempt: str
+    ) -> DispatchResult | None:
+        """Send under a claim, and keep the answer for replays."""
+        call = dispatch.call
+        kept = _Keeper(dispatch.reply)
+        keeping = replace(dispatch, reply=kept.reply())
+        result = await self.dispatcher.send(keeping, endpoint)
+        dispatch.sent = keeping.sent
+        dispatch.result = keeping.result
+        dispatch.replying = keeping.replying
+        if isinstance(result, Complete):
+            self.claims.finish_later(key, call.digest, attempt, kept.answer())
+        elif dispatch.sent:
+            self.claims.lose_later(key, call.digest, attempt)
+        return result
+
+
+class _Keeper:
+    """Passes an answer on to the caller and keeps a copy of it.
+
+    The request goes on without its caller, since it must not be sent again.
+    """
+
+    def __init__(self, reply: Reply) -> None:
+        self.target = reply
+        self.status = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.chunks: list[bytes] = []
+        self.size = 0
+
+    def reply(self) -> Reply:
+        return Reply(self._start, self._body, self.target.is_gone)
+
+    async def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        self.status = status
+        self.headers = headers
+        if not self.target.is_gone():
+            await self.target.start(status, headers)
+
+    async def _body(self, data: bytes) -> None:
+        self.size += len(data)
+        if self.size <= MAX_KEPT_BYTES:
+            self.chunks.append(data)
+        if not self.target.is_gone():
+            await self.target.body(data)
+
+    def answer(self) -> KeptAnswer | None:
+        if self.size > MAX_KEPT_BYTES:
+            return None
+        headers = tuple(
+            (n.decode("latin-1"), v.decode("latin-1"))
+            for n, v in self.headers
+            if n.lower() != b"x-request-id"
+        )
+        return KeptAnswer(self.status, headers, b"".join(self.chunks))
--- a/src/savorydyke_bench/_histories.py
+++ b/src/savorydyke_bench/_histories.py
@@ -440,17 +440,7 @@
 
 async def _start(trial: Trial) -> None:
     fleet = trial.fleet
-    for engine in SITE.engines:
-        fleet.add_endpoint(
-            engine.name,
-            "engine",
-            engine.data_centre,
-            prefill_tokens_per_s=engine.prefill,
-            decode_tokens_per_s=engine.decode,
-            slots=engine.slots,
-        )
-    for name, data_centre in SITE.services:
-        fleet.add_endpoint(name, "service", data_centre)
+    SITE.add_endpoints(fleet)
     for number in range(INSTANCES):
         name = f"instance-{number + 1}"
         peers = fleet.ports.take()
--- a/src/savorydyke_standins/_service.py
+++ b/src/savorydyke_standins/_service.py
@@ -23,12 +23,15 @@
     ----------
     work_s : float
         Time that each call takes.
+    breaks : bool
+        Whether connections break after a call has run.
     """
 
     name: str
     rng: random.Random
     work_s: float = 0.02
     leaving: bool = False
+    breaks: bool = False
     active: int = 0
     record: list[dict[str, Any]] = field(default_factory=list)
 
@@ -64,6 +67,11 @@
         yield b"x" * BIG_CHUNK
 
 
+async def _broken() -> AsyncIterator[bytes]:
+    raise ConnectionError("broken on purpose")
+    yield b""
+
+
 async def _call(service: Service, path: str) -> Response:
     body = bytes(await request.data).decode("utf-8", "replace")
     entry = {
@@ -81,6 +89,8 @@
     finally:
         service.active -= 1
     number = len(service.record)
+    if service.breaks:
+        return Response(_broken())
     if path.startswith("bytes/"):
         return Response(_bytes(int(path.removeprefix("bytes/"))))
     value = {"service": service.name, "path": path, "number": number, "echo": body}
