Move estimates out of the cell; count a request's cost without its cached prefix

The wait ahead of a request was estimated from whole prompts although cached prefixes are not processed again, so that requests were refused for deadlines which they could have met.

--- a/src/savorydyke/_cell.py
+++ b/src/savorydyke/_cell.py
@@ -13,6 +13,7 @@
 from enum import Enum
 
 from savorydyke._endpoint_load import EndpointLoad, Running, new_load
+from savorydyke._estimates import Estimates
 from savorydyke._fair_queue import FairQueue, Waiting
 from savorydyke._ids import (
     EndpointId,
@@ -20,11 +21,9 @@
     PoolId,
     Reason,
     RequestKey,
-    TeamId,
 )
 from savorydyke._manifest import Manifest, PoolKind
 from savorydyke._messages import Acquire, Grant, Refuse, Register, Release, Started
-from savorydyke._prefixes import PrefixIndex
 
 RECENT_KEPT = 20_000
 RECENT_S = 600.0
@@ -33,8 +32,6 @@
 YOUNG_S = 60.0
 """For how long after taking over a home may lack earlier request ids."""
 RETRY_RANGE_S = (1.0, 60.0)
-MIN_OUTPUT_RATIO = 0.05
-RATIO_LEARNING_RATE = 0.1
 MAX_WAIT_RATIO = 1.5
 """How much longer a free endpoint may take than the best busy one."""
 
@@ -92,14 +89,17 @@
     rng: random.Random
     share: float = 1.0
     settled: bool = True
-    endpoints: dict[EndpointId, EndpointLoad] = field(default_factory=dict)
+    estimates: Estimates = field(default_factory=Estimates)
     queue: FairQueue = field(default_factory=FairQueue)
     placed: dict[RequestKey, EndpointId] = field(default_factory=dict)
     recent: OrderedDict[RequestKey, Recent] = field(default_factory=OrderedDict)
-    prefixes: PrefixIndex = field(default_factory=PrefixIndex)
-    output_ratio: dict[TeamId, float] = field(default_factory=dict)
     expiry: list[tuple[float, RequestKey, int]] = field(default_factory=list)
 
+    @property
+    def endpoints(self) -> dict[EndpointId, EndpointLoad]:
+        """Return what is known of each endpoint."""
+        return self.estimates.endpoints
+
     # Configuration
 
     def reconfigure(self, manifest: Manifest, now: float) -> list[Decision]:
@@ -136,7 +136,7 @@
             return
         load.leaving = leaving
         if leaving:
-            self.prefixes.forget(endpoint)
+            self.estimates.prefixes.forget(endpoint)
 
     # Requests
 
@@ -158,7 +158,7 @@
         if refusal is not None:
             return [refusal]
         self.queue.push(item)
-        latest = item.deadline - self._least_s(item)
+        latest = item.deadline - self.estimates.least_s(item)
         heapq.heappush(self.expiry, (latest, item.key, item.attempt))
         return self._shed(now) + self.pump(now)
 
@@ -203,7 +203,7 @@
         if result in {ReleaseResult.NOT_SENT, ReleaseResult.UNREACHABLE}:
             if result is ReleaseResult.UNREACHABLE:
                 load.fail(now, self.rng)
-                self.prefixes.forget(load.id)
+                self.estimates.prefixes.forget(load.id)
             return
         self._remember(item.key, load.id, now)
         if result is ReleaseResult.CUT:
@@ -212,7 +212,7 @@
         if result is ReleaseResult.COMPLETE:
             load.succeed()
             load.learn_decode(message.output_tokens, message.decode_ms / 1000)
-            self._learn_output(item, message.output_tokens)
+            self.estimates.learn_output(item, message.output_tokens)
 
     def register(self, message: Register, entry: InstanceId, now: float) -> None:
         """Take over the requests that an entry has in flight."""
@@ -321,11 +321,11 @@
         """Return the endpoint for a request, or None and what it waits for."""
         best: EndpointLoad | None = None
         best_s = best_busy_s = float("inf")
-        for load in self._candidates(item, now):
+        for load in self.estimates.candidates(item, now):
             if load.id in blocked:
                 continue
-            uncached = self._uncached(load, item)
-            total_s = load.total_s(uncached, self._output(item))
+            uncached = self.estimates.uncached(load, item)
+            total_s = load.total_s(uncached, self.estimates.output(item))
             tokens = item.prompt_tokens + item.output_tokens
             if not load.has_room(tokens, uncached, self.share):
                 best_busy_s = min(best_busy_s, total_s)
@@ -341,8 +341,8 @@
         return best
 
     def _grant(self, item: Waiting, load: EndpointLoad, now: float) -> Decision:
-        uncached = self._uncached(load, item)
-        output = self._output(item)
+        uncached = self.estimates.uncached(load, item)
+        output = self.estimates.output(item)
         running = Running(
             key=item.key,
             attempt=item.attempt,
@@ -358,7 +358,7 @@
         self.queue.charge(item)
         load.add(running)
         self.placed[item.key] = load.id
-        self.prefixes.add(load.id, item.prefix)
+        self.estimates.prefixes.add(load.id, item.prefix)
         probe = self._probe(item, now)
         grant = Grant(item.key, item.attempt, load.id, resume=False, probe=probe)
         return Decision(item.entry, grant)
@@ -447,7 +447,7 @@
             cost_s=0.0,
             named=message.named,
         )
-        item.cost_s = self._cost_s(item)
+        item.cost_s = self.estimates.cost_s(item)
         return item
 
     def _admit(self, item: Waiting, now: float) -> Decision | None:
@@ -455,7 +455,7 @@
         if not item.allowed:
             detail = "the team is not approved for this pool"
             return self._refuse(item, Reason.NOT_APPROVED, detail, None, now)
-        if not self._candidates(item, now):
+        if not self.estimates.candidates(item, now):
             detail = "no endpoint of the pool takes new work"
             return self._refuse(item, Reason.NO_ENDPOINT, detail, RETRY_RANGE_S[0], now)
         limit = self.manifest.teams[item.team].max_waiting
@@ -465,10 +465,10 @@
                 item, Reason.TEAM_LIMIT, detail, self.drain_s(item.rank), now
             )
         left_s = item.deadline - now
-        if self._least_s(item) > left_s:
+        if self.estimates.least_s(item) > left_s:
             detail = "no endpoint can answer within the deadline"
             return self._refuse(item, Reason.DEADLINE, detail, None, now)
-        if self._wait_s(item) + self._least_s(item) > left_s:
+        if self._wait_s(item) + self.estimates.least_s(item) > left_s:
             detail = "the queue is too long for the deadline"
             return self._refuse(
                 item, Reason.DEADLINE, detail, self.drain_s(item.rank), now
@@ -504,73 +504,15 @@
             decisions.append(self._refuse(item, Reason.DEADLINE, detail, retry_s, now))
         return decisions
 
-    # Estimates
-
     def drain_s(self, rank: int) -> float:
         """Return when a request of this tier could expect to be granted."""
         ahead_s = sum(t.cost_s for r, t in self.queue.tiers.items() if r <= rank)
         low, high = RETRY_RANGE_S
-        return min(high, max(low, ahead_s / max(1, self._usable_count())))
-
-    def _usable_count(self) -> int:
-        return sum(
-            1
-            for load in self.endpoints.values()
-            if not load.leaving and not load.spec.drained
-        )
-
-    def _candidates(self, item: Waiting, now: float) -> list[EndpointLoad]:
-        loads = [
-            self.endpoints[name]
-            for name in sorted(item.allowed)
-            if name in self.endpoints and self.endpoints[name].usable(now)
-        ]
-        fresh = [load for load in loads if load.id not in item.avoid]
-        return fresh or loads
-
-    def _open(self, item: Waiting) -> list[EndpointLoad]:
-        return [
-            self.endpoints[name]
-            for name in item.allowed
-            if name in self.endpoints and not self.endpoints[name].leaving
-        ]
-
-    def _uncached(self, load: EndpointLoad, item: Waiting) -> int:
-        cached = self.prefixes.cached_tokens(load.id, item.prefix)
-        return max(1, item.prompt_tokens - cached)
-
-    def _output(self, item: Waiting) -> int:
-        ratio = self.output_ratio.get(item.team, 1.0)
-        return int(item.output_tokens * ratio)
-
-    def _least_s(self, item: Waiting) -> float:
-        """Return the least time in which an idle endpoint would answer."""
-        output = self._output(item)
-        times = [
-            load.prefill_s(self._uncached(load, item))
-            + output / load.decode_tokens_per_s
-            for load in self._open(item)
-        ]
-        return min(times, default=0.0)
-
-    def _cost_s(self, item: Waiting) -> float:
-        loads = self._open(item)
-        if not loads:
-            return 0.0
-        output = self._output(item)
-        costs = [load.engine_s(item.prompt_tokens, output) for load in loads]
-        return len(costs) / sum(1 / max(cost, 1e-6) for cost in costs)
+        return min(high, max(low, ahead_s / max(1, self.estimates.usable_count())))
 
     def _wait_s(self, item: Waiting) -> float:
         ahead_s = self.queue.cost_ahead_s(item.rank, item.team, item.weight)
-        return ahead_s / max(1, self._usable_count())
-
-    def _learn_output(self, item: Running, tokens: int) -> None:
-        if item.output_tokens <= 0:
-            return
-        ratio = min(1.0, max(MIN_OUTPUT_RATIO, tokens / item.output_tokens))
-        known = self.output_ratio.get(item.team, 1.0)
-        self.output_ratio[item.team] = known + RATIO_LEARNING_RATE * (ratio - known)
+        return ahead_s / max(1, self.estimates.usable_count())
 
     def _remember(self, key: RequestKey, endpoint: EndpointId, now: float) -> None:
         self.recent[key] = Recent(endpoint, now)
--- a/src/savorydyke/_monitor.py
+++ b/src/savorydyke/_monitor.py
@@ -99,10 +99,10 @@
                 continue
             serial, evicted = event["serial"], event.get("evicted")
             if serial != last + 1:
-                hosted.cell.prefixes.forget(endpoint.id)
+                hosted.cell.estimates.prefixes.forget(endpoint.id)
             elif isinstance(evicted, list):
                 digests = tuple(x for x in evicted if type(x) is int)
-                hosted.cell.prefixes.evict(endpoint.id, digests)
+                hosted.cell.estimates.prefixes.evict(endpoint.id, digests)
             last = serial
         self.cache_serial[endpoint.id] = last
 
