Record every broken connection, so that a stop that cuts is seen though taken up again

Cause: the caller of a cut stream takes it up through another instance, after which its record is complete; checker 7 left such records out.

--- a/src/savorydyke_bench/_checkers.py
+++ b/src/savorydyke_bench/_checkers.py
@@ -143,12 +143,10 @@
     ]
     for fault in history.faults_of("stop"):
         for record in history.requests:
-            if record.instance != fault.target or record.taken_up:
-                continue
-            end = record.sent + record.total_s
-            overlaps = record.sent < fault.start < end
-            if overlaps and record.ended is Ended.CUT:
-                violations.append(f"{record.request_id} was cut by a graceful stop")
+            for broken in record.breaks:
+                is_here = broken.instance == fault.target
+                if is_here and broken.sent < fault.start < broken.at < fault.end + 1:
+                    violations.append(f"{record.request_id} was cut by a graceful stop")
     return violations
 
 
--- a/src/savorydyke_bench/_client.py
+++ b/src/savorydyke_bench/_client.py
@@ -19,6 +19,15 @@
     NO_ANSWER = "no-answer"
 
 
+@dataclass(frozen=True)
+class Break:
+    """A connection that ended before the answer did."""
+
+    instance: str
+    sent: float
+    at: float
+
+
 @dataclass
 class CallerRecord:
     """What one caller sent and saw.
@@ -35,6 +44,8 @@
         Time to the first byte of the body and to the end.
     gaps_s : list of float
         Times between events.
+    breaks : list of Break
+        Connections that were made and ended early.
     """
 
     request_id: str
@@ -58,6 +69,7 @@
     total_s: float = 0.0
     deadline_s: float = 0.0
     gaps_s: list[float] = field(default_factory=list)
+    breaks: list["Break"] = field(default_factory=list)
     taken_up: int = 0
 
 
@@ -162,6 +174,7 @@
             await response.aclose()
     except (httpx.RemoteProtocolError, httpx.ReadError, httpx.ReadTimeout):
         record.ended = Ended.CUT if record.status else Ended.NO_ANSWER
+        record.breaks.append(Break(record.instance, start, time.monotonic()))
     except httpx.HTTPError:
         record.ended = Ended.NO_ANSWER
     record.total_s = time.monotonic() - record.sent
--- a/src/savorydyke_bench/_histories.py
+++ b/src/savorydyke_bench/_histories.py
@@ -40,6 +40,7 @@
 ANSWER_LIMIT_S = 75.0
 """Time in which every request must have its final answer, deadlines included."""
 TAKE_UP_TRIES = 40
+RETRY_PAUSE_S = 0.25
 CLAIM_TRIES = 60
 MODEL = "digest-model"
 
@@ -338,25 +339,23 @@
         nursery.start_soon(_ask_until_answered, trial, record, team.key)
         if twin:
             # The same request id through a second instance at the same time.
-            again = replace(record, gaps_s=[])
+            again = replace(record, gaps_s=[], breaks=[])
             trial.history.requests.append(again)
             nursery.start_soon(_ask_until_answered, trial, again, team.key)
 
 
 async def _ask_until_answered(trial: Trial, record: CallerRecord, key: str) -> None:
-    instance = trial.pick()
-    record.instance = instance.name
-    await chat(trial.client, instance.callers, key, record, MODEL)
-    for _ in range(TAKE_UP_TRIES):
+    for tries in range(TAKE_UP_TRIES):
+        instance = trial.pick()
+        record.instance = instance.name
+        if record.status and tries:
+            await take_up(trial.client, instance.callers, key, record)
+        else:
+            record.taken_up += tries > 0
+            await chat(trial.client, instance.callers, key, record, MODEL)
         if record.ended not in {Ended.CUT, Ended.NO_ANSWER}:
             return
-        await trio.sleep(0.25)
-        other = trial.pick().callers
-        if record.status:
-            await take_up(trial.client, other, key, record)
-        else:
-            record.taken_up += 1
-            await chat(trial.client, other, key, record, MODEL)
+        await trio.sleep(RETRY_PAUSE_S)
 
 
 async def _claim(trial: Trial) -> None:
