--- a/src/savorydyke_bench/_cost_fleet.py
+++ b/src/savorydyke_bench/_cost_fleet.py
@@ -13,6 +13,7 @@
 
 from savorydyke_bench._client import CallerRecord, Ended, chat, new_id, service_call
 from savorydyke_bench._cost import Measurement
+from savorydyke_bench._cost_link import measure_link
 from savorydyke_bench._fleet import Fleet, Standin, open_fleet
 from savorydyke_bench._sites import EngineSpec, Site, TeamSpec
 
@@ -207,7 +208,8 @@
 
 async def measure_fleet() -> tuple[list[Measurement], dict[str, float]]:
     """Run all measurements that need processes."""
-    measurements = await measure_relay()
+    measurements = await measure_link()
+    measurements += await measure_relay()
     added = await measure_added_time()
     measurements += await measure_claims()
     measurements += await measure_idle()
