Use a grant only if it came from the home of the moment

It had been sent through two instances at once while they saw different homes; each home granted it. A grant from an earlier home is now given back, to that home too. Ruled out: the retry after the stop (the home knew the id as an orphan).

--- a/src/savorydyke/_dispatch.py
+++ b/src/savorydyke/_dispatch.py
@@ -143,6 +143,9 @@
         """Return the granted endpoint if the team may reach it right now."""
         if self._is_expired(granted):
             return None
+        if not self.scheduler.is_from_home(call.pool.id, granted):
+            # The next home may have granted the same request id elsewhere.
+            return None
         manifest = self.configuration.current(trio.current_time())
         if manifest is None:
             detail = "this instance can not tell whether its configuration is current"
--- a/src/savorydyke/_scheduler.py
+++ b/src/savorydyke/_scheduler.py
@@ -304,6 +304,13 @@
             int(decode_s * 1000),
         )
         self._tell_home(item.demand.pool, message)
+        if not self.is_from_home(item.demand.pool, item.granted):
+            self.send(item.granted.home, message)
+
+    def is_from_home(self, pool: PoolId, granted: Granted) -> bool:
+        """Return whether a grant came from the instance that is home now."""
+        home = self.homes.get(pool)
+        return home is not None and home.home == granted.home
 
     def _tell_home(self, pool: PoolId, message: Message) -> None:
         home = self.homes.get(pool)
