--- a/src/savorydyke/_cell.py
+++ b/src/savorydyke/_cell.py
@@ -223,21 +223,8 @@
             if load is None or row.key in self.placed:
                 continue
             uncached = 0 if row.started else row.prompt_tokens
-            running = Running(
-                key=row.key,
-                attempt=row.attempt,
-                entry=entry,
-                team=row.team,
-                prompt_tokens=row.prompt_tokens,
-                output_tokens=row.output_tokens,
-                uncached_tokens=uncached,
-                granted=now,
-                predicted_first_s=load.first_byte_s(uncached),
-                predicted_total_s=load.total_s(uncached, row.output_tokens),
-                started=row.started,
-            )
             self.queue.remove(row.key)
-            load.add(running)
+            load.take(row, entry, uncached, now, started=row.started)
             self.placed[row.key] = load.id
 
     def _drop_missing(self, message: Register, entry: InstanceId, now: float) -> None:
@@ -342,21 +329,8 @@
 
     def _grant(self, item: Waiting, load: EndpointLoad, now: float) -> Decision:
         uncached = self.estimates.uncached(load, item)
-        output = self.estimates.output(item)
-        running = Running(
-            key=item.key,
-            attempt=item.attempt,
-            entry=item.entry,
-            team=item.team,
-            prompt_tokens=item.prompt_tokens,
-            output_tokens=item.output_tokens,
-            uncached_tokens=uncached,
-            granted=now,
-            predicted_first_s=load.first_byte_s(uncached),
-            predicted_total_s=load.total_s(uncached, output),
-        )
         self.queue.charge(item)
-        load.add(running)
+        load.take(item, item.entry, uncached, now)
         self.placed[item.key] = load.id
         self.estimates.prefixes.add(load.id, item.prefix)
         probe = self._probe(item, now)
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -4,8 +4,10 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from savorydyke._fair_queue import Waiting
 from savorydyke._ids import EndpointId, InstanceId, RequestKey, TeamId
 from savorydyke._manifest import Endpoint, PoolKind
+from savorydyke._messages import RunningRow
 from savorydyke._platform import backoff_s
 
 PREFILL_WINDOW_S = 0.3
@@ -42,7 +44,6 @@
     uncached_tokens: int
     granted: float
     predicted_first_s: float
-    predicted_total_s: float
     started: bool = False
     orphaned: float | None = None
 
@@ -129,12 +130,31 @@
             return (self.prefill_s(prompt) + decode_s) / self.spec.max_concurrency
         return self.prefill_s(prompt) + decode_s / self.spec.max_concurrency
 
-    def add(self, item: Running) -> None:
-        """Take credits for a granted request."""
+    def take(
+        self,
+        request: Waiting | RunningRow,
+        entry: InstanceId,
+        uncached: int,
+        now: float,
+        started: bool = False,
+    ) -> None:
+        """Take credits for a request that is granted or was granted earlier."""
+        item = Running(
+            key=request.key,
+            attempt=request.attempt,
+            entry=entry,
+            team=request.team,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
+            uncached_tokens=uncached,
+            granted=now,
+            predicted_first_s=self.first_byte_s(uncached),
+            started=started,
+        )
         self.running[item.key] = item
         self.tokens += item.prompt_tokens + item.output_tokens
-        if not item.started:
-            self.unstarted_tokens += item.uncached_tokens
+        if not started:
+            self.unstarted_tokens += uncached
 
     def start(self, item: Running, first_byte_s: float) -> None:
         """Learn from the first byte of an answer."""
