Do not vouch for request ids after a pause, a move, or without a home's word

Causes: a deadline that passed without a home's answer, and refusals of a home that was not the home any more (paused, then awake), said not run of an id that its caller had chosen; taking up a request carries no request id header and so counted as unnamed. Changes: without a home's word the outcome is may have run; refusals of an earlier home are ignored; a home that was paused or was not the home for a while counts as new; refusals to take up say may have run. Seven scenarios cover entries and homes with fakes.

--- a/features/service.feature
+++ b/features/service.feature
@@ -128,6 +128,7 @@
     Given the small fleet
     When a request arrives at an instance that finishes a stream before it stops
     Then it is refused as stopping, not run if unnamed, may have run if named
+    And taking up a request there is refused as may have run
 
   Scenario: A claim whose answer is lost may have run, and that is said at once
     Given the small fleet
--- /dev/null
+++ b/features/steps/homes_steps.py
@@ -0,0 +1,221 @@
+"""Steps about entries and homes, with fakes for links and made-up time."""
+
+import json
+import random
+
+import trio
+import trio.testing
+from behave import given, then, when
+from cell_steps import manifest_value
+
+import savorydyke
+from savorydyke._cell import ReleaseResult
+from savorydyke._endpoint_states import EndpointStates
+from savorydyke._homes import Homes
+from savorydyke._ids import Reason
+from savorydyke._membership import Membership
+from savorydyke._messages import Acquire, Grant, MemberRow, Refuse, Register, Release
+from savorydyke._scheduler import Demand, Granted, Scheduler
+
+KEY = "mid/r1"
+
+
+def run_in_made_up_time(function):
+    return trio.run(function, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def make_homes(membership):
+    manifest = savorydyke.read_manifest(json.dumps(manifest_value([("e1", 1, 1000)])))
+    return Homes(
+        membership,
+        EndpointStates(),
+        lambda: manifest,
+        lambda entry, answer: None,
+        lambda endpoint, item: None,
+        5.0,
+        random.Random(1),
+    )
+
+
+@given("the home of a pool that is two minutes old")
+def old_home(context):
+    async def prepare(after):
+        membership = Membership("me", "a:1", "dc", 1)
+        homes = make_homes(membership)
+        homes.handle("me", Register("p", True, ()))
+        cell = homes.hosted["p"].cell
+        for _ in range(1200):
+            await trio.sleep(0.1)
+            homes._check_stall(trio.current_time())
+            homes._tick("p", homes.hosted["p"], trio.current_time())
+        assert not cell._is_young(trio.current_time())
+        await after(homes, membership)
+        return cell._is_young(trio.current_time())
+
+    context.prepare = prepare
+
+
+@when("its process was paused for 3 s")
+def paused(context):
+    async def after(homes, membership):
+        await trio.sleep(3.0)
+        homes.handle("me", Register("p", True, ()))
+
+    context.young = run_in_made_up_time(lambda: context.prepare(after))
+
+
+@when("another instance is the home for a while")
+def other_home(context):
+    async def after(homes, membership):
+        membership.leaving = True
+        now = trio.current_time()
+        membership.hear(MemberRow("other", "b:1", "dc", 1, 1, 0, False), now)
+        membership.members["other"].linked = True
+        membership.update(now)
+        assert not membership.is_home("p")
+        homes._tick("p", homes.hosted["p"], now)
+
+    context.young = run_in_made_up_time(lambda: context.prepare(after))
+
+
+@then("its cell counts as new")
+def counts_as_new(context):
+    assert context.young
+
+
+class EntryFake:
+    """An entry's scheduler whose messages are recorded."""
+
+    def __init__(self):
+        self.membership = Membership("entry", "a:1", "dc", 1)
+        self.sent = []
+        self.home = "h1"
+        self.membership.home = lambda pool: self.home
+        self.scheduler = Scheduler(
+            self.membership,
+            lambda peer, message: self.sent.append((peer, message)),
+            lambda peer: None,
+            lambda: ["p"],
+        )
+
+    async def acquire(self, results):
+        demand = Demand(
+            KEY, "p", "mid", "m", 10, 10, (), trio.current_time() + 5.0, named=True
+        )
+        results.append(await self.scheduler.acquire(demand))
+
+    def acquired(self):
+        return [m for _, m in self.sent if isinstance(m, Acquire)]
+
+    def grant(self, home, endpoint="e1"):
+        message = Grant(KEY, self.acquired()[-1].attempt, endpoint, False, ())
+        self.scheduler.handle(home, message)
+
+    def move(self):
+        self.home = "h2"
+        self.scheduler.follow_homes()
+
+    def released(self):
+        return [(p, m) for p, m in self.sent if isinstance(m, Release)]
+
+
+@given("an entry with a named request that waits at its home")
+def waiting_entry(context):
+    def run(act):
+        async def main():
+            entry, results = EntryFake(), []
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(entry.acquire, results)
+                await trio.testing.wait_all_tasks_blocked()
+                await act(entry, nursery)
+            return entry, results
+
+        return run_in_made_up_time(main)
+
+    context.run_entry = run
+
+
+@when("the home moves and the earlier home refuses the request")
+def earlier_refuses(context):
+    async def act(entry, nursery):
+        entry.move()
+        attempt = entry.acquired()[-1].attempt
+        refusal = Refuse(KEY, attempt, Reason.DEADLINE.value, "late", -1, False)
+        entry.scheduler.handle("h1", refusal)
+        await trio.testing.wait_all_tasks_blocked()
+        assert KEY in entry.scheduler.pending
+        entry.grant("h2")
+
+    context.entry, context.results = context.run_entry(act)
+
+
+@then("the entry still waits and takes the next home's grant")
+def takes_next(context):
+    (result,) = context.results
+    assert isinstance(result, Granted) and result.home == "h2"
+
+
+@when("no home answers until the deadline")
+def no_answer(context):
+    async def act(entry, nursery):
+        await trio.sleep(6.0)
+
+    context.entry, context.results = context.run_entry(act)
+
+
+@then("it is refused for its deadline and may have run")
+def refused_unknown(context):
+    (result,) = context.results
+    assert result.reason is Reason.DEADLINE and result.may_have_run
+
+
+@when("two homes grant it at different endpoints")
+def two_grants(context):
+    async def act(entry, nursery):
+        entry.grant("h1", "e1")
+        entry.grant("h2", "e2")
+
+    context.entry, context.results = context.run_entry(act)
+
+
+@then("the first grant is used and the other one released as not sent")
+def other_released(context):
+    (result,) = context.results
+    assert result.endpoint == "e1"
+    ((peer, release),) = context.entry.released()
+    assert (peer, release.endpoint, release.result) == ("h2", "e2", "not-sent")
+
+
+@when("it is granted and the home moves before it ends")
+def moves_while_running(context):
+    async def act(entry, nursery):
+        entry.grant("h1")
+        await trio.testing.wait_all_tasks_blocked()
+        entry.move()
+        registers = [m for p, m in entry.sent if p == "h2" and isinstance(m, Register)]
+        assert [row.key for row in registers[-1].running] == [KEY]
+        entry.scheduler.release(KEY, ReleaseResult.COMPLETE, 10, 1.0)
+
+    context.entry, context.results = context.run_entry(act)
+
+
+@then("both homes are told of its end")
+def both_told(context):
+    assert {peer for peer, _ in context.entry.released()} == {"h1", "h2"}
+
+
+@when("its caller leaves just before the grant arrives")
+def leaves_at_grant(context):
+    async def act(entry, nursery):
+        nursery.cancel_scope.cancel()
+        entry.grant("h1")
+
+    context.entry, context.results = context.run_entry(act)
+
+
+@then("the grant is released as not sent")
+def released_not_sent(context):
+    assert not context.results
+    ((peer, release),) = context.entry.released()
+    assert (peer, release.result) == ("h1", "not-sent")
+    assert not context.entry.scheduler.in_flight
--- a/features/steps/service_steps.py
+++ b/features/steps/service_steps.py
@@ -865,6 +865,8 @@
             url = f"http://{instance.callers}{CHAT}"
             answer = httpx.post(url, json=BODY, headers=headers, timeout=5)
             context.answers[named] = answer.json()
+        url = f"http://{instance.callers}/v1/requests/{new_id()}"
+        context.answers["take-up"] = httpx.get(url, headers=headers).json()
 
     stream_while(context, act, count=1, tokens=100)
 
@@ -877,6 +879,12 @@
     assert is_whole(context.records[0])
 
 
+@then("taking up a request there is refused as may have run")
+def take_up_outcome(context):
+    answer = context.answers["take-up"]
+    assert (answer["title"], answer["outcome"]) == ("stopping", "may have run")
+
+
 @when("the desk breaks its connection after it has run a claim")
 def desk_breaks(context):
     context.small.control("desk-1", breaks=True)
--- a/src/savorydyke/_callers.py
+++ b/src/savorydyke/_callers.py
@@ -145,6 +145,9 @@
 
     async def _serve(self, scope: Scope, exchange: Exchange) -> None:
         calls = await self._read(scope, exchange)
+        if isinstance(calls, Refusal) and scope["path"].startswith(TAKE_UP_PREFIX):
+            # What is taken up was dispatched earlier, as far as its caller knows.
+            calls = replace(calls, outcome=Outcome.MAY_HAVE_RUN)
         if isinstance(calls, Refusal):
             self._count_refusal(exchange, calls)
             await exchange.refuse(calls)
--- a/src/savorydyke/_homes.py
+++ b/src/savorydyke/_homes.py
@@ -34,6 +34,7 @@
 TICK_S = 0.1
 SETTLE_S = 1.0
 IDLE_S = 60.0
+STALL_S = 1.0
 ORPHAN_CHECK_S = 0.5
 
 log = _logs.part("home")
@@ -78,12 +79,14 @@
     orphan_grace_s: float
     rng: random.Random
     hosted: dict[PoolId, Hosted] = field(default_factory=dict)
+    last_tick: float = field(default_factory=trio.current_time)
 
     # Messages
 
     def handle(self, sender: InstanceId, message: Message) -> None:
         """Take in a message of an entry."""
         now = trio.current_time()
+        self._check_stall(now)
         match message:
             case Acquire():
                 self._acquire(sender, message, now)
@@ -197,14 +200,28 @@
         async with timers.every(TICK_S) as ticks:
             async for _ in ticks:
                 now = trio.current_time()
+                self._check_stall(now)
                 for pool, hosted in list(self.hosted.items()):
                     self._tick(pool, hosted, now)
 
+    def _check_stall(self, now: float) -> None:
+        """Treat all cells as new after a pause of this process.
+
+        Other homes may have dispatched requests in the meantime.
+        """
+        if now - self.last_tick > STALL_S:
+            for hosted in self.hosted.values():
+                hosted.cell.born = now
+        self.last_tick = max(self.last_tick, now)
+
     def _tick(self, pool: PoolId, hosted: Hosted, now: float) -> None:
         cell = hosted.cell
         if now >= hosted.settle_at or not hosted.unregistered:
             self._settle(hosted, now)
         self.set_share(cell)
+        if not self.membership.is_home(pool):
+            # Should it become the home again, it will have missed requests.
+            cell.born = now
         for endpoint, item in cell.take_orphans(now - self.orphan_grace_s, now):
             self.cancel_orphan(endpoint, item)
         self._send(cell.tick(now))
--- a/src/savorydyke/_scheduler.py
+++ b/src/savorydyke/_scheduler.py
@@ -182,7 +182,9 @@
         self.pending.pop(demand.key, None)
         if answer is None:
             self._withdraw(demand)
-            return Refused(Reason.DEADLINE, "no endpoint came free in time", 1.0)
+            # No home has vouched for a request id that the caller chose.
+            detail = "no endpoint came free in time"
+            return Refused(Reason.DEADLINE, detail, 1.0, may_have_run=demand.named)
         if isinstance(answer, Granted):
             item = InFlight(demand, answer)
             self.in_flight[demand.key] = item
@@ -231,6 +233,11 @@
             if isinstance(message, Grant):
                 self._give_back(sender, message, pending)
             return
+        if isinstance(message, Refuse) and not self._is_home(
+            pending.demand.pool, sender
+        ):
+            # The next home has the request too, and knows what went on since.
+            return
         if isinstance(message, Grant):
             pending.answer = Granted(
                 sender,
@@ -309,8 +316,11 @@
 
     def is_from_home(self, pool: PoolId, granted: Granted) -> bool:
         """Return whether a grant came from the instance that is home now."""
+        return self._is_home(pool, granted.home)
+
+    def _is_home(self, pool: PoolId, instance: InstanceId) -> bool:
         home = self.homes.get(pool)
-        return home is not None and home.home == granted.home
+        return home is not None and home.home == instance
 
     def _tell_home(self, pool: PoolId, message: Message) -> None:
         home = self.homes.get(pool)
