Judge the oracle on the callers' clock; end a bench run when late is certain

The oracle compared two clocks and refused everything; baselines kept runs open for answers of 20 s and more.

--- a/src/savorydyke_bench/_policies.py
+++ b/src/savorydyke_bench/_policies.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import random
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -148,7 +149,7 @@
             self._pump()
 
     def _pump(self) -> None:
-        now = trio.current_time()
+        now = time.monotonic()
         waiting = []
         while self.queue:
             item = heapq.heappop(self.queue)
--- a/src/savorydyke_bench/_policy_bench.py
+++ b/src/savorydyke_bench/_policy_bench.py
@@ -34,6 +34,7 @@
 SLOWDOWN = 5.0
 STALE_LAG_S = 8.0
 WARM_S = 2.0
+LAST_ANSWERS_S = max(DEADLINES_S) + 1.0
 OURS = "ours"
 BASELINES: dict[str, Callable[[Baseline], Send]] = {
     "random": random_choice,
@@ -177,9 +178,11 @@
         async with trio.open_nursery() as nursery:
             for task in background:
                 nursery.start_soon(task)
-            async with trio.open_nursery() as sending:
-                sending.start_soon(_run_phases, trial)
-                sending.start_soon(_send_all, trial, seed)
+            # What is not answered by then is late in any case.
+            with trio.move_on_after(sum(p.seconds for p in PHASES) + LAST_ANSWERS_S):
+                async with trio.open_nursery() as sending:
+                    sending.start_soon(_run_phases, trial)
+                    sending.start_soon(_send_all, trial, seed)
             nursery.cancel_scope.cancel()
         prefills = await _prefills(trial)
         await fleet.client.aclose()
