--- a/src/savorydyke/_cell.py
+++ b/src/savorydyke/_cell.py
@@ -32,6 +32,8 @@
 YOUNG_S = 60.0
 """For how long after taking over a home may lack earlier request ids."""
 RETRY_RANGE_S = (1.0, 60.0)
+MARGIN = 1.2
+"""Factor on predicted times that a deadline must leave room for."""
 MAX_WAIT_RATIO = 1.5
 """How much longer a free endpoint may take than the best busy one."""
 
@@ -158,7 +160,7 @@
         if refusal is not None:
             return [refusal]
         self.queue.push(item)
-        latest = item.deadline - self.estimates.least_s(item)
+        latest = item.deadline - MARGIN * self.estimates.least_s(item)
         heapq.heappush(self.expiry, (latest, item.key, item.attempt))
         return self._shed(now) + self.pump(now)
 
@@ -321,7 +323,7 @@
                 best, best_s = load, total_s
         if best is None:
             return None
-        too_slow = best_s > item.deadline - now
+        too_slow = MARGIN * best_s > item.deadline - now
         if too_slow or best_s > MAX_WAIT_RATIO * best_busy_s:
             # A busy endpoint would still be faster. Lower tiers may use this one.
             return None if best_busy_s < best_s else best
@@ -439,7 +441,7 @@
                 item, Reason.TEAM_LIMIT, detail, self.drain_s(item.rank), now
             )
         left_s = item.deadline - now
-        if self.estimates.least_s(item) > left_s:
+        if MARGIN * self.estimates.least_s(item) > left_s:
             detail = "no endpoint can answer within the deadline"
             return self._refuse(item, Reason.DEADLINE, detail, None, now)
         if self._wait_s(item) + self.estimates.least_s(item) > left_s:
