Let long prompts wait for the engine that holds their prefix; start nothing late

Cause of the wasted prefill: most of it was prefixes computed again because the engine that held them was busy for a moment, the rest late long prompts that were granted although predicted late. Changes: a request waits for a busy engine that holds 2,048 tokens more of its prefix while it has three times the time; what is predicted late is not granted; a learned slowness fades on an idle engine, which would otherwise get no work to disprove it.

--- a/src/savorydyke/_cell.py
+++ b/src/savorydyke/_cell.py
@@ -36,6 +36,10 @@
 """Factor on predicted times that a deadline must leave room for."""
 MAX_WAIT_RATIO = 1.5
 """How much longer a free endpoint may take than the best busy one."""
+AFFINITY_TOKENS = 2048
+"""Cached prefix for which a request waits for a busy endpoint."""
+AFFINITY_SLACK = 3.0
+"""How often the answer must fit into the time left for that."""
 
 
 class ReleaseResult(Enum):
@@ -69,6 +73,23 @@
     ended: float
 
 
+@dataclass(frozen=True)
+class Option:
+    """An endpoint to which a request could go.
+
+    Attributes
+    ----------
+    uncached : int
+        Prompt tokens that the endpoint would have to process.
+    total_s : float
+        Predicted time to the last byte.
+    """
+
+    load: EndpointLoad
+    uncached: int
+    total_s: float
+
+
 @dataclass
 class Cell:
     """Waiting requests, credits and speeds of one pool.
@@ -277,6 +298,7 @@
         """Refuse what can no longer be in time, and grant what can be."""
         for load in self.endpoints.values():
             load.learn_overdue(now)
+            load.relax(now)
         decisions = self._expire(now)
         self._forget_old(now)
         return decisions + self.pump(now)
@@ -308,26 +330,41 @@
         self, item: Waiting, blocked: set[EndpointId], now: float
     ) -> EndpointLoad | None:
         """Return the endpoint for a request, or None and what it waits for."""
-        best: EndpointLoad | None = None
-        best_s = best_busy_s = float("inf")
+        best = busy = None
         for load in self.estimates.candidates(item, now):
             if load.id in blocked:
                 continue
             uncached = self.estimates.uncached(load, item)
             total_s = load.total_s(uncached, self.estimates.output(item))
+            option = Option(load, uncached, total_s)
             tokens = item.prompt_tokens + item.output_tokens
             if not load.has_room(tokens, uncached, self.share):
-                best_busy_s = min(best_busy_s, total_s)
+                busy = _sooner(busy, option)
                 blocked.add(load.id)
-            elif total_s < best_s:
-                best, best_s = load, total_s
-        if best is None:
+            else:
+                best = _sooner(best, option)
+        if best is None or self._is_worth_waiting(item, best, busy, now):
             return None
-        too_slow = MARGIN * best_s > item.deadline - now
-        if too_slow or best_s > MAX_WAIT_RATIO * best_busy_s:
-            # A busy endpoint would still be faster. Lower tiers may use this one.
-            return None if best_busy_s < best_s else best
-        return best
+        return best.load
+
+    def _is_worth_waiting(
+        self, item: Waiting, best: Option, busy: Option | None, now: float
+    ) -> bool:
+        """Return whether a request should not go to a free endpoint now.
+
+        Lower tiers may use the free one then, but not the busy one.
+        """
+        left_s = item.deadline - now
+        if MARGIN * best.total_s > left_s:
+            # It would be late. It is refused once no endpoint can be in time.
+            return True
+        if busy is None:
+            return False
+        if best.total_s > MAX_WAIT_RATIO * busy.total_s:
+            return True
+        saved_tokens = best.uncached - busy.uncached
+        has_time = AFFINITY_SLACK * busy.total_s < left_s
+        return saved_tokens >= AFFINITY_TOKENS and has_time
 
     def _grant(self, item: Waiting, load: EndpointLoad, now: float) -> Decision:
         uncached = self.estimates.uncached(load, item)
@@ -512,6 +549,12 @@
     return cell
 
 
+def _sooner(known: Option | None, option: Option) -> Option:
+    if known is None or option.total_s < known.total_s:
+        return option
+    return known
+
+
 def _deny(
     message: Acquire, entry: InstanceId, reason: Reason, detail: str, ran: bool = False
 ) -> Decision:
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -13,6 +13,9 @@
 PREFILL_WINDOW_S = 0.3
 """Prefill that may wait inside an engine, beyond which order is kept here."""
 LEARNING_RATE = 0.2
+RELAX_AFTER_S = 1.0
+RELAX_FACTOR = 0.95
+"""Share of a learned slowness that is left after each tick."""
 FACTOR_RANGE = (0.1, 20.0)
 OVERDUE_RATIO = 2.0
 CIRCUIT_BASE_S = 0.5
@@ -57,6 +60,8 @@
     prefill_factor : float
         Observed time to the first byte, divided by the prediction from the
         manifest's speed.
+    learned : float
+        When the prefill factor was last learned.
     decode_tokens_per_s : float
         Learned speed of one stream.
     external : deque of int
@@ -76,6 +81,7 @@
     leaving: bool = False
     failures: int = 0
     open_until: float = 0.0
+    learned: float = 0.0
     external: deque[int] = field(default_factory=lambda: deque(maxlen=REPORTS_KEPT))
 
     @property
@@ -163,6 +169,7 @@
         item.started = True
         self.unstarted_tokens -= item.uncached_tokens
         self._learn_prefill(first_byte_s / item.predicted_first_s)
+        self.learned = item.granted + first_byte_s
 
     def remove(self, key: RequestKey) -> Running | None:
         """Give the credits of a request back."""
@@ -188,6 +195,7 @@
             if not item.started and ratio > OVERDUE_RATIO:
                 item.predicted_first_s *= ratio
                 self._learn_prefill(ratio)
+                self.learned = now
                 return
 
     def _learn_prefill(self, ratio: float) -> None:
@@ -196,6 +204,16 @@
         factor = self.prefill_factor * ratio**LEARNING_RATE
         self.prefill_factor = min(high, max(low, factor))
 
+    def relax(self, now: float) -> None:
+        """Let a learned slowness fade while nothing new is learned of it.
+
+        An endpoint that is thought to be slow gets little work that could show
+        otherwise.
+        """
+        if self.running or now - self.learned < RELAX_AFTER_S:
+            return
+        self.prefill_factor = 1 + (self.prefill_factor - 1) * RELAX_FACTOR
+
     def report(self, requests: int) -> None:
         """Take in a lagging report of the requests inside the endpoint."""
         self.external.append(max(0, requests - len(self.running)))
