--- a/src/savorydyke/_cell.py
+++ b/src/savorydyke/_cell.py
@@ -39,7 +39,8 @@
 AFFINITY_TOKENS = 2048
 """Cached prefix for which a request waits for a busy endpoint."""
 AFFINITY_SLACK = 3.0
-"""How often the answer must fit into the time left for that."""
+FALLBACK_SLACK = 1.5
+"""How often the busy and the free endpoint's answer must fit in for that."""
 
 
 class ReleaseResult(Enum):
@@ -363,7 +364,8 @@
         if best.total_s > MAX_WAIT_RATIO * busy.total_s:
             return True
         saved_tokens = best.uncached - busy.uncached
-        has_time = AFFINITY_SLACK * busy.total_s < left_s
+        longest_s = max(AFFINITY_SLACK * busy.total_s, FALLBACK_SLACK * best.total_s)
+        has_time = longest_s < left_s
         return saved_tokens >= AFFINITY_TOKENS and has_time
 
     def _grant(self, item: Waiting, load: EndpointLoad, now: float) -> Decision:
