Type results and reasons between instances; count only live members; let endpoints return

Read through: a release or refusal with an unknown word would have ended the daemon; both are now enumerations that the decoder checks. An endpoint that a manifest removed and a later one brought back stayed leaving.

--- a/features/cell.feature
+++ b/features/cell.feature
@@ -78,3 +78,8 @@
     Given a cell with one endpoint of 1 credit
     When a registration without it arrives 0.1 s after a grant
     Then the credit stays in use
+
+  Scenario: An endpoint that was removed and comes back gets work again
+    Given a cell with one endpoint of 1 credit
+    When a manifest without the endpoint is applied, and then one with it
+    Then a request is refused in between and granted afterwards
--- a/features/steps/cell_steps.py
+++ b/features/steps/cell_steps.py
@@ -11,8 +11,9 @@
 from hypothesis import strategies as st
 
 import savorydyke
-from savorydyke._cell import ReleaseResult, new_cell
+from savorydyke._cell import new_cell
 from savorydyke._fair_queue import FairQueue, Waiting
+from savorydyke._ids import Reason, ReleaseResult
 from savorydyke._messages import Acquire, Grant, Refuse, Register, Release, Started
 
 CASES = settings(derandomize=True, deadline=None, max_examples=200)
@@ -80,7 +81,7 @@
 
 
 def release(name, endpoint="e1", result=ReleaseResult.COMPLETE, tokens=10):
-    return Release(name, 1, "p", endpoint, result.value, tokens, 100)
+    return Release(name, 1, "p", endpoint, result, tokens, 100)
 
 
 def grants(decisions):
@@ -172,7 +173,7 @@
 @then("2 requests of low are refused as overloaded and none of high")
 def low_shed(context):
     found = refusals(context.decisions)
-    assert [r.reason for r in found] == ["overloaded"] * 2
+    assert [r.reason for r in found] == [Reason.OVERLOADED] * 2
     assert [r.key for r in found] == ["low-3", "low-2"], found
     assert all(r.retry_ms >= 1000 and not r.may_have_run for r in found)
 
@@ -187,7 +188,7 @@
 def refused_deadline(context):
     assert not grants(context.decisions)
     (found,) = refusals(context.decisions)
-    assert found.reason == "deadline" and not found.may_have_run
+    assert found.reason is Reason.DEADLINE and not found.may_have_run
 
 
 @when("a request waits behind another until its deadline can not be met")
@@ -202,7 +203,7 @@
 @then("it is refused for its deadline with a time to come back")
 def refused_with_retry(context):
     (found,) = refusals(context.decisions)
-    assert found.reason == "deadline" and found.retry_ms >= 1000
+    assert found.reason is Reason.DEADLINE and found.retry_ms >= 1000
 
 
 @when("one of them is leaving and 6 requests arrive")
@@ -232,7 +233,7 @@
 @then("it is refused as not approved, not run")
 def refused_approval(context):
     (found,) = refusals(context.decisions)
-    assert (found.key, found.reason) == ("waits", "not-approved")
+    assert (found.key, found.reason) == ("waits", Reason.NOT_APPROVED)
     assert not found.may_have_run
 
 
@@ -367,6 +368,27 @@
     assert not grants(context.cell.acquire(acquire("waits", "mid"), "b", 0.2))
 
 
+@when("a manifest without the endpoint is applied, and then one with it")
+def removed_and_back(context):
+    def apply(endpoints):
+        value = manifest_value(endpoints)
+        manifest = savorydyke.read_manifest(json.dumps(value))
+        context.cell.reconfigure(manifest, 1.0)
+
+    apply([("e2", 1, 1000)])
+    context.cell.set_leaving("e2", True)
+    context.between = context.cell.acquire(acquire("between", "mid"), "a", 1.0)
+    apply([("e1", 1, 1000)])
+    context.after = context.cell.acquire(acquire("after", "mid"), "a", 2.0)
+
+
+@then("a request is refused in between and granted afterwards")
+def refused_then_granted(context):
+    (refusal,) = refusals(context.between)
+    assert refusal.reason is Reason.NO_ENDPOINT
+    assert grants(context.after) == ["after"]
+
+
 OPERATIONS = st.lists(
     st.tuples(
         st.sampled_from(["acquire", "release", "withdraw"]),
--- a/features/steps/homes_steps.py
+++ b/features/steps/homes_steps.py
@@ -9,10 +9,9 @@
 from cell_steps import manifest_value
 
 import savorydyke
-from savorydyke._cell import ReleaseResult
 from savorydyke._endpoint_states import EndpointStates
 from savorydyke._homes import Homes
-from savorydyke._ids import Reason
+from savorydyke._ids import Reason, ReleaseResult
 from savorydyke._membership import Membership
 from savorydyke._messages import Acquire, Grant, MemberRow, Refuse, Register, Release
 from savorydyke._scheduler import Demand, Granted, Scheduler
@@ -140,7 +139,7 @@
     async def act(entry, nursery):
         entry.move()
         attempt = entry.acquired()[-1].attempt
-        refusal = Refuse(KEY, attempt, Reason.DEADLINE.value, "late", -1, False)
+        refusal = Refuse(KEY, attempt, Reason.DEADLINE, "late", -1, False)
         entry.scheduler.handle("h1", refusal)
         await trio.testing.wait_all_tasks_blocked()
         assert KEY in entry.scheduler.pending
@@ -183,7 +182,11 @@
     (result,) = context.results
     assert result.endpoint == "e1"
     ((peer, release),) = context.entry.released()
-    assert (peer, release.endpoint, release.result) == ("h2", "e2", "not-sent")
+    assert (peer, release.endpoint, release.result) == (
+        "h2",
+        "e2",
+        ReleaseResult.NOT_SENT,
+    )
 
 
 @when("it is granted and the home moves before it ends")
@@ -217,5 +220,5 @@
 def released_not_sent(context):
     assert not context.results
     ((peer, release),) = context.entry.released()
-    assert (peer, release.result) == ("h1", "not-sent")
+    assert (peer, release.result) == ("h1", ReleaseResult.NOT_SENT)
     assert not context.entry.scheduler.in_flight
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -10,10 +10,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from savorydyke._cell import ReleaseResult
 from savorydyke._configuration import Configuration, Record
 from savorydyke._exceptions import ProtocolError
-from savorydyke._ids import MemberState
+from savorydyke._ids import MemberState, Reason, ReleaseResult
 from savorydyke._membership import (
     HEARTBEAT_S,
     ROWS_PER_BEAT,
@@ -388,7 +387,13 @@
     st.builds(acquire, NAMES, NAMES, COUNTS, COUNTS, st.integers(0, 10**6)),
     st.builds(Grant, NAMES, COUNTS, NAMES, st.booleans(), TUPLE),
     st.builds(
-        Refuse, NAMES, COUNTS, NAMES, NAMES, st.integers(-1, 10**9), st.booleans()
+        Refuse,
+        NAMES,
+        COUNTS,
+        st.sampled_from(Reason),
+        NAMES,
+        st.integers(-1, 10**9),
+        st.booleans(),
     ),
     st.builds(Started, NAMES, NAMES, COUNTS),
     st.builds(
@@ -397,7 +402,7 @@
         COUNTS,
         NAMES,
         NAMES,
-        st.sampled_from([r.value for r in ReleaseResult]),
+        st.sampled_from(ReleaseResult),
         COUNTS,
         COUNTS,
     ),
--- a/src/savorydyke/_callers.py
+++ b/src/savorydyke/_callers.py
@@ -25,7 +25,6 @@
     read_service_call,
     stream_id,
 )
-from savorydyke._cell import ReleaseResult
 from savorydyke._configuration import Configuration
 from savorydyke._dispatch import (
     Complete,
@@ -36,7 +35,15 @@
     Reply,
 )
 from savorydyke._dispatch_once import OnceDispatcher
-from savorydyke._ids import Outcome, Reason, RequestId, TeamId, TierId, request_key
+from savorydyke._ids import (
+    Outcome,
+    Reason,
+    ReleaseResult,
+    RequestId,
+    TeamId,
+    TierId,
+    request_key,
+)
 from savorydyke._manifest import Manifest, PoolKind
 from savorydyke._metrics import Metrics
 from savorydyke._problems import Refusal
--- a/src/savorydyke/_cell.py
+++ b/src/savorydyke/_cell.py
@@ -10,7 +10,6 @@
 import random
 from collections import OrderedDict
 from dataclasses import dataclass, field
-from enum import Enum
 
 from savorydyke._endpoint_load import EndpointLoad, Running, new_load
 from savorydyke._estimates import Estimates
@@ -20,6 +19,7 @@
     InstanceId,
     PoolId,
     Reason,
+    ReleaseResult,
     RequestKey,
 )
 from savorydyke._manifest import Manifest, PoolKind
@@ -43,21 +43,6 @@
 """How often the busy and the free endpoint's answer must fit in for that."""
 
 
-class ReleaseResult(Enum):
-    """How a granted request ended at its entry.
-
-    DROPPED means that the caller has gone and may come back for a stream that
-    still runs; the home cancels it when the caller stays away.
-    """
-
-    COMPLETE = "complete"
-    CANCELLED = "cancelled"
-    CUT = "cut"
-    DROPPED = "dropped"
-    NOT_SENT = "not-sent"
-    UNREACHABLE = "unreachable"
-
-
 @dataclass(frozen=True)
 class Decision:
     """An answer of the cell for one entry."""
@@ -138,7 +123,7 @@
             else:
                 self.endpoints[name] = new_load(spec, kind)
         for name, load in self.endpoints.items():
-            load.leaving = load.leaving or name not in specs
+            load.removed = name not in specs
         return self._recheck_access(now) + self.pump(now)
 
     def _recheck_access(self, now: float) -> list[Decision]:
@@ -208,10 +193,10 @@
             return []
         if (item.entry, item.attempt) != (entry, message.attempt):
             return []
-        if message.result == ReleaseResult.DROPPED.value:
+        if message.result is ReleaseResult.DROPPED:
             item.orphaned = now
             return []
-        self._end(load, item, now, ReleaseResult(message.result), message)
+        self._end(load, item, now, message)
         return self.pump(now)
 
     def _end(
@@ -219,9 +204,9 @@
         load: EndpointLoad,
         item: Running,
         now: float,
-        result: ReleaseResult,
         message: Release,
     ) -> None:
+        result = message.result
         load.remove(item.key)
         self.placed.pop(item.key, None)
         if result in {ReleaseResult.NOT_SENT, ReleaseResult.UNREACHABLE}:
@@ -398,7 +383,7 @@
         """Return a refusal; a young home can not vouch for a named request."""
         ran = item.named and self._is_young(now)
         retry_ms = -1 if retry_s is None else int(retry_s * 1000)
-        refusal = Refuse(item.key, item.attempt, reason.value, detail, retry_ms, ran)
+        refusal = Refuse(item.key, item.attempt, reason, detail, retry_ms, ran)
         return Decision(item.entry, refusal)
 
     def _known(self, message: Acquire, entry: InstanceId) -> list[Decision] | None:
@@ -560,5 +545,5 @@
 def _deny(
     message: Acquire, entry: InstanceId, reason: Reason, detail: str, ran: bool = False
 ) -> Decision:
-    refusal = Refuse(message.key, message.attempt, reason.value, detail, -1, ran)
+    refusal = Refuse(message.key, message.attempt, reason, detail, -1, ran)
     return Decision(entry, refusal)
--- a/src/savorydyke/_dispatch.py
+++ b/src/savorydyke/_dispatch.py
@@ -14,9 +14,8 @@
 from savorydyke import _logs
 from savorydyke._adapters import Adapter, Lost, NotSent, Opened, OpenResult
 from savorydyke._calls import Call, not_approved
-from savorydyke._cell import ReleaseResult
 from savorydyke._configuration import Configuration
-from savorydyke._ids import EndpointId, Outcome, Reason
+from savorydyke._ids import EndpointId, Outcome, Reason, ReleaseResult
 from savorydyke._manifest import Endpoint
 from savorydyke._problems import Refusal
 from savorydyke._relay import Progress
--- a/src/savorydyke/_dispatch_once.py
+++ b/src/savorydyke/_dispatch_once.py
@@ -9,7 +9,6 @@
 import trio
 
 from savorydyke._calls import Call
-from savorydyke._cell import ReleaseResult
 from savorydyke._claims import (
     MAX_KEPT_BYTES,
     Claims,
@@ -33,7 +32,7 @@
     Reply,
     refusal_of,
 )
-from savorydyke._ids import EndpointId, Outcome, Reason
+from savorydyke._ids import EndpointId, Outcome, Reason, ReleaseResult
 from savorydyke._manifest import Endpoint
 from savorydyke._problems import Refusal
 from savorydyke._scheduler import Granted, Refused, Scheduler
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -79,6 +79,7 @@
     tokens: int = 0
     unstarted_tokens: int = 0
     leaving: bool = False
+    removed: bool = False
     failures: int = 0
     open_until: float = 0.0
     learned: float = 0.0
@@ -89,9 +90,13 @@
         """Return the endpoint's id."""
         return self.spec.id
 
+    def is_closed(self) -> bool:
+        """Return whether no new work may go here until that is taken back."""
+        return self.leaving or self.removed or self.spec.drained
+
     def usable(self, now: float) -> bool:
         """Return whether new work may go to this endpoint."""
-        if self.leaving or self.spec.drained:
+        if self.is_closed():
             return False
         if now < self.open_until:
             return False
--- a/src/savorydyke/_estimates.py
+++ b/src/savorydyke/_estimates.py
@@ -32,11 +32,7 @@
 
     def usable_count(self) -> int:
         """Return how many endpoints share the work."""
-        return sum(
-            1
-            for load in self.endpoints.values()
-            if not load.leaving and not load.spec.drained
-        )
+        return sum(not load.is_closed() for load in self.endpoints.values())
 
     def candidates(self, item: Waiting, now: float) -> list[EndpointLoad]:
         """Return the endpoints to which a request may go now."""
@@ -53,7 +49,7 @@
         return [
             self.endpoints[name]
             for name in item.allowed
-            if name in self.endpoints and not self.endpoints[name].leaving
+            if name in self.endpoints and not self.endpoints[name].is_closed()
         ]
 
     def uncached(self, load: EndpointLoad, item: Waiting) -> int:
--- a/src/savorydyke/_homes.py
+++ b/src/savorydyke/_homes.py
@@ -119,9 +119,7 @@
         if hosted is None:
             reason = Reason.NO_CONFIGURATION
             detail = "the home of the pool has no configuration in force"
-            refusal = Refuse(
-                message.key, message.attempt, reason.value, detail, 1000, False
-            )
+            refusal = Refuse(message.key, message.attempt, reason, detail, 1000, False)
             self.answer(sender, refusal)
             return
         hosted.used = now
--- a/src/savorydyke/_ids.py
+++ b/src/savorydyke/_ids.py
@@ -58,6 +58,21 @@
     INTERNAL = "internal-error"
 
 
+class ReleaseResult(Enum):
+    """How a granted request ended at its entry.
+
+    DROPPED means that the caller has gone and may come back for a stream that
+    still runs; the home cancels it when the caller stays away.
+    """
+
+    COMPLETE = "complete"
+    CANCELLED = "cancelled"
+    CUT = "cut"
+    DROPPED = "dropped"
+    NOT_SENT = "not-sent"
+    UNREACHABLE = "unreachable"
+
+
 class MemberState(Enum):
     """State of an instance as its peers see it."""
 
--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -64,6 +64,8 @@
 
     Attributes
     ----------
+    alive : int
+        Other instances that are not dead.
     listeners : list of callable
         Called after each change of a member's state.
     lost : list of callable
@@ -77,6 +79,7 @@
     counter: int = 0
     leaving: bool = False
     next_row: int = 0
+    alive: int = 0
     members: dict[InstanceId, Member] = field(default_factory=dict)
     sent: OrderedDict[int, float] = field(default_factory=OrderedDict)
     states: dict[InstanceId, MemberState] = field(default_factory=dict)
@@ -154,6 +157,7 @@
         ]
         changed = states != self.states
         self.states = states
+        self.alive = len(states) - len(self._dead())
         for name in died:
             self._report_lost(name)
         if changed:
@@ -165,7 +169,7 @@
         Rows about a member that is not linked take a while to come around:
         as many turns as the view has parts, for each doubling of the fleet.
         """
-        count = len(self.members) + 1
+        count = self.alive + 1
         if member.direct or count <= FULL_MESH:
             return DEAD_AFTER_S
         turns = math.ceil(count / ROWS_PER_BEAT)
@@ -219,7 +223,7 @@
 
     def _sendable(self, name: InstanceId) -> bool:
         member = self.members[name]
-        if member.linked or len(self.members) < FULL_MESH:
+        if member.linked or self.alive < FULL_MESH:
             return member.linked
         # In a large fleet a link is opened when it is wanted.
         return member.dial_failed < member.heard
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -8,6 +8,7 @@
 import types
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, fields
+from enum import Enum
 from typing import Any, NewType, Union, get_args, get_origin, get_type_hints
 
 import cbor2
@@ -17,6 +18,8 @@
     EndpointId,
     InstanceId,
     PoolId,
+    Reason,
+    ReleaseResult,
     RequestKey,
     Revision,
     TeamId,
@@ -191,7 +194,7 @@
 
     key: RequestKey
     attempt: int
-    reason: str
+    reason: Reason
     detail: str
     retry_ms: int
     may_have_run: bool
@@ -212,8 +215,6 @@
 
     Attributes
     ----------
-    result : str
-        Value of a `ReleaseResult`.
     output_tokens, decode_ms : int
         What was generated, and in which time after the first byte.
     """
@@ -222,7 +223,7 @@
     attempt: int
     pool: PoolId
     endpoint: EndpointId
-    result: str
+    result: ReleaseResult
     output_tokens: int
     decode_ms: int
 
@@ -314,7 +315,7 @@
 def _plain_value(value: Any) -> Any:
     if isinstance(value, tuple):
         return [_plain(x) if isinstance(x, _NESTED) else x for x in value]
-    return value
+    return value.value if isinstance(value, Enum) else value
 
 
 def _decode_message(row: Any) -> Message:
@@ -360,6 +361,17 @@
     return check
 
 
+def _member_of(kind: type[Enum]) -> Check:
+    members = {member.value: member for member in kind}
+
+    def check(value: Any) -> Any:
+        if type(value) is not str or value not in members:
+            raise ProtocolError(f"expected a value of {kind.__name__}")
+        return members[value]
+
+    return check
+
+
 def _check_for(hint: Any) -> Check:
     if isinstance(hint, NewType):
         return _check_for(hint.__supertype__)
@@ -367,6 +379,8 @@
         return _tuple_of(_check_for(get_args(hint)[0]))
     if get_origin(hint) in {Union, types.UnionType}:
         raise TypeError("union fields have no encoding")
+    if isinstance(hint, type) and issubclass(hint, Enum):
+        return _member_of(hint)
     if hint in _NESTED:
         return _nested(hint)
     return _exactly(hint)
--- a/src/savorydyke/_scheduler.py
+++ b/src/savorydyke/_scheduler.py
@@ -12,12 +12,12 @@
 import trio
 
 from savorydyke import _logs
-from savorydyke._cell import ReleaseResult
 from savorydyke._ids import (
     EndpointId,
     InstanceId,
     PoolId,
     Reason,
+    ReleaseResult,
     RequestKey,
     TeamId,
 )
@@ -250,7 +250,7 @@
         else:
             retry_s = None if message.retry_ms < 0 else message.retry_ms / 1000
             pending.answer = Refused(
-                Reason(message.reason), message.detail, retry_s, message.may_have_run
+                message.reason, message.detail, retry_s, message.may_have_run
             )
         pending.answered.set()
 
@@ -273,7 +273,7 @@
                 grant.attempt,
                 pool,
                 grant.endpoint,
-                ReleaseResult.NOT_SENT.value,
+                ReleaseResult.NOT_SENT,
                 0,
                 0,
             )
@@ -306,7 +306,7 @@
             item.granted.attempt,
             item.demand.pool,
             item.granted.endpoint,
-            result.value,
+            result,
             output_tokens,
             int(decode_s * 1000),
         )
--- a/src/savorydyke_bench/_cost.py
+++ b/src/savorydyke_bench/_cost.py
@@ -11,13 +11,14 @@
 import typer
 
 from savorydyke import hash_key, read_manifest
-from savorydyke._cell import Cell, ReleaseResult, new_cell
+from savorydyke._cell import Cell, new_cell
 from savorydyke._configuration import Record
 from savorydyke._ids import (
     DataCentreId,
     EndpointId,
     InstanceId,
     PoolId,
+    ReleaseResult,
     RequestKey,
     Revision,
     TeamId,
@@ -192,7 +193,7 @@
         grant.attempt,
         POOL,
         grant.endpoint,
-        ReleaseResult.COMPLETE.value,
+        ReleaseResult.COMPLETE,
         270,
         7000,
     )
