--- a/src/savorydyke/_homes.py
+++ b/src/savorydyke/_homes.py
@@ -35,7 +35,6 @@
 SETTLE_S = 1.0
 IDLE_S = 60.0
 STALL_S = 1.0
-ORPHAN_CHECK_S = 0.5
 
 log = _logs.part("home")
 
--- a/src/savorydyke_bench/_cost_fleet.py
+++ b/src/savorydyke_bench/_cost_fleet.py
@@ -11,6 +11,7 @@
 import httpx
 import trio
 
+from savorydyke._monitor import LIST_S
 from savorydyke_bench._client import CallerRecord, Ended, chat, new_id, service_call
 from savorydyke_bench._cost import Measurement
 from savorydyke_bench._cost_link import measure_link
@@ -22,6 +23,9 @@
 DECODE_TOKENS_PER_S = 36.0
 IDLE_S = 8.0
 CLAIMS = (10, 20, 40, 80)
+LARGEST_FLEET = 9
+LISTS = 2
+"""Lists of the platform that each instance reads every `LIST_S` seconds."""
 DIRECT_CALLS = 200
 MODEL = "model"
 KEY = "key-of-team"
@@ -179,7 +183,7 @@
     reads = Measurement("platform reads of claims", "calls", "claim")
     writes = Measurement("platform writes of claims", "calls", "claim")
     with open_fleet() as fleet:
-        await site(3).start(fleet)
+        await site(LARGEST_FLEET).start(fleet)
         addresses = [i.callers for i in fleet.instances.values()]
         for count in CLAIMS:
             idle_start = await _platform_calls(fleet)
@@ -188,8 +192,7 @@
             await trio.sleep(1.0)
             end = await _platform_calls(fleet)
             took = trio.current_time() - start
-            # Each of the three instances reads two lists every 1.5 s.
-            idle = 4 * took
+            idle = LARGEST_FLEET * LISTS / LIST_S * took
             reads.points.append((count, end["read"] - idle_start["read"] - idle))
             writes.points.append((count, end["write"] - idle_start.get("write", 0)))
     return [reads, writes]
--- a/src/savorydyke_bench/_histories.py
+++ b/src/savorydyke_bench/_histories.py
@@ -66,7 +66,6 @@
     hop_s=0.0,
     client_s=0.0,
 )
-TIER_OF = {team.name: team.tier for team in SITE.teams}
 ALWAYS_APPROVED = ("crews", "drivers", "archive")
 
 
--- a/src/savorydyke_standins/_key_values.py
+++ b/src/savorydyke_standins/_key_values.py
@@ -18,7 +18,6 @@
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_WAIT_S = 10.0
-LEASE_CHECK_S = 0.1
 
 
 @dataclass
--- a/src/savorydyke_standins/_wire.py
+++ b/src/savorydyke_standins/_wire.py
@@ -6,8 +6,6 @@
 
 from savorydyke_standins._server import json_answer, read_json, serve_app
 
-CHUNK = 65_536
-
 
 class Wire:
     """One relayed address.
