--- a/src/savorydyke_bench/_policies.py
+++ b/src/savorydyke_bench/_policies.py
@@ -1,5 +1,6 @@
 """Baselines that send to engines directly, and an oracle with fresh knowledge."""
 
+import contextlib
 import heapq
 import itertools
 import random
@@ -7,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+import httpx
 import trio
 
 from savorydyke._prefixes import prefix_digests, prefix_tokens
@@ -46,8 +48,9 @@
         while True:
             for engine in self.site.engines:
                 url = f"http://{self.engine(engine.name).address}/load"
-                report = (await self.fleet.client.get(url)).json()
-                self.reported[engine.name] = report["requests"]
+                with contextlib.suppress(httpx.HTTPError):
+                    report = (await self.fleet.client.get(url)).json()
+                    self.reported[engine.name] = report["requests"]
             await trio.sleep(REPORT_S)
 
 
--- a/src/savorydyke_standins/_server.py
+++ b/src/savorydyke_standins/_server.py
@@ -30,6 +30,7 @@
     config.errorlog = logging.getLogger("standin")
     config.errorlog.setLevel("ERROR")
     config.keep_alive_timeout = 3600
+    config.keep_alive_max_requests = 10**9
     config.graceful_timeout = 0.1
     config.backlog = 1024
     await serve(app, config, shutdown_trigger=trio.sleep_forever)
