--- a/src/savorydyke/_fair_queue.py
+++ b/src/savorydyke/_fair_queue.py
@@ -8,9 +8,13 @@
 from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 
 from savorydyke._ids import EndpointId, InstanceId, RequestKey, TeamId
 
+LOOK_AHEAD = 4
+"""Requests of each team that are looked at for a grant."""
+
 
 @dataclass
 class Waiting:
@@ -52,10 +56,6 @@
     cost_s: float = 0.0
     waiting: OrderedDict[RequestKey, Waiting] = field(default_factory=OrderedDict)
 
-    def head(self) -> Waiting:
-        """Return the request that arrived first."""
-        return next(iter(self.waiting.values()))
-
     def newest(self) -> Waiting:
         """Return the request that arrived last."""
         return next(reversed(self.waiting.values()))
@@ -124,13 +124,17 @@
         self.remove(item.key)
 
     def heads(self) -> Iterator[Waiting]:
-        """Yield each team's first request, in the order of dispatch."""
+        """Yield each team's first requests, in the order of dispatch.
+
+        Those behind the first one matter when it waits by choice, for an
+        endpoint that holds its prefix.
+        """
         for rank in sorted(self.tiers):
             teams = sorted(
                 self.tiers[rank].teams.values(), key=lambda team: team.virtual_s
             )
             for team in teams:
-                yield team.head()
+                yield from islice(team.waiting.values(), LOOK_AHEAD)
 
     def lowest(self) -> Waiting | None:
         """Return the request to shed next.
