--- a/src/savorydyke_bench/_cost.py
+++ b/src/savorydyke_bench/_cost.py
@@ -245,16 +245,20 @@
         decisions = cell.acquire(message, entry, 2.0)
         granted += [d.answer for d in decisions if isinstance(d.answer, Grant)]
         if not granted:
-            running = next(iter(next(iter(cell.endpoints.values())).running.values()))
-            grant = Grant(running.key, running.attempt, EndpointId(""), False, ())
-            endpoint = cell.placed[running.key]
-            granted.append(Grant(grant.key, grant.attempt, endpoint, False, ()))
+            granted.append(_grant_in_use(cell))
         grant = granted.pop(0)
         more = cell.started(Started(grant.key, POOL, 50), 2.1)
         more += cell.release(make_release(grant), entry, 2.2)
         granted += [d.answer for d in more if isinstance(d.answer, Grant)]
 
 
+def _grant_in_use(cell: Cell) -> Grant:
+    """Return the grant of any request in flight."""
+    key, endpoint = next(iter(cell.placed.items()))
+    attempt = cell.endpoints[endpoint].running[key].attempt
+    return Grant(key, attempt, endpoint, resume=False, probe=())
+
+
 def measure_waiting_memory() -> Measurement:
     """Measure the memory of a waiting request at the home."""
     result = Measurement("home's memory", "bytes", "waiting request")
