Account for a pool also with nothing in flight; hold grants until endpoints have reported

Cause: a grant was lost with its link; the account at the new link came within the grace for grants on their way, and an entry with nothing in flight sent no further one. Seen on the way: a refusal while claims are unavailable released another attempt's grant. A home that is new or was paused now gives no grants until the endpoints of its pool have said whether they leave, or 1.5 s have passed.

--- a/features/homes.feature
+++ b/features/homes.feature
@@ -34,3 +34,8 @@
     Given an entry with a named request that waits at its home
     When its caller leaves just before the grant arrives
     Then the grant is released as not sent
+
+  Scenario: A home learns of a grant that was lost on the way
+    Given an entry with a named request that waits at its home
+    When its caller leaves and nothing of the entry is in flight any more
+    Then the entry still accounts for the pool every few seconds, with nothing
--- a/features/steps/decoder_steps.py
+++ b/features/steps/decoder_steps.py
@@ -105,7 +105,10 @@
             return report if isinstance(report, dict) else None
 
         cell = new_cell("p", manifest(), 0.0)
-        homes = SimpleNamespace(hosted={"p": SimpleNamespace(cell=cell)})
+        homes = SimpleNamespace(
+            hosted={"p": SimpleNamespace(cell=cell)},
+            reported=lambda pool, endpoint: None,
+        )
         adapter = SimpleNamespace(get_json=get_json)
         monitor = Monitor(homes, EndpointStates(), adapter, None, None, None, manifest)
         trio.run(monitor._poll_load, spec)
--- a/features/steps/homes_steps.py
+++ b/features/steps/homes_steps.py
@@ -15,6 +15,7 @@
 from savorydyke._membership import Membership
 from savorydyke._messages import Acquire, Grant, MemberRow, Refuse, Register, Release
 from savorydyke._scheduler import Demand, Granted, Scheduler
+from savorydyke._timers import TimerService
 
 KEY = "mid/r1"
 
@@ -222,3 +223,24 @@
     ((peer, release),) = context.entry.released()
     assert (peer, release.result) == ("h1", ReleaseResult.NOT_SENT)
     assert not context.entry.scheduler.in_flight
+
+
+@when("its caller leaves and nothing of the entry is in flight any more")
+def nothing_in_flight(context):
+    async def act(entry, nursery):
+        nursery.cancel_scope.cancel()
+        with trio.CancelScope(shield=True):
+            timers = TimerService(random.Random(1))
+            async with trio.open_nursery() as service:
+                service.start_soon(timers.run)
+                service.start_soon(entry.scheduler.reconcile, timers)
+                await trio.sleep(10)
+                service.cancel_scope.cancel()
+
+    context.entry, context.results = context.run_entry(act)
+
+
+@then("the entry still accounts for the pool every few seconds, with nothing")
+def accounts(context):
+    found = [m for _, m in context.entry.sent if isinstance(m, Register)]
+    assert len(found) >= 3 and not any(message.running for message in found)
--- a/src/savorydyke/_dispatch_once.py
+++ b/src/savorydyke/_dispatch_once.py
@@ -98,7 +98,8 @@
         deadline = trio.current_time() + HOME_ANSWER_S
         demand = replace(call.demand, resume_only=True, deadline=deadline)
         answer = await self.scheduler.acquire(demand)
-        self.scheduler.release(demand.key, ReleaseResult.NOT_SENT)
+        if isinstance(answer, Granted):
+            self.scheduler.release(demand.key, ReleaseResult.NOT_SENT)
         is_new = isinstance(answer, Refused) and not answer.may_have_run
         outcome = Outcome.NOT_RUN if is_new else Outcome.MAY_HAVE_RUN
         return Refusal(Reason.CLAIMS_UNAVAILABLE, detail, outcome)
--- a/src/savorydyke/_homes.py
+++ b/src/savorydyke/_homes.py
@@ -32,7 +32,7 @@
 from savorydyke._timers import TimerService
 
 TICK_S = 0.1
-SETTLE_S = 1.0
+SETTLE_S = 1.5
 IDLE_S = 60.0
 STALL_S = 1.0
 
@@ -50,13 +50,20 @@
     ----------
     unregistered : set of InstanceId
         Entries that have not yet registered what they have in flight.
+    unreported : set of EndpointId
+        Endpoints that have not yet said whether they are leaving.
     """
 
     cell: Cell
     settle_at: float
     unregistered: set[InstanceId]
+    unreported: set[EndpointId]
     used: float
 
+    def is_informed(self) -> bool:
+        """Return whether everyone who should know something has told it."""
+        return not self.unregistered and not self.unreported
+
 
 @dataclass
 class Homes:
@@ -130,7 +137,7 @@
             return
         hosted.cell.register(message, sender, now)
         hosted.unregistered.discard(sender)
-        if not hosted.unregistered:
+        if hosted.is_informed():
             self._settle(hosted, now)
 
     def _send(self, decisions: list[Decision]) -> None:
@@ -151,7 +158,7 @@
         for endpoint in self.states.leaving:
             cell.set_leaving(endpoint, True)
         entries = {*self.membership.live(), self.membership.id}
-        hosted = Hosted(cell, now + SETTLE_S, entries, now)
+        hosted = Hosted(cell, now + SETTLE_S, entries, set(cell.endpoints), now)
         self.hosted[pool] = hosted
         log.info("Cell hosted.", extra={"pool": pool})
         return hosted
@@ -170,6 +177,12 @@
 
     # Events
 
+    def reported(self, pool: PoolId, endpoint: EndpointId) -> None:
+        """Take in that an endpoint has said whether it is leaving."""
+        hosted = self.hosted.get(pool)
+        if hosted is not None:
+            hosted.unreported.discard(endpoint)
+
     def reconfigure(self, manifest: Manifest) -> None:
         """Hand a new manifest to all cells."""
         now = trio.current_time()
@@ -204,16 +217,20 @@
     def _check_stall(self, now: float) -> None:
         """Treat all cells as new after a pause of this process.
 
-        Other homes may have dispatched requests in the meantime.
+        Other homes may have dispatched requests, and endpoints may have begun
+        to leave, in the meantime.
         """
         if now - self.last_tick > STALL_S:
             for hosted in self.hosted.values():
                 hosted.cell.born = now
+                hosted.cell.settled = False
+                hosted.settle_at = now + SETTLE_S
+                hosted.unreported = set(hosted.cell.endpoints)
         self.last_tick = max(self.last_tick, now)
 
     def _tick(self, pool: PoolId, hosted: Hosted, now: float) -> None:
         cell = hosted.cell
-        if now >= hosted.settle_at or not hosted.unregistered:
+        if now >= hosted.settle_at or hosted.is_informed():
             self._settle(hosted, now)
         self.set_share(cell)
         if not self.membership.is_home(pool):
--- a/src/savorydyke/_scheduler.py
+++ b/src/savorydyke/_scheduler.py
@@ -333,15 +333,12 @@
         """Tell homes now and then what is in flight, until cancelled.
 
         A grant or a release may be lost with a link; this ends the difference.
+        An empty account matters too: the home may count a grant that got lost.
         """
-        told: set[PoolId] = set()
         async with timers.every(RECONCILE_S) as ticks:
             async for _ in ticks:
                 for pool, link in list(self.homes.items()):
-                    rows = self._rows(pool)
-                    if rows or pool in told:
-                        self.send(link.home, Register(pool, True, rows))
-                    (told.add if rows else told.discard)(pool)
+                    self.send(link.home, Register(pool, True, self._rows(pool)))
 
     def _rows(self, pool: PoolId) -> tuple[RunningRow, ...]:
         items = self.in_flight.values()
