--- a/src/savorydyke/_callers.py
+++ b/src/savorydyke/_callers.py
@@ -133,7 +133,6 @@
     active: int = 0
     requests: set[RequestId] = field(default_factory=set)
     held_bytes: int = 0
-    cut: int = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
@@ -318,7 +317,6 @@
             self._count(exchange, "complete")
             metrics.observe(metrics.total, tier, team, now - exchange.arrived)
         elif isinstance(result, CutOff):
-            self.cut += 1
             self._count(exchange, "cut")
         else:
             self._count(exchange, "caller-gone")
