--- a/features/steps/manifest_steps.py
+++ b/features/steps/manifest_steps.py
@@ -130,7 +130,7 @@
 
 @when("the daemon checks them")
 def daemon_checks(context):
-    arguments = ["-m", "savorydyke._daemon", "--config", str(context.path), "--check"]
+    arguments = ["-m", "savorydyke", "--config", str(context.path), "--check"]
     context.result = subprocess.run(
         [sys.executable, *arguments], capture_output=True, text=True, check=False
     )
--- /dev/null
+++ b/src/savorydyke/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the daemon: ``python -m savorydyke --config FILE``."""
+
+from savorydyke._main import main
+
+main()
--- /dev/null
+++ b/src/savorydyke/_alone.py
@@ -0,0 +1,47 @@
+"""Placement by an entry on its own, while the home of a pool is silent.
+
+Each instance may use a fixed share of every endpoint's places, so that all of
+them together do not use more than there are, whoever reaches whom.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from savorydyke._ids import EndpointId, InstanceId
+from savorydyke._manifest import Manifest
+from savorydyke._membership import rendezvous_score
+from savorydyke._scheduler import Demand
+
+
+def place_alone(
+    manifest: Manifest,
+    demand: Demand,
+    avoid: tuple[EndpointId, ...],
+    unusable: set[EndpointId],
+    in_flight: Iterable[EndpointId],
+    instance: InstanceId,
+    instances: int,
+) -> EndpointId | None:
+    """Return an endpoint within this instance's share, or None.
+
+    Parameters
+    ----------
+    in_flight : iterable of EndpointId
+        The endpoint of each request of this instance.
+    instances : int
+        How many instances share the endpoints.
+    """
+    used = Counter(in_flight)
+    free = [
+        spec
+        for name in manifest.reachable(demand.team, demand.pool)
+        if not (spec := manifest.endpoints[name]).drained
+        and name not in avoid
+        and name not in unusable
+        and used[name] < max(1, spec.max_concurrency // max(1, instances))
+    ]
+    if not free:
+        return None
+    # The hash makes instances begin at different endpoints.
+    best = min(free, key=lambda s: (used[s.id], rendezvous_score(s.id, instance)))
+    return best.id
--- a/src/savorydyke/_cell.py
+++ b/src/savorydyke/_cell.py
@@ -7,6 +7,7 @@
 """
 
 import heapq
+import math
 import random
 from collections import OrderedDict
 from dataclasses import dataclass, field
@@ -24,6 +25,8 @@
 )
 from savorydyke._manifest import Manifest, PoolKind
 from savorydyke._messages import Acquire, Grant, Refuse, Register, Release, Started
+from savorydyke._quota import Quotas
+from savorydyke._repeat_budget import RepeatBudget
 
 RECENT_KEPT = 20_000
 RECENT_S = 600.0
@@ -31,7 +34,11 @@
 RECONCILE_GRACE_S = 2.0
 YOUNG_S = 60.0
 """For how long after taking over a home may lack earlier request ids."""
-RETRY_RANGE_S = (1.0, 60.0)
+RETRY_RANGE_S = (0.1, 60.0)
+RETRY_SPREAD = 0.5
+"""Share of a time to come back by which returns are spread."""
+URGENCIES = 16
+"""Ranks that requests of one tier may have among themselves."""
 MARGIN = 1.2
 """Factor on predicted times that a deadline must leave room for."""
 MAX_WAIT_RATIO = 1.5
@@ -90,6 +97,10 @@
     settled : bool
         Whether grants may be given; false until the entries have registered
         what they have in flight.
+    quotas : Quotas
+        Tokens that the calling teams may use.
+    repeats : RepeatBudget or None
+        Limits sends beyond the first of each request; None for no limit.
     """
 
     pool: PoolId
@@ -100,6 +111,8 @@
     settled: bool = True
     estimates: Estimates = field(default_factory=Estimates)
     queue: FairQueue = field(default_factory=FairQueue)
+    quotas: Quotas = field(default_factory=Quotas)
+    repeats: RepeatBudget | None = None
     placed: dict[RequestKey, EndpointId] = field(default_factory=dict)
     recent: OrderedDict[RequestKey, Recent] = field(default_factory=OrderedDict)
     expiry: list[tuple[float, RequestKey, int]] = field(default_factory=list)
@@ -163,17 +176,40 @@
         if message.team not in self.manifest.teams:
             return [_deny(message, entry, Reason.NOT_APPROVED, "unknown team")]
         item = self._waiting(message, entry, now)
-        refusal = self._admit(item, now)
+        refusal = self._admit(item, now) or self._ration(item, message.repeat, now)
         if refusal is not None:
             return [refusal]
         self.queue.push(item)
-        latest = item.deadline - MARGIN * self.estimates.least_s(item)
-        heapq.heappush(self.expiry, (latest, item.key, item.attempt))
+        heapq.heappush(self.expiry, (self._latest(item), item.key, item.attempt))
         return self._shed(now) + self.pump(now)
 
+    def _latest(self, item: Waiting) -> float:
+        """Return until when a request may wait."""
+        latest = item.deadline - MARGIN * self.estimates.least_s(item)
+        if item.objective == math.inf:
+            return latest
+        return min(latest, item.objective - self.estimates.least_first_s(item))
+
+    def _ration(self, item: Waiting, repeat: bool, now: float) -> Decision | None:
+        """Refuse what is beyond the team's quota or the budget of repeats."""
+        if self.repeats is not None and not repeat:
+            self.repeats.request(now)
+        wait_s = self.quotas.wait_s(item.team, item.quota_tokens, now)
+        if wait_s > 0:
+            detail = "the team's quota is used up"
+            return self._refuse(item, Reason.QUOTA, detail, wait_s, now)
+        if self.repeats is not None and repeat and not self.repeats.take(now):
+            detail = "the budget of repeats is used up"
+            return self._refuse(item, Reason.REPEAT_BUDGET, detail, None, now)
+        # Reserved at once, so that what waits together stays within the quota.
+        self.quotas.charge(item.team, item.quota_tokens, now)
+        return None
+
     def withdraw(self, key: RequestKey) -> None:
         """Forget a waiting request whose caller has gone."""
-        self.queue.remove(key)
+        item = self.queue.remove(key)
+        if item is not None:
+            self.quotas.refund(item.team, item.quota_tokens)
 
     def started(self, message: Started, now: float) -> list[Decision]:
         """Take in that the first byte of an answer has arrived."""
@@ -209,13 +245,16 @@
         result = message.result
         load.remove(item.key)
         self.placed.pop(item.key, None)
-        if result in {ReleaseResult.NOT_SENT, ReleaseResult.UNREACHABLE}:
+        if result in _NOT_RUN:
+            self.quotas.refund(item.team, item.quota_tokens)
             if result is ReleaseResult.UNREACHABLE:
                 load.fail(now, self.rng)
                 self.estimates.prefixes.forget(load.id)
+            if result is ReleaseResult.REJECTED:
+                load.reject(now)
             return
         self._remember(item.key, load.id, now)
-        if result is ReleaseResult.CUT:
+        if result in {ReleaseResult.CUT, ReleaseResult.FAILED}:
             load.fail(now, self.rng)
             return
         if result is ReleaseResult.COMPLETE:
@@ -382,6 +421,8 @@
     ) -> Decision:
         """Return a refusal; a young home can not vouch for a named request."""
         ran = item.named and self._is_young(now)
+        if retry_s is not None:
+            retry_s *= 1 + RETRY_SPREAD * self.rng.random()
         retry_ms = -1 if retry_s is None else int(retry_s * 1000)
         refusal = Refuse(item.key, item.attempt, reason, detail, retry_ms, ran)
         return Decision(item.entry, refusal)
@@ -435,7 +476,8 @@
             attempt=message.attempt,
             entry=entry,
             team=message.team,
-            rank=self.manifest.rank(message.team),
+            rank=self.manifest.rank(message.team) * URGENCIES
+            + min(message.urgency, URGENCIES - 1),
             weight=team.weight,
             prompt_tokens=message.prompt_tokens,
             output_tokens=message.output_tokens,
@@ -446,6 +488,10 @@
             arrived=now,
             cost_s=0.0,
             named=message.named,
+            objective=math.inf
+            if message.objective_ms < 0
+            else now + message.objective_ms / 1000,
+            quota_tokens=message.quota_tokens,
         )
         item.cost_s = self.estimates.cost_s(item)
         return item
@@ -468,13 +514,27 @@
         if MARGIN * self.estimates.least_s(item) > left_s:
             detail = "no endpoint can answer within the deadline"
             return self._refuse(item, Reason.DEADLINE, detail, None, now)
-        if self._wait_s(item) + self.estimates.least_s(item) > left_s:
+        wait_s = self._wait_s(item)
+        if wait_s + self.estimates.least_s(item) > left_s:
             detail = "the queue is too long for the deadline"
             return self._refuse(
                 item, Reason.DEADLINE, detail, self.drain_s(item.rank), now
             )
+        first_s = wait_s + self.estimates.least_first_s(item)
+        if self._all_busy(now) and first_s > item.objective - now:
+            detail = "the queue is too long for the objective"
+            return self._refuse(
+                item, Reason.OBJECTIVE, detail, self.drain_s(item.rank), now
+            )
         return None
 
+    def _all_busy(self, now: float) -> bool:
+        """Return whether no endpoint has a place for one more request."""
+        return not any(
+            load.usable(now) and len(load.running) < load.credits(self.share)
+            for load in self.endpoints.values()
+        )
+
     def _shed(self, now: float) -> list[Decision]:
         """Refuse from the lowest tier while too many requests wait."""
         decisions = []
@@ -484,6 +544,7 @@
             if item is None:
                 break
             self.queue.remove(item.key)
+            self.quotas.refund(item.team, item.quota_tokens)
             retry_s = self.drain_s(item.rank)
             detail = f"{limit} requests wait in the pool"
             decisions.append(
@@ -499,7 +560,8 @@
             if item is None or item.attempt != attempt:
                 continue
             self.queue.remove(key)
-            detail = "the deadline can no longer be met"
+            self.quotas.refund(item.team, item.quota_tokens)
+            detail = "the deadline or objective can no longer be met"
             retry_s = self.drain_s(item.rank)
             decisions.append(self._refuse(item, Reason.DEADLINE, detail, retry_s, now))
         return decisions
@@ -536,6 +598,13 @@
     return cell
 
 
+_NOT_RUN = {
+    ReleaseResult.NOT_SENT,
+    ReleaseResult.UNREACHABLE,
+    ReleaseResult.REJECTED,
+}
+
+
 def _sooner(known: Option | None, option: Option) -> Option:
     if known is None or option.total_s < known.total_s:
         return option
--- a/src/savorydyke/_claims.py
+++ b/src/savorydyke/_claims.py
@@ -18,6 +18,7 @@
 import trio
 
 from savorydyke import _logs
+from savorydyke._backoff import backoff_s
 from savorydyke._exceptions import PlatformUnavailableError, ProtocolError
 from savorydyke._ids import InstanceId, PoolId, TeamId
 from savorydyke._membership import Membership
@@ -28,7 +29,6 @@
     Stored,
     Unknown,
     Written,
-    backoff_s,
 )
 from savorydyke._timers import TimerService
 
--- a/src/savorydyke/_daemon.py
+++ b/src/savorydyke/_daemon.py
@@ -1,13 +1,11 @@
 """``savorydyked``: one instance of the scheduler."""
 
-import argparse
 import gc
 import logging
 import random
 import signal
 import socket
 import ssl
-import sys
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -28,7 +26,6 @@
 from savorydyke._dispatch_once import OnceDispatcher
 from savorydyke._endpoint_load import Running
 from savorydyke._endpoint_states import EndpointStates
-from savorydyke._exceptions import FindingsError
 from savorydyke._homes import Homes
 from savorydyke._ids import EndpointId, InstanceId, PoolId, RequestId
 from savorydyke._membership import HEARTBEAT_S, Membership
@@ -39,6 +36,7 @@
     Grant,
     Heartbeat,
     Message,
+    Queued,
     Refuse,
     Register,
     Release,
@@ -51,7 +49,7 @@
 from savorydyke._peers import Peers
 from savorydyke._platform import Platform, open_platform
 from savorydyke._scheduler import Scheduler
-from savorydyke._settings import Settings, TlsFiles, read_settings
+from savorydyke._settings import Settings, TlsFiles
 from savorydyke._timers import TimerService
 
 STALLED_CALLER_MS = 30_000
@@ -62,7 +60,6 @@
 """Time in which peers learn that an instance leaves."""
 GRACE_AFTER_STOP_S = 0.5
 MAX_NAMES_LOGGED = 100
-EXIT_FINDINGS = 2
 EXIT_CUT = 1
 
 log = _logs.part("daemon")
@@ -98,7 +95,7 @@
         match message:
             case Acquire() | Register() | Release() | Started() | Withdraw():
                 self.homes.handle(sender, message)
-            case Grant() | Refuse():
+            case Grant() | Refuse() | Queued():
                 self.scheduler.handle(sender, message)
             case Heartbeat():
                 now = trio.current_time()
@@ -456,33 +453,3 @@
                 await trio.sleep(STOP_CHECK_S)
             nursery.cancel_scope.cancel()
     return status
-
-
-def main() -> None:
-    """Run the daemon's command line."""
-    parser = argparse.ArgumentParser(
-        prog="savorydyked", description="Run one instance of the scheduler."
-    )
-    parser.add_argument("--config", required=True, help="settings file")
-    parser.add_argument(
-        "--check", action="store_true", help="check the settings and exit"
-    )
-    options = parser.parse_args()
-    try:
-        settings = read_settings(options.config)
-    except OSError as error:
-        print(f"savorydyked: {options.config}: {error.strerror}", file=sys.stderr)
-        sys.exit(EXIT_FINDINGS)
-    except FindingsError as error:
-        for finding in error.findings:
-            print(finding, file=sys.stderr)
-        sys.exit(EXIT_FINDINGS)
-    if options.check:
-        print(f"{options.config}: no findings")
-        return
-    _logs.configure(settings.log_level, settings.instance)
-    sys.exit(trio.run(run, settings))
-
-
-if __name__ == "__main__":
-    main()
--- /dev/null
+++ b/src/savorydyke/_directory.py
@@ -0,0 +1,342 @@
+"""What the platform's store says: configuration, endpoints and instances.
+
+One watch follows all keys. Each answer of the store confirms that the newest
+configuration is known; peers pass their confirmations on. A version is never
+replaced by a lower one.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+import trio
+
+from savorydyke import _logs
+from savorydyke._backoff import backoff_s
+from savorydyke._freshness import Freshness, boot_time
+from savorydyke._ids import EndpointId, InstanceId, PoolId, TierId
+from savorydyke._manifest import (
+    SERVICE_CALL_TOKENS,
+    Endpoint,
+    Manifest,
+    Pool,
+    PoolKind,
+    Team,
+    Tier,
+)
+from savorydyke._routes import PUBLIC_TEAM, RoutedConfiguration, RoutedTeam
+from savorydyke.platform import (
+    CONFIGURATION_KEY,
+    BadRecordError,
+    Change,
+    Changes,
+    EndpointRecord,
+    InstanceRecord,
+    Store,
+    StoreError,
+    endpoint_of_key,
+    instance_of_key,
+    read_configuration,
+    read_endpoint,
+    read_instance,
+)
+
+WATCH_WAIT_S = 1.0
+"""A quarter of the usual bound on revoked keys, so that two may fail."""
+WATCH_PAUSE_S = 0.25
+"""Gathers the endpoints' heartbeats, of which each would end a watch."""
+RETRY_BASE_S = 0.1
+RETRY_MOST_S = 1.0
+LAPSE_GRACE_S = 2.0
+"""Entries of live endpoints are back this long after the store's return."""
+GONE_KEPT_S = 10.0
+"""For how long peers are told of an endpoint that has left."""
+OPEN_DEADLINE_S = 30.0
+"""Deadline of requests that name none and whose route has none."""
+ENGINE_PREFILL_TOKENS_PER_S = 40_000.0
+ENGINE_DECODE_TOKENS_PER_S = 250.0
+SERVICE_CALLS_PER_S = 12.0
+MAX_WAITING = 2000
+"""Speeds until they are learned, of the users' present engines and services."""
+
+log = _logs.part("directory")
+
+
+@dataclass
+class Directory:
+    """The newest state of the store that this instance knows.
+
+    Attributes
+    ----------
+    record : bytes
+        The configuration as it is stored, for peers that can not read it.
+    manifest : Manifest or None
+        The same as the scheduler's cells see it.
+    loaded : bool
+        Whether the endpoints have been read.
+    connected : bool
+        Whether the latest call of the store was answered.
+    returned : float
+        When the store last answered after it had not.
+    suspects : dict
+        Endpoints whose entries were missing after an outage, and until when
+        they are given the benefit of the doubt, on the monotonic clock.
+    listeners : list of callable
+        Called with each new manifest.
+    """
+
+    store: Store
+    freshness: Freshness
+    rng: random.Random
+    configuration: RoutedConfiguration | None = None
+    record: bytes = b""
+    manifest: Manifest | None = None
+    loaded: bool = False
+    endpoints: dict[EndpointId, EndpointRecord] = field(default_factory=dict)
+    instances: dict[InstanceId, InstanceRecord] = field(default_factory=dict)
+    suspects: dict[EndpointId, float] = field(default_factory=dict)
+    gone: dict[EndpointId, float] = field(default_factory=dict)
+    connected: bool = False
+    returned: float = float("-inf")
+    listeners: list[Callable[[Manifest], None]] = field(default_factory=list)
+
+    @property
+    def version(self) -> int:
+        """Return the configuration's version, 0 for none."""
+        return self.configuration.version if self.configuration else 0
+
+    # Following the store
+
+    async def follow(self) -> None:
+        """Follow the store until cancelled."""
+        revision = 0
+        failures = 0
+        while True:
+            sent = boot_time()
+            try:
+                if revision == 0:
+                    revision = await self._load(sent)
+                else:
+                    revision = await self._watch(revision, sent)
+                failures = 0
+                await trio.sleep(WATCH_PAUSE_S)
+            except StoreError as error:
+                failures += 1
+                self.connected = False
+                if failures == 1:
+                    log.warning("Store lost.", extra={"error": str(error)})
+                wait_s = backoff_s(failures, RETRY_BASE_S, RETRY_MOST_S, self.rng)
+                await trio.sleep(RETRY_BASE_S / 2 + wait_s)
+
+    async def _load(self, sent: float) -> int:
+        """Read everything; return the revision from which to watch."""
+        listing = await self.store.list("")
+        self._answered()
+        named = {item.key for item in listing.items}
+        for item in listing.items:
+            self._take(Change(item.key, item.value, item.revision))
+        for endpoint in list(self.endpoints):
+            if not any(endpoint_of_key(key) == endpoint for key in named):
+                self._endpoint_missing(endpoint)
+        for instance in list(self.instances):
+            if not any(instance_of_key(key) == instance for key in named):
+                del self.instances[instance]
+        self.freshness.confirm(sent)
+        self.loaded = True
+        self._publish()
+        log.info(
+            "Store read.",
+            extra={"version": self.version, "endpoints": len(self.endpoints)},
+        )
+        return listing.revision
+
+    async def _watch(self, revision: int, sent: float) -> int:
+        changes = await self.store.watch("", revision, WATCH_WAIT_S)
+        self._answered()
+        if not isinstance(changes, Changes):
+            log.info("History gone; reading everything.", extra={"revision": revision})
+            return 0
+        before = (self.version, dict(self.endpoints))
+        for change in changes.changes:
+            self._take(change)
+        self._settle_suspects()
+        self.freshness.confirm(sent)
+        if before != (self.version, self.endpoints):
+            self._publish()
+        return max(revision, changes.revision)
+
+    def _answered(self) -> None:
+        """Note that the store has answered, perhaps after an outage."""
+        if not self.connected:
+            self.returned = trio.current_time()
+            log.info("Store answers.", extra={"version": self.version})
+        self.connected = True
+
+    # Records
+
+    def _take(self, change: Change) -> None:
+        if change.key == CONFIGURATION_KEY:
+            if change.value is not None:
+                self.offer(change.value)
+            return
+        endpoint = endpoint_of_key(change.key)
+        if endpoint is not None:
+            self._take_endpoint(endpoint, change.value)
+            return
+        instance = instance_of_key(change.key)
+        if instance is not None:
+            self._take_instance(instance, change.value)
+
+    def _take_endpoint(self, endpoint: EndpointId, data: bytes | None) -> None:
+        if data is None:
+            self._endpoint_missing(endpoint)
+            return
+        try:
+            record = read_endpoint(endpoint, data)
+        except BadRecordError as error:
+            extra = {"endpoint": endpoint, "error": str(error)}
+            log.warning("Endpoint entry unreadable.", extra=extra)
+            self._remove_endpoint(endpoint, "entry unreadable")
+            return
+        self.suspects.pop(endpoint, None)
+        known = self.endpoints.get(endpoint)
+        if known is not None and known.born_ms > record.born_ms:
+            return
+        if not record.leaving:
+            self.gone.pop(endpoint, None)
+        if known is None or replace(known, warming_s=0) != replace(record, warming_s=0):
+            changed: dict[str, object] = {
+                "endpoint": endpoint,
+                "pool": record.pool,
+                "leaving": record.leaving,
+                "born_ms": record.born_ms,
+            }
+            log.info("Endpoint entry changed.", extra=changed)
+            self.endpoints[endpoint] = record
+
+    def _endpoint_missing(self, endpoint: EndpointId) -> None:
+        """Drop an endpoint, unless its entry may have lapsed in an outage."""
+        if endpoint not in self.endpoints:
+            return
+        until = self.returned + LAPSE_GRACE_S
+        if trio.current_time() < until:
+            self.suspects.setdefault(endpoint, until)
+            return
+        self._remove_endpoint(endpoint, "entry removed")
+
+    def _settle_suspects(self) -> None:
+        now = trio.current_time()
+        for endpoint, until in list(self.suspects.items()):
+            if now >= until:
+                del self.suspects[endpoint]
+                self._remove_endpoint(endpoint, "entry not back after an outage")
+
+    def _remove_endpoint(self, endpoint: EndpointId, why: str) -> None:
+        if self.endpoints.pop(endpoint, None) is None:
+            return
+        self.gone[endpoint] = trio.current_time()
+        log.info("Endpoint gone.", extra={"endpoint": endpoint, "why": why})
+
+    def leaving(self) -> set[EndpointId]:
+        """Return endpoints that peers should know to be leaving or gone."""
+        now = trio.current_time()
+        self.gone = {e: t for e, t in self.gone.items() if now - t < GONE_KEPT_S}
+        return {e.id for e in self.endpoints.values() if e.leaving} | set(self.gone)
+
+    def _take_instance(self, instance: InstanceId, data: bytes | None) -> None:
+        if data is None:
+            self.instances.pop(instance, None)
+            return
+        try:
+            self.instances[instance] = read_instance(instance, data)
+        except BadRecordError as error:
+            extra = {"instance": instance, "error": str(error)}
+            log.warning("Instance entry unreadable.", extra=extra)
+
+    def offer(self, data: bytes) -> bool:
+        """Take over a configuration if it is newer; return whether it was."""
+        try:
+            configuration = read_configuration(data)
+        except BadRecordError as error:
+            log.error("Configuration unreadable.", extra={"error": str(error)})
+            return False
+        if configuration.version <= self.version:
+            return False
+        self.configuration = configuration
+        self.record = data
+        log.info("Version in force.", extra={"version": configuration.version})
+        return True
+
+    def take_push(self, data: bytes) -> None:
+        """Take over a configuration from a peer."""
+        if self.offer(data):
+            self._publish()
+
+    def _publish(self) -> None:
+        if self.configuration is None:
+            return
+        self.manifest = build_manifest(self.configuration, self.endpoints)
+        for listener in self.listeners:
+            listener(self.manifest)
+
+
+def build_manifest(
+    configuration: RoutedConfiguration,
+    endpoints: dict[EndpointId, EndpointRecord],
+) -> Manifest:
+    """Return routes, teams and endpoints in the form that cells decide by."""
+    teams = [*configuration.teams.values(), RoutedTeam(PUBLIC_TEAM, 0, ())]
+    ranks = sorted({team.rank for team in teams})
+    tiers = {
+        TierId(f"tier-{rank}"): Tier(
+            TierId(f"tier-{rank}"), ranks.index(rank), OPEN_DEADLINE_S
+        )
+        for rank in ranks
+    }
+    pools = {
+        pool.id: Pool(pool.id, pool.kind, (), (), MAX_WAITING)
+        for pool in configuration.pools.values()
+    }
+    specs = {
+        record.id: _endpoint(record, configuration)
+        for record in endpoints.values()
+        if record.pool in pools
+    }
+    by_pool: dict[PoolId, frozenset[EndpointId]] = {
+        pool: frozenset(s.id for s in specs.values() if s.pool == pool)
+        for pool in pools
+    }
+    return Manifest(
+        tiers=tiers,
+        teams={team.id: _team(team) for team in teams},
+        pools=pools,
+        endpoints=specs,
+        access=(),
+        approvals=(),
+        reach={(t.id, pool): ids for t in teams for pool, ids in by_pool.items()},
+        pool_of_model={},
+    )
+
+
+def _team(team: RoutedTeam) -> Team:
+    return Team(team.id, TierId(f"tier-{team.rank}"), (), 1.0, MAX_WAITING)
+
+
+def _endpoint(record: EndpointRecord, configuration: RoutedConfiguration) -> Endpoint:
+    pool = configuration.pools[record.pool]
+    is_engine = pool.kind is PoolKind.ENGINE
+    call_speed = SERVICE_CALLS_PER_S * SERVICE_CALL_TOKENS
+    return Endpoint(
+        id=record.id,
+        pool=record.pool,
+        address=record.address,
+        data_centre=record.data_centre,
+        owner="",
+        resumes=False,
+        checks_fencing=False,
+        drained=record.leaving,
+        max_concurrency=record.slots,
+        max_tokens=pool.memory_tokens if is_engine else record.slots * 10**9,
+        prefill_tokens_per_s=ENGINE_PREFILL_TOKENS_PER_S if is_engine else call_speed,
+        decode_tokens_per_s=ENGINE_DECODE_TOKENS_PER_S if is_engine else 1e9,
+    )
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -4,11 +4,11 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from savorydyke._backoff import backoff_s
 from savorydyke._fair_queue import Waiting
 from savorydyke._ids import EndpointId, InstanceId, RequestKey, TeamId
 from savorydyke._manifest import Endpoint, PoolKind
 from savorydyke._messages import RunningRow
-from savorydyke._platform import backoff_s
 
 PREFILL_WINDOW_S = 0.3
 """Prefill that may wait inside an engine, beyond which order is kept here."""
@@ -20,6 +20,8 @@
 OVERDUE_RATIO = 2.0
 CIRCUIT_BASE_S = 0.5
 CIRCUIT_MOST_S = 15.0
+REJECTED_PAUSE_S = 0.1
+"""About the time in which a full endpoint ends one of its requests."""
 REPORTS_KEPT = 3
 MIN_PREDICTION_S = 0.005
 
@@ -49,6 +51,7 @@
     predicted_first_s: float
     started: bool = False
     orphaned: float | None = None
+    quota_tokens: int = 0
 
 
 @dataclass
@@ -161,6 +164,7 @@
             granted=now,
             predicted_first_s=self.first_byte_s(uncached),
             started=started,
+            quota_tokens=request.quota_tokens if isinstance(request, Waiting) else 0,
         )
         self.running[item.key] = item
         self.tokens += item.prompt_tokens + item.output_tokens
@@ -231,6 +235,10 @@
         )
         self.open_until = now + wait
 
+    def reject(self, now: float) -> None:
+        """Leave a full endpoint alone for a moment."""
+        self.open_until = max(self.open_until, now + REJECTED_PAUSE_S)
+
     def succeed(self) -> None:
         """Close the circuit."""
         self.failures = 0
--- a/src/savorydyke/_estimates.py
+++ b/src/savorydyke/_estimates.py
@@ -72,6 +72,13 @@
         ]
         return min(times, default=0.0)
 
+    def least_first_s(self, item: Waiting) -> float:
+        """Return the least time in which an idle endpoint would begin to answer."""
+        times = [
+            load.prefill_s(self.uncached(load, item)) for load in self.remaining(item)
+        ]
+        return min(times, default=0.0)
+
     def cost_s(self, item: Waiting) -> float:
         """Return the time of an average endpoint that a request takes."""
         output = self.output(item)
--- a/src/savorydyke/_fair_queue.py
+++ b/src/savorydyke/_fair_queue.py
@@ -5,6 +5,7 @@
 divided by the team's weight (start-time fair queueing).
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -28,6 +29,10 @@
         Times on the home's monotonic clock, in seconds.
     cost_s : float
         Estimated engine time, in seconds.
+    objective : float
+        Time by which the first byte is due, on the same clock.
+    quota_tokens : int
+        What the request counts against its team's quota.
     """
 
     key: RequestKey
@@ -45,6 +50,8 @@
     arrived: float
     cost_s: float
     named: bool
+    objective: float = math.inf
+    quota_tokens: int = 0
 
 
 @dataclass
--- /dev/null
+++ b/src/savorydyke/_gateway.py
@@ -0,0 +1,442 @@
+"""An instance that serves routed callers on the users' platform."""
+
+import gc
+import json
+import random
+import signal
+import time
+from dataclasses import dataclass
+
+import trio
+
+from savorydyke import _logs
+from savorydyke._alone import place_alone
+from savorydyke._backoff import backoff_s
+from savorydyke._cell import Cell
+from savorydyke._directory import Directory
+from savorydyke._endpoint_states import EndpointStates
+from savorydyke._freshness import Freshness, boot_time
+from savorydyke._gateway_settings import GatewaySettings, read_gateway_settings
+from savorydyke._homes import Homes
+from savorydyke._ids import EndpointId, InstanceId, PoolId, Revision
+from savorydyke._ingress import (
+    Incoming,
+    Ingress,
+    IngressLimits,
+    Responder,
+    open_listener,
+)
+from savorydyke._membership import HEARTBEAT_S, Membership
+from savorydyke._messages import (
+    Acquire,
+    ConfigurationPush,
+    ConfigurationRequest,
+    Grant,
+    Heartbeat,
+    Message,
+    Queued,
+    Refuse,
+    Register,
+    Release,
+    Started,
+    Withdraw,
+)
+from savorydyke._peers import Peers
+from savorydyke._repeat_budget import RepeatBudget
+from savorydyke._routed import RoutedCallers
+from savorydyke._scheduler import Demand, Scheduler
+from savorydyke._timers import TimerService
+from savorydyke.platform import (
+    READINESS_PATH,
+    InstanceRecord,
+    Item,
+    LeaseLost,
+    Store,
+    StoreError,
+    instance_key,
+    open_store,
+    write_instance,
+)
+
+LEASE_S = 10.0
+KEEP_LEASE_S = 3.0
+"""A third of the lease, so that two renewals may fail."""
+RETRY_BASE_S = 0.2
+RETRY_MOST_S = 1.0
+FLEET_KEY = "savorydyke/fleet-key"
+FLEET_KEY_BYTES = 24
+DRAIN_NOTICE_S = 2.6
+"""The balancer asks once a second and takes an instance out after two misses."""
+STOP_MARGIN_S = 0.6
+"""Time between the last cut and the kill."""
+STOP_CHECK_S = 0.02
+READY_AGE_SHARE = 0.8
+"""Share of the bound on revoked keys after which no new callers are wanted."""
+
+log = _logs.part("gateway")
+
+
+@dataclass
+class Gateway:
+    """The parts of one instance and how messages travel between them.
+
+    Attributes
+    ----------
+    stopping : bool
+        Whether the signal to stop has come.
+    """
+
+    settings: GatewaySettings
+    rng: random.Random
+    timers: TimerService
+    store: Store
+    freshness: Freshness
+    directory: Directory
+    membership: Membership
+    peers: Peers
+    states: EndpointStates
+    homes: Homes
+    scheduler: Scheduler
+    stopping: bool = False
+
+    def deliver(self, instance: InstanceId, message: Message) -> None:
+        """Send a message to an instance, possibly this one."""
+        if instance == self.membership.id:
+            self.handle(instance, message)
+        else:
+            self.peers.send(instance, message)
+
+    def handle(self, sender: InstanceId, message: Message) -> None:
+        """Hand a message to the part that it is for."""
+        match message:
+            case Acquire() | Register() | Release() | Started() | Withdraw():
+                self.homes.handle(sender, message)
+            case Grant() | Refuse() | Queued():
+                self.scheduler.handle(sender, message)
+            case Heartbeat():
+                self._hear_heartbeat(sender, message)
+            case ConfigurationRequest():
+                self._answer_configuration(sender, message)
+            case ConfigurationPush():
+                self.directory.take_push(message.record)
+
+    def _hear_heartbeat(self, sender: InstanceId, beat: Heartbeat) -> None:
+        now = trio.current_time()
+        self.membership.hear_heartbeat(sender, beat, now)
+        self.states.hear(beat.leaving_endpoints, now)
+        if beat.revision > self.directory.version:
+            request = ConfigurationRequest(Revision(self.directory.version))
+            self.peers.send(sender, request)
+            return
+        self.freshness.hear(beat.echo, beat.confirmed_ms)
+
+    def _answer_configuration(
+        self, peer: InstanceId, request: ConfigurationRequest
+    ) -> None:
+        directory = self.directory
+        if directory.version > request.revision:
+            push = ConfigurationPush(Revision(directory.version), directory.record)
+            self.peers.send(peer, push)
+
+    async def beat(self) -> None:
+        """Send heartbeats and judge members until cancelled."""
+        async with self.timers.every(HEARTBEAT_S) as ticks:
+            async for _ in ticks:
+                now = trio.current_time()
+                counter = self.membership.beat(now)
+                self.freshness.beat(counter, boot_time())
+                self._send_heartbeats(counter, now)
+                self.states.set_listed(self.directory.leaving(), now)
+                self.membership.update(now)
+                records = self.directory.instances.values()
+                self.peers.listed = {record.address for record in records}
+
+    def _send_heartbeats(self, counter: int, now: float) -> None:
+        peers = list(self.peers.links)
+        informed = self.rng.choice(peers) if peers else None
+        for peer in peers:
+            member = self.membership.members.get(peer)
+            rows = self.membership.rows(now) if peer == informed else ()
+            beat = Heartbeat(
+                counter=counter,
+                echo=member.direct_counter if member else 0,
+                leaving=self.membership.leaving,
+                revision=Revision(self.directory.version),
+                confirmed_ms=self.freshness.age_ms(boot_time()),
+                leaving_endpoints=self.states.first_hand(),
+                rows=rows,
+            )
+            self.peers.send(peer, beat)
+
+    def is_ready(self) -> bool:
+        """Return whether new callers are welcome."""
+        if self.stopping or not self.directory.loaded:
+            return False
+        age_s = self.freshness.age_s(boot_time())
+        return age_s <= READY_AGE_SHARE * self.settings.bounds.revocation_s
+
+    def pools(self) -> list[PoolId]:
+        """Return the pools of the configuration."""
+        manifest = self.directory.manifest
+        return list(manifest.pools) if manifest else []
+
+    def place_alone(
+        self, demand: Demand, avoid: tuple[EndpointId, ...]
+    ) -> EndpointId | None:
+        """Place a request whose home is silent."""
+        manifest = self.directory.manifest
+        if manifest is None:
+            return None
+        in_flight = [i.granted.endpoint for i in self.scheduler.in_flight.values()]
+        name = place_alone(
+            manifest,
+            demand,
+            avoid,
+            self.states.leaving,
+            in_flight,
+            self.membership.id,
+            self.membership.known(),
+        )
+        log.info(
+            "Home silent.",
+            extra={
+                "request": demand.key,
+                "pool": demand.pool,
+                "home": self.membership.home(demand.pool),
+                "endpoint": name or "",
+            },
+        )
+        return name
+
+    # The own entry in the store
+
+    async def keep_entry(self) -> None:
+        """Keep this instance's entry in the store until cancelled."""
+        failures = 0
+        lease = 0
+        while True:
+            try:
+                if lease == 0 or not await self.store.keep_lease(lease):
+                    lease = await self._enter()
+                failures = 0
+                await trio.sleep(KEEP_LEASE_S)
+            except StoreError as error:
+                failures += 1
+                log.debug("Entry not renewed.", extra={"error": str(error)})
+                await trio.sleep(
+                    backoff_s(failures, RETRY_BASE_S, RETRY_MOST_S, self.rng)
+                )
+
+    async def _enter(self) -> int:
+        """Write this instance's entry; return its lease, or 0."""
+        lease = await self.store.open_lease(LEASE_S)
+        settings = self.settings
+        record = InstanceRecord(settings.instance, settings.peers, settings.data_centre)
+        data = write_instance(record)
+        result = await self.store.write(instance_key(settings.instance), data, lease)
+        return 0 if isinstance(result, LeaseLost) else lease
+
+
+async def fleet_key(store: Store, rng: random.Random) -> str:
+    """Return the secret that the fleet's instances prove to each other.
+
+    The first instance ever makes it; it lasts in the store.
+    """
+    offered = random.SystemRandom().randbytes(FLEET_KEY_BYTES).hex()
+    failures = 0
+    while True:
+        try:
+            found = await store.create(FLEET_KEY, offered.encode())
+            if isinstance(found, Item):
+                return found.value.decode()
+            return offered
+        except StoreError as error:
+            failures += 1
+            log.warning("Fleet key not read.", extra={"error": str(error)})
+            await trio.sleep(backoff_s(failures, RETRY_BASE_S, RETRY_MOST_S, rng))
+
+
+def new_gateway(settings: GatewaySettings, store: Store) -> Gateway:
+    """Return the parts of an instance, connected with each other."""
+    rng = random.Random()
+    freshness = Freshness()
+    directory = Directory(store, freshness, rng)
+    membership = Membership(
+        settings.instance,
+        settings.peers,
+        settings.data_centre,
+        time.time_ns() // 1_000_000,
+    )
+    peers = Peers(
+        membership, "", lambda sender, message: gateway.handle(sender, message), rng
+    )
+    states = EndpointStates()
+    homes = Homes(
+        membership=membership,
+        states=states,
+        manifest=lambda: directory.manifest,
+        answer=lambda entry, answer: gateway.deliver(entry, answer),
+        cancel_orphan=lambda endpoint, item: None,
+        orphan_grace_s=0.5,
+        rng=rng,
+        endpoints_report=False,
+        equip=lambda cell: _equip(cell, settings, directory),
+    )
+    scheduler = Scheduler(
+        membership=membership,
+        send=lambda peer, message: gateway.deliver(peer, message),
+        link=lambda peer: peers.links.get(peer),
+        pools=lambda: gateway.pools(),
+        place_alone=lambda demand, avoid: gateway.place_alone(demand, avoid),
+    )
+    gateway = Gateway(
+        settings,
+        rng,
+        TimerService(rng),
+        store,
+        freshness,
+        directory,
+        membership,
+        peers,
+        states,
+        homes,
+        scheduler,
+    )
+    membership.listeners.append(scheduler.follow_homes)
+    membership.lost.append(homes.entry_lost)
+    states.listeners.append(homes.set_leaving)
+    directory.listeners.append(homes.reconfigure)
+    directory.listeners.append(lambda manifest: _follow_quotas(homes, directory))
+    directory.listeners.append(lambda manifest: scheduler.follow_homes())
+    return gateway
+
+
+def _equip(cell: Cell, settings: GatewaySettings, directory: Directory) -> None:
+    """Give a cell the calling teams' quotas and the budget of repeats."""
+    bounds = settings.bounds
+    cell.repeats = RepeatBudget(
+        bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_s
+    )
+    if directory.configuration is not None:
+        teams = directory.configuration.teams
+        cell.quotas.limits = {team.id: team.quota for team in teams.values()}
+
+
+def _follow_quotas(homes: Homes, directory: Directory) -> None:
+    assert directory.configuration is not None
+    teams = directory.configuration.teams
+    limits = {team.id: team.quota for team in teams.values()}
+    for hosted in homes.hosted.values():
+        hosted.cell.quotas.limits = limits
+
+
+async def run(settings: GatewaySettings, path: str) -> int:
+    """Run an instance until it is told to stop; return the exit status."""
+    store = open_store(settings.store)
+    gateway = new_gateway(settings, store)
+    async with trio.open_nursery() as nursery:
+        callers = RoutedCallers(
+            settings.instance,
+            gateway.directory,
+            gateway.scheduler,
+            nursery,
+            gateway.rng,
+            settings.bounds.revocation_s,
+            lambda: gateway.states.leaving,
+        )
+        ingress = Ingress(
+            callers.handle,
+            callers.refuse_unreadable,
+            lambda: _limits(gateway.directory),
+        )
+        readiness = Ingress(
+            lambda request, responder: _answer_ready(gateway, request, responder),
+            callers.refuse_unreadable,
+            IngressLimits,
+        )
+        nursery.start_soon(_listen, settings.readiness, readiness)
+        nursery.start_soon(_listen, settings.callers, ingress)
+        nursery.start_soon(gateway.timers.run)
+        nursery.start_soon(gateway.directory.follow)
+        nursery.start_soon(_join, gateway)
+        log.info("Started.", extra={"callers": settings.callers})
+        gc.freeze()
+        await _wait_for_stop(gateway, callers, ingress, path)
+        nursery.cancel_scope.cancel()
+    log.info("Stopped.", extra={"active": ingress.active})
+    return 0
+
+
+async def _join(gateway: Gateway) -> None:
+    """Take part in the fleet until cancelled."""
+    secret = await fleet_key(gateway.store, gateway.rng)
+    gateway.peers.shared_key = secret.encode()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(gateway.peers.listen, gateway.settings.peers)
+        nursery.start_soon(gateway.keep_entry)
+        nursery.start_soon(gateway.beat)
+        nursery.start_soon(gateway.peers.manage)
+        nursery.start_soon(gateway.homes.run, gateway.timers)
+        nursery.start_soon(gateway.scheduler.reconcile, gateway.timers)
+
+
+async def _listen(address: str, ingress: Ingress) -> None:
+    await trio.serve_listeners(ingress.serve, [open_listener(address)])
+
+
+def _limits(directory: Directory) -> IngressLimits:
+    configuration = directory.configuration
+    return configuration.limits if configuration else IngressLimits()
+
+
+async def _answer_ready(
+    gateway: Gateway, request: Incoming, responder: Responder
+) -> None:
+    if request.target.partition(b"?")[0] != READINESS_PATH:
+        await responder.whole(404, [], b"")
+        return
+    body = {
+        "ready": gateway.is_ready(),
+        "version": gateway.directory.version,
+        "peers": len(gateway.peers.links),
+    }
+    status = 200 if gateway.is_ready() else 503
+    headers = [(b"Content-Type", b"application/json")]
+    await responder.whole(status, headers, json.dumps(body).encode())
+
+
+async def _wait_for_stop(
+    gateway: Gateway, callers: RoutedCallers, ingress: Ingress, path: str
+) -> None:
+    """Wait for the signal to stop, then until the work in progress has ended."""
+    with trio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for number in signals:
+            if number != signal.SIGHUP:
+                break
+            _reload(gateway, path)
+        log.info("Stopping.", extra={"active": ingress.active})
+        gateway.stopping = True
+        gateway.membership.leaving = True
+        gateway.membership.notify()
+        ingress.closing = True
+        stop_s = gateway.settings.bounds.stop_s
+        with trio.move_on_after(stop_s - STOP_MARGIN_S):
+            # The balancer sends callers here until it has seen two misses.
+            await trio.sleep(min(DRAIN_NOTICE_S, stop_s / 3))
+            callers.refusing = True
+            ingress.close_idle()
+            while ingress.active:
+                await trio.sleep(STOP_CHECK_S)
+                ingress.close_idle()
+
+
+def _reload(gateway: Gateway, path: str) -> None:
+    """Check the settings again; what has changed takes effect at the next start."""
+    try:
+        settings = read_gateway_settings(path)
+    except Exception as error:
+        log.error("Settings not reloaded.", extra={"error": str(error)})
+        return
+    log.info("Settings read.", extra={"changed": settings != gateway.settings})
--- /dev/null
+++ b/src/savorydyke/_gateway_settings.py
@@ -0,0 +1,113 @@
+"""Settings of an instance that serves routed callers: JSON with comments."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from savorydyke._exceptions import FindingsError
+from savorydyke._findings import Fields, Findings, read_document
+from savorydyke._ids import DataCentreId, InstanceId
+
+EDGES = "routed"
+"""Value of ``edges`` that marks settings of this kind."""
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """What the users' rules allow, as their deployment states it.
+
+    Attributes
+    ----------
+    revocation_s : float
+        Time after which a key that was taken away must not work.
+    stop_s : float
+        Time from the signal to stop until the process is killed.
+    repeat_ratio, repeat_slack, repeat_window_s : float
+        Sends beyond the first of each request: share of the requests in a
+        window, and number beyond that.
+    """
+
+    revocation_s: float
+    stop_s: float
+    repeat_ratio: float
+    repeat_slack: float
+    repeat_window_s: float
+
+
+@dataclass(frozen=True)
+class GatewaySettings:
+    """Settings of one instance.
+
+    Attributes
+    ----------
+    callers, readiness, peers, metrics : str
+        Addresses to listen on, an IP number and a port each; `metrics` may be
+        empty.
+    store : str
+        Address of the platform's store.
+    """
+
+    instance: InstanceId
+    data_centre: DataCentreId
+    callers: str
+    readiness: str
+    peers: str
+    metrics: str
+    store: str
+    log_level: str
+    bounds: Bounds
+
+
+def is_gateway(text: str, file: str) -> bool:
+    """Return whether a settings document is of this kind."""
+    value = read_document(text, file).document.value
+    return isinstance(value, dict) and value.get("edges") == EDGES
+
+
+def read_gateway_settings(path: str) -> GatewaySettings:
+    """Return the settings in the file at `path`.
+
+    Raises
+    ------
+    FindingsError
+        With every finding, if there are any.
+    """
+    text = Path(path).read_text("utf-8")
+    settings, findings = check_gateway_settings(text, path)
+    if findings.items:
+        raise FindingsError(findings.items)
+    return settings
+
+
+def check_gateway_settings(text: str, file: str) -> tuple[GatewaySettings, Findings]:
+    """Return the settings in `text`, as far as they could be read, and findings."""
+    findings = read_document(text, file)
+    top = Fields(findings.document.value, (), findings)
+    if top.text("edges") != EDGES:
+        findings.add(("edges",), f"expected {EDGES!r}")
+    settings = GatewaySettings(
+        instance=InstanceId(top.name("instance")),
+        data_centre=DataCentreId(top.name("data_centre")),
+        callers=top.address("callers"),
+        readiness=top.address("readiness"),
+        peers=top.address("peers"),
+        metrics=top.address("metrics", ""),
+        store=top.address("store"),
+        log_level=top.text("log_level", "info"),
+        bounds=_bounds(top.object("bounds")),
+    )
+    if settings.log_level not in {"debug", "info", "warning", "error"}:
+        findings.add(("log_level",), "expected debug, info, warning or error")
+    top.finish()
+    return settings, findings
+
+
+def _bounds(fields: Fields) -> Bounds:
+    bounds = Bounds(
+        revocation_s=fields.number("revocation_ms", 5000, 1) / 1000,
+        stop_s=fields.number("stop_s", 8, 0.5),
+        repeat_ratio=fields.number("repeat_ratio", 0.2),
+        repeat_slack=fields.number("repeat_slack", 10),
+        repeat_window_s=fields.number("repeat_window_s", 10, 0.1),
+    )
+    fields.finish()
+    return bounds
--- a/src/savorydyke/_homes.py
+++ b/src/savorydyke/_homes.py
@@ -23,6 +23,7 @@
     Acquire,
     Grant,
     Message,
+    Queued,
     Refuse,
     Register,
     Release,
@@ -38,7 +39,7 @@
 
 log = _logs.part("home")
 
-Answer = Callable[[InstanceId, Grant | Refuse], None]
+Answer = Callable[[InstanceId, Grant | Refuse | Queued], None]
 CancelOrphan = Callable[[EndpointId, Running], None]
 
 
@@ -75,6 +76,11 @@
         Sends a grant or a refusal to an entry.
     cancel_orphan : callable
         Cancels a request at its endpoint that no entry looks after.
+    endpoints_report : bool
+        Whether endpoints are asked if they are leaving; otherwise the manifest
+        says so.
+    equip : callable
+        Gives a new cell its quotas and its budget of repeats.
     """
 
     membership: Membership
@@ -84,6 +90,8 @@
     cancel_orphan: CancelOrphan
     orphan_grace_s: float
     rng: random.Random
+    endpoints_report: bool = True
+    equip: Callable[[Cell], None] = field(default=lambda cell: None)
     hosted: dict[PoolId, Hosted] = field(default_factory=dict)
     last_tick: float = field(default_factory=trio.current_time)
 
@@ -130,6 +138,8 @@
             return
         hosted.used = now
         self._send(hosted.cell.acquire(message, sender, now))
+        if hosted.cell.settled and message.key in hosted.cell.queue.by_key:
+            self.answer(sender, Queued(message.key, message.attempt))
 
     def _register(self, sender: InstanceId, message: Register, now: float) -> None:
         hosted = self._host(message.pool, now)
@@ -154,11 +164,13 @@
         if manifest is None or pool not in manifest.pools:
             return None
         cell = new_cell(pool, manifest, now, self.rng)
+        self.equip(cell)
         cell.settled = False
         for endpoint in self.states.leaving:
             cell.set_leaving(endpoint, True)
         entries = {*self.membership.live(), self.membership.id}
-        hosted = Hosted(cell, now + SETTLE_S, entries, set(cell.endpoints), now)
+        unreported = set(cell.endpoints) if self.endpoints_report else set()
+        hosted = Hosted(cell, now + SETTLE_S, entries, unreported, now)
         self.hosted[pool] = hosted
         log.info("Cell hosted.", extra={"pool": pool})
         return hosted
@@ -225,7 +237,8 @@
                 hosted.cell.born = now
                 hosted.cell.settled = False
                 hosted.settle_at = now + SETTLE_S
-                hosted.unreported = set(hosted.cell.endpoints)
+                if self.endpoints_report:
+                    hosted.unreported = set(hosted.cell.endpoints)
         self.last_tick = max(self.last_tick, now)
 
     def _tick(self, pool: PoolId, hosted: Hosted, now: float) -> None:
--- /dev/null
+++ b/src/savorydyke/_http1.py
@@ -0,0 +1,243 @@
+"""An HTTP/1.1 client over trio streams that tells what may have been sent.
+
+Endpoints and the platform's store are both called through it. A channel serves
+one request; whether a failure came before or after the first byte left decides
+what may be done next, which is why the connection is held here and not in a
+library's pool.
+"""
+
+import time
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import h11
+import trio
+
+READ_BYTES = 65536
+INLINE_BODY_BYTES = 8192
+"""Largest body sent before the answer is read; fits an empty socket buffer."""
+MAX_HEAD_BYTES = 65536
+"""Largest head of an answer that is accepted."""
+
+Headers = list[tuple[bytes, bytes]]
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+"""Headers that concern one connection only (RFC 9110, section 7.6.1)."""
+
+
+class ChannelBrokenError(Exception):
+    """Raised when a channel ends, or says what is no answer, before its end."""
+
+
+@dataclass(frozen=True)
+class Outgoing:
+    """A request to send.
+
+    Attributes
+    ----------
+    target : bytes
+        Path and query, sent as they are.
+    headers : list of tuple of bytes
+        Without framing headers.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+
+
+@dataclass(frozen=True)
+class AnswerHead:
+    """Status and headers of an answer.
+
+    Attributes
+    ----------
+    length : int or None
+        Announced size of the body, in bytes.
+    """
+
+    status: int
+    headers: Headers
+    length: int | None
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the value of a header, by its name in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+@dataclass(eq=False)
+class Channel:
+    """A connection to an endpoint or to the store.
+
+    Attributes
+    ----------
+    opened : float
+        When it was opened, on the monotonic clock.
+    failed_send : bool
+        Whether the body could not be sent as a whole.
+    """
+
+    stream: trio.SocketStream
+    opened: float
+    connection: h11.Connection = field(
+        default_factory=lambda: h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+    )
+    body_sent: bool = False
+
+    async def send(self, request: Outgoing, nursery: trio.Nursery | None) -> None:
+        """Send a request; a long body goes on in `nursery`.
+
+        Raises
+        ------
+        ChannelBrokenError
+            If the connection is gone; a part of the request may have arrived.
+        """
+        headers = [(n, v) for n, v in request.headers if n.lower() != b"content-length"]
+        if request.body or request.method in {b"POST", b"PUT", b"PATCH"}:
+            headers.append((b"Content-Length", str(len(request.body)).encode()))
+        head = self.connection.send(
+            h11.Request(method=request.method, target=request.target, headers=headers)
+        )
+        body = b""
+        if request.body:
+            body = self.connection.send(h11.Data(data=request.body)) or b""
+        body += self.connection.send(h11.EndOfMessage()) or b""
+        assert head is not None
+        if nursery is None or len(body) <= INLINE_BODY_BYTES:
+            await self._write(head + body)
+            self.body_sent = True
+            return
+        await self._write(head)
+        nursery.start_soon(self._send_body, body)
+
+    async def _write(self, data: bytes) -> None:
+        try:
+            await self.stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ChannelBrokenError(f"send failed: {error!r}") from None
+
+    async def _send_body(self, body: bytes) -> None:
+        try:
+            await self.stream.send_all(body)
+            self.body_sent = True
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The reader of the answer sees the same connection fail, or the
+            # endpoint has answered without reading the body.
+            return
+
+    async def read_head(self) -> AnswerHead:
+        """Return status and headers of the answer.
+
+        Raises
+        ------
+        ChannelBrokenError
+            If there is none.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, h11.Response):
+                headers = list(event.headers.raw_items())
+                return AnswerHead(event.status_code, headers, _length(event.headers))
+            raise ChannelBrokenError(f"no answer but {type(event).__name__}")
+
+    async def read_body(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body as they arrive.
+
+        Raises
+        ------
+        ChannelBrokenError
+            If the body ends before it is complete.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise ChannelBrokenError(f"no body but {type(event).__name__}")
+
+    async def _next_event(self) -> h11.Event:
+        try:
+            while True:
+                event = self.connection.next_event()
+                if event is h11.NEED_DATA:
+                    data = await self.stream.receive_some(READ_BYTES)
+                    self.connection.receive_data(data)
+                    continue
+                if isinstance(event, h11.Event):
+                    return event
+                raise ChannelBrokenError("the connection has ended")
+        except h11.RemoteProtocolError as error:
+            raise ChannelBrokenError(f"not an answer: {error}") from None
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ChannelBrokenError(f"connection lost: {error!r}") from None
+
+    def reuse(self) -> bool:
+        """Prepare for another request; return whether that is possible."""
+        ours, theirs = self.connection.our_state, self.connection.their_state
+        if not self.body_sent or ours is not h11.DONE or theirs is not h11.DONE:
+            return False
+        if self.connection.trailing_data != (b"", False):
+            return False
+        self.connection.start_next_cycle()
+        self.body_sent = False
+        return True
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.stream.socket.close()
+
+
+async def open_channel(address: str, timeout_s: float) -> Channel:
+    """Return a new channel to `address`, an IP number and a port.
+
+    Raises
+    ------
+    ChannelBrokenError
+        If it could not be opened in time; nothing has been sent.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        with trio.fail_after(timeout_s):
+            sock = trio.socket.socket()
+            try:
+                await sock.connect((host, int(port)))
+            except BaseException:
+                sock.close()
+                raise
+    except (OSError, ValueError, trio.TooSlowError) as error:
+        raise ChannelBrokenError(f"connect failed: {error!r}") from None
+    return Channel(trio.SocketStream(sock), time.monotonic())
+
+
+def without_hop_headers(headers: Headers) -> Headers:
+    """Return the headers that concern more than one connection."""
+    return [(n, v) for n, v in headers if n.lower() not in HOP_BY_HOP]
+
+
+def _length(headers: h11._headers.Headers) -> int | None:
+    for name, value in headers:
+        if name == b"content-length":
+            return int(value)
+    return None
--- a/src/savorydyke/_ids.py
+++ b/src/savorydyke/_ids.py
@@ -47,6 +47,9 @@
     DUPLICATE = "duplicate-request"
     OVERLOADED = "overloaded"
     TEAM_LIMIT = "team-limit"
+    QUOTA = "team-quota"
+    REPEAT_BUDGET = "repeat-budget"
+    OBJECTIVE = "objective"
     DEADLINE = "deadline"
     NO_ENDPOINT = "no-endpoint"
     NO_CONFIGURATION = "no-configuration"
@@ -54,6 +57,7 @@
     CLAIMS_UNAVAILABLE = "claims-unavailable"
     STOPPING = "stopping"
     ENDPOINT_FAILED = "endpoint-failed"
+    TIMEOUT = "timeout"
     NOT_FOUND = "not-found"
     INTERNAL = "internal-error"
 
@@ -62,7 +66,9 @@
     """How a granted request ended at its entry.
 
     DROPPED means that the caller has gone and may come back for a stream that
-    still runs; the home cancels it when the caller stays away.
+    still runs; the home cancels it when the caller stays away. REJECTED means
+    that the endpoint states not to have run it, FAILED that it answered with
+    an error.
     """
 
     COMPLETE = "complete"
@@ -71,6 +77,8 @@
     DROPPED = "dropped"
     NOT_SENT = "not-sent"
     UNREACHABLE = "unreachable"
+    REJECTED = "rejected"
+    FAILED = "failed"
 
 
 class MemberState(Enum):
--- /dev/null
+++ b/src/savorydyke/_ingress.py
@@ -0,0 +1,398 @@
+"""The callers' side over HTTP/1.1: one task a connection, one answer a request.
+
+A request is read whole before it is handled. While it is handled the
+connection is watched, so that a caller's departure cancels the work at once.
+What can not be parsed unambiguously is refused and the connection closed.
+"""
+
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import h11
+import trio
+
+from savorydyke import _logs
+from savorydyke._http1 import Headers
+
+READ_BYTES = 65536
+PIPELINED_BYTES = 65536
+"""Bytes of further requests that are read while one is handled."""
+BACKLOG = 1024
+CLOSE_LINGER_S = 0.3
+"""Time in which a caller takes a last answer before the connection closes."""
+STALLED_CALLER_MS = 10_000
+"""Time after which a caller that does not read loses its connection."""
+
+log = _logs.part("ingress")
+
+
+@dataclass
+class IngressLimits:
+    """What callers may send, and how long they may take.
+
+    Attributes
+    ----------
+    max_head_bytes, max_body_bytes : int
+        Largest head and body.
+    head_timeout_s : float
+        Time from a request's first byte to the end of its body.
+    idle_timeout_s : float
+        Time for which a connection may stay open between requests.
+    """
+
+    max_head_bytes: int = 16384
+    max_body_bytes: int = 4_194_304
+    head_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass
+class Incoming:
+    """A request as its caller sent it.
+
+    Attributes
+    ----------
+    target : bytes
+        Path and query, unchanged.
+    headers : list of tuple of bytes
+        In the order and case of the caller.
+    arrived : float
+        When the head had arrived, on the monotonic clock.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    arrived: float
+
+    def get_all(self, name: bytes) -> list[bytes]:
+        """Return the values of a header, by its name in lower case."""
+        return [value for key, value in self.headers if key.lower() == name]
+
+
+class CallerGoneError(Exception):
+    """Raised when a caller's connection can not be written to."""
+
+
+@dataclass(frozen=True)
+class Rejected:
+    """A request that could not be read.
+
+    Attributes
+    ----------
+    status : int
+        The status to answer with.
+    """
+
+    status: int
+    detail: str
+
+
+@dataclass(eq=False)
+class Responder:
+    """Writes the one answer to one request.
+
+    Attributes
+    ----------
+    started : bool
+        Whether the head has been sent.
+    finished : bool
+        Whether the answer is complete.
+    bodyless : bool
+        Whether the request was a HEAD, whose answer has no body.
+    """
+
+    connection: "Connection"
+    started: bool = False
+    finished: bool = False
+    bodyless: bool = False
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send status and headers."""
+        self.started = True
+        if self.connection.closing():
+            headers = [*headers, (b"Connection", b"close")]
+        response = h11.Response(status_code=status, headers=headers, reason=b"")
+        await self.connection.write(response)
+
+    async def body(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if not self.bodyless:
+            await self.connection.write(h11.Data(data=data))
+
+    async def end(self) -> None:
+        """Complete the answer."""
+        await self.connection.write(h11.EndOfMessage())
+        self.finished = True
+
+    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete answer in one write."""
+        self.started = True
+        if self.connection.closing():
+            headers = [*headers, (b"Connection", b"close")]
+        headers = [*headers, (b"Content-Length", str(len(body)).encode())]
+        response = h11.Response(status_code=status, headers=headers, reason=b"")
+        data = [] if self.bodyless else [h11.Data(data=body)]
+        await self.connection.write(response, *data, h11.EndOfMessage())
+        self.finished = True
+
+
+Handler = Callable[[Incoming, Responder], Awaitable[None]]
+
+
+@dataclass(eq=False)
+class Connection:
+    """One caller's connection.
+
+    Attributes
+    ----------
+    busy : bool
+        Whether a request is being read or handled.
+    """
+
+    stream: trio.SocketStream
+    ingress: "Ingress"
+    http: h11.Connection
+    busy: bool = False
+    gone: bool = False
+
+    def closing(self) -> bool:
+        """Return whether the connection ends with the answer in progress."""
+        return self.ingress.closing
+
+    async def write(self, *events: h11.Event) -> None:
+        """Send events.
+
+        Raises
+        ------
+        CallerGoneError
+            If the caller has left.
+        """
+        data = b"".join(self.http.send(event) or b"" for event in events)
+        try:
+            await self.stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            raise CallerGoneError from None
+
+    async def receive(self) -> bool:
+        """Read more bytes; return False at the end of the connection."""
+        try:
+            data = await self.stream.receive_some(READ_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            data = b""
+        self.http.receive_data(data)
+        return bool(data)
+
+
+@dataclass(eq=False)
+class Ingress:
+    """All connections of callers.
+
+    Attributes
+    ----------
+    closing : bool
+        Whether each connection ends with its next answer.
+    active : int
+        Requests being read or handled.
+    """
+
+    handler: Handler
+    refuse: Callable[[Responder, Rejected], Awaitable[None]]
+    limits: Callable[[], IngressLimits]
+    closing: bool = False
+    active: int = 0
+    connections: dict[Connection, trio.CancelScope] = field(default_factory=dict)
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection until it ends."""
+        try:
+            await self._serve(stream)
+        except Exception:
+            # A fault in one request must not end the others.
+            log.exception("Connection failed.")
+            stream.socket.close()
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.limits().max_head_bytes
+        )
+        connection = Connection(stream, self, http)
+        with trio.CancelScope() as scope:
+            self.connections[connection] = scope
+            try:
+                await self._serve_requests(connection)
+            finally:
+                del self.connections[connection]
+        stream.socket.close()
+
+    def close_idle(self) -> None:
+        """Close connections without a request in progress."""
+        for connection, scope in self.connections.items():
+            if not connection.busy:
+                scope.cancel()
+
+    async def _serve_requests(self, connection: Connection) -> None:
+        while True:
+            incoming = await self._read(connection)
+            if incoming is None:
+                return
+            responder = Responder(connection)
+            self.active += 1
+            try:
+                if isinstance(incoming, Rejected):
+                    await self._reject(connection, responder, incoming)
+                    return
+                responder.bodyless = incoming.method == b"HEAD"
+                await self._handle(connection, incoming, responder)
+            except CallerGoneError:
+                return
+            finally:
+                self.active -= 1
+                connection.busy = False
+            if connection.gone or not responder.finished:
+                # Closing without an end tells that the answer is incomplete.
+                return
+            http = connection.http
+            if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+                await self._linger(connection)
+                return
+            if self.closing:
+                await self._linger(connection)
+                return
+            http.start_next_cycle()
+
+    async def _linger(self, connection: Connection) -> None:
+        """Let the caller close first, so that no byte on its way is lost."""
+        try:
+            await connection.stream.send_eof()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            return
+        with trio.move_on_after(CLOSE_LINGER_S):
+            while True:
+                try:
+                    if not await connection.stream.receive_some(READ_BYTES):
+                        return
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    return
+
+    async def _reject(
+        self, connection: Connection, responder: Responder, rejected: Rejected
+    ) -> None:
+        if connection.http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        await self.refuse(responder, rejected)
+        await self._linger(connection)
+
+    # Reading
+
+    async def _read(self, connection: Connection) -> Incoming | Rejected | None:
+        """Return the next request, or None at the end of the connection."""
+        limits = self.limits()
+        try:
+            with trio.move_on_after(limits.idle_timeout_s):
+                while not connection.http.trailing_data[0]:
+                    if not await connection.receive():
+                        return None
+            if not connection.http.trailing_data[0]:
+                return None
+            connection.busy = True
+            with trio.move_on_after(limits.head_timeout_s):
+                return await self._read_request(connection, limits)
+            return Rejected(408, "the request did not arrive in time")
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            return Rejected(status if status == 431 else 400, str(error))
+
+    async def _read_request(
+        self, connection: Connection, limits: IngressLimits
+    ) -> Incoming | Rejected | None:
+        http = connection.http
+        request = await self._next(connection)
+        if not isinstance(request, h11.Request):
+            return None
+        arrived = trio.current_time()
+        fault = _ambiguity(request)
+        if fault:
+            return Rejected(400, fault)
+        body = bytearray()
+        if http.they_are_waiting_for_100_continue:
+            await connection.write(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+        while True:
+            event = await self._next(connection)
+            if isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > limits.max_body_bytes:
+                    return Rejected(413, "the body is too large")
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                return None
+        return Incoming(
+            bytes(request.method),
+            bytes(request.target),
+            list(request.headers.raw_items()),
+            bytes(body),
+            arrived,
+        )
+
+    async def _next(self, connection: Connection) -> h11.Event | None:
+        while True:
+            event = connection.http.next_event()
+            if event is h11.NEED_DATA:
+                if not await connection.receive():
+                    return None
+                continue
+            return event if isinstance(event, h11.Event) else None
+
+    # Handling
+
+    async def _handle(
+        self, connection: Connection, incoming: Incoming, responder: Responder
+    ) -> None:
+        """Run the handler; cancel it when the caller leaves."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, connection, nursery.cancel_scope)
+            try:
+                await self.handler(incoming, responder)
+            except CallerGoneError:
+                connection.gone = True
+            nursery.cancel_scope.cancel()
+
+    async def _watch(self, connection: Connection, scope: trio.CancelScope) -> None:
+        """Notice the end of the connection while a request is handled."""
+        while len(connection.http.trailing_data[0]) < PIPELINED_BYTES:
+            if not await connection.receive():
+                connection.gone = True
+                scope.cancel()
+                return
+
+
+def _ambiguity(request: h11.Request) -> str:
+    """Return why a request's framing or identity is in doubt, or nothing.
+
+    Two parsers that read such a request differently would let one request
+    carry another.
+    """
+    names = [name for name, _ in request.headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        return "both Transfer-Encoding and Content-Length"
+    if names.count(b"host") > 1:
+        return "more than one Host"
+    if not request.target.startswith(b"/"):
+        return "the target is not a path"
+    return ""
+
+
+def open_listener(address: str) -> trio.SocketListener:
+    """Return a listener on `address`, an IP number and a port."""
+    host, _, port = address.rpartition(":")
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, STALLED_CALLER_MS)
+    listener.bind((host, int(port)))
+    listener.listen(BACKLOG)
+    return trio.SocketListener(trio.socket.from_stdlib_socket(listener))
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -145,6 +145,15 @@
     once : bool
         Whether a claim keeps the request from running twice, so that the
         home's memory of earlier dispatches does not matter.
+    urgency : int
+        Rank within the team's tier, 0 for the highest.
+    objective_ms : int
+        Time left until the first byte is due; -1 if only the deadline counts.
+    repeat : bool
+        Whether the request was sent before, so that the budget of repeats is
+        drawn on.
+    quota_tokens : int
+        What the request counts against its team's quota.
     """
 
     key: RequestKey
@@ -160,6 +169,18 @@
     named: bool
     resume_only: bool
     once: bool
+    urgency: int = 0
+    objective_ms: int = -1
+    repeat: bool = False
+    quota_tokens: int = 0
+
+
+@dataclass(frozen=True)
+class Queued:
+    """Tells an entry that its request waits at the home."""
+
+    key: RequestKey
+    attempt: int
 
 
 @dataclass(frozen=True)
@@ -278,6 +299,7 @@
     | Release
     | Withdraw
     | Register
+    | Queued
 )
 _NESTED = (MemberRow, RunningRow)
 _TAGS = {kind: tag for tag, kind in enumerate(get_args(Message))}
--- a/src/savorydyke/_peers.py
+++ b/src/savorydyke/_peers.py
@@ -20,6 +20,7 @@
 from websockets.trio.server import ServerConnection, serve
 
 from savorydyke import _logs
+from savorydyke._backoff import backoff_s
 from savorydyke._exceptions import HandshakeError, ProtocolError
 from savorydyke._ids import InstanceId
 from savorydyke._membership import Membership
@@ -34,7 +35,6 @@
     decode,
     encode,
 )
-from savorydyke._platform import backoff_s
 
 HANDSHAKE_TIMEOUT_S = 2.0
 NONCE_BYTES = 16
--- a/src/savorydyke/_platform.py
+++ b/src/savorydyke/_platform.py
@@ -8,7 +8,6 @@
 import base64
 import binascii
 import json
-import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -229,8 +228,3 @@
     if not isinstance(value, list):
         raise PlatformUnavailableError("bad answer: not a list")
     return value
-
-
-def backoff_s(attempt: int, base_s: float, most_s: float, rng: random.Random) -> float:
-    """Return a random wait that doubles with each attempt (full jitter)."""
-    return rng.uniform(0, min(most_s, base_s * 2 ** min(attempt, 16)))
--- a/src/savorydyke/_problems.py
+++ b/src/savorydyke/_problems.py
@@ -23,6 +23,9 @@
     Reason.DUPLICATE: 409,
     Reason.OVERLOADED: 503,
     Reason.TEAM_LIMIT: 429,
+    Reason.QUOTA: 429,
+    Reason.REPEAT_BUDGET: 503,
+    Reason.OBJECTIVE: 503,
     Reason.DEADLINE: 503,
     Reason.NO_ENDPOINT: 503,
     Reason.NO_CONFIGURATION: 503,
@@ -30,6 +33,7 @@
     Reason.CLAIMS_UNAVAILABLE: 503,
     Reason.STOPPING: 503,
     Reason.ENDPOINT_FAILED: 502,
+    Reason.TIMEOUT: 504,
     Reason.INTERNAL: 500,
 }
 
--- /dev/null
+++ b/src/savorydyke/_repeat_budget.py
@@ -0,0 +1,50 @@
+"""The budget of sends beyond the first of each request, kept by a pool's home.
+
+Without it, endpoints that fail under load would get more load in return.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+USED_SHARE = 0.6
+"""Part of the allowed repeats that is used; homes may move within a window."""
+
+
+@dataclass
+class RepeatBudget:
+    """Counts requests and repeats in a sliding window.
+
+    Attributes
+    ----------
+    ratio : float
+        Repeats allowed for each request of the window.
+    slack : float
+        Repeats allowed beyond that.
+    window_s : float
+        Length of the window, in seconds.
+    """
+
+    ratio: float = 0.2
+    slack: float = 10.0
+    window_s: float = 10.0
+    requests: deque[float] = field(default_factory=deque)
+    repeats: deque[float] = field(default_factory=deque)
+
+    def request(self, now: float) -> None:
+        """Count a request."""
+        self.requests.append(now)
+        self._forget(now)
+
+    def take(self, now: float) -> bool:
+        """Count a repeat if the budget allows it; return whether it does."""
+        self._forget(now)
+        allowed = USED_SHARE * (self.ratio * len(self.requests) + self.slack)
+        if len(self.repeats) + 1 > allowed:
+            return False
+        self.repeats.append(now)
+        return True
+
+    def _forget(self, now: float) -> None:
+        for times in (self.requests, self.repeats):
+            while times and now - times[0] > self.window_s:
+                times.popleft()
--- a/src/savorydyke/_scheduler.py
+++ b/src/savorydyke/_scheduler.py
@@ -26,6 +26,7 @@
     Acquire,
     Grant,
     Message,
+    Queued,
     Refuse,
     Register,
     Release,
@@ -39,6 +40,11 @@
 GRANT_VALID_S = 1.0
 """Age beyond which a grant is given back instead of being used."""
 
+HOME_SILENT_S = 0.2
+"""A home answers in a few ms; after this it is stalled or unreachable."""
+ALONE = InstanceId("(alone)")
+"""Stands for the home of grants that an entry gave itself."""
+
 log = _logs.part("scheduler")
 
 
@@ -52,6 +58,14 @@
         Time by which the whole answer is due, on the local monotonic clock.
     named : bool
         Whether the caller chose the request id.
+    urgency : int
+        Rank within the team's tier, 0 for the highest.
+    objective : float
+        Time by which the first byte is due, on the same clock.
+    repeat : bool
+        Whether the request was sent before.
+    quota_tokens : int
+        What the request counts against its team's quota.
     """
 
     key: RequestKey
@@ -65,6 +79,10 @@
     named: bool
     resume_only: bool = False
     once: bool = False
+    urgency: int = 0
+    objective: float = math.inf
+    repeat: bool = False
+    quota_tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -103,13 +121,23 @@
     may_have_run: bool = False
 
 
+PlaceAlone = Callable[[Demand, tuple[EndpointId, ...]], EndpointId | None]
+
+
 @dataclass
 class Pending:
-    """An acquisition without an answer."""
+    """An acquisition without an answer.
+
+    Attributes
+    ----------
+    heard : trio.Event
+        Set once the home has said anything about it.
+    """
 
     demand: Demand
     message: Acquire
     answer: Granted | Refused | None = None
+    heard: trio.Event = field(default_factory=trio.Event)
     answered: trio.Event = field(default_factory=trio.Event)
 
 
@@ -141,12 +169,16 @@
         Sends a message to an instance, possibly this one.
     link : callable
         Returns the identity of the open link to an instance, or None.
+    place_alone : callable or None
+        Chooses an endpoint for a request whose home is silent, within this
+        instance's fixed share; None if such requests wait.
     """
 
     membership: Membership
     send: Callable[[InstanceId, Message], None]
     link: Callable[[InstanceId], object]
     pools: Callable[[], list[PoolId]]
+    place_alone: PlaceAlone | None = None
     pending: dict[RequestKey, Pending] = field(default_factory=dict)
     in_flight: dict[RequestKey, InFlight] = field(default_factory=dict)
     homes: dict[PoolId, HomeLink] = field(default_factory=dict)
@@ -168,7 +200,7 @@
             self._ensure_home(demand.pool)
             self.send(self.homes[demand.pool].home, self._refreshed(pending))
             with trio.move_on_at(demand.deadline):
-                await pending.answered.wait()
+                await self._wait(pending, avoid)
         except BaseException:
             # A grant may have arrived in the moment of the cancellation.
             self._take(pending)
@@ -176,6 +208,29 @@
             raise
         return self._take(pending)
 
+    async def _wait(self, pending: Pending, avoid: tuple[EndpointId, ...]) -> None:
+        """Wait for an answer; place the request here if its home is silent."""
+        if self.place_alone is None:
+            await pending.answered.wait()
+            return
+        while not pending.heard.is_set():
+            with trio.move_on_after(HOME_SILENT_S):
+                await pending.heard.wait()
+                break
+            endpoint = self.place_alone(pending.demand, avoid)
+            if endpoint is not None and pending.answer is None:
+                self._withdraw(pending.demand)
+                pending.answer = Granted(
+                    ALONE,
+                    endpoint,
+                    pending.message.attempt,
+                    False,
+                    (),
+                    trio.current_time(),
+                )
+                return
+        await pending.answered.wait()
+
     def _take(self, pending: Pending) -> Granted | Refused:
         """Close an acquisition and return its answer."""
         demand, answer = pending.demand, pending.answer
@@ -211,20 +266,35 @@
             named=demand.named,
             resume_only=demand.resume_only,
             once=demand.once,
+            urgency=demand.urgency,
+            repeat=demand.repeat,
+            quota_tokens=demand.quota_tokens,
         )
 
     def _refreshed(self, pending: Pending) -> Acquire:
-        left_s = pending.demand.deadline - trio.current_time()
-        return replace(pending.message, deadline_ms=max(0, math.floor(left_s * 1000)))
+        now = trio.current_time()
+        left_s = pending.demand.deadline - now
+        due_ms = -1
+        if pending.demand.objective != math.inf:
+            due_ms = max(0, math.floor((pending.demand.objective - now) * 1000))
+        return replace(
+            pending.message,
+            deadline_ms=max(0, math.floor(left_s * 1000)),
+            objective_ms=due_ms,
+        )
 
     def _withdraw(self, demand: Demand) -> None:
         home = self.homes.get(demand.pool)
         if home is not None:
             self.send(home.home, Withdraw(demand.key, demand.pool))
 
-    def handle(self, sender: InstanceId, message: Grant | Refuse) -> None:
+    def handle(self, sender: InstanceId, message: Grant | Refuse | Queued) -> None:
         """Take in the answer of a home."""
         pending = self.pending.get(message.key)
+        if isinstance(message, Queued):
+            if pending is not None and pending.message.attempt == message.attempt:
+                pending.heard.set()
+            return
         if (
             pending is None
             or pending.answer is not None
@@ -252,6 +322,7 @@
             pending.answer = Refused(
                 message.reason, message.detail, retry_s, message.may_have_run
             )
+        pending.heard.set()
         pending.answered.set()
 
     def _give_back(
@@ -311,7 +382,8 @@
             int(decode_s * 1000),
         )
         self._tell_home(item.demand.pool, message)
-        if not self.is_from_home(item.demand.pool, item.granted):
+        is_alone = item.granted.home == ALONE
+        if not is_alone and not self.is_from_home(item.demand.pool, item.granted):
             self.send(item.granted.home, message)
 
     def is_from_home(self, pool: PoolId, granted: Granted) -> bool:
--- /dev/null
+++ b/src/savorydyke/platform/_headers.py
@@ -0,0 +1,232 @@
+"""Header names of the platform, decoded into typed fields and back."""
+
+from dataclasses import dataclass
+
+from savorydyke._http1 import Headers, without_hop_headers
+
+REQUEST_ID = b"x-savorydyke-request-id"
+DEADLINE = b"x-savorydyke-deadline-ms"
+MODEL = b"x-savorydyke-model"
+TOKENS = b"x-savorydyke-token-count"
+PREFIX = b"x-savorydyke-prompt-prefix"
+LENGTH_HINT = b"x-savorydyke-length-hint"
+LAST_EVENT = b"last-event-id"
+AUTHORIZATION = b"authorization"
+STAMP = b"x-savorydyke-response-stamp"
+NOT_EXECUTED = b"x-savorydyke-not-executed"
+LOAD = b"x-savorydyke-load-report"
+INSTANCE = b"x-savorydyke-instance-id"
+EXPECT_INSTANCE = b"x-savorydyke-expect-instance"
+TENANT = b"x-savorydyke-tenant"
+
+SET_HERE = frozenset(
+    {
+        AUTHORIZATION,
+        DEADLINE,
+        EXPECT_INSTANCE,
+        TENANT,
+        LAST_EVENT,
+        b"x-savorydyke-hold",
+        b"x-savorydyke-pin-ms",
+        b"x-savorydyke-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"x-savorydyke-expect-version",
+        b"content-length",
+        b"expect",
+    }
+)
+"""Headers that an endpoint gets from this system only, whatever a caller sent."""
+
+SINGLE = (REQUEST_ID, DEADLINE, TOKENS, PREFIX, LAST_EVENT, AUTHORIZATION, MODEL)
+"""Headers that may stand once; two values would be read differently."""
+
+MAX_REQUEST_ID_BYTES = 200
+MAX_DEADLINE_MS = 86_400_000
+
+
+class BadRequestHeadError(Exception):
+    """Raised when a request's headers have no clear meaning."""
+
+
+@dataclass(frozen=True)
+class RequestMarks:
+    """What a request's headers say.
+
+    Attributes
+    ----------
+    deadline_s : float or None
+        How long the caller waits.
+    key : str
+        The bearer key, empty if there is none.
+    prompt_tokens, max_output_tokens : int
+        Size of the prompt and largest size of the answer; 0 if not said.
+    expected_output_tokens : int
+        The caller's estimate, or 0.
+    prefix : tuple of (str, int)
+        Parts of the prompt in order, with their tokens.
+    last_event : str
+        The last event that the caller has, empty for none.
+    """
+
+    request_id: str
+    deadline_s: float | None
+    key: str
+    host: str
+    prompt_tokens: int
+    max_output_tokens: int
+    expected_output_tokens: int
+    prefix: tuple[tuple[str, int], ...]
+    last_event: str
+    model: str
+    has_tokens: bool
+
+
+def read_request_marks(headers: Headers) -> RequestMarks:
+    """Return what a request's headers say.
+
+    Raises
+    ------
+    BadRequestHeadError
+        If a header stands twice or has no valid value.
+    """
+    found: dict[bytes, str] = {}
+    for name, value in headers:
+        lower = name.lower()
+        if lower in found and lower in SINGLE:
+            raise BadRequestHeadError(f"{name.decode('latin-1')} stands twice")
+        found[lower] = value.decode("latin-1").strip()
+    request_id = found.get(REQUEST_ID, "")
+    if not request_id or len(request_id) > MAX_REQUEST_ID_BYTES:
+        raise BadRequestHeadError("the request has no valid id")
+    prompt_tokens, output_tokens = _tokens(found.get(TOKENS))
+    return RequestMarks(
+        request_id=request_id,
+        deadline_s=_deadline_s(found.get(DEADLINE)),
+        key=_bearer(found.get(AUTHORIZATION, "")),
+        host=found.get(b"host", "").partition(":")[0].lower(),
+        prompt_tokens=prompt_tokens,
+        max_output_tokens=output_tokens,
+        expected_output_tokens=_count(found.get(LENGTH_HINT)),
+        prefix=_prefix(found.get(PREFIX, "")),
+        last_event=found.get(LAST_EVENT, ""),
+        model=found.get(MODEL, ""),
+        has_tokens=TOKENS in found,
+    )
+
+
+def _deadline_s(text: str | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        raise BadRequestHeadError("the deadline is not a number") from None
+    if not 0 <= value <= MAX_DEADLINE_MS:
+        raise BadRequestHeadError("the deadline is out of range")
+    return value / 1000
+
+
+def _bearer(text: str) -> str:
+    scheme, _, key = text.partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def _tokens(text: str | None) -> tuple[int, int]:
+    if text is None:
+        return 0, 0
+    first, _, second = text.partition(",")
+    return _count(first), _count(second)
+
+
+def _count(text: str | None) -> int:
+    try:
+        return max(0, int(float(text))) if text else 0
+    except (ValueError, OverflowError):
+        return 0
+
+
+def _prefix(text: str) -> tuple[tuple[str, int], ...]:
+    parts = []
+    for entry in text.split(","):
+        name, _, size = entry.strip().partition(":")
+        if name:
+            parts.append((name, _count(size)))
+    return tuple(parts)
+
+
+def endpoint_headers(
+    headers: Headers,
+    *,
+    expected_endpoint: str,
+    left_s: float,
+    team: str,
+    last_event: str,
+) -> Headers:
+    """Return the headers with which a request goes to an endpoint."""
+    kept = [
+        (n, v) for n, v in without_hop_headers(headers) if n.lower() not in SET_HERE
+    ]
+    kept.append((b"X-Savorydyke-Deadline-Ms", str(max(1, int(left_s * 1000))).encode()))
+    kept.append((b"X-Savorydyke-Expect-Instance", expected_endpoint.encode()))
+    if team:
+        kept.append((b"X-Savorydyke-Tenant", team.encode("latin-1")))
+    if last_event:
+        kept.append((b"Last-Event-Id", last_event.encode("latin-1")))
+    return kept
+
+
+@dataclass(frozen=True)
+class AnswerMarks:
+    """What an endpoint's answer says about itself.
+
+    Attributes
+    ----------
+    request_id : str
+        The request that it answers, empty if it does not say.
+    stamped : bool
+        Whether the endpoint has signed it.
+    not_run : bool
+        Whether the endpoint states that the request did not run.
+    running, waiting : int or None
+        The endpoint's load, if it tells.
+    """
+
+    request_id: str
+    stamped: bool
+    not_run: bool
+    running: int | None
+    waiting: int | None
+
+
+def read_answer_marks(status: int, headers: Headers) -> AnswerMarks:
+    """Return what an endpoint's answer says about itself."""
+    found = {name.lower(): value.decode("latin-1") for name, value in headers}
+    running = waiting = None
+    parts = found.get(LOAD, "").split(",")
+    if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
+        running, waiting = int(parts[0]), int(parts[1])
+    return AnswerMarks(
+        request_id=found.get(REQUEST_ID, ""),
+        stamped=STAMP in found,
+        # 421 comes from an endpoint that is not the expected one.
+        not_run=NOT_EXECUTED in found or status == 421,
+        running=running,
+        waiting=waiting,
+    )
+
+
+def answer_headers(headers: Headers) -> Headers:
+    """Return the headers of an endpoint's answer as the caller gets them."""
+    dropped = {b"content-length", LOAD, INSTANCE}
+    return [(n, v) for n, v in without_hop_headers(headers) if n.lower() not in dropped]
+
+
+def refusal_headers(request_id: str, retry_after_s: float | None) -> Headers:
+    """Return the headers of an answer of this system's own."""
+    headers = [(b"Content-Type", b"application/problem+json")]
+    if request_id:
+        headers.append((b"X-Savorydyke-Request-Id", request_id.encode("latin-1")))
+    if retry_after_s is not None:
+        headers.append((b"Retry-After", f"{retry_after_s:.3f}".encode()))
+    return headers
--- /dev/null
+++ b/src/savorydyke/platform/_records.py
@@ -0,0 +1,236 @@
+"""Records in the platform's store, decoded into the project's types."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from savorydyke._ids import DataCentreId, EndpointId, InstanceId, PoolId, TeamId
+from savorydyke._ingress import IngressLimits
+from savorydyke._manifest import PoolKind
+from savorydyke._routes import (
+    Route,
+    RoutedConfiguration,
+    RoutedPool,
+    RoutedTeam,
+    Target,
+    TeamQuota,
+    new_configuration,
+)
+
+CONFIGURATION_KEY = "op/config"
+ENDPOINTS = "servers/"
+INSTANCES = "savorydyke/instances/"
+READINESS_PATH = b"/savorydyke/readyz"
+EVENT_TOKENS_DEFAULT = 1
+
+
+class BadRecordError(Exception):
+    """Raised when a record can not be read."""
+
+
+@dataclass(frozen=True)
+class EndpointRecord:
+    """An endpoint's entry of itself.
+
+    Attributes
+    ----------
+    born_ms : int
+        Start of the process, in Unix milliseconds. An endpoint that starts
+        again under its name has another one.
+    warming_s : float
+        How much longer it stays slow after its start.
+    """
+
+    id: EndpointId
+    pool: PoolId
+    address: str
+    data_centre: DataCentreId
+    slots: int
+    leaving: bool
+    warming_s: float
+    born_ms: int
+
+
+@dataclass(frozen=True)
+class InstanceRecord:
+    """An instance's entry of itself; `address` is where peers reach it."""
+
+    id: InstanceId
+    address: str
+    data_centre: DataCentreId
+
+
+def endpoint_of_key(key: str) -> EndpointId | None:
+    """Return the endpoint whose entry a key holds, or None."""
+    return EndpointId(key[len(ENDPOINTS) :]) if key.startswith(ENDPOINTS) else None
+
+
+def instance_of_key(key: str) -> InstanceId | None:
+    """Return the instance whose entry a key holds, or None."""
+    return InstanceId(key[len(INSTANCES) :]) if key.startswith(INSTANCES) else None
+
+
+def instance_key(instance: InstanceId) -> str:
+    """Return the key of an instance's entry."""
+    return INSTANCES + instance
+
+
+def write_instance(record: InstanceRecord) -> bytes:
+    """Return the stored form of an instance's entry."""
+    value = {"address": record.address, "data_centre": record.data_centre}
+    return json.dumps(value).encode()
+
+
+def read_instance(instance: InstanceId, data: bytes) -> InstanceRecord:
+    """Return an instance's entry.
+
+    Raises
+    ------
+    BadRecordError
+        If a field is missing or of another type.
+    """
+    value = _object(data)
+    return InstanceRecord(
+        instance, _text(value, "address"), DataCentreId(_text(value, "data_centre"))
+    )
+
+
+def read_endpoint(endpoint: EndpointId, data: bytes) -> EndpointRecord:
+    """Return an endpoint's entry.
+
+    Raises
+    ------
+    BadRecordError
+        If a field is missing, of another type or has an unknown value.
+    """
+    value = _object(data)
+    state = _text(value, "state")
+    if state not in {"ready", "draining"}:
+        raise BadRecordError(f"unknown state {state!r}")
+    address = _text(value, "address")
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise BadRecordError(f"no address: {address!r}")
+    return EndpointRecord(
+        id=endpoint,
+        pool=PoolId(_text(value, "service")),
+        address=address,
+        data_centre=DataCentreId(_text(value, "zone")),
+        slots=max(1, _integer(value, "slots")),
+        leaving=state == "draining",
+        warming_s=_number(value, "cold_left_ms", 0.0) / 1000,
+        born_ms=_integer(value, "born", 0),
+    )
+
+
+def read_configuration(data: bytes) -> RoutedConfiguration:
+    """Return the stored configuration.
+
+    Raises
+    ------
+    BadRecordError
+        If it can not be read.
+    """
+    value = _object(data)
+    try:
+        limits = value.get("limits") or {}
+        return new_configuration(
+            _integer(value, "version"),
+            [_route(item) for item in value["routes"]],
+            [_pool(item) for item in value["services"]],
+            [_team(item) for item in value.get("tenants") or []],
+            IngressLimits(
+                max_head_bytes=int(limits.get("max_header_bytes", 16384)),
+                max_body_bytes=int(limits.get("max_body_bytes", 4_194_304)),
+                head_timeout_s=limits.get("header_timeout_ms", 3000) / 1000,
+                idle_timeout_s=limits.get("idle_timeout_ms", 15000) / 1000,
+            ),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise BadRecordError(f"configuration: {error!r}") from None
+
+
+def _route(item: dict[str, Any]) -> Route:
+    if item.get("split"):
+        targets = tuple(
+            Target(PoolId(part["service"]), float(part["weight"]))
+            for part in item["split"]
+        )
+    else:
+        targets = (Target(PoolId(item["service"]), 1.0),)
+    streaming = item["kind"] == "streaming"
+    resumable = bool(item.get("resumable", False))
+    return Route(
+        name=str(item["name"]),
+        host=str(item["host"]).lower(),
+        prefix=str(item["prefix"]),
+        targets=targets,
+        streaming=streaming,
+        # A stream may run again only where it may be resumed.
+        repeatable=item["kind"] == "idempotent" or (streaming and resumable),
+        resumable=streaming and resumable,
+        max_endpoints=max(1, int(item.get("attempts", 1))),
+        timeout_s=float(item["timeout_ms"]) / 1000,
+        objective_s=float(item.get("slo_ms") or item["timeout_ms"]) / 1000,
+        urgency=int(item.get("priority") or 0),
+        public=bool(item.get("public", False)),
+    )
+
+
+def _pool(item: dict[str, Any]) -> RoutedPool:
+    engine = item.get("backend")
+    if not isinstance(engine, dict):
+        return RoutedPool(PoolId(item["name"]), PoolKind.SERVICE)
+    return RoutedPool(
+        id=PoolId(item["name"]),
+        kind=PoolKind.ENGINE,
+        slots=int(engine.get("slots", 0)),
+        memory_tokens=int(engine.get("kv_capacity", 0)),
+        # `stride` is the number of tokens in one event of a stream.
+        tokens_per_event=int(engine.get("stride", EVENT_TOKENS_DEFAULT)),
+    )
+
+
+def _team(item: dict[str, Any]) -> RoutedTeam:
+    counts_tokens = item.get("unit") == "tokens"
+    return RoutedTeam(
+        id=TeamId(str(item["name"])),
+        rank=int(item.get("priority") or 0),
+        keys=tuple(str(key) for key in item.get("api_keys") or []),
+        quota=TeamQuota(
+            float(item.get("rate_per_s") or 0), float(item.get("burst") or 0)
+        ),
+        call_tokens=int(item.get("plain_tokens") or 1) if counts_tokens else 1,
+        counts_tokens=counts_tokens,
+    )
+
+
+def _object(data: bytes) -> dict[str, Any]:
+    try:
+        value = json.loads(data)
+    except ValueError as error:
+        raise BadRecordError(f"not JSON: {error}") from None
+    if not isinstance(value, dict):
+        raise BadRecordError("not an object")
+    return value
+
+
+def _text(value: dict[str, Any], name: str) -> str:
+    found = value.get(name)
+    if not isinstance(found, str) or not found:
+        raise BadRecordError(f"{name!r} is not a text")
+    return found
+
+
+def _integer(value: dict[str, Any], name: str, default: int | None = None) -> int:
+    found = value.get(name, default)
+    if isinstance(found, bool) or not isinstance(found, int):
+        raise BadRecordError(f"{name!r} is not a whole number")
+    return found
+
+
+def _number(value: dict[str, Any], name: str, default: float) -> float:
+    found = value.get(name, default)
+    if isinstance(found, bool) or not isinstance(found, int | float):
+        raise BadRecordError(f"{name!r} is not a number")
+    return float(found)
--- /dev/null
+++ b/src/savorydyke/platform/_store.py
@@ -0,0 +1,333 @@
+"""A client of the platform's store: values, watches, transactions, leases.
+
+Each call has a time limit and ends as a result or as a `StoreError`, which
+says whether the call may have taken effect.
+"""
+
+import base64
+import binascii
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import trio
+
+from savorydyke._http1 import (
+    Channel,
+    ChannelBrokenError,
+    Outgoing,
+    open_channel,
+)
+
+CONNECT_TIMEOUT_S = 0.8
+"""The store is a few ms away; a lost SYN is sent again after a second."""
+CALL_TIMEOUT_S = 1.5
+WATCH_SLACK_S = 1.0
+"""Time beyond its wait after which a watch counts as lost."""
+IDLE_CHANNELS = 2
+IDLE_CHANNEL_S = 4.0
+"""Age beyond which an idle channel is not trusted with another call."""
+
+
+class StoreFault(Enum):
+    """Why a call failed."""
+
+    REFUSED = "refused"
+    LIMITED = "rate limited"
+    LOST = "answer lost"
+    UNREACHABLE = "unreachable"
+
+
+class StoreError(Exception):
+    """Raised when a call brought no result.
+
+    Parameters
+    ----------
+    fault : StoreFault
+        `LOST` means that the call may have taken effect, or may do so yet.
+    detail : str
+        What was seen.
+    """
+
+    def __init__(self, fault: StoreFault, detail: str) -> None:
+        super().__init__(f"{fault.value}: {detail}")
+        self.fault = fault
+
+
+@dataclass(frozen=True)
+class Item:
+    """A value with the revision of its last change."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclass(frozen=True)
+class Listing:
+    """All items under a prefix.
+
+    Attributes
+    ----------
+    revision : int
+        Revision at which the first page was read; changes after it follow.
+    """
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+@dataclass(frozen=True)
+class Change:
+    """One change; `value` is None for a removal."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True)
+class Changes:
+    """What a watch saw, up to `revision`."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+@dataclass(frozen=True)
+class Compacted:
+    """The history that a watch asked for is gone."""
+
+
+@dataclass(frozen=True)
+class Written:
+    """A transaction took effect."""
+
+    revision: int
+
+
+@dataclass(frozen=True)
+class LeaseLost:
+    """The lease of a call has ended."""
+
+
+@dataclass
+class Store:
+    """A client of the store.
+
+    Attributes
+    ----------
+    on_call : callable
+        Called with each call's name, its seconds and its result.
+    """
+
+    address: str
+    on_call: Callable[[str, float, str], None] = field(
+        default=lambda name, seconds, result: None
+    )
+    idle: list[tuple[float, Channel]] = field(default_factory=list)
+
+    async def read(self, key: str) -> Item | None:
+        """Return an item as it is now, or None."""
+        query = urlencode({"key": key}, quote_via=quote)
+        status, value = await self._call("read", "GET", f"/savorydyke/kv-key?{query}")
+        if status == 404:
+            return None
+        return _decode(_item, value)
+
+    async def list(self, prefix: str) -> Listing:
+        """Return all items under a prefix."""
+        items: list[Item] = []
+        first = 0
+        after = ""
+        while True:
+            params = {"prefix": prefix}
+            if after:
+                params["after"] = after
+            query = urlencode(params, quote_via=quote)
+            _, value = await self._call("list", "GET", f"/savorydyke/kv-range?{query}")
+            page = _decode(lambda v: [_item(item) for item in v["items"]], value)
+            items += page
+            first = first or _decode(lambda v: int(v["current_rev"]), value)
+            if not value.get("more_pages") or not page:
+                return Listing(tuple(items), first)
+            after = page[-1].key
+
+    async def watch(
+        self, prefix: str, revision: int, wait_s: float
+    ) -> Changes | Compacted:
+        """Return the changes after a revision, once there are any."""
+        params = {
+            "prefix": prefix,
+            "after": str(revision),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        query = urlencode(params, quote_via=quote)
+        status, value = await self._call(
+            "watch",
+            "GET",
+            f"/savorydyke/kv-watch?{query}",
+            timeout_s=wait_s + WATCH_SLACK_S,
+        )
+        if status == 410:
+            return Compacted()
+        return _decode(_changes, value)
+
+    async def write(
+        self, key: str, value: bytes, lease: int = 0
+    ) -> Written | LeaseLost:
+        """Write a value, to be removed when `lease` ends."""
+        item: dict[str, Any] = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "lease": lease,
+        }
+        body = {"if_rev": [], "writes": [item], "remove": []}
+        return await self._transact(body)
+
+    async def create(
+        self, key: str, value: bytes, lease: int = 0
+    ) -> Written | LeaseLost | Item:
+        """Write a value if there is none; return the item that there is."""
+        item: dict[str, Any] = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "lease": lease,
+        }
+        condition = {"key": key, "revision": 0}
+        body = {"if_rev": [condition], "writes": [item], "remove": []}
+        status, answer = await self._call(
+            "transact", "POST", "/savorydyke/kv-txn", body
+        )
+        if status == 412:
+            return _decode(lambda v: _item(v["items"][0]), answer)
+        if status == 404:
+            return LeaseLost()
+        return Written(_decode(lambda v: int(v["revision"]), answer))
+
+    async def _transact(self, body: dict[str, Any]) -> Written | LeaseLost:
+        status, value = await self._call("transact", "POST", "/savorydyke/kv-txn", body)
+        if status == 404:
+            return LeaseLost()
+        return Written(_decode(lambda v: int(v["revision"]), value))
+
+    async def open_lease(self, ttl_s: float) -> int:
+        """Return a new lease."""
+        body = {"ttl_ms": int(ttl_s * 1000)}
+        _, value = await self._call("lease", "POST", "/savorydyke/kv-lease", body)
+        return _decode(lambda v: int(v["lease"]), value)
+
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a lease; return False if it has ended."""
+        path = f"/savorydyke/kv-keep/{lease}"
+        status, _ = await self._call("keep", "POST", path)
+        return status != 404
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease, which removes its keys."""
+        await self._call("end", "DELETE", f"/savorydyke/kv-lease-end/{lease}")
+
+    async def _call(
+        self,
+        name: str,
+        method: str,
+        target: str,
+        body: dict[str, Any] | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> tuple[int, Any]:
+        started = trio.current_time()
+        result = "ok"
+        try:
+            status, data = await self._exchange(method, target, body, timeout_s)
+            return status, _decode_body(status, data)
+        except StoreError as error:
+            result = error.fault.value
+            raise
+        finally:
+            self.on_call(name, trio.current_time() - started, result)
+
+    async def _exchange(
+        self, method: str, target: str, body: dict[str, Any] | None, timeout_s: float
+    ) -> tuple[int, bytes]:
+        channel = await self._channel()
+        reusable = False
+        try:
+            with trio.fail_after(timeout_s):
+                await channel.send(self._outgoing(method, target, body), None)
+                head = await channel.read_head()
+                data = b"".join([part async for part in channel.read_body()])
+            reusable = channel.reuse()
+            return head.status, data
+        except (ChannelBrokenError, trio.TooSlowError) as error:
+            raise StoreError(StoreFault.LOST, repr(error)) from None
+        finally:
+            if reusable and len(self.idle) < IDLE_CHANNELS:
+                self.idle.append((trio.current_time(), channel))
+            else:
+                channel.close()
+
+    async def _channel(self) -> Channel:
+        while self.idle:
+            since, channel = self.idle.pop()
+            if trio.current_time() - since <= IDLE_CHANNEL_S:
+                return channel
+            channel.close()
+        try:
+            return await open_channel(self.address, CONNECT_TIMEOUT_S)
+        except ChannelBrokenError as error:
+            raise StoreError(StoreFault.UNREACHABLE, str(error)) from None
+
+    def _outgoing(
+        self, method: str, target: str, body: dict[str, Any] | None
+    ) -> Outgoing:
+        headers = [(b"Host", self.address.encode())]
+        data = b""
+        if body is not None:
+            headers.append((b"Content-Type", b"application/json"))
+            data = json.dumps(body).encode()
+        return Outgoing(method.encode(), target.encode(), headers, data)
+
+
+def open_store(address: str) -> Store:
+    """Return a client of the store at `address`."""
+    return Store(address)
+
+
+def _decode_body(status: int, data: bytes) -> Any:
+    if status == 503:
+        raise StoreError(StoreFault.REFUSED, "status 503")
+    if status == 429:
+        raise StoreError(StoreFault.LIMITED, "status 429")
+    if status not in {200, 404, 410, 412}:
+        raise StoreError(StoreFault.REFUSED, f"status {status}")
+    if status in {404, 410} or not data:
+        return {}
+    try:
+        return json.loads(data)
+    except ValueError as error:
+        raise StoreError(StoreFault.LOST, f"not JSON: {error}") from None
+
+
+def _decode(read: Callable[[Any], Any], value: Any) -> Any:
+    try:
+        return read(value)
+    except (KeyError, TypeError, ValueError, IndexError, binascii.Error) as error:
+        raise StoreError(StoreFault.LOST, f"bad answer: {error!r}") from None
+
+
+def _item(value: dict[str, Any]) -> Item:
+    data = base64.b64decode(value["value"], validate=True)
+    return Item(str(value["key"]), data, int(value["revision"]))
+
+
+def _changes(value: dict[str, Any]) -> Changes:
+    changes = []
+    for event in value["events"]:
+        data = None
+        if not event.get("deleted"):
+            data = base64.b64decode(event["value"], validate=True)
+        changes.append(Change(str(event["key"]), data, int(event["revision"])))
+    return Changes(tuple(changes), int(value["current_rev"]))
--- a/src/savorydyke_bench/_fleet.py
+++ b/src/savorydyke_bench/_fleet.py
@@ -208,7 +208,7 @@
         """Start an instance's process, again after it has ended."""
         instance = self.instances[name]
         instance.process = self.start_process(
-            ["-m", "savorydyke._daemon", "--config", str(instance.config)], name
+            ["-m", "savorydyke", "--config", str(instance.config)], name
         )
 
     def start_process(self, arguments: list[str], name: str) -> subprocess.Popen:
