Hand out quotas by bucket and window; write logs without blocking; metrics

Log lines go through a bounded buffer with sampling; each decision of a home and each request's end has a line; metrics are served.

--- a/src/savorydyke/_cell.py
+++ b/src/savorydyke/_cell.py
@@ -34,7 +34,7 @@
 RECONCILE_GRACE_S = 2.0
 YOUNG_S = 60.0
 """For how long after taking over a home may lack earlier request ids."""
-RETRY_RANGE_S = (0.1, 60.0)
+RETRY_RANGE_S = (1.0, 60.0)
 RETRY_SPREAD = 0.5
 """Share of a time to come back by which returns are spread."""
 URGENCIES = 16
@@ -101,6 +101,8 @@
         Tokens that the calling teams may use.
     repeats : RepeatBudget or None
         Limits sends beyond the first of each request; None for no limit.
+    least_retry_s : float
+        Soonest time to come back that a refusal names.
     """
 
     pool: PoolId
@@ -113,6 +115,7 @@
     queue: FairQueue = field(default_factory=FairQueue)
     quotas: Quotas = field(default_factory=Quotas)
     repeats: RepeatBudget | None = None
+    least_retry_s: float = RETRY_RANGE_S[0]
     placed: dict[RequestKey, EndpointId] = field(default_factory=dict)
     recent: OrderedDict[RequestKey, Recent] = field(default_factory=OrderedDict)
     expiry: list[tuple[float, RequestKey, int]] = field(default_factory=list)
@@ -194,7 +197,8 @@
         """Refuse what is beyond the team's quota or the budget of repeats."""
         if self.repeats is not None and not repeat:
             self.repeats.request(now)
-        wait_s = self.quotas.wait_s(item.team, item.quota_tokens, now)
+        idle = not self._all_busy(now)
+        wait_s = self.quotas.wait_s(item.team, now, idle)
         if wait_s > 0:
             detail = "the team's quota is used up"
             return self._refuse(item, Reason.QUOTA, detail, wait_s, now)
@@ -569,7 +573,8 @@
     def drain_s(self, rank: int) -> float:
         """Return when a request of this tier could expect to be granted."""
         ahead_s = sum(t.cost_s for r, t in self.queue.tiers.items() if r <= rank)
-        low, high = RETRY_RANGE_S
+        _, high = RETRY_RANGE_S
+        low = self.least_retry_s
         return min(high, max(low, ahead_s / max(1, self.estimates.usable_count())))
 
     def _wait_s(self, item: Waiting) -> float:
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -4,8 +4,9 @@
 import json
 import random
 import signal
+import sys
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 
@@ -18,7 +19,7 @@
 from savorydyke._freshness import Freshness, boot_time
 from savorydyke._gateway_settings import GatewaySettings, read_gateway_settings
 from savorydyke._homes import Homes
-from savorydyke._ids import EndpointId, InstanceId, PoolId, Revision
+from savorydyke._ids import EndpointId, InstanceId, PoolId, Revision, TeamId
 from savorydyke._ingress import (
     Incoming,
     Ingress,
@@ -26,6 +27,7 @@
     Responder,
     open_listener,
 )
+from savorydyke._log_writer import Buffer, flush, write_lines
 from savorydyke._membership import HEARTBEAT_S, Membership
 from savorydyke._messages import (
     Acquire,
@@ -41,9 +43,12 @@
     Started,
     Withdraw,
 )
+from savorydyke._metrics import Metrics
 from savorydyke._peers import Peers
+from savorydyke._quota import Quotas, Tolerance
 from savorydyke._repeat_budget import RepeatBudget
 from savorydyke._routed import RoutedCallers
+from savorydyke._routes import TeamQuota
 from savorydyke._scheduler import Demand, Scheduler
 from savorydyke._timers import TimerService
 from savorydyke.platform import (
@@ -70,9 +75,13 @@
 STOP_MARGIN_S = 0.6
 """Time between the last cut and the kill."""
 STOP_CHECK_S = 0.02
+LEAST_RETRY_S = 0.1
+"""About the time in which one of a pool's places comes free."""
 READY_AGE_SHARE = 0.8
 """Share of the bound on revoked keys after which no new callers are wanted."""
 
+METRICS_PATH = b"/metrics"
+
 log = _logs.part("gateway")
 
 
@@ -82,6 +91,8 @@
 
     Attributes
     ----------
+    own_quotas : Quotas
+        This instance's share of quotas, for requests whose home is silent.
     stopping : bool
         Whether the signal to stop has come.
     """
@@ -97,6 +108,9 @@
     states: EndpointStates
     homes: Homes
     scheduler: Scheduler
+    metrics: Metrics
+    lines: Buffer
+    own_quotas: Quotas = field(default_factory=Quotas)
     stopping: bool = False
 
     def deliver(self, instance: InstanceId, message: Message) -> None:
@@ -175,6 +189,27 @@
         age_s = self.freshness.age_s(boot_time())
         return age_s <= READY_AGE_SHARE * self.settings.bounds.revocation_s
 
+    def update_gauges(self) -> None:
+        """Bring the gauges up to the moment."""
+        cells = [hosted.cell for hosted in self.homes.hosted.values()]
+        values = {
+            "version": self.directory.version,
+            "config_age_ms": self.freshness.age_ms(boot_time()),
+            "ready": int(self.is_ready()),
+            "endpoints": len(self.directory.endpoints),
+            "links": len(self.peers.links),
+            "pending": len(self.scheduler.pending),
+            "in_flight": len(self.scheduler.in_flight),
+            "homes": len(cells),
+            "waiting": sum(len(cell.queue) for cell in cells),
+            "places_used": sum(len(cell.placed) for cell in cells),
+            "log_lines_dropped": self.lines.dropped,
+            "log_lines_sampled": self.lines.sampled,
+            "peer_bytes_sent": self.peers.traffic.bytes_sent,
+        }
+        for kind, value in values.items():
+            self.metrics.state.set({"kind": kind}, value)
+
     def pools(self) -> list[PoolId]:
         """Return the pools of the configuration."""
         manifest = self.directory.manifest
@@ -187,6 +222,10 @@
         manifest = self.directory.manifest
         if manifest is None:
             return None
+        now = trio.current_time()
+        self.own_quotas.share = 1 / self.membership.known()
+        if self.own_quotas.wait_s(demand.team, now) > 0:
+            return None
         in_flight = [i.granted.endpoint for i in self.scheduler.in_flight.values()]
         name = place_alone(
             manifest,
@@ -197,6 +236,8 @@
             self.membership.id,
             self.membership.known(),
         )
+        if name is not None:
+            self.own_quotas.charge(demand.team, demand.quota_tokens, now)
         log.info(
             "Home silent.",
             extra={
@@ -256,9 +297,11 @@
             await trio.sleep(backoff_s(failures, RETRY_BASE_S, RETRY_MOST_S, rng))
 
 
-def new_gateway(settings: GatewaySettings, store: Store) -> Gateway:
+def new_gateway(settings: GatewaySettings, store: Store, lines: Buffer) -> Gateway:
     """Return the parts of an instance, connected with each other."""
     rng = random.Random()
+    metrics = Metrics()
+    store.on_call = metrics.store_call
     freshness = Freshness()
     directory = Directory(store, freshness, rng)
     membership = Membership(
@@ -301,12 +344,14 @@
         states,
         homes,
         scheduler,
+        metrics,
+        lines,
     )
     membership.listeners.append(scheduler.follow_homes)
     membership.lost.append(homes.entry_lost)
     states.listeners.append(homes.set_leaving)
     directory.listeners.append(homes.reconfigure)
-    directory.listeners.append(lambda manifest: _follow_quotas(homes, directory))
+    directory.listeners.append(lambda manifest: _follow_quotas(gateway))
     directory.listeners.append(lambda manifest: scheduler.follow_homes())
     return gateway
 
@@ -314,26 +359,43 @@
 def _equip(cell: Cell, settings: GatewaySettings, directory: Directory) -> None:
     """Give a cell the calling teams' quotas and the budget of repeats."""
     bounds = settings.bounds
+    cell.least_retry_s = LEAST_RETRY_S
     cell.repeats = RepeatBudget(
         bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_s
     )
-    if directory.configuration is not None:
-        teams = directory.configuration.teams
-        cell.quotas.limits = {team.id: team.quota for team in teams.values()}
+    cell.quotas.opened = cell.born
+    cell.quotas.tolerance = Tolerance(
+        bounds.quota_excess, bounds.quota_slack, bounds.quota_window_s
+    )
+    cell.quotas.limits = _limits_of_teams(directory)
 
 
-def _follow_quotas(homes: Homes, directory: Directory) -> None:
-    assert directory.configuration is not None
+def _limits_of_teams(directory: Directory) -> dict[TeamId, TeamQuota]:
+    if directory.configuration is None:
+        return {}
     teams = directory.configuration.teams
-    limits = {team.id: team.quota for team in teams.values()}
-    for hosted in homes.hosted.values():
+    return {team.id: team.quota for team in teams.values()}
+
+
+def _follow_quotas(gateway: Gateway) -> None:
+    limits = _limits_of_teams(gateway.directory)
+    gateway.own_quotas.limits = limits
+    for hosted in gateway.homes.hosted.values():
         hosted.cell.quotas.limits = limits
 
 
 async def run(settings: GatewaySettings, path: str) -> int:
     """Run an instance until it is told to stop; return the exit status."""
+    lines = _logs.configure_buffered(settings.log_level, settings.instance)
+    try:
+        return await _run(settings, path, lines)
+    finally:
+        flush(lines)
+
+
+async def _run(settings: GatewaySettings, path: str, lines: Buffer) -> int:
     store = open_store(settings.store)
-    gateway = new_gateway(settings, store)
+    gateway = new_gateway(settings, store, lines)
     async with trio.open_nursery() as nursery:
         callers = RoutedCallers(
             settings.instance,
@@ -343,6 +405,8 @@
             gateway.rng,
             settings.bounds.revocation_s,
             lambda: gateway.states.leaving,
+            gateway.metrics,
+            incarnation=gateway.membership.incarnation,
         )
         ingress = Ingress(
             callers.handle,
@@ -354,7 +418,15 @@
             callers.refuse_unreadable,
             IngressLimits,
         )
+        nursery.start_soon(write_lines, lines, sys.stdout.fileno())
         nursery.start_soon(_listen, settings.readiness, readiness)
+        if settings.metrics:
+            pages = Ingress(
+                lambda request, responder: _answer_metrics(gateway, request, responder),
+                callers.refuse_unreadable,
+                IngressLimits,
+            )
+            nursery.start_soon(_listen, settings.metrics, pages)
         nursery.start_soon(_listen, settings.callers, ingress)
         nursery.start_soon(gateway.timers.run)
         nursery.start_soon(gateway.directory.follow)
@@ -405,6 +477,18 @@
     await responder.whole(status, headers, json.dumps(body).encode())
 
 
+async def _answer_metrics(
+    gateway: Gateway, request: Incoming, responder: Responder
+) -> None:
+    if request.target.partition(b"?")[0] != METRICS_PATH:
+        await responder.whole(404, [], b"")
+        return
+    gateway.update_gauges()
+    content, headers = gateway.metrics.render(["text/plain"])
+    pairs = [(name.encode(), value.encode()) for name, value in headers.items()]
+    await responder.whole(200, pairs, content)
+
+
 async def _wait_for_stop(
     gateway: Gateway, callers: RoutedCallers, ingress: Ingress, path: str
 ) -> None:
--- a/src/savorydyke/_gateway_settings.py
+++ b/src/savorydyke/_gateway_settings.py
@@ -24,6 +24,10 @@
     repeat_ratio, repeat_slack, repeat_window_s : float
         Sends beyond the first of each request: share of the requests in a
         window, and number beyond that.
+    quota_excess, quota_slack : float
+        What a calling team may use beyond its quota: share of it, and tokens.
+    quota_window_s : float
+        Length of the sliding window in which that is counted.
     """
 
     revocation_s: float
@@ -31,6 +35,9 @@
     repeat_ratio: float
     repeat_slack: float
     repeat_window_s: float
+    quota_excess: float
+    quota_slack: float
+    quota_window_s: float
 
 
 @dataclass(frozen=True)
@@ -108,6 +115,9 @@
         repeat_ratio=fields.number("repeat_ratio", 0.2),
         repeat_slack=fields.number("repeat_slack", 10),
         repeat_window_s=fields.number("repeat_window_s", 10, 0.1),
+        quota_excess=fields.number("quota_excess", 0),
+        quota_slack=fields.number("quota_slack", 0),
+        quota_window_s=fields.number("quota_window_s", 8, 0.1),
     )
     fields.finish()
     return bounds
--- a/src/savorydyke/_homes.py
+++ b/src/savorydyke/_homes.py
@@ -110,7 +110,9 @@
                 hosted = self.hosted.get(message.pool)
                 if hosted is not None:
                     hosted.used = now
-                    self._send(self._apply(hosted.cell, sender, message, now))
+                    self._send(
+                        hosted.cell, self._apply(hosted.cell, sender, message, now)
+                    )
 
     def _apply(
         self,
@@ -137,7 +139,7 @@
             self.answer(sender, refusal)
             return
         hosted.used = now
-        self._send(hosted.cell.acquire(message, sender, now))
+        self._send(hosted.cell, hosted.cell.acquire(message, sender, now))
         if hosted.cell.settled and message.key in hosted.cell.queue.by_key:
             self.answer(sender, Queued(message.key, message.attempt))
 
@@ -150,10 +152,38 @@
         if hosted.is_informed():
             self._settle(hosted, now)
 
-    def _send(self, decisions: list[Decision]) -> None:
+    def _send(self, cell: Cell, decisions: list[Decision]) -> None:
         for decision in decisions:
+            self._log(cell, decision)
             self.answer(decision.entry, decision.answer)
 
+    def _log(self, cell: Cell, decision: Decision) -> None:
+        """Log a decision with what decided it."""
+        answer = decision.answer
+        extra: dict[str, object] = {
+            "request": answer.key.rpartition("/")[2],
+            "entry": decision.entry,
+            "pool": cell.pool,
+            "waiting": len(cell.queue),
+            "share": round(cell.share, 2),
+        }
+        if isinstance(answer, Refuse):
+            extra |= {"reason": answer.reason.value, "detail": answer.detail}
+            extra["retry_ms"] = answer.retry_ms
+            log.info("Refused.", extra=extra)
+            return
+        load = cell.endpoints[answer.endpoint]
+        extra |= {
+            "endpoint": answer.endpoint,
+            "running": len(load.running),
+            "unread_tokens": load.unstarted_tokens,
+            "slowness": round(load.prefill_factor, 2),
+        }
+        item = load.running.get(answer.key)
+        if item is not None:
+            extra["first_ms"] = int(item.predicted_first_s * 1000)
+        log.info("Granted.", extra=extra)
+
     # Cells
 
     def _host(self, pool: PoolId, now: float) -> Hosted | None:
@@ -179,7 +209,7 @@
         if hosted.cell.settled:
             return
         hosted.cell.settled = True
-        self._send(hosted.cell.pump(now))
+        self._send(hosted.cell, hosted.cell.pump(now))
 
     def set_share(self, cell: Cell) -> None:
         """Limit the credits of a cell whose home may not be the only one."""
@@ -199,7 +229,7 @@
         """Hand a new manifest to all cells."""
         now = trio.current_time()
         for hosted in list(self.hosted.values()):
-            self._send(hosted.cell.reconfigure(manifest, now))
+            self._send(hosted.cell, hosted.cell.reconfigure(manifest, now))
             for endpoint in self.states.leaving:
                 hosted.cell.set_leaving(endpoint, True)
 
@@ -251,7 +281,7 @@
             cell.born = now
         for endpoint, item in cell.take_orphans(now - self.orphan_grace_s, now):
             self.cancel_orphan(endpoint, item)
-        self._send(cell.tick(now))
+        self._send(cell, cell.tick(now))
         if self.membership.is_home(pool) or len(cell.queue) > 0:
             hosted.used = now
         elif now - hosted.used > IDLE_S:
--- a/src/savorydyke/_logs.py
+++ b/src/savorydyke/_logs.py
@@ -7,6 +7,7 @@
 from pythonjsonlogger.json import JsonFormatter
 
 from savorydyke._ids import InstanceId
+from savorydyke._log_writer import Buffer, BufferedHandler
 
 ROOT = "savorydyke"
 RENAMES = {"asctime": "time", "levelname": "level"}
@@ -14,7 +15,17 @@
 
 def configure(level: str, instance: InstanceId) -> None:
     """Send log records to standard error as JSON lines."""
-    handler = logging.StreamHandler(sys.stderr)
+    _install(logging.StreamHandler(sys.stderr), level, instance)
+
+
+def configure_buffered(level: str, instance: InstanceId) -> Buffer:
+    """Send log records to a buffer; `write_lines` has to empty it."""
+    buffer = Buffer()
+    _install(BufferedHandler(buffer), level, instance)
+    return buffer
+
+
+def _install(handler: logging.Handler, level: str, instance: InstanceId) -> None:
     handler.setFormatter(
         JsonFormatter(
             "%(asctime)s %(levelname)s %(message)s",
--- a/src/savorydyke/_main.py
+++ b/src/savorydyke/_main.py
@@ -57,7 +57,6 @@
 
         from savorydyke import _gateway
 
-        _logs.configure(settings.log_level, settings.instance)
         return trio.run(_gateway.run, settings, path)
 
     return start
--- a/src/savorydyke/_metrics.py
+++ b/src/savorydyke/_metrics.py
@@ -62,6 +62,9 @@
         self.platform_calls = self._counter(
             "savorydyke_platform_calls_total", "Calls of the platform's service."
         )
+        self.store_seconds = self._histogram(
+            "savorydyke_store_call_seconds", "Time of calls of the platform's store."
+        )
         self.state = self._gauge(
             "savorydyke_state",
             "Revision, members, waiting, in flight and peer traffic, by kind.",
@@ -85,6 +88,11 @@
         """Add one observation for a tier and a team."""
         histogram.observe({"tier": tier, "team": team}, float(seconds))
 
+    def store_call(self, name: str, seconds: float, result: str) -> None:
+        """Count a call of the store."""
+        self.platform_calls.inc({"kind": name, "result": result})
+        self.store_seconds.observe({"kind": name}, seconds)
+
     def merge_events(self, tier: TierId, team: TeamId, times: EventTimes) -> None:
         """Add the intervals of one stream."""
         labels = {"tier": tier, "team": team}
--- a/src/savorydyke/_routed.py
+++ b/src/savorydyke/_routed.py
@@ -31,9 +31,11 @@
     ReleaseResult,
     RequestKey,
     TeamId,
+    TierId,
 )
 from savorydyke._ingress import Incoming, Rejected, Responder
 from savorydyke._manifest import SERVICE_CALL_TOKENS, Endpoint
+from savorydyke._metrics import EventTimes, Metrics
 from savorydyke._problems import Refusal
 from savorydyke._routes import PUBLIC_TEAM, Route, RoutedConfiguration
 from savorydyke._scheduler import Demand, Granted, Refused, Scheduler
@@ -63,6 +65,8 @@
 """Part of the bound on revoked keys that is left for clocks and waiting."""
 NO_PLACE_RETRY_S = 0.25
 
+UNKNOWN_TEAM = TeamId("(unknown)")
+UNKNOWN_TIER = TierId("(unknown)")
 EVENT_END = b"\n\n"
 EVENT_ID = re.compile(rb"^id:[ ]?(.*?)\r?$", re.MULTILINE)
 
@@ -126,6 +130,8 @@
     expires: float
     quota_tokens: int
     config_version: int
+    config_age_s: float
+    tier: TierId
     avoid: list[EndpointId] = field(default_factory=list)
     sent_to: list[EndpointId] = field(default_factory=list)
     unreachable: int = 0
@@ -134,6 +140,9 @@
     last_event: str = ""
     events: int = 0
     granted_at: float = 0.0
+    waited_s: float = 0.0
+    times: EventTimes = field(default_factory=EventTimes)
+    first_event: float | None = None
     first_byte: float | None = None
     last_byte: float = 0.0
     result: ReleaseResult = ReleaseResult.NOT_SENT
@@ -152,6 +161,9 @@
         Time after which a key that was taken away must not work.
     refusing : bool
         Whether new requests are refused because the instance stops.
+    incarnation : int
+        Tells this process from earlier ones of the same instance, whose
+        requests a home may remember.
     """
 
     instance: InstanceId
@@ -161,8 +173,9 @@
     rng: random.Random
     revocation_s: float
     unusable: Callable[[], set[EndpointId]]
-    on_end: Callable[[Job, str, float], None] = field(default=lambda job, how, at: None)
+    metrics: Metrics
     refusing: bool = False
+    incarnation: int = 0
     serial: int = 0
 
     # One request
@@ -257,6 +270,8 @@
             expires=incoming.arrived + wait_s,
             quota_tokens=_quota_tokens(configuration, team, marks),
             config_version=configuration.version,
+            config_age_s=age_s,
+            tier=_tier(configuration, team, route),
             last_event=marks.last_event,
         )
 
@@ -304,12 +319,14 @@
     async def _attempts(self, job: Job) -> Refusal | None:
         while True:
             demand = self._demand(job)
+            asked = trio.current_time()
             answer = await self.scheduler.acquire(demand, tuple(job.avoid))
             if isinstance(answer, Refused):
                 return await self._give_up(job, answer)
-            result = await self._use(job, answer, demand.key)
+            result = await self._use(job, answer, demand.key, asked)
             if isinstance(result, Done):
                 return None
+            self._log_attempt(job, answer, result)
             job.avoid.append(answer.endpoint)
             if not self._may_go_on(job, result):
                 return await self._give_up(job, result)
@@ -352,7 +369,9 @@
         is_repeat = bool(job.sent_to)
         objective = job.incoming.arrived + job.route.objective_s
         return Demand(
-            key=RequestKey(f"{self.instance}/{self.serial}"),
+            key=RequestKey(
+                f"{self.instance}/{self.incarnation}.{self.serial}/{marks.request_id}"
+            ),
             pool=job.pool,
             team=job.team,
             model=marks.model,
@@ -370,9 +389,12 @@
 
     # Sending
 
-    async def _use(self, job: Job, granted: Granted, key: RequestKey) -> SendResult:
+    async def _use(
+        self, job: Job, granted: Granted, key: RequestKey, asked: float
+    ) -> SendResult:
         """Use one grant and give it back."""
         job.granted_at = granted.received
+        job.waited_s += granted.received - asked
         job.first_byte = None
         job.result = ReleaseResult.NOT_SENT
         events = job.events
@@ -530,8 +552,13 @@
         return Done(head.status)
 
     def _note_events(self, job: Job, whole: bytes) -> None:
+        now = trio.current_time()
         job.events += whole.count(EVENT_END)
-        job.last_byte = trio.current_time()
+        if job.first_event is None:
+            job.first_event = now
+        else:
+            job.times.add(now - job.last_byte)
+        job.last_byte = now
         ids = EVENT_ID.findall(whole)
         if ids:
             job.last_event = ids[-1].decode("latin-1").strip()
@@ -541,7 +568,7 @@
             job.first_byte = job.last_byte = trio.current_time()
             self.scheduler.started(key, job.first_byte - job.granted_at)
 
-    # Logging
+    # Logs and metrics
 
     def _log_refusal(
         self, marks: RequestMarks, refusal: Refusal, job: Job | None
@@ -552,13 +579,66 @@
             "status": refusal.status,
             "outcome": refusal.outcome.value,
             "detail": refusal.detail,
+            "version": self.directory.version,
+            "age_ms": self.directory.freshness.age_ms(boot_time()),
         }
+        tier, team = UNKNOWN_TIER, UNKNOWN_TEAM
         if job is not None:
-            extra |= {"route": job.route.name, "team": job.team, "pool": job.pool}
-        log.info("Request refused.", extra=extra)
+            tier, team = job.tier, job.team
+        self.metrics.refused(tier, team, refusal.reason, refusal.outcome)
+        log.warning("Refused.", extra=extra)
+
+    def _log_attempt(self, job: Job, granted: Granted, result: SendResult) -> None:
+        """Log an attempt that brought no answer to the caller."""
+        log.warning(
+            "Attempt failed.",
+            extra={
+                "request": job.marks.request_id,
+                "endpoint": granted.endpoint,
+                "home": granted.home,
+                "result": job.result.value,
+                "why": _describe(result),
+                "events": job.events,
+            },
+        )
 
     def _ended(self, job: Job, how: str) -> None:
-        self.on_end(job, how, trio.current_time())
+        """Count a request and log how it went."""
+        now = trio.current_time()
+        metrics, tier, team = self.metrics, job.tier, job.team
+        metrics.answers.inc({"tier": tier, "team": team, "result": how})
+        metrics.observe(metrics.waiting, tier, team, job.waited_s)
+        arrived = job.incoming.arrived
+        if job.first_byte is not None:
+            first_s = (job.first_event or job.first_byte) - arrived
+            metrics.observe(metrics.first_token, tier, team, first_s)
+            metrics.merge_events(tier, team, job.times)
+        if how == "answered":
+            metrics.observe(metrics.total, tier, team, now - arrived)
+        elif job.sent_to and job.marks.prompt_tokens:
+            labels = {"tier": tier, "team": team, "result": job.result.value}
+            metrics.wasted_prefill.add(labels, job.marks.prompt_tokens)
+        log.info(
+            "Ended.",
+            extra={
+                "request": job.marks.request_id,
+                "how": how,
+                "route": job.route.name,
+                "pool": job.pool,
+                "team": team,
+                "rank": tier,
+                "version": job.config_version,
+                "age_ms": int(job.config_age_s * 1000),
+                "endpoints": job.sent_to,
+                "tokens": [job.marks.prompt_tokens, job.marks.max_output_tokens],
+                "waited_ms": int(job.waited_s * 1000),
+                "first_ms": int((job.first_byte - arrived) * 1000)
+                if job.first_byte
+                else -1,
+                "total_ms": int((now - arrived) * 1000),
+                "events": job.events,
+            },
+        )
 
 
 def answer_not_sent(job: Job) -> bool:
@@ -566,6 +646,11 @@
     return job.result in {ReleaseResult.NOT_SENT, ReleaseResult.UNREACHABLE}
 
 
+def _tier(configuration: RoutedConfiguration, team: TeamId, route: Route) -> TierId:
+    routed = configuration.teams.get(team)
+    return TierId(f"{routed.rank if routed else 0}.{route.urgency}")
+
+
 def _digests(marks: RequestMarks) -> tuple[int, ...]:
     return ()
 
