--- /dev/null
+++ b/features/steps/routed_cases.py
@@ -0,0 +1,773 @@
+"""The routed cases: each one a short story against a fresh deployment."""
+
+import json
+import subprocess
+import sys
+
+import trio
+from routed_site import BOUNDS, HOST, Answer, free_address
+
+from savorydyke_standins._routed_endpoint import (
+    EVENTS,
+    answer_plainly,
+    answer_stream,
+    chunk,
+    event,
+)
+from savorydyke_standins._store import Mode
+
+CASES = {}
+GONE_S = 0.5
+"""Time in which the end of a caller must reach an endpoint."""
+BODY = b"the body of a claim"
+
+
+def case(name):
+    """Register a case under the name that the feature uses."""
+
+    def register(function):
+        CASES[name] = function
+        return function
+
+    return register
+
+
+async def one(site, service, *scripts):
+    """Start one endpoint and one instance."""
+    endpoint = await site.endpoint("e1", service, *scripts)
+    await site.daemon()
+    return endpoint
+
+
+def whole_stream(answer: Answer, first: int = 1) -> bool:
+    """Return whether an answer is a whole stream from event `first`."""
+    expected = b"".join(event(n) for n in range(first, EVENTS + 1))
+    return answer.complete and answer.status == 200 and answer.body == expected
+
+
+async def reset(exchange):
+    """Reset the channel without an answer."""
+    exchange.reset()
+
+
+async def hang(exchange):
+    """Say nothing."""
+    await trio.sleep_forever()
+
+
+async def not_run(exchange):
+    """State that the request did not run."""
+    await exchange.whole(503, b"full", (b"X-Savorydyke-Not-Executed", b"1"))
+
+
+async def misdirected(exchange):
+    """Answer as an endpoint that is not the expected one."""
+    await exchange.send(exchange.head(421, (b"Content-Length", b"0"), stamped=False))
+
+
+# Answers
+
+
+@case("a whole answer comes back with its stamp")
+async def _(site):
+    await one(site, "desk")
+    answer = await site.ask("/claim/1?x=%20y")
+    assert (answer.status, answer.body, answer.complete) == (200, b"answer", True)
+    assert answer.headers[b"x-savorydyke-response-stamp"] == b"stamp"
+    assert answer.headers[b"x-savorydyke-request-id"] == b"r1"
+
+
+@case("an endpoint gets what it needs and no key")
+async def _(site):
+    endpoint = await one(site, "desk")
+    await site.ask("/claim/1?x=%20y", (b"X-Own", b"kept"), body=BODY)
+    (seen,) = endpoint.seen
+    assert (seen.method, seen.target, seen.body) == (b"POST", b"/claim/1?x=%20y", BODY)
+    headers = seen.headers
+    assert headers[b"x-savorydyke-tenant"] == b"crew"
+    assert headers[b"x-savorydyke-expect-instance"] == b"e1"
+    # What is left of the caller's 3 s, and no more than the route's 2 s.
+    assert 1500 < int(headers[b"x-savorydyke-deadline-ms"]) <= 2000
+    assert headers[b"x-own"] == b"kept"
+    assert headers[b"host"] == HOST.encode()
+    assert b"authorization" not in headers
+
+
+@case("what only the system may set is taken off")
+async def _(site):
+    endpoint = await one(site, "desk")
+    await site.ask(
+        "/claim/1",
+        (b"X-Savorydyke-Hold", b"h"),
+        (b"X-Savorydyke-Pin-Ms", b"9"),
+        (b"X-Savorydyke-Kv-Backup", b"1.2.3.4:5"),
+        (b"Kv-From", b"1.2.3.4:5/h"),
+        (b"X-Savorydyke-Tenant", b"other"),
+        (b"X-Savorydyke-Expect-Instance", b"other"),
+        (b"Connection", b"x-savorydyke-model"),
+        (b"X-Savorydyke-Model", b"m"),
+    )
+    headers = endpoint.seen[0].headers
+    for name in (b"x-savorydyke-hold", b"x-savorydyke-pin-ms", b"kv-from"):
+        assert name not in headers
+    assert b"x-savorydyke-kv-backup" not in headers
+    assert headers[b"x-savorydyke-tenant"] == b"crew"
+    assert headers[b"x-savorydyke-expect-instance"] == b"e1"
+    assert headers[b"x-savorydyke-model"] == b"m"
+
+
+@case("a stream passes event by event")
+async def _(site):
+    async def slow(exchange):
+        await exchange.stream_events(1, EVENTS, pause_s=0.1)
+
+    await one(site, "engines", slow)
+    caller = await site.connect(site.daemons[0].callers)
+    started = trio.current_time()
+    with trio.move_on_after(0.3):
+        await caller.request("POST", "/digest/1", site.headers(), BODY)
+    # The first events are here before the last one was made.
+    assert trio.current_time() - started < 0.4
+    answer = await site.ask("/digest/1")
+    assert whole_stream(answer)
+
+
+@case("an answer without length is whole at its close")
+async def _(site):
+    async def unframed(exchange):
+        await exchange.send(exchange.head() + b"part one, ")
+        await exchange.send(b"part two")
+
+    await one(site, "desk", unframed)
+    answer = await site.ask("/claim/1")
+    assert (answer.status, answer.body) == (200, b"part one, part two")
+    assert answer.complete
+
+
+@case("an answer without length that is reset is no answer")
+async def _(site):
+    async def torn(exchange):
+        await exchange.send(exchange.head() + b"part one, ")
+        await trio.sleep(0.05)
+        exchange.reset()
+
+    await one(site, "desk", torn)
+    assert (await site.ask("/claim/1")).status == 502
+
+
+@case("a torn answer is no answer")
+async def _(site):
+    async def torn(exchange):
+        await exchange.send(exchange.head(200, (b"Content-Length", b"99")) + b"half")
+
+    endpoint = await one(site, "desk", torn)
+    answer = await site.ask("/claim/1")
+    assert answer.status == 502 and b"may have run" in answer.body
+    assert len(endpoint.seen) == 1
+
+
+@case("an answer of another request is no answer")
+async def _(site):
+    async def foreign(exchange):
+        exchange.seen.headers[b"x-savorydyke-request-id"] = b"another"
+        await exchange.whole(200, b"of another")
+
+    await one(site, "desk", foreign)
+    answer = await site.ask("/claim/1")
+    assert answer.status == 502 and b"of another" not in answer.body
+
+
+@case("a success without a stamp is no answer")
+async def _(site):
+    async def bare(exchange):
+        length = (b"Content-Length", b"4")
+        await exchange.send(exchange.head(200, length, stamped=False) + b"bare")
+
+    await one(site, "desk", bare)
+    assert (await site.ask("/claim/1")).status == 502
+
+
+@case("bytes behind an answer reach nobody")
+async def _(site):
+    async def extra(exchange):
+        await exchange.whole(200, b"first")
+        await exchange.whole(200, b"second")
+
+    await one(site, "desk", extra, answer_plainly)
+    caller = await site.connect(site.daemons[0].callers)
+    first = await caller.request("POST", "/claim/1", site.headers(), BODY)
+    second = await caller.request("POST", "/claim/2", site.headers(), BODY)
+    assert (first.body, second.body) == (b"first", b"answer")
+
+
+@case("an error of the endpoint comes back as it is")
+async def _(site):
+    async def fail(exchange):
+        await exchange.whole(500, b"no such field")
+
+    endpoint = await one(site, "desk", fail)
+    answer = await site.ask("/claim/1")
+    assert (answer.status, answer.body) == (500, b"no such field")
+    assert answer.headers[b"x-savorydyke-response-stamp"] == b"stamp"
+    assert len(endpoint.seen) == 1
+
+
+@case("a refusal that the endpoint does not vouch for is 502")
+async def _(site):
+    async def busy(exchange):
+        await exchange.whole(503, b"later")
+
+    await one(site, "desk", busy)
+    answer = await site.ask("/claim/1")
+    assert answer.status == 502
+    assert b"x-savorydyke-response-stamp" not in answer.headers
+
+
+@case("an early answer to a long body comes back")
+async def _(site):
+    async def early(exchange):
+        await exchange.whole(400, b"too long")
+
+    endpoint = await one(site, "desk", early)
+    endpoint.read_body = False
+    answer = await site.ask("/claim/1", body=b"x" * 150_000)
+    assert (answer.status, answer.body) == (400, b"too long")
+
+
+@case("a claim whose answer is lost runs once")
+async def _(site):
+    first = await site.endpoint("e1", "desk", reset)
+    second = await site.endpoint("e2", "desk", reset)
+    await site.daemon()
+    answer = await site.ask("/claim/1")
+    assert answer.status == 502 and b"retry-after" not in answer.headers
+    assert len(first.seen) + len(second.seen) == 1
+
+
+@case("a lookup whose answer is lost runs elsewhere")
+async def _(site):
+    first = await site.endpoint("e1", "desk", reset, answer_plainly)
+    second = await site.endpoint("e2", "desk", reset, answer_plainly)
+    await site.daemon()
+    # One endpoint loses the first answer; only then is its next one sound.
+    answer = await site.ask("/lookup/1", method="GET", body=b"")
+    assert len(first.seen) == len(second.seen) == 1
+    assert answer.status == 502
+    assert (await site.ask("/lookup/1", method="GET", body=b"")).status == 200
+
+
+@case("a lookup that fails runs elsewhere")
+async def _(site):
+    async def fail(exchange):
+        await exchange.whole(500, b"failed")
+
+    first = await site.endpoint("e1", "desk", fail, answer_plainly)
+    second = await site.endpoint("e2", "desk", answer_plainly)
+    await site.daemon()
+    for _ in range(4):
+        answer = await site.ask("/lookup/1", method="GET", body=b"")
+        assert answer.status == 200
+    assert first.seen and second.seen
+
+
+@case("a claim that did not run goes elsewhere")
+async def _(site):
+    first = await site.endpoint("e1", "desk", not_run)
+    second = await site.endpoint("e2", "desk", answer_plainly)
+    await site.daemon()
+    for number in range(4):
+        answer = await site.ask(f"/claim/{number}")
+        assert answer.status == 200
+    assert first.seen and len(second.seen) == 4
+
+
+@case("a wrong address runs nothing")
+async def _(site):
+    endpoint = await one(site, "desk", misdirected)
+    answer = await site.ask("/claim/1")
+    assert answer.status == 503 and b"not run" in answer.body
+    assert 0 < float(answer.headers[b"retry-after"]) <= 1.0
+    # The route allows two sends.
+    assert len(endpoint.seen) <= 2
+
+
+@case("a dead address costs nothing")
+async def _(site):
+    await site.endpoint("e2", "desk")
+    site.addresses["e1"] = free_address()
+    site.entry("e1", "desk")
+    await site.daemon()
+    for number in range(4):
+        assert (await site.ask(f"/claim/{number}")).status == 200
+
+
+@case("a broken stream goes on behind its last event")
+async def _(site):
+    async def broken(exchange):
+        await exchange.stream_events(1, 2, end=False)
+        await exchange.send(chunk(event(3)[:6]))
+        await trio.sleep(0.05)
+        exchange.reset()
+
+    first = await site.endpoint("e1", "engines", broken, answer_stream)
+    second = await site.endpoint("e2", "engines", broken, answer_stream)
+    await site.daemon()
+    async with trio.open_nursery() as nursery:
+        nursery.cancel_scope.deadline = trio.current_time() + 5
+        answer = await site.ask("/digest/1")
+    assert not whole_stream(answer)  # both broke off, and two are the limit
+    assert whole_stream(await site.ask("/digest/1"))
+    later = [*first.seen, *second.seen]
+    assert sorted(s.headers.get(b"last-event-id", b"") for s in later)[-1] == b"2"
+
+    first.scripts = [broken]
+    second.scripts = [answer_stream]
+    for _ in range(3):
+        assert whole_stream(await site.ask("/digest/1"))
+
+
+@case("a broken stream that may not go on is cut")
+async def _(site):
+    async def broken(exchange):
+        await exchange.stream_events(1, 2, end=False)
+        exchange.reset()
+
+    first = await site.endpoint("e1", "engines", broken)
+    second = await site.endpoint("e2", "engines", broken)
+    await site.daemon()
+    answer = await site.ask("/question/1")
+    assert answer.status == 200 and not answer.complete
+    assert len(first.seen) + len(second.seen) == 1
+
+
+@case("a silent endpoint ends at the route's time")
+async def _(site):
+    endpoint = await one(site, "desk", hang)
+    started = trio.current_time()
+    answer = await site.ask("/claim/1")
+    assert answer.status == 504
+    assert 1.9 < trio.current_time() - started < 2.4
+    await site.until(lambda: endpoint.seen[0].closed is not None, GONE_S)
+
+
+# Callers
+
+
+@case("a caller that leaves ends the work")
+async def _(site):
+    endpoint = await one(site, "engines", hang)
+    caller = await site.connect(site.daemons[0].callers)
+    with trio.move_on_after(0.3):
+        await caller.request("POST", "/digest/1", site.headers(), BODY)
+    await caller.stream.aclose()
+    await site.until(lambda: endpoint.seen[0].closed is not None, GONE_S)
+
+
+@case("a caller that leaves while it waits sends nothing")
+async def _(site):
+    endpoint = await one(site, "engines", hang)
+    callers = []
+    for _ in range(8):
+        caller = await site.connect(site.daemons[0].callers)
+        with trio.move_on_after(0.1):
+            await caller.request("POST", "/question/1", site.headers(), BODY)
+        callers.append(caller)
+    sent = len(endpoint.seen)
+    assert sent <= 4
+    for caller in reversed(callers):
+        await caller.stream.aclose()
+        await trio.sleep(0.05)
+    await trio.sleep(GONE_S)
+    assert len(endpoint.seen) == sent
+
+
+@case("a half sent body reaches nobody")
+async def _(site):
+    endpoint = await one(site, "desk")
+    caller = await site.connect(site.daemons[0].callers)
+    head = raw_head(site, "/claim/1", b"Content-Length: 100")
+    await caller.send(head + b"half of it")
+    await caller.stream.aclose()
+    await trio.sleep(0.2)
+    assert not endpoint.seen
+
+
+@case("a chunked body arrives as it is")
+async def _(site):
+    endpoint = await one(site, "desk")
+    caller = await site.connect(site.daemons[0].callers)
+    head = raw_head(site, "/claim/1", b"Transfer-Encoding: chunked")
+    await caller.send(head + chunk(b"one, ") + chunk(b"two") + b"0\r\n\r\n")
+    assert b" 200 " in await caller.stream.receive_some(1000)
+    assert endpoint.seen[0].body == b"one, two"
+
+
+@case("two requests on one connection are both answered")
+async def _(site):
+    await one(site, "desk")
+    caller = await site.connect(site.daemons[0].callers)
+    for _ in range(3):
+        answer = await caller.request("POST", "/claim/1", site.headers(), BODY)
+        assert answer.status == 200
+
+
+@case("two requests sent at once are answered in order")
+async def _(site):
+    endpoint = await one(site, "desk")
+    caller = await site.connect(site.daemons[0].callers)
+    first = raw_head(site, "/claim/1", b"Content-Length: 3") + b"abc"
+    second = raw_head(site, "/claim/2", b"Content-Length: 3") + b"def"
+    await caller.send(first + second)
+    data = b""
+    with trio.fail_after(3):
+        while data.count(b"answer") < 2:
+            data += await caller.stream.receive_some(1000)
+    assert data.index(b": r1") < data.index(b": r2")
+    assert [s.body for s in endpoint.seen] == [b"abc", b"def"]
+
+
+@case("a request inside another is not let through")
+async def _(site):
+    endpoint = await one(site, "desk")
+    inner = raw_head(site, "/claim/inner", b"Content-Length: 0")
+    framings = [
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked",
+        b"Content-Length: 0\r\nContent-Length: %d" % len(inner),
+        b"Transfer-Encoding: chunked, identity",
+        b"Transfer-Encoding : chunked",
+        b"Content-Length: +5",
+    ]
+    for framing in framings:
+        caller = await site.connect(site.daemons[0].callers)
+        await caller.send(raw_head(site, "/claim/1", framing) + inner)
+        with trio.fail_after(2):
+            data = await caller.stream.receive_some(1000)
+            assert data.split(b" ")[1] in {b"400", b"501"}, (framing, data)
+            while await caller.stream.receive_some(1000):
+                pass
+    assert not endpoint.seen
+
+
+@case("malformed requests get their status")
+async def _(site):
+    endpoint = await one(site, "desk")
+    caller = await site.connect(site.daemons[0].callers)
+    headers = [(b"Host", HOST.encode()), (b"Authorization", b"Bearer key-of-crew")]
+    assert (await caller.request("POST", "/claim/1", headers, BODY)).status == 400
+    twice = (b"X-Savorydyke-Request-Id", b"another")
+    assert (await site.ask("/claim/1", twice)).status == 400
+    deadline = (b"X-Savorydyke-Deadline-Ms", b"soon")
+    assert (await site.ask("/claim/1", deadline)).status == 400
+    assert (await site.ask("/claim/1", (b"X-Long", b"x" * 9000))).status == 431
+    assert (await site.ask("/claim/1", body=b"x" * 200_001)).status == 413
+    caller = await site.connect(site.daemons[0].callers)
+    await caller.send(b"no HTTP at all\r\n\r\n")
+    assert (await caller.stream.receive_some(100)).startswith(b"HTTP/1.1 400")
+    assert not endpoint.seen
+    assert (await site.ask("/claim/1")).status == 200
+
+
+@case("a slow head is given up")
+async def _(site):
+    await one(site, "desk")
+    caller = await site.connect(site.daemons[0].callers)
+    await caller.send(b"POST /claim/1 HTTP/1.1\r\nHost: desk")
+    with trio.fail_after(1.5):
+        assert (await caller.stream.receive_some(100)).startswith(b"HTTP/1.1 408")
+
+
+@case("an unknown key gets 401 and an unknown path 404")
+async def _(site):
+    endpoint = await one(site, "desk")
+    assert (await site.ask("/claim/1", key="wrong")).status == 401
+    assert (await site.ask("/claim/1", key=None)).status == 401
+    assert (await site.ask("/nothing/1")).status == 404
+    assert not endpoint.seen
+    assert (await site.ask("/open/1", key=None)).status == 200
+    assert b"x-savorydyke-tenant" not in endpoint.seen[0].headers
+
+
+def raw_head(site, path: str, framing: bytes) -> bytes:
+    """Return a head of a proper request with framing of one's own."""
+    lines = [b"POST %s HTTP/1.1" % path.encode()]
+    lines += [b"%s: %s" % pair for pair in site.headers()]
+    return b"\r\n".join([*lines, framing]) + b"\r\n\r\n"
+
+
+# The store
+
+
+@case("a new version is in force soon")
+async def _(site):
+    await one(site, "desk")
+    assert (await site.ask("/new/1")).status == 404
+    route = dict(site.routes()[0], name="new", prefix="/new/")
+    site.configure(routes=[*site.routes(), route])
+    await trio.sleep(1.0)
+    assert (await site.ask("/new/1")).status == 200
+
+
+@case("an older version never comes back")
+async def _(site):
+    await one(site, "desk")
+    site.configure(routes=site.routes()[:1])
+    await trio.sleep(1.0)
+    site.version -= 2
+    site.configure()
+    await trio.sleep(1.0)
+    assert (await site.ask("/lookup/1")).status == 404
+
+
+@case("a key that was taken away stops working")
+async def _(site):
+    await one(site, "desk")
+    caller = await site.connect(site.daemons[0].callers)
+    assert (
+        await caller.request("POST", "/claim/1", site.headers(), BODY)
+    ).status == 200
+    site.configure(tenants=[{"name": "crew", "api_keys": ["another"]}])
+    await trio.sleep(BOUNDS["revocation_ms"] / 1000)
+    assert (
+        await caller.request("POST", "/claim/1", site.headers(), BODY)
+    ).status == 401
+
+
+@case("keyed requests stop when nothing is confirmed")
+async def _(site):
+    endpoint = await one(site, "desk")
+    site.store.mode = Mode.SILENT
+    site.configure(tenants=[{"name": "crew", "api_keys": ["another"]}])
+    await trio.sleep(BOUNDS["revocation_ms"] / 1000)
+    answer = await site.ask("/claim/1")
+    assert answer.status == 503 and b"not run" in answer.body
+    assert float(answer.headers[b"retry-after"]) > 0
+    assert (await site.ask("/open/1", key=None)).status == 200
+    assert (await site.ask("/nothing/1")).status == 503
+    assert len(endpoint.seen) == 1
+    assert not await site.is_ready(site.daemons[0])
+    site.store.mode = Mode.SOUND
+    await site.until_ready(site.daemons[0])
+    assert (await site.ask("/claim/1", key="another")).status == 200
+
+
+for mode, word in (
+    (Mode.BUSY, "is busy"),
+    (Mode.LIMITED, "limits"),
+    (Mode.RESET, "resets"),
+    (Mode.SILENT, "is silent"),
+    (Mode.LOST, "loses answers"),
+):
+
+    @case(f"a start waits for a store that {word}")
+    async def _(site, mode=mode):
+        await site.endpoint("e1", "desk")
+        site.store.mode = mode
+        daemon = await site.daemon(wait=False)
+        await trio.sleep(1.5)
+        assert not await site.is_ready(daemon)
+        if mode is not Mode.SILENT:
+            assert (await site.ask("/claim/1")).status == 503
+        # Back-off keeps an unready instance well under the store's rates.
+        assert len(site.store.calls) < 60
+        site.store.mode = Mode.SOUND
+        await site.until_ready(daemon)
+        assert (await site.ask("/claim/1")).status == 200
+
+
+@case("history that is gone is read anew")
+async def _(site):
+    await one(site, "desk")
+    site.store.mode = Mode.BUSY
+    await trio.sleep(0.5)
+    site.configure(tenants=[{"name": "crew", "api_keys": ["another"]}])
+    site.store.remove("servers/e1")
+    await site.endpoint("e2", "desk")
+    site.store.compact()
+    site.store.mode = Mode.SOUND
+    await trio.sleep(1.5)
+    assert (await site.ask("/claim/1")).status == 401
+    assert (await site.ask("/claim/1", key="another")).status == 200
+    await trio.sleep(2.0)
+    for number in range(4):
+        assert (await site.ask(f"/claim/{number}", key="another")).status == 200
+    sent = len(site.endpoints["e1"].seen)
+    assert (await site.ask("/claim/1", key="another")).status == 200
+    assert len(site.endpoints["e1"].seen) == sent
+
+
+@case("unreadable entries name no endpoint")
+async def _(site):
+    endpoint = await one(site, "desk")
+    entry = {"service": "desk", "address": "127.0.0.1:1", "zone": "a", "slots": 4}
+    entry |= {"state": "ready", "born": 1}
+    site.store.put("servers/x1", b"\xff\xfe no text")
+    site.store.put("servers/x2", b"[]")
+    for number, (name, value) in enumerate(
+        [("state", "odd"), ("slots", "4"), ("address", 7), ("service", None)]
+    ):
+        site.store.put(f"servers/y{number}", entry | {name: value})
+    site.store.put("servers/z", {"service": "desk"})
+    site.store.put("servers/unknown", entry | {"service": "nothing here"})
+    await trio.sleep(1.0)
+    for number in range(6):
+        assert (await site.ask(f"/claim/{number}")).status == 200
+    assert len(endpoint.seen) == 6
+    lines = [x for x in site.daemons[0].lines() if "unreadable" in x["message"]]
+    assert len(lines) == 7
+
+
+@case("a leaving endpoint gets nothing")
+async def _(site):
+    first = await site.endpoint("e1", "desk")
+    second = await site.endpoint("e2", "desk")
+    await site.daemon()
+    site.entry("e1", "desk", state="draining")
+    await trio.sleep(1.0)
+    for number in range(5):
+        assert (await site.ask(f"/claim/{number}")).status == 200
+    assert (len(first.seen), len(second.seen)) == (0, 5)
+
+
+@case("an endpoint whose entry went is gone")
+async def _(site):
+    first = await site.endpoint("e1", "desk")
+    await site.daemon()
+    await trio.sleep(2.5)
+    site.store.remove("servers/e1")
+    await trio.sleep(1.0)
+    answer = await site.ask("/claim/1")
+    assert answer.status == 503 and not first.seen
+
+
+@case("entries that lapsed in an outage get their time")
+async def _(site):
+    endpoint = await one(site, "desk")
+    site.store.mode = Mode.BUSY
+    await trio.sleep(0.6)
+    site.store.remove("servers/e1")
+    site.store.mode = Mode.SOUND
+    await trio.sleep(1.2)
+    assert (await site.ask("/claim/1")).status == 200
+    await trio.sleep(2.5)
+    assert (await site.ask("/claim/1")).status == 503
+    assert len(endpoint.seen) == 1
+
+
+@case("an instance cut from the store learns from a peer")
+async def _(site):
+    await site.endpoint("e1", "desk")
+    await site.daemon("instance-1")
+    await site.daemon("instance-2")
+    await trio.sleep(1.0)
+    # Only calls of the second instance are served from now on.
+    site.store.refused = {"instance-1"}
+    await trio.sleep(0)
+    assert (await site.ask("/claim/1")).status == 200
+
+
+# Stops and starts
+
+
+@case("a stop lets a stream end")
+async def _(site):
+    async def slow(exchange):
+        await exchange.stream_events(1, EVENTS, pause_s=0.3)
+
+    await one(site, "engines", slow)
+    answers = []
+
+    async def ask():
+        answers.append(await site.ask("/digest/1"))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask)
+        await trio.sleep(0.3)
+        site.daemons[0].stop()
+        await site.until_ready(site.daemons[0], ready=False)
+    assert whole_stream(answers[0])
+    await site.until(lambda: site.daemons[0].process.poll() is not None, 4.0)
+    assert site.daemons[0].process.returncode == 0
+
+
+@case("a stop refuses what comes later")
+async def _(site):
+    async def slow(exchange):
+        await exchange.stream_events(1, EVENTS, pause_s=0.6)
+
+    await one(site, "engines", slow)
+    caller = await site.connect(site.daemons[0].callers)
+    late = await site.connect(site.daemons[0].callers)
+    async with trio.open_nursery() as nursery:
+
+        async def ask():
+            headers = site.headers(deadline_ms=9000)
+            await caller.request("POST", "/digest/1", headers, BODY)
+
+        nursery.start_soon(ask)
+        await trio.sleep(0.2)
+        site.daemons[0].stop()
+        await trio.sleep(0.2)
+        answer = await late.request("POST", "/claim/1", site.headers(), BODY)
+        assert answer.headers[b"connection"] == b"close"
+        nursery.cancel_scope.cancel()
+
+
+@case("settings are checked together")
+async def _(site):
+    path = site.folder / "bad.jsonc"
+    path.write_text(
+        json.dumps(
+            {
+                "edges": "routed",
+                "instance": "one two",
+                "callers": "nowhere",
+                "bounds": {"stop_s": "soon", "odd": 1},
+            }
+        )
+    )
+    done = subprocess.run(
+        [sys.executable, "-m", "savorydyke", "--config", str(path), "--check"],
+        capture_output=True,
+        text=True,
+    )
+    assert done.returncode == 2
+    for place in ("instance", "data_centre", "callers", "store", "stop_s", "odd"):
+        assert place in done.stderr, (place, done.stderr)
+
+
+@case("an instance that starts again is a new one")
+async def _(site):
+    await site.endpoint("e1", "desk")
+    await site.daemon("instance-1")
+    await site.daemon("instance-2")
+    await trio.sleep(1.0)
+    for _ in range(2):
+        for number in range(4):
+            assert (await site.ask(f"/claim/{number}")).status == 200
+        # Killed, and started anew under the same name.
+        site.daemons[0].process.kill()
+        site.daemons[0].process.wait()
+        again = await site.daemon("instance-1")
+        site.daemons.remove(again)
+        site.daemons[0] = again
+        await trio.sleep(0.5)
+    for number in range(4):
+        assert (await site.ask(f"/claim/{number}")).status == 200
+
+
+@case("a request whose home is silent is placed anyway")
+async def _(site):
+    import signal
+
+    await site.endpoint("e1", "desk")
+    await site.endpoint("e2", "engines", answer_stream)
+    for number in range(3):
+        await site.daemon(f"instance-{number}")
+    await trio.sleep(1.5)
+    for daemon in site.daemons[1:]:
+        daemon.process.send_signal(signal.SIGSTOP)
+    for number in range(3):
+        started = trio.current_time()
+        assert (await site.ask(f"/claim/{number}")).status == 200
+        assert whole_stream(await site.ask(f"/digest/{number}"))
+        assert trio.current_time() - started < 1.5
--- /dev/null
+++ b/features/steps/routed_site.py
@@ -0,0 +1,302 @@
+"""A small routed deployment for tests: store, endpoints and real daemons."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import h11
+import trio
+
+from savorydyke_standins._routed_endpoint import RoutedEndpoint
+from savorydyke_standins._store import StandInStore, new_store_server
+
+HOST = "desk.example"
+KEY = "key-of-crew"
+START_TIMEOUT_S = 10.0
+ANSWER_TIMEOUT_S = 6.0
+BOUNDS = {"revocation_ms": 3000, "stop_s": 4, "repeat_slack": 50}
+
+
+def free_address() -> str:
+    """Return a loopback address whose port is free."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+@dataclass
+class Answer:
+    """An answer as a caller got it."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+    complete: bool
+
+
+@dataclass
+class Caller:
+    """One caller's connection."""
+
+    stream: trio.SocketStream
+    http: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
+
+    async def send(self, data: bytes) -> None:
+        """Send raw bytes."""
+        await self.stream.send_all(data)
+
+    async def request(self, method, path, headers, body=b"") -> Answer:
+        """Send a request and return its answer."""
+        if body:
+            headers = [*headers, (b"Content-Length", str(len(body)).encode())]
+        data = self.http.send(h11.Request(method=method, target=path, headers=headers))
+        if body:
+            data += self.http.send(h11.Data(data=body))
+        data += self.http.send(h11.EndOfMessage())
+        await self.send(data)
+        return await self.answer()
+
+    async def answer(self) -> Answer:
+        """Return the next answer."""
+        found = Answer(0, {}, b"", False)
+        with trio.fail_after(ANSWER_TIMEOUT_S):
+            while True:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA:
+                    try:
+                        data = await self.stream.receive_some(65536)
+                        self.http.receive_data(data)
+                    except (trio.BrokenResourceError, h11.RemoteProtocolError):
+                        return found
+                    if not data and self.http.their_state is h11.SEND_BODY:
+                        try:
+                            self.http.next_event()
+                        except h11.RemoteProtocolError:
+                            return found
+                elif isinstance(event, h11.Response):
+                    found.status = event.status_code
+                    found.headers = dict(event.headers)
+                elif isinstance(event, h11.Data):
+                    found.body += bytes(event.data)
+                elif isinstance(event, h11.EndOfMessage):
+                    found.complete = True
+                    if self.http.our_state is h11.DONE is self.http.their_state:
+                        self.http.start_next_cycle()
+                    return found
+                else:
+                    return found
+
+
+@dataclass
+class Daemon:
+    """One instance, a process of its own."""
+
+    name: str
+    callers: str
+    readiness: str
+    process: subprocess.Popen
+    log: Path
+
+    def stop(self) -> None:
+        """Ask it to stop."""
+        self.process.send_signal(signal.SIGTERM)
+
+    def lines(self) -> list[dict]:
+        """Return its log lines."""
+        return [
+            json.loads(x) for x in self.log.read_text().splitlines() if x[:1] == "{"
+        ]
+
+
+@dataclass
+class Site:
+    """Everything that one scenario uses."""
+
+    nursery: trio.Nursery
+    folder: Path
+    store: StandInStore = field(default_factory=StandInStore)
+    store_address: str = field(default_factory=free_address)
+    endpoints: dict[str, RoutedEndpoint] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
+    daemons: list[Daemon] = field(default_factory=list)
+    version: int = 1
+    serial: int = 0
+
+    # What the operator and the endpoints write
+
+    def routes(self) -> list[dict]:
+        """Return one route of each kind."""
+
+        def route(name, kind, service, **more):
+            fields = {
+                "name": name,
+                "host": HOST,
+                "prefix": f"/{name}/",
+                "kind": kind,
+                "service": service,
+                "timeout_ms": 2000,
+                "slo_ms": 1000,
+                "attempts": 2,
+                "priority": 0,
+            }
+            return fields | more
+
+        return [
+            route("claim", "mutating", "desk"),
+            route("lookup", "idempotent", "desk"),
+            route("open", "idempotent", "desk", public=True),
+            route("digest", "streaming", "engines", resumable=True),
+            route("question", "streaming", "engines", resumable=False, attempts=1),
+        ]
+
+    def configuration(self, **more) -> dict:
+        """Return the configuration in its stored form."""
+        engine = {"slots": 4, "kv_capacity": 100000, "stride": 1}
+        team = {"name": "crew", "api_keys": [KEY], "priority": 0}
+        fields = {
+            "version": self.version,
+            "routes": self.routes(),
+            "services": [{"name": "desk"}, {"name": "engines", "backend": engine}],
+            "limits": {
+                "max_header_bytes": 4096,
+                "max_body_bytes": 200000,
+                "header_timeout_ms": 500,
+                "idle_timeout_ms": 6000,
+            },
+            "tenants": [team],
+        }
+        return fields | more
+
+    def configure(self, **more) -> None:
+        """Store the next version."""
+        self.version += 1
+        self.store.put("op/config", self.configuration(**more))
+
+    def entry(self, name: str, service: str, **more) -> None:
+        """Write an endpoint's entry of itself."""
+        fields = {
+            "service": service,
+            "address": self.addresses[name],
+            "zone": "a",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 1,
+            "born": 1,
+        }
+        self.store.put(f"servers/{name}", fields | more)
+
+    async def endpoint(self, name: str, service: str, *scripts) -> RoutedEndpoint:
+        """Start an endpoint and write its entry."""
+        endpoint = RoutedEndpoint(list(scripts)) if scripts else RoutedEndpoint()
+        self.endpoints[name] = endpoint
+        self.addresses[name] = await self.listen(endpoint.serve, free_address())
+        self.entry(name, service)
+        return endpoint
+
+    async def listen(self, handler, address: str) -> str:
+        """Serve a handler on an address."""
+        host, _, port = address.partition(":")
+        listeners = await trio.open_tcp_listeners(int(port), host=host)
+        self.nursery.start_soon(trio.serve_listeners, handler, listeners)
+        return address
+
+    # Daemons
+
+    async def daemon(self, name: str = "instance-1", wait: bool = True) -> Daemon:
+        """Start an instance, and wait until it is ready."""
+        settings = {
+            "edges": "routed",
+            "instance": name,
+            "data_centre": "a",
+            "callers": free_address(),
+            "readiness": free_address(),
+            "peers": free_address(),
+            "store": self.store_address,
+            "bounds": BOUNDS,
+        }
+        path = self.folder / f"{name}.jsonc"
+        path.write_text(json.dumps(settings))
+        log = self.folder / f"{name}.log"
+        process = subprocess.Popen(
+            [sys.executable, "-m", "savorydyke", "--config", str(path)],
+            stdout=log.open("a"),
+            stderr=subprocess.STDOUT,
+        )
+        found = Daemon(name, settings["callers"], settings["readiness"], process, log)
+        self.daemons.append(found)
+        if wait:
+            await self.until_ready(found)
+        return found
+
+    async def until_ready(self, daemon: Daemon, ready: bool = True) -> None:
+        """Wait until an instance says that it is ready, or no longer."""
+        with trio.fail_after(START_TIMEOUT_S):
+            while await self.is_ready(daemon) is not ready:
+                await trio.sleep(0.05)
+
+    async def is_ready(self, daemon: Daemon) -> bool:
+        """Ask an instance whether it is ready."""
+        try:
+            caller = await self.connect(daemon.readiness)
+            headers = [(b"Host", b"x")]
+            answer = await caller.request("GET", "/savorydyke/readyz", headers)
+        except OSError:
+            return False
+        await caller.stream.aclose()
+        return answer.status == 200
+
+    async def connect(self, address: str) -> Caller:
+        """Open a caller's connection."""
+        host, _, port = address.partition(":")
+        return Caller(await trio.open_tcp_stream(host, int(port)))
+
+    def headers(self, *more, key: str | None = KEY, deadline_ms: int = 3000):
+        """Return the headers of a proper request, with a new id."""
+        self.serial += 1
+        found = [
+            (b"Host", HOST.encode()),
+            (b"X-Savorydyke-Request-Id", b"r%d" % self.serial),
+            (b"X-Savorydyke-Deadline-Ms", str(deadline_ms).encode()),
+        ]
+        if key is not None:
+            found.append((b"Authorization", f"Bearer {key}".encode()))
+        return [*found, *more]
+
+    async def ask(self, path: str, *more, method="POST", body=b"body", **how) -> Answer:
+        """Send one request on a new connection to the first instance."""
+        caller = await self.connect(self.daemons[0].callers)
+        answer = await caller.request(method, path, self.headers(*more, **how), body)
+        await caller.stream.aclose()
+        return answer
+
+    async def until(self, holds, timeout_s: float = 3.0) -> None:
+        """Wait until a condition holds."""
+        with trio.fail_after(timeout_s):
+            while not holds():
+                await trio.sleep(0.02)
+
+
+@asynccontextmanager
+async def open_site():
+    """Open a deployment and end everything in it at the end."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with trio.open_nursery() as nursery:
+            site = Site(nursery, Path(folder))
+            await site.listen(new_store_server(site.store).serve, site.store_address)
+            nursery.start_soon(site.store.expire_leases)
+            site.configure()
+            try:
+                yield site
+            finally:
+                for daemon in site.daemons:
+                    daemon.process.kill()
+                    daemon.process.wait()
+                nursery.cancel_scope.cancel()
--- a/src/savorydyke/_cell.py
+++ b/src/savorydyke/_cell.py
@@ -46,6 +46,8 @@
 AFFINITY_TOKENS = 2048
 """Cached prefix for which a request waits for a busy endpoint."""
 AFFINITY_SLACK = 3.0
+FAILING_PENALTY = 4.0
+"""Factor on the time of an endpoint whose answers all fail."""
 FALLBACK_SLACK = 1.5
 """How often the busy and the free endpoint's answer must fit in for that."""
 
@@ -146,7 +148,7 @@
         decisions = []
         for item in list(self.queue.by_key.values()):
             item.allowed = self.manifest.reachable(item.team, self.pool)
-            if not item.allowed:
+            if not item.allowed and not self.manifest.all_approved:
                 self.queue.remove(item.key)
                 detail = "the approval was withdrawn"
                 decisions.append(
@@ -259,7 +261,7 @@
             return
         self._remember(item.key, load.id, now)
         if result in {ReleaseResult.CUT, ReleaseResult.FAILED}:
-            load.fail(now, self.rng)
+            load.fault()
             return
         if result is ReleaseResult.COMPLETE:
             load.succeed()
@@ -365,6 +367,7 @@
                 continue
             uncached = self.estimates.uncached(load, item)
             total_s = load.total_s(uncached, self.estimates.output(item))
+            total_s *= 1 + FAILING_PENALTY * load.failing
             option = Option(load, uncached, total_s)
             tokens = item.prompt_tokens + item.output_tokens
             if not load.has_room(tokens, uncached, self.share):
@@ -403,7 +406,8 @@
         self.placed[item.key] = load.id
         self.estimates.prefixes.add(load.id, item.prefix)
         probe = self._probe(item, now)
-        grant = Grant(item.key, item.attempt, load.id, resume=False, probe=probe)
+        first_ms = int(load.running[item.key].predicted_first_s * 1000)
+        grant = Grant(item.key, item.attempt, load.id, False, probe, first_ms)
         return Decision(item.entry, grant)
 
     def _probe(self, item: Waiting, now: float) -> tuple[EndpointId, ...]:
@@ -502,7 +506,7 @@
 
     def _admit(self, item: Waiting, now: float) -> Decision | None:
         """Return a refusal, or None if the request may wait."""
-        if not item.allowed:
+        if not item.allowed and not self.manifest.all_approved:
             detail = "the team is not approved for this pool"
             return self._refuse(item, Reason.NOT_APPROVED, detail, None, now)
         if not self.estimates.candidates(item, now):
--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -41,8 +41,8 @@
     read_instance,
 )
 
-WATCH_WAIT_S = 1.0
-"""A quarter of the usual bound on revoked keys, so that two may fail."""
+WATCH_WAIT_S = 0.5
+"""A tenth of the usual bound on revoked keys, so that several may fail."""
 WATCH_PAUSE_S = 0.25
 """Gathers the endpoints' heartbeats, of which each would end a watch."""
 RETRY_BASE_S = 0.1
@@ -315,6 +315,7 @@
         approvals=(),
         reach={(t.id, pool): ids for t in teams for pool, ids in by_pool.items()},
         pool_of_model={},
+        all_approved=True,
     )
 
 
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -22,6 +22,11 @@
 CIRCUIT_MOST_S = 15.0
 REJECTED_PAUSE_S = 0.1
 """About the time in which a full endpoint ends one of its requests."""
+FAILING_RATE = 0.2
+SUSPECT_SHARE = 0.33
+"""Two failures in a row make an endpoint suspect, two successes clear it."""
+SUSPECT_PLACES = 1
+"""Requests by which a suspect endpoint can show that it has recovered."""
 REPORTS_KEPT = 3
 MIN_PREDICTION_S = 0.005
 
@@ -67,6 +72,10 @@
         When the prefill factor was last learned.
     decode_tokens_per_s : float
         Learned speed of one stream.
+    failures : int
+        Connections that failed since the last answer.
+    failing : float
+        Smoothed share of answers that were errors or got lost.
     external : deque of int
         Requests that recent reports show beyond those granted here.
     parallel : bool
@@ -85,6 +94,7 @@
     removed: bool = False
     failures: int = 0
     open_until: float = 0.0
+    failing: float = 0.0
     learned: float = 0.0
     external: deque[int] = field(default_factory=lambda: deque(maxlen=REPORTS_KEPT))
 
@@ -93,6 +103,10 @@
         """Return the endpoint's id."""
         return self.spec.id
 
+    def is_suspect(self) -> bool:
+        """Return whether so many answers fail that others should be asked."""
+        return self.failing > SUSPECT_SHARE
+
     def is_closed(self) -> bool:
         """Return whether no new work may go here until that is taken back."""
         return self.leaving or self.removed or self.spec.drained
@@ -116,6 +130,8 @@
         """Return whether a request of this size may be sent now."""
         if not self.running:
             return True
+        if self.is_suspect() and len(self.running) >= SUSPECT_PLACES:
+            return False
         if len(self.running) >= self.credits(share):
             return False
         if self.tokens + tokens > self.spec.max_tokens * share:
@@ -228,19 +244,24 @@
         self.external.append(max(0, requests - len(self.running)))
 
     def fail(self, now: float, rng: random.Random) -> None:
-        """Open the circuit after a failure, with back-off and jitter."""
+        """Open the circuit after a failed connection, with back-off and jitter."""
         self.failures += 1
         wait = CIRCUIT_BASE_S / 2 + backoff_s(
             self.failures, CIRCUIT_BASE_S, CIRCUIT_MOST_S, rng
         )
         self.open_until = now + wait
 
+    def fault(self) -> None:
+        """Learn from an answer that was an error or got lost."""
+        self.failing += FAILING_RATE * (1 - self.failing)
+
     def reject(self, now: float) -> None:
         """Leave a full endpoint alone for a moment."""
         self.open_until = max(self.open_until, now + REJECTED_PAUSE_S)
 
     def succeed(self) -> None:
         """Close the circuit."""
+        self.failing -= FAILING_RATE * self.failing
         self.failures = 0
         self.open_until = 0.0
 
--- a/src/savorydyke/_estimates.py
+++ b/src/savorydyke/_estimates.py
@@ -36,11 +36,13 @@
 
     def candidates(self, item: Waiting, now: float) -> list[EndpointLoad]:
         """Return the endpoints to which a request may go now."""
-        loads = [
+        open_loads = [
             self.endpoints[name]
             for name in sorted(item.allowed)
-            if name in self.endpoints and self.endpoints[name].usable(now)
+            if name in self.endpoints and not self.endpoints[name].is_closed()
         ]
+        # With none usable, a doubtful endpoint is better than a sure refusal.
+        loads = [load for load in open_loads if load.usable(now)] or open_loads
         fresh = [load for load in loads if load.id not in item.avoid]
         return fresh or loads
 
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -6,6 +6,7 @@
 library's pool.
 """
 
+import math
 import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
@@ -89,8 +90,10 @@
     ----------
     opened : float
         When it was opened, on the monotonic clock.
-    failed_send : bool
-        Whether the body could not be sent as a whole.
+    body_sent : bool
+        Whether the whole request has been sent.
+    patience_s : float
+        Silence after which the channel counts as broken.
     """
 
     stream: trio.SocketStream
@@ -101,6 +104,7 @@
         )
     )
     body_sent: bool = False
+    patience_s: float = math.inf
 
     async def send(self, request: Outgoing, nursery: trio.Nursery | None) -> None:
         """Send a request; a long body goes on in `nursery`.
@@ -182,8 +186,7 @@
             while True:
                 event = self.connection.next_event()
                 if event is h11.NEED_DATA:
-                    data = await self.stream.receive_some(READ_BYTES)
-                    self.connection.receive_data(data)
+                    self.connection.receive_data(await self._receive())
                     continue
                 if isinstance(event, h11.Event):
                     return event
@@ -193,6 +196,11 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ChannelBrokenError(f"connection lost: {error!r}") from None
 
+    async def _receive(self) -> bytes:
+        with trio.move_on_after(self.patience_s):
+            return await self.stream.receive_some(READ_BYTES)
+        raise ChannelBrokenError(f"silent for {self.patience_s:.2f} s")
+
     def reuse(self) -> bool:
         """Prepare for another request; return whether that is possible."""
         ours, theirs = self.connection.our_state, self.connection.their_state
--- a/src/savorydyke/_ingress.py
+++ b/src/savorydyke/_ingress.py
@@ -313,6 +313,8 @@
         if not isinstance(request, h11.Request):
             return None
         arrived = trio.current_time()
+        if _head_bytes(request) > limits.max_head_bytes:
+            return Rejected(431, "the head is too large")
         fault = _ambiguity(request)
         if fault:
             return Rejected(400, fault)
@@ -371,6 +373,11 @@
                 return
 
 
+def _head_bytes(request: h11.Request) -> int:
+    headers = sum(len(name) + len(value) + 4 for name, value in request.headers)
+    return len(request.method) + len(request.target) + 12 + headers
+
+
 def _ambiguity(request: h11.Request) -> str:
     """Return why a request's framing or identity is in doubt, or nothing.
 
--- a/src/savorydyke/_manifest.py
+++ b/src/savorydyke/_manifest.py
@@ -141,6 +141,12 @@
 class Manifest:
     """A checked manifest, looked up by id.
 
+    Attributes
+    ----------
+    all_approved : bool
+        Whether every team may reach every pool, so that a team without
+        endpoints lacks them and not the approval.
+
     Examples
     --------
     >>> manifest = read_manifest(text)           # doctest: +SKIP
@@ -156,6 +162,7 @@
     approvals: tuple[Approval, ...]
     reach: dict[tuple[TeamId, PoolId], frozenset[EndpointId]] = field(repr=False)
     pool_of_model: dict[str, PoolId] = field(repr=False)
+    all_approved: bool = False
     known_keys: OrderedDict[str, TeamId] = field(
         default_factory=OrderedDict, repr=False, compare=False
     )
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -194,6 +194,8 @@
     probe : tuple of EndpointId
         Endpoints to ask for this request id first, since the home is too
         young to know whether an earlier instance dispatched it.
+    first_ms : int
+        Predicted time to the first byte, 0 if there is no prediction.
     """
 
     key: RequestKey
@@ -201,6 +203,7 @@
     endpoint: EndpointId
     resume: bool
     probe: tuple[EndpointId, ...]
+    first_ms: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/savorydyke/_routed.py
+++ b/src/savorydyke/_routed.py
@@ -5,6 +5,7 @@
 proof that it did not run.
 """
 
+import math
 import random
 import re
 from collections.abc import Callable
@@ -64,6 +65,13 @@
 REVOKE_MARGIN_S = 0.4
 """Part of the bound on revoked keys that is left for clocks and waiting."""
 NO_PLACE_RETRY_S = 0.25
+STALL_SHARE = 0.45
+"""Part of the objective after which another endpoint can still be in time."""
+STALL_FACTOR = 4.0
+"""Factor on the predicted time to the first byte that is taken for a stall."""
+MIN_STALL_S = 0.2
+STALLED_STREAM_S = 0.5
+"""Pauses of up to 0.8 s are in time, of which reading the prompt anew takes 0.2."""
 
 UNKNOWN_TEAM = TeamId("(unknown)")
 UNKNOWN_TIER = TierId("(unknown)")
@@ -335,7 +343,7 @@
         """Return whether another endpoint may be tried."""
         if isinstance(result, NotRun) and answer_not_sent(job):
             return job.unreachable < MAX_UNREACHABLE
-        if len(set(job.sent_to)) >= job.route.max_endpoints:
+        if len(job.sent_to) >= job.route.max_endpoints:
             return False
         if isinstance(result, NotRun):
             return True
@@ -402,7 +410,7 @@
             endpoint = self._endpoint(granted.endpoint)
             if endpoint is None:
                 return NotRun("the endpoint has left")
-            return await self._send(job, endpoint, key)
+            return await self._send(job, endpoint, key, granted.first_s)
         finally:
             tokens = (job.events - events) * self._tokens_per_event(job.pool)
             decode_s = job.last_byte - job.first_byte if job.first_byte else 0.0
@@ -420,7 +428,9 @@
         found = configuration.pools.get(pool) if configuration else None
         return found.tokens_per_event if found else 1
 
-    async def _send(self, job: Job, endpoint: Endpoint, key: RequestKey) -> SendResult:
+    async def _send(
+        self, job: Job, endpoint: Endpoint, key: RequestKey, first_s: float
+    ) -> SendResult:
         try:
             channel = await open_channel(endpoint.address, CONNECT_TIMEOUT_S)
         except ChannelBrokenError as error:
@@ -432,6 +442,7 @@
             job.ran_before = job.in_doubt
             job.in_doubt = True
             job.result = ReleaseResult.CANCELLED
+            channel.patience_s = self._patience_s(job, first_s)
             await channel.send(self._outgoing(job, endpoint), self.background)
             head = await channel.read_head()
             marks = read_answer_marks(head.status, head.headers)
@@ -442,6 +453,15 @@
         finally:
             channel.close()
 
+    def _patience_s(self, job: Job, first_s: float) -> float:
+        """Return how long to wait for a first byte before going elsewhere."""
+        is_last = len(job.sent_to) >= job.route.max_endpoints
+        if is_last or not job.route.repeatable:
+            return math.inf
+        return max(
+            STALL_SHARE * job.route.objective_s, STALL_FACTOR * first_s, MIN_STALL_S
+        )
+
     def _outgoing(self, job: Job, endpoint: Endpoint) -> Outgoing:
         team = "" if job.team == PUBLIC_TEAM else job.team
         headers = endpoint_headers(
@@ -535,6 +555,8 @@
         """Pass whole events on as they come."""
         if not job.responder.started:
             await job.responder.start(head.status, answer_headers(head.headers))
+        if channel.patience_s != math.inf:
+            channel.patience_s = STALLED_STREAM_S
         held = b""
         async for part in channel.read_body():
             self._first_byte(job, key)
--- a/src/savorydyke/_scheduler.py
+++ b/src/savorydyke/_scheduler.py
@@ -95,6 +95,8 @@
         The instance that gave the grant.
     received : float
         When the grant arrived, on the local monotonic clock.
+    first_s : float
+        Predicted time to the first byte, 0 if there is no prediction.
     """
 
     home: InstanceId
@@ -103,6 +105,7 @@
     resume: bool
     probe: tuple[EndpointId, ...]
     received: float
+    first_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -316,6 +319,7 @@
                 message.resume,
                 message.probe,
                 trio.current_time(),
+                message.first_ms / 1000,
             )
         else:
             retry_s = None if message.retry_ms < 0 else message.retry_ms / 1000
--- /dev/null
+++ b/src/savorydyke_standins/_routed_endpoint.py
@@ -0,0 +1,176 @@
+"""A stand-in of the users' engines and services, with scripted misbehaviour."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import h11
+import trio
+
+READ_BYTES = 65536
+STAMP = (b"X-Savorydyke-Response-Stamp", b"stamp")
+EVENTS = 5
+
+
+@dataclass
+class Seen:
+    """A request as it arrived.
+
+    Attributes
+    ----------
+    closed : float or None
+        When the sender closed the channel, on the monotonic clock.
+    """
+
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+    at: float
+    closed: float | None = None
+
+
+Script = Callable[["Exchange"], Awaitable[None]]
+
+
+@dataclass
+class Exchange:
+    """One request and the means to answer it."""
+
+    endpoint: "RoutedEndpoint"
+    stream: trio.SocketStream
+    seen: Seen
+
+    def head(
+        self, status: int = 200, *more: tuple[bytes, bytes], stamped: bool = True
+    ) -> bytes:
+        """Return a status line and headers that echo the request's id."""
+        request_id = self.seen.headers.get(b"x-savorydyke-request-id", b"")
+        headers = [(b"X-Savorydyke-Request-Id", request_id), *more]
+        if stamped:
+            headers.append(STAMP)
+        lines = [b"HTTP/1.1 %d X" % status, *(b"%s: %s" % pair for pair in headers)]
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes."""
+        await self.stream.send_all(data)
+
+    async def whole(
+        self, status: int = 200, body: bytes = b"answer", *more: tuple[bytes, bytes]
+    ) -> None:
+        """Send a complete answer."""
+        length = (b"Content-Length", str(len(body)).encode())
+        await self.send(self.head(status, length, *more) + body)
+
+    async def stream_events(
+        self, first: int, last: int, pause_s: float = 0.01, end: bool = True
+    ) -> None:
+        """Send events `first` to `last` of a stream, and its end."""
+        kind = (b"Content-Type", b"text/event-stream")
+        await self.send(self.head(200, kind, (b"Transfer-Encoding", b"chunked")))
+        for number in range(first, last + 1):
+            await self.send(chunk(event(number)))
+            await trio.sleep(pause_s)
+        if end:
+            await self.send(b"0\r\n\r\n")
+
+    def reset(self) -> None:
+        """Close the connection with a reset."""
+        sock = self.stream.socket
+        linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+        sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger)
+        sock.close()
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
+def chunk(data: bytes) -> bytes:
+    """Return data as one chunk of a chunked body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+async def answer_plainly(exchange: Exchange) -> None:
+    """Answer with the whole of a small body."""
+    await exchange.whole()
+
+
+async def answer_stream(exchange: Exchange) -> None:
+    """Stream events, going on behind the last one that the request names."""
+    last = int(exchange.seen.headers.get(b"last-event-id", b"0"))
+    await exchange.stream_events(last + 1, EVENTS)
+
+
+@dataclass
+class RoutedEndpoint:
+    """An endpoint that answers each request by a script.
+
+    Attributes
+    ----------
+    scripts : list of Script
+        One for each next request; the last one stays.
+    seen : list of Seen
+        All requests that arrived, in order.
+    """
+
+    scripts: list[Script] = field(default_factory=lambda: [answer_plainly])
+    seen: list[Seen] = field(default_factory=list)
+    read_body: bool = True
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one channel: one request and its answer."""
+        http = h11.Connection(h11.SERVER)
+        try:
+            seen = await self._read(http, stream)
+            if seen is None:
+                return
+            self.seen.append(seen)
+            script = self.scripts[0]
+            if len(self.scripts) > 1:
+                self.scripts.pop(0)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch, stream, seen, nursery.cancel_scope)
+                await script(Exchange(self, stream, seen))
+                nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The sender has gone, which `_watch` has noted.
+            pass
+        finally:
+            stream.socket.close()
+
+    async def _read(
+        self, http: h11.Connection, stream: trio.SocketStream
+    ) -> Seen | None:
+        body = b""
+        request = None
+        while True:
+            found = http.next_event()
+            if found is h11.NEED_DATA:
+                http.receive_data(await stream.receive_some(READ_BYTES))
+            elif isinstance(found, h11.Request):
+                request = found
+                if not self.read_body:
+                    break
+            elif isinstance(found, h11.Data):
+                body += found.data
+            elif isinstance(found, h11.EndOfMessage):
+                break
+            else:
+                return None
+        assert request is not None
+        headers = dict(request.headers)
+        now = trio.current_time()
+        return Seen(request.method, request.target, headers, body, now)
+
+    async def _watch(
+        self, stream: trio.SocketStream, seen: Seen, scope: trio.CancelScope
+    ) -> None:
+        try:
+            while await stream.receive_some(READ_BYTES):
+                pass
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        seen.closed = trio.current_time()
+        scope.cancel()
--- /dev/null
+++ b/src/savorydyke_standins/_store.py
@@ -0,0 +1,233 @@
+"""A stand-in of the users' platform's store, with faults on demand."""
+
+import base64
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+from urllib.parse import parse_qs
+
+import trio
+
+from savorydyke._ingress import Incoming, Ingress, IngressLimits, Rejected, Responder
+
+MAX_PAGE = 50
+TTL_MIN_MS = 1000
+
+
+class Mode(Enum):
+    """How the store treats calls."""
+
+    SOUND = "sound"
+    BUSY = "busy"
+    LIMITED = "limited"
+    SILENT = "silent"
+    RESET = "reset"
+    LOST = "lost"
+
+
+@dataclass
+class StoredItem:
+    """A value with its revisions and its lease."""
+
+    key: str
+    value: str
+    revision: int
+    created: int
+    lease: int = 0
+
+    def shown(self) -> dict[str, Any]:
+        """Return the item as calls show it."""
+        return dict(self.__dict__)
+
+
+@dataclass
+class StandInStore:
+    """All keys, their history and the faults in force.
+
+    Attributes
+    ----------
+    mode : Mode
+        How calls are treated.
+    oldest : int
+        Revision before which the history is gone.
+    calls : list of str
+        The path of each call, in order.
+    """
+
+    mode: Mode = Mode.SOUND
+    revision: int = 1
+    oldest: int = 0
+    items: dict[str, StoredItem] = field(default_factory=dict)
+    history: list[dict[str, Any]] = field(default_factory=list)
+    leases: dict[int, tuple[float, float]] = field(default_factory=dict)
+    calls: list[str] = field(default_factory=list)
+    changed: trio.Event = field(default_factory=trio.Event)
+
+    # As the operator and the endpoints use it
+
+    def put(self, key: str, value: Any, lease: int = 0) -> int:
+        """Write a value; objects are stored as JSON, bytes as they are."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        known = self.items.get(key)
+        item = StoredItem(
+            key,
+            base64.b64encode(data).decode(),
+            self.revision,
+            known.created if known else self.revision,
+            lease,
+        )
+        self.items[key] = item
+        self._note(item.shown())
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._note({"key": key, "revision": self.revision, "deleted": True})
+
+    def compact(self) -> None:
+        """Drop the history."""
+        self.oldest = self.revision
+        self.history.clear()
+        self._wake()
+
+    def _note(self, event: dict[str, Any]) -> None:
+        self.history.append(event)
+        self._wake()
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
+
+    # Calls
+
+    async def handle(self, incoming: Incoming, responder: Responder) -> None:
+        """Answer one call."""
+        path, _, query = incoming.target.decode().partition("?")
+        self.calls.append(path)
+        if self.mode is Mode.SILENT:
+            await trio.sleep_forever()
+        if self.mode is Mode.RESET:
+            return
+        if self.mode is Mode.BUSY:
+            await responder.whole(503, [], b"")
+            return
+        if self.mode is Mode.LIMITED:
+            await responder.whole(429, [], b"")
+            return
+        params = {name: values[0] for name, values in parse_qs(query, True).items()}
+        body = json.loads(incoming.body) if incoming.body else {}
+        status, value = await self._serve(path, params, body)
+        if self.mode is Mode.LOST:
+            return
+        headers = [(b"Content-Type", b"application/json")]
+        await responder.whole(status, headers, json.dumps(value).encode())
+
+    async def _serve(
+        self, path: str, params: dict[str, str], body: dict[str, Any]
+    ) -> tuple[int, Any]:
+        name, _, rest = path.removeprefix("/savorydyke/").partition("/")
+        simple: dict[str, Callable[[], tuple[int, Any]]] = {
+            "kv-key": lambda: self._read(params["key"]),
+            "kv-range": lambda: self._list(params),
+            "kv-txn": lambda: self._transact(body),
+            "kv-lease": lambda: self._lease(body),
+            "kv-keep": lambda: self._keep(int(rest)),
+            "kv-lease-end": lambda: self._end(int(rest)),
+        }
+        if name == "kv-watch":
+            return await self._watch(params)
+        return simple[name]() if name in simple else (404, {})
+
+    def _read(self, key: str) -> tuple[int, Any]:
+        item = self.items.get(key)
+        if item is None:
+            return 404, {}
+        return 200, item.shown() | {"current_rev": self.revision}
+
+    def _list(self, params: dict[str, str]) -> tuple[int, Any]:
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(params["prefix"]) and key > params.get("after", "")
+        )
+        page = [self.items[key].shown() for key in keys[:MAX_PAGE]]
+        return 200, {
+            "items": page,
+            "more_pages": len(keys) > MAX_PAGE,
+            "current_rev": self.revision,
+        }
+
+    async def _watch(self, params: dict[str, str]) -> tuple[int, Any]:
+        after = int(params["after"])
+        with trio.move_on_after(int(params["wait_ms"]) / 1000):
+            while after >= self.oldest and not self._events(params["prefix"], after):
+                await self.changed.wait()
+        if after < self.oldest:
+            return 410, {}
+        events = self._events(params["prefix"], after)
+        return 200, {"events": events, "current_rev": self.revision}
+
+    def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            event
+            for event in self.history
+            if event["revision"] > after and event["key"].startswith(prefix)
+        ]
+
+    def _transact(self, body: dict[str, Any]) -> tuple[int, Any]:
+        for condition in body["if_rev"]:
+            item = self.items.get(condition["key"])
+            if (item.revision if item else 0) != condition["revision"]:
+                return 412, {"items": [item.shown()] if item else []}
+        for write in body["writes"]:
+            if write.get("lease") and write["lease"] not in self.leases:
+                return 404, {}
+        for write in body["writes"]:
+            data = base64.b64decode(write["value"])
+            self.put(write["key"], data, write.get("lease", 0))
+        for key in body["remove"]:
+            self.remove(key)
+        return 200, {"revision": self.revision}
+
+    def _lease(self, body: dict[str, Any]) -> tuple[int, Any]:
+        ttl_ms = max(TTL_MIN_MS, body["ttl_ms"])
+        lease = 1000 + len(self.leases)
+        self.leases[lease] = (trio.current_time() + ttl_ms / 1000, ttl_ms / 1000)
+        return 200, {"lease": lease, "ttl_ms": ttl_ms}
+
+    def _keep(self, lease: int) -> tuple[int, Any]:
+        if lease not in self.leases:
+            return 404, {}
+        ttl_s = self.leases[lease][1]
+        self.leases[lease] = (trio.current_time() + ttl_s, ttl_s)
+        return 200, {"ttl_ms": int(ttl_s * 1000)}
+
+    def _end(self, lease: int) -> tuple[int, Any]:
+        self.leases.pop(lease, None)
+        for key in [k for k, item in self.items.items() if item.lease == lease]:
+            self.remove(key)
+        return 200, {}
+
+    async def expire_leases(self) -> None:
+        """End leases whose time is up, until cancelled."""
+        while True:
+            await trio.sleep(0.1)
+            now = trio.current_time()
+            for lease, (until, _) in list(self.leases.items()):
+                if now > until:
+                    self._end(lease)
+
+
+async def _refuse(responder: Responder, rejected: Rejected) -> None:
+    await responder.whole(rejected.status, [], b"")
+
+
+def new_store_server(store: StandInStore) -> Ingress:
+    """Return the HTTP server of a store."""
+    limits = IngressLimits(max_body_bytes=2_000_000, idle_timeout_s=60.0)
+    return Ingress(store.handle, _refuse, lambda: limits)
