Learn an endpoint's speed by fading sums; fail over from a silent home at once

Changed: one factor an endpoint from sums of observed and expected times that halve every 1.5 s, with a fixed start time; an endpoint is suspect only if it fails more than twice the median of its pool; heartbeats every 0.25 s here, dead after 0.9 s; an entry whose home is silent for 0.6 s places what waits there within its share; links that carry nothing for 2.5 s are opened anew.

--- a/src/savorydyke/_cell.py
+++ b/src/savorydyke/_cell.py
@@ -12,7 +12,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from savorydyke._endpoint_load import EndpointLoad, Running, new_load
+from savorydyke._endpoint_load import EndpointLoad, Running, judge_suspects, new_load
 from savorydyke._estimates import Estimates
 from savorydyke._fair_queue import FairQueue, Waiting
 from savorydyke._ids import (
@@ -46,6 +46,8 @@
 AFFINITY_TOKENS = 2048
 """Cached prefix for which a request waits for a busy endpoint."""
 AFFINITY_SLACK = 3.0
+FIRST_MARGIN = 1.5
+"""Factor on the time to a first byte at an idle endpoint, for busy ones."""
 FAILING_PENALTY = 4.0
 """Factor on the time of an endpoint whose answers all fail."""
 FALLBACK_SLACK = 1.5
@@ -193,7 +195,8 @@
         latest = item.deadline - MARGIN * self.estimates.least_s(item)
         if item.objective == math.inf:
             return latest
-        return min(latest, item.objective - self.estimates.least_first_s(item))
+        first_s = FIRST_MARGIN * self.estimates.least_first_s(item)
+        return min(latest, item.objective - first_s)
 
     def _ration(self, item: Waiting, repeat: bool, now: float) -> Decision | None:
         """Refuse what is beyond the team's quota or the budget of repeats."""
@@ -262,9 +265,11 @@
         self._remember(item.key, load.id, now)
         if result in {ReleaseResult.CUT, ReleaseResult.FAILED}:
             load.fault()
+            judge_suspects(self.endpoints.values())
             return
         if result is ReleaseResult.COMPLETE:
             load.succeed()
+            judge_suspects(self.endpoints.values())
             load.learn_decode(message.output_tokens, message.decode_ms / 1000)
             self.estimates.learn_output(item, message.output_tokens)
 
@@ -528,7 +533,7 @@
             return self._refuse(
                 item, Reason.DEADLINE, detail, self.drain_s(item.rank), now
             )
-        first_s = wait_s + self.estimates.least_first_s(item)
+        first_s = wait_s + FIRST_MARGIN * self.estimates.least_first_s(item)
         if self._all_busy(now) and first_s > item.objective - now:
             detail = "the queue is too long for the objective"
             return self._refuse(
--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -53,8 +53,9 @@
 """For how long peers are told of an endpoint that has left."""
 OPEN_DEADLINE_S = 30.0
 """Deadline of requests that name none and whose route has none."""
-ENGINE_PREFILL_TOKENS_PER_S = 40_000.0
-ENGINE_DECODE_TOKENS_PER_S = 250.0
+ENGINE_FIRST_S = 0.015
+ENGINE_PREFILL_TOKENS_PER_S = 48_000.0
+ENGINE_DECODE_TOKENS_PER_S = 300.0
 SERVICE_CALLS_PER_S = 12.0
 MAX_WAITING = 2000
 """Speeds until they are learned, of the users' present engines and services."""
@@ -340,4 +341,5 @@
         max_tokens=pool.memory_tokens if is_engine else record.slots * 10**9,
         prefill_tokens_per_s=ENGINE_PREFILL_TOKENS_PER_S if is_engine else call_speed,
         decode_tokens_per_s=ENGINE_DECODE_TOKENS_PER_S if is_engine else 1e9,
+        first_s=ENGINE_FIRST_S if is_engine else 0.0,
     )
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -1,7 +1,9 @@
 """What the home of a pool knows of one endpoint: credits, speed, health."""
 
 import random
+import statistics
 from collections import deque
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from savorydyke._backoff import backoff_s
@@ -13,9 +15,10 @@
 PREFILL_WINDOW_S = 0.3
 """Prefill that may wait inside an engine, beyond which order is kept here."""
 LEARNING_RATE = 0.2
-RELAX_AFTER_S = 1.0
-RELAX_FACTOR = 0.95
-"""Share of a learned slowness that is left after each tick."""
+LEARNING_HALF_LIFE_S = 1.5
+"""A slowed endpoint is known within two seconds, and forgiven as quickly."""
+PRIOR_S = 0.02
+"""Weight of the assumed speed against what has been learned."""
 FACTOR_RANGE = (0.1, 20.0)
 OVERDUE_RATIO = 2.0
 CIRCUIT_BASE_S = 0.5
@@ -25,6 +28,8 @@
 FAILING_RATE = 0.2
 SUSPECT_SHARE = 0.33
 """Two failures in a row make an endpoint suspect, two successes clear it."""
+SUSPECT_RATIO = 2.0
+"""How much more a suspect endpoint fails than the median of its pool."""
 SUSPECT_PLACES = 1
 """Requests by which a suspect endpoint can show that it has recovered."""
 REPORTS_KEPT = 3
@@ -43,6 +48,10 @@
         Time to the first byte that was predicted at the grant.
     orphaned : float or None
         When its entry was found dead.
+    expected_first_s : float
+        Time to the first byte at the assumed speed.
+    overdue_s : float
+        Part of the wait for the first byte that has been learned from.
     """
 
     key: RequestKey
@@ -57,6 +66,8 @@
     started: bool = False
     orphaned: float | None = None
     quota_tokens: int = 0
+    expected_first_s: float = 0.0
+    overdue_s: float = 0.0
 
 
 @dataclass
@@ -68,14 +79,18 @@
     prefill_factor : float
         Observed time to the first byte, divided by the prediction from the
         manifest's speed.
+    observed_s, expected_s : float
+        Sums of both over late requests, which fade with time.
     learned : float
-        When the prefill factor was last learned.
+        When the sums last changed.
     decode_tokens_per_s : float
         Learned speed of one stream.
     failures : int
         Connections that failed since the last answer.
     failing : float
         Smoothed share of answers that were errors or got lost.
+    suspect : bool
+        Whether that share is high, and higher than with most others.
     external : deque of int
         Requests that recent reports show beyond those granted here.
     parallel : bool
@@ -87,6 +102,8 @@
     parallel: bool
     decode_tokens_per_s: float
     prefill_factor: float = 1.0
+    observed_s: float = 0.0
+    expected_s: float = 0.0
     running: dict[RequestKey, Running] = field(default_factory=dict)
     tokens: int = 0
     unstarted_tokens: int = 0
@@ -95,6 +112,7 @@
     failures: int = 0
     open_until: float = 0.0
     failing: float = 0.0
+    suspect: bool = False
     learned: float = 0.0
     external: deque[int] = field(default_factory=lambda: deque(maxlen=REPORTS_KEPT))
 
@@ -103,10 +121,6 @@
         """Return the endpoint's id."""
         return self.spec.id
 
-    def is_suspect(self) -> bool:
-        """Return whether so many answers fail that others should be asked."""
-        return self.failing > SUSPECT_SHARE
-
     def is_closed(self) -> bool:
         """Return whether no new work may go here until that is taken back."""
         return self.leaving or self.removed or self.spec.drained
@@ -130,7 +144,7 @@
         """Return whether a request of this size may be sent now."""
         if not self.running:
             return True
-        if self.is_suspect() and len(self.running) >= SUSPECT_PLACES:
+        if self.suspect and len(self.running) >= SUSPECT_PLACES:
             return False
         if len(self.running) >= self.credits(share):
             return False
@@ -147,7 +161,8 @@
     def first_byte_s(self, uncached: int) -> float:
         """Return the predicted time to the first byte of a new request."""
         ahead = 0 if self.parallel else self.unstarted_tokens
-        return max(MIN_PREDICTION_S, self.prefill_s(ahead + uncached))
+        start_s = self.spec.first_s * self.prefill_factor
+        return max(MIN_PREDICTION_S, start_s + self.prefill_s(ahead + uncached))
 
     def total_s(self, uncached: int, output: int) -> float:
         """Return the predicted time to the last byte of a new request."""
@@ -182,6 +197,7 @@
             started=started,
             quota_tokens=request.quota_tokens if isinstance(request, Waiting) else 0,
         )
+        item.expected_first_s = item.predicted_first_s / self.prefill_factor
         self.running[item.key] = item
         self.tokens += item.prompt_tokens + item.output_tokens
         if not started:
@@ -193,8 +209,8 @@
             return
         item.started = True
         self.unstarted_tokens -= item.uncached_tokens
-        self._learn_prefill(first_byte_s / item.predicted_first_s)
-        self.learned = item.granted + first_byte_s
+        observed_s = first_byte_s - item.overdue_s
+        self._learn(observed_s, item.expected_first_s, item.granted + first_byte_s)
 
     def remove(self, key: RequestKey) -> Running | None:
         """Give the credits of a request back."""
@@ -216,28 +232,39 @@
     def learn_overdue(self, now: float) -> None:
         """Learn from first bytes that are overdue, before they arrive."""
         for item in self.running.values():
-            ratio = (now - item.granted) / item.predicted_first_s
-            if not item.started and ratio > OVERDUE_RATIO:
-                item.predicted_first_s *= ratio
-                self._learn_prefill(ratio)
-                self.learned = now
-                return
-
-    def _learn_prefill(self, ratio: float) -> None:
+            waited_s = now - item.granted
+            if item.started or waited_s < OVERDUE_RATIO * item.predicted_first_s:
+                continue
+            self._learn(waited_s - item.overdue_s, 0.0, now)
+            item.overdue_s = waited_s
+            return
+
+    def _learn(self, observed_s: float, expected_s: float, now: float) -> None:
+        self._fade(now)
+        self.observed_s += max(0.0, observed_s)
+        self.expected_s += expected_s
+        self._update_factor()
+
+    def _fade(self, now: float) -> None:
+        kept = 0.5 ** (max(0.0, now - self.learned) / LEARNING_HALF_LIFE_S)
+        self.observed_s *= kept
+        self.expected_s *= kept
+        self.learned = max(self.learned, now)
+
+    def _update_factor(self) -> None:
         low, high = FACTOR_RANGE
-        ratio = min(high, max(low, ratio))
-        factor = self.prefill_factor * ratio**LEARNING_RATE
-        self.prefill_factor = min(high, max(low, factor))
+        ratio = (self.observed_s + PRIOR_S) / (self.expected_s + PRIOR_S)
+        self.prefill_factor = min(high, max(low, ratio))
 
     def relax(self, now: float) -> None:
-        """Let a learned slowness fade while nothing new is learned of it.
+        """Let a learned speed fade while nothing new is learned of it.
 
         An endpoint that is thought to be slow gets little work that could show
         otherwise.
         """
-        if self.running or now - self.learned < RELAX_AFTER_S:
-            return
-        self.prefill_factor = 1 + (self.prefill_factor - 1) * RELAX_FACTOR
+        if not self.running:
+            self._fade(now)
+            self._update_factor()
 
     def report(self, requests: int) -> None:
         """Take in a lagging report of the requests inside the endpoint."""
@@ -266,6 +293,17 @@
         self.open_until = 0.0
 
 
+def judge_suspects(loads: Collection[EndpointLoad]) -> None:
+    """Mark the endpoints that fail more than most others of their pool.
+
+    Where all fail alike, leaving some of them out would only lose their places.
+    """
+    median = statistics.median([load.failing for load in loads] or [0.0])
+    limit = max(SUSPECT_SHARE, SUSPECT_RATIO * median)
+    for load in loads:
+        load.suspect = load.failing > limit
+
+
 def new_load(spec: Endpoint, kind: PoolKind) -> EndpointLoad:
     """Return the load of an endpoint of which nothing is known yet."""
     parallel = kind is PoolKind.SERVICE
--- a/src/savorydyke/_estimates.py
+++ b/src/savorydyke/_estimates.py
@@ -77,7 +77,9 @@
     def least_first_s(self, item: Waiting) -> float:
         """Return the least time in which an idle endpoint would begin to answer."""
         times = [
-            load.prefill_s(self.uncached(load, item)) for load in self.remaining(item)
+            load.prefill_factor * load.spec.first_s
+            + load.prefill_s(self.uncached(load, item))
+            for load in self.remaining(item)
         ]
         return min(times, default=0.0)
 
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -28,7 +28,7 @@
     open_listener,
 )
 from savorydyke._log_writer import Buffer, flush, write_lines
-from savorydyke._membership import HEARTBEAT_S, Membership
+from savorydyke._membership import Membership
 from savorydyke._messages import (
     Acquire,
     ConfigurationPush,
@@ -63,6 +63,9 @@
     write_instance,
 )
 
+HEARTBEAT_S = 0.25
+DEAD_AFTER_S = 0.9
+"""The shortest objectives are 0.4 s; a dead home costs its requests twice that."""
 LEASE_S = 10.0
 KEEP_LEASE_S = 3.0
 """A third of the lease, so that two renewals may fail."""
@@ -309,6 +312,8 @@
         settings.peers,
         settings.data_centre,
         time.time_ns() // 1_000_000,
+        heartbeat_s=HEARTBEAT_S,
+        dead_after_s=DEAD_AFTER_S,
     )
     peers = Peers(
         membership, "", lambda sender, message: gateway.handle(sender, message), rng
--- a/src/savorydyke/_manifest.py
+++ b/src/savorydyke/_manifest.py
@@ -99,6 +99,8 @@
     prefill_tokens_per_s, decode_tokens_per_s : float
         Speeds assumed until they have been learned; decode is for one stream.
         A call of a plain service counts as `SERVICE_CALL_TOKENS` of prompt.
+    first_s : float
+        Time to the first token of an empty prompt, assumed likewise.
     """
 
     id: EndpointId
@@ -113,6 +115,7 @@
     max_tokens: int
     prefill_tokens_per_s: float
     decode_tokens_per_s: float
+    first_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -64,6 +64,8 @@
 
     Attributes
     ----------
+    heartbeat_s, dead_after_s : float
+        Time between heartbeats, and silence after which a member is dead.
     alive : int
         Other instances that are not dead.
     listeners : list of callable
@@ -76,6 +78,8 @@
     address: str
     data_centre: DataCentreId
     incarnation: int
+    heartbeat_s: float = HEARTBEAT_S
+    dead_after_s: float = DEAD_AFTER_S
     counter: int = 0
     leaving: bool = False
     next_row: int = 0
@@ -171,10 +175,10 @@
         """
         count = self.alive + 1
         if member.direct or count <= FULL_MESH:
-            return DEAD_AFTER_S
+            return self.dead_after_s
         turns = math.ceil(count / ROWS_PER_BEAT)
         hops = math.ceil(math.log2(count)) + SPARE_HOPS
-        return DEAD_AFTER_S + HEARTBEAT_S * turns * hops
+        return self.dead_after_s + self.heartbeat_s * turns * hops
 
     def _state(self, member: Member, now: float) -> MemberState:
         if now - member.heard > self._dead_after_s(member):
@@ -228,6 +232,13 @@
         # In a large fleet a link is opened when it is wanted.
         return member.dial_failed < member.heard
 
+    def is_silent(self, instance: InstanceId, now: float, after_s: float) -> bool:
+        """Return whether a member has not been heard for a while."""
+        member = self.members.get(instance)
+        if instance == self.id:
+            return False
+        return member is None or not member.linked or now - member.heard > after_s
+
     def is_home(self, pool: PoolId) -> bool:
         """Return whether this instance is the home of `pool` in its own view."""
         return self.home(pool) == self.id
--- a/src/savorydyke/_peers.py
+++ b/src/savorydyke/_peers.py
@@ -43,6 +43,8 @@
 DIAL_BASE_S = 0.2
 DIAL_MOST_S = 5.0
 MANAGE_S = 0.25
+LINK_SILENT_S = 2.5
+"""Five heartbeats; a connection may go silent for good without a reset."""
 
 log = _logs.part("peers")
 
@@ -78,6 +80,7 @@
     scope: trio.CancelScope
     queue: list[Message] = field(default_factory=list)
     wake: trio.Event = field(default_factory=trio.Event)
+    heard: float = field(default_factory=trio.current_time)
 
     def send(self, message: Message) -> None:
         """Queue a message; a peer that does not read loses its link."""
@@ -152,8 +155,16 @@
                 for address in self._missing():
                     self.dialling.add(address)
                     nursery.start_soon(self._dial, address)
+                self._drop_silent(trio.current_time())
                 await trio.sleep(MANAGE_S)
 
+    def _drop_silent(self, now: float) -> None:
+        """Give up links that carry nothing any more, so that new ones are opened."""
+        for link in list(self.links.values()):
+            if now - link.heard > LINK_SILENT_S:
+                log.warning("Link silent.", extra={"peer": link.peer})
+                link.scope.cancel()
+
     def _missing(self) -> list[str]:
         members = self.membership.members
         wanted = {m.id: m.address for m in self.membership.wanted_links()}
@@ -343,6 +354,7 @@
     async def _read(self, link: Link) -> None:
         try:
             async for frame in link.websocket:
+                link.heard = trio.current_time()
                 self.traffic.frames_received += 1
                 self.traffic.bytes_received += len(frame)
                 if not isinstance(frame, bytes):
--- a/src/savorydyke/_scheduler.py
+++ b/src/savorydyke/_scheduler.py
@@ -42,6 +42,8 @@
 
 HOME_SILENT_S = 0.2
 """A home answers in a few ms; after this it is stalled or unreachable."""
+HOME_STALLED_S = 0.6
+"""Silence of a home, in heartbeats, after which what waits there is placed here."""
 ALONE = InstanceId("(alone)")
 """Stands for the home of grants that an entry gave itself."""
 
@@ -133,14 +135,14 @@
 
     Attributes
     ----------
-    heard : trio.Event
-        Set once the home has said anything about it.
+    heard : bool
+        Whether the home of the moment has said anything about it.
     """
 
     demand: Demand
     message: Acquire
     answer: Granted | Refused | None = None
-    heard: trio.Event = field(default_factory=trio.Event)
+    heard: bool = False
     answered: trio.Event = field(default_factory=trio.Event)
 
 
@@ -216,23 +218,25 @@
         if self.place_alone is None:
             await pending.answered.wait()
             return
-        while not pending.heard.is_set():
+        while pending.answer is None:
             with trio.move_on_after(HOME_SILENT_S):
-                await pending.heard.wait()
-                break
+                await pending.answered.wait()
+            if pending.answer is not None or not self._is_unanswered(pending):
+                continue
             endpoint = self.place_alone(pending.demand, avoid)
-            if endpoint is not None and pending.answer is None:
-                self._withdraw(pending.demand)
-                pending.answer = Granted(
-                    ALONE,
-                    endpoint,
-                    pending.message.attempt,
-                    False,
-                    (),
-                    trio.current_time(),
-                )
-                return
-        await pending.answered.wait()
+            if endpoint is None:
+                continue
+            self._withdraw(pending.demand)
+            attempt, now = pending.message.attempt, trio.current_time()
+            pending.answer = Granted(ALONE, endpoint, attempt, False, (), now)
+
+    def _is_unanswered(self, pending: Pending) -> bool:
+        """Return whether nobody seems to look after a waiting request."""
+        if not pending.heard:
+            return True
+        home = self.homes[pending.demand.pool].home
+        now = trio.current_time()
+        return self.membership.is_silent(home, now, HOME_STALLED_S)
 
     def _take(self, pending: Pending) -> Granted | Refused:
         """Close an acquisition and return its answer."""
@@ -296,7 +300,7 @@
         pending = self.pending.get(message.key)
         if isinstance(message, Queued):
             if pending is not None and pending.message.attempt == message.attempt:
-                pending.heard.set()
+                pending.heard = True
             return
         if (
             pending is None
@@ -326,7 +330,7 @@
             pending.answer = Refused(
                 message.reason, message.detail, retry_s, message.may_have_run
             )
-        pending.heard.set()
+        pending.heard = True
         pending.answered.set()
 
     def _give_back(
@@ -444,6 +448,7 @@
         self.send(link.home, Register(pool, True, self._rows(pool)))
         for pending in self.pending.values():
             if pending.demand.pool == pool and pending.answer is None:
+                pending.heard = False
                 self.send(link.home, self._refreshed(pending))
 
 
