Add the tool's explain and causes, the page of log lines, and the platform's docs

Cause: an engineer on call had no way from a request's id to its cause, and the platform's design, settings and words were not written down.

A case holds docs/LOGS.md against the code. Not measured yet: what the log lines cost in processor time.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -30,3 +30,5 @@
       | a flood of one line is sampled and errors are kept            |
       | a record of another writer is refused with its fault          |
       | request keys differ after a restart                           |
+      | the story of a request is told from its lines                 |
+      | the page of log lines names what the code logs                |
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -29,6 +29,7 @@
       | a broken stream goes on behind its last event         |
       | a broken stream that may not go on is cut             |
       | a silent endpoint ends at the route's time            |
+      | under load a refusal says when to come back           |
 
   Scenario Outline: What a caller does
     Then the routed case "<case>" holds
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -4,7 +4,12 @@
 import logging
 import os
 import random
+import re
+import subprocess
+import sys
+import tempfile
 from collections import Counter
+from pathlib import Path
 
 import trio
 
@@ -582,3 +587,47 @@
         for number in range(3):
             keys.add(callers.new_key(f"r{number}"))
     assert len(keys) == 6
+
+
+@case("the story of a request is told from its lines")
+def _():
+    def line(second, instance, message, **fields):
+        value = {"time": f"10:00:{second:02}", "instance": instance}
+        return json.dumps(value | {"message": message, "level": "INFO"} | fields)
+
+    texts = [
+        "2.1 i1 " + line(3, "i1", "request: Refused.", request="r1", reason="quota"),
+        line(2, "i2", "home: Refused.", request="r1", reason="quota", waiting=7),
+        line(1, "i1", "request: Ended.", request="r2", how="answered"),
+        "no line at all",
+        '{"cut',
+    ]
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "log"
+        path.write_text("\n".join(texts))
+        tool = [sys.executable, "-m", "savorydyke._cli"]
+
+        def run(*words):
+            return subprocess.run([*tool, *words], capture_output=True, text=True)
+
+        told = run("explain", "r1", str(path))
+        rows = told.stdout.splitlines()
+        assert told.returncode == 0 and len(rows) == 2, told
+        assert "i2  home: Refused.  reason=quota waiting=7" in rows[0]
+        assert run("explain", "r3", str(path)).returncode == 1
+        assert run("explain", "r1", folder + "/none").returncode == 2
+        counted = run("causes", "--json", str(path))
+        assert json.loads(counted.stdout)["request: Ended. answered"] == 1
+
+
+@case("the page of log lines names what the code logs")
+def _():
+    root = Path(__file__).parents[2]
+    page = (root / "docs" / "LOGS.md").read_text()
+    routed = ("_gateway", "_directory", "_routed", "_ingress", "_homes", "_peers")
+    pattern = re.compile(r'log\.(?:info|warning|error|exception)\(\s*"([^"]+)"')
+    for name in routed:
+        text = (root / "src" / "savorydyke" / f"{name}.py").read_text()
+        part = re.search(r'_logs\.part\("(\w+)"\)', text).group(1)
+        for message in pattern.findall(text):
+            assert f"`{part}: {message}`" in page, (part, message)
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -350,6 +350,29 @@
     await site.until(lambda: endpoint.seen[0].closed is not None, GONE_S)
 
 
+@case("under load a refusal says when to come back")
+async def _(site):
+    async def slow(exchange):
+        await exchange.stream_events(1, EVENTS, pause_s=0.3)
+
+    endpoint = await one(site, "engines", slow)
+    answers = []
+
+    async def ask():
+        more = (b"X-Savorydyke-Token-Count", b"500,50")
+        answers.append(await site.ask("/question/1", more))
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(16):
+            nursery.start_soon(ask)
+            await trio.sleep(0.02)
+    refusals = [answer for answer in answers if answer.status == 503]
+    assert len(endpoint.seen) + len(refusals) == 16 and len(refusals) >= 8
+    for answer in refusals:
+        assert b"not run" in answer.body
+        assert 0.05 <= float(answer.headers[b"retry-after"]) <= 1.0
+
+
 # Callers
 
 
--- a/features/steps/routed_site.py
+++ b/features/steps/routed_site.py
@@ -1,12 +1,13 @@
 """A small routed deployment for tests: store, endpoints and real daemons."""
 
 import json
+import os
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -20,6 +21,7 @@
 KEY = "key-of-crew"
 START_TIMEOUT_S = 10.0
 ANSWER_TIMEOUT_S = 6.0
+LAST_LINES_S = 0.2
 BOUNDS = {"revocation_ms": 3000, "stop_s": 4, "repeat_slack": 50}
 
 
@@ -284,10 +286,23 @@
                 await trio.sleep(0.02)
 
 
+@contextmanager
+def log_folder(name: str):
+    """Return a folder for settings and logs, kept where ROUTED_LOGS says."""
+    kept = os.environ.get("ROUTED_LOGS")
+    if kept is None:
+        with tempfile.TemporaryDirectory() as folder:
+            yield folder
+        return
+    folder = Path(kept) / name.replace(" ", "-")
+    folder.mkdir(parents=True, exist_ok=True)
+    yield folder
+
+
 @asynccontextmanager
-async def open_site():
+async def open_site(name: str = "site"):
     """Open a deployment and end everything in it at the end."""
-    with tempfile.TemporaryDirectory() as folder:
+    with log_folder(name) as folder:
         async with trio.open_nursery() as nursery:
             site = Site(nursery, Path(folder))
             await site.listen(new_store_server(site.store).serve, site.store_address)
@@ -296,6 +311,10 @@
             try:
                 yield site
             finally:
+                if "ROUTED_LOGS" in os.environ:
+                    # Lets the instances write what they have buffered.
+                    with trio.CancelScope(shield=True):
+                        await trio.sleep(LAST_LINES_S)
                 for daemon in site.daemons:
                     daemon.process.kill()
                     daemon.process.wait()
--- a/features/steps/routed_steps.py
+++ b/features/steps/routed_steps.py
@@ -13,7 +13,7 @@
 def routed_case(context, name):
     async def play():
         with trio.fail_after(CASE_TIMEOUT_S):
-            async with open_site() as site:
+            async with open_site(name) as site:
                 await CASES[name](site)
 
     trio.run(play)
--- a/src/savorydyke/_cli.py
+++ b/src/savorydyke/_cli.py
@@ -17,6 +17,8 @@
 
 from savorydyke import _keys
 from savorydyke._exceptions import FindingsError
+from savorydyke._explain import Line, read_lines, story
+from savorydyke._explain import causes as count_causes
 from savorydyke._findings import is_address
 from savorydyke._manifest import Manifest, check_manifest, read_manifest
 from savorydyke._manifest_diff import diff as diff_manifests
@@ -142,6 +144,50 @@
     _show({"findings": [], **counts}, f"{file}: no findings ({text})", as_json)
 
 
+LogFiles = Annotated[
+    list[Path] | None,
+    typer.Argument(help="Log files of instances; standard input if none."),
+]
+
+
+def _log_lines(files: list[Path] | None) -> list[Line]:
+    if not files:
+        return list(read_lines(sys.stdin))
+    lines: list[Line] = []
+    for file in files:
+        try:
+            with file.open(encoding="utf-8", errors="replace") as texts:
+                lines += read_lines(texts)
+        except OSError as error:
+            text = f"{file}: {error.strerror}"
+            _fail({"error": text}, text, False, EXIT_FINDINGS)
+    return lines
+
+
+@app.command()
+def explain(request: str, files: LogFiles = None, as_json: AsJson = False) -> None:
+    """Show what instances logged about one request, in order of time."""
+    found = story(_log_lines(files), request)
+    if not found:
+        text = f"no line about request {request!r}"
+        _fail({"error": text}, text, as_json, EXIT_REFUSED)
+    value = {"request": request, "lines": [vars(line) for line in found]}
+    _show(value, "\n".join(str(line) for line in found), as_json)
+
+
+@app.command()
+def causes(
+    files: LogFiles = None,
+    since: Annotated[str, typer.Option("--since", help="First time.")] = "",
+    until: Annotated[str, typer.Option("--until", help="Last time.")] = "",
+    as_json: AsJson = False,
+) -> None:
+    """Count refusals, failed attempts and ends by cause."""
+    counts = count_causes(_log_lines(files), since, until)
+    rows = [f"{number:6}  {cause}" for cause, number in counts.most_common()]
+    _show(dict(counts), "\n".join(rows), as_json)
+
+
 @app.command()
 def diff(
     file: ManifestFile, instances: Instances, key: Key, as_json: AsJson = False
