Test lost leases, pages, restarted endpoints; really cut an instance from the store

Cause: no case for a lease that ended, for a listing of several pages or for an endpoint that starts again under its name; and the case of an instance that is cut from the store cut nothing. It now cuts one by a proxy and asks for a version that only a peer can bring. The stand-in gave an ended lease's number out again; mended. Nothing in the product changed.

--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -6,8 +6,10 @@
 
 import trio
 
+from savorydyke_bench._soak import Link, listen_link
 from savorydyke_standins._routed_endpoint import (
     EVENTS,
+    RoutedEndpoint,
     answer_plainly,
     answer_stream,
     chunk,
@@ -679,13 +681,58 @@
 @case("an instance cut from the store learns from a peer")
 async def _(site):
     await site.endpoint("e1", "desk")
-    await site.daemon("instance-1")
+    link = Link(site.store_address)
+    store = await listen_link(site, link, "127.0.0.1:0")
+    await site.daemon("instance-1", store=store)
     await site.daemon("instance-2")
     await trio.sleep(1.0)
-    # Only calls of the second instance are served from now on.
-    site.store.refused = {"instance-1"}
-    await trio.sleep(0)
+    link.fault = "silent"
+    await trio.sleep(BOUNDS["revocation_ms"] / 1000)
+    # The peer passes on that its configuration is the newest.
+    assert (await site.ask("/claim/1")).status == 200
+    site.configure(tenants=[{"name": "crew", "api_keys": ["another"]}])
+    await trio.sleep(1.5)
+    assert (await site.ask("/claim/1", key="another")).status == 200
+    assert (await site.ask("/claim/1")).status == 401
+
+
+@case("an entry whose lease was lost is written anew")
+async def _(site):
+    await one(site, "desk")
+    key = "savorydyke/instances/instance-1"
+    await site.until(lambda: key in site.store.items)
+    lease = site.store.items[key].lease
+    assert lease
+    site.store.end_lease(lease)
+    assert key not in site.store.items
+    await site.until(lambda: key in site.store.items, 5.0)
+    assert site.store.items[key].lease != lease
+
+
+@case("endpoints beyond the first page are found")
+async def _(site):
+    for number in range(120):
+        site.store.put(f"savorydyke/other/{number:03}", {"n": number})
+    endpoint = await one(site, "desk")
+    assert (await site.ask("/claim/1")).status == 200
+    assert len(endpoint.seen) == 1
+    assert site.store.calls.count("/savorydyke/kv-range") >= 3
+
+
+@case("an endpoint that starts again is another one")
+async def _(site):
+    first = await one(site, "desk")
+    second = RoutedEndpoint()
+    site.addresses["e1"] = await site.listen(second.serve, free_address())
+    site.entry("e1", "desk", born=2)
+    await trio.sleep(1.0)
     assert (await site.ask("/claim/1")).status == 200
+    # The entry of the earlier process comes late.
+    site.store.put("servers/e1", b"{}")
+    site.entry("e1", "desk", born=2)
+    await trio.sleep(1.0)
+    assert (await site.ask("/claim/2")).status == 200
+    assert (len(first.seen), len(second.seen)) == (0, 2)
 
 
 # Stops and starts
--- a/src/savorydyke_standins/_store.py
+++ b/src/savorydyke_standins/_store.py
@@ -62,6 +62,7 @@
     items: dict[str, StoredItem] = field(default_factory=dict)
     history: list[dict[str, Any]] = field(default_factory=list)
     leases: dict[int, tuple[float, float]] = field(default_factory=dict)
+    last_lease: int = 1000
     calls: list[str] = field(default_factory=list)
     changed: trio.Event = field(default_factory=trio.Event)
 
@@ -137,7 +138,7 @@
             "kv-txn": lambda: self._transact(body),
             "kv-lease": lambda: self._lease(body),
             "kv-keep": lambda: self._keep(int(rest)),
-            "kv-lease-end": lambda: self._end(int(rest)),
+            "kv-lease-end": lambda: self.end_lease(int(rest)),
         }
         if name == "kv-watch":
             return await self._watch(params)
@@ -196,7 +197,8 @@
 
     def _lease(self, body: dict[str, Any]) -> tuple[int, Any]:
         ttl_ms = max(TTL_MIN_MS, body["ttl_ms"])
-        lease = 1000 + len(self.leases)
+        self.last_lease += 1
+        lease = self.last_lease
         self.leases[lease] = (trio.current_time() + ttl_ms / 1000, ttl_ms / 1000)
         return 200, {"lease": lease, "ttl_ms": ttl_ms}
 
@@ -207,7 +209,8 @@
         self.leases[lease] = (trio.current_time() + ttl_s, ttl_s)
         return 200, {"ttl_ms": int(ttl_s * 1000)}
 
-    def _end(self, lease: int) -> tuple[int, Any]:
+    def end_lease(self, lease: int) -> tuple[int, Any]:
+        """End a lease and remove its keys."""
         self.leases.pop(lease, None)
         for key in [k for k, item in self.items.items() if item.lease == lease]:
             self.remove(key)
@@ -220,7 +223,7 @@
             now = trio.current_time()
             for lease, (until, _) in list(self.leases.items()):
                 if now > until:
-                    self._end(lease)
+                    self.end_lease(lease)
 
 
 async def _refuse(responder: Responder, rejected: Rejected) -> None:
