Hand quotas on through the store; let late requests wait behind those on time

Change: a bucket holds a part of the tolerance, places are used beyond it while under half of them are taken, and one sliding window bounds both. Homes write levels to the store once a fifth of the tolerance has been used since the last time, and the next home takes that part off what it reads. Cause 2: a request that can not meet its objective was refused although its caller waits for seconds more. It now waits behind all that can be on time, as long as the room that all demand leaves suffices; it is refused at once otherwise. Cause 3 (grown deployments): the home chose among 45 endpoints in about 1 ms, the store's list made a full mesh of 80 instances, and homes were placed on weak instances, since entries never carried the cores of the settings.

The case "what waits is refused before its objective has passed" stated the old rule; it now holds for the caller's patience, as strictly.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -8,9 +8,14 @@
       | case                                                          |
       | a team within its quota is never refused                      |
       | a request larger than the burst is let through and paid off   |
-      | idle places may be used within the window's tolerance         |
+      | waves may use what the window tolerates         |
       | a new home hands out no second burst                          |
+      | the first home of all starts with full buckets                |
+      | a home goes on with the levels of the one before              |
+      | a team that used little is not refused after a change of homes |
+      | levels that can not be read count as spent                    |
       | a start of all instances hands out no burst                   |
+      | many small shares let through no more than their sum          |
       | repeats stay within their budget                              |
       | freshness counts suspension                                   |
       | a peer's confirmation counts from the heartbeat it answers    |
@@ -21,7 +26,10 @@
       | a request goes elsewhere than to the endpoint that failed it  |
       | with no endpoint a routed request is refused as not run       |
       | in a burst the most urgent are served and others told when    |
-      | what waits is refused before its objective has passed         |
+      | what waits is refused before its caller's patience has passed |
+      | a burst of one second is served late rather than not at all  |
+      | late requests keep nobody from being on time                  |
+      | late requests that wait in vain are refused at once           |
       | returns after a burst are spread                              |
       | instances on their own stay within an endpoint's places       |
       | only strong instances become homes                            |
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -80,6 +80,7 @@
       | a stop refuses what comes later                 |
       | settings are checked together                   |
       | an instance that starts again is a new one      |
+      | a quota that was used up stays so after a kill  |
       | a request whose home is silent is placed anyway |
 
   Scenario: The soak's checks can fail
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -15,7 +15,7 @@
     chunk,
     event,
 )
-from savorydyke_standins._routed_site import BOUNDS, HOST, Answer, free_address
+from savorydyke_standins._routed_site import BOUNDS, HOST, KEY, Answer, free_address
 from savorydyke_standins._store import Mode
 
 CASES = {}
@@ -805,6 +805,25 @@
         assert place in done.stderr, (place, done.stderr)
 
 
+@case("a quota that was used up stays so after a kill")
+async def _(site):
+    await site.endpoint("e1", "desk")
+    team = {"name": "crew", "api_keys": [KEY], "rate_per_s": 0.5, "burst": 5}
+    site.configure(tenants=[team])
+    first = await site.daemon()
+    await site.until(lambda: "Levels read." in first.log.read_text())
+    statuses = [(await site.ask("/claim/1")).status for _ in range(12)]
+    # The first home of all hands out the whole burst.
+    assert statuses[:5] == [200] * 5 and statuses[-1] == 429, statuses
+    await site.until(lambda: "savorydyke/quotas/desk" in site.store.items)
+    first.process.kill()
+    site.daemons.clear()
+    second = await site.daemon("instance-2")
+    assert (await site.ask("/claim/1")).status == 429
+    await site.until(lambda: "Levels read." in second.log.read_text())
+    assert (await site.ask("/claim/1")).status == 429
+
+
 @case("an instance that starts again is a new one")
 async def _(site):
     await site.endpoint("e1", "desk")
--- a/src/savorydyke/_cell.py
+++ b/src/savorydyke/_cell.py
@@ -15,7 +15,7 @@
 from savorydyke._demand_rate import DemandRate
 from savorydyke._endpoint_load import EndpointLoad, Running, judge_suspects, new_load
 from savorydyke._estimates import Estimates
-from savorydyke._fair_queue import FairQueue, Waiting
+from savorydyke._fair_queue import LATE_RANKS, FairQueue, Waiting
 from savorydyke._ids import (
     EndpointId,
     InstanceId,
@@ -49,6 +49,8 @@
 AFFINITY_SLACK = 3.0
 LEAST_FREE_SHARE = 0.05
 """Part of the endpoints' time that the least urgent are thought to get."""
+IDLE_SHARE = 0.5
+"""Part of the places in use below which a team may go beyond its quota."""
 FIRST_MARGIN = 1.5
 """Factor on the time to a first byte at an idle endpoint, for busy ones."""
 FAILING_PENALTY = 4.0
@@ -110,8 +112,8 @@
         Limits sends beyond the first of each request; None for no limit.
     least_retry_s : float
         Soonest time to come back that a refusal names.
-    demand : DemandRate
-        What is asked for, by rank.
+    offered, demand : DemandRate
+        What is asked for, and what of it is let in, by rank.
     """
 
     pool: PoolId
@@ -125,6 +127,7 @@
     quotas: Quotas = field(default_factory=Quotas)
     repeats: RepeatBudget | None = None
     least_retry_s: float = RETRY_RANGE_S[0]
+    offered: DemandRate = field(default_factory=DemandRate)
     demand: DemandRate = field(default_factory=DemandRate)
     placed: dict[RequestKey, EndpointId] = field(default_factory=dict)
     recent: OrderedDict[RequestKey, Recent] = field(default_factory=OrderedDict)
@@ -143,6 +146,7 @@
         specs = {e.id: e for e in manifest.endpoints.values() if e.pool == self.pool}
         pool = manifest.pools.get(self.pool)
         kind = pool.kind if pool else PoolKind.ENGINE
+        self.estimates.forget_reachable()
         for name, spec in specs.items():
             if name in self.endpoints:
                 self.endpoints[name].spec = spec
@@ -189,21 +193,23 @@
         if message.team not in self.manifest.teams:
             return [_deny(message, entry, Reason.NOT_APPROVED, "unknown team")]
         item = self._waiting(message, entry, now)
+        self.offered.add(item.rank, item.cost_s, now)
         refusal = self._admit(item, now) or self._ration(item, message.repeat, now)
         if refusal is not None:
             return [refusal]
         self.demand.add(item.rank, item.cost_s, now)
+        self._push(item)
+        return self._shed(now) + self.pump(now)
+
+    def _push(self, item: Waiting) -> None:
         self.queue.push(item)
         heapq.heappush(self.expiry, (self._latest(item), item.key, item.attempt))
-        return self._shed(now) + self.pump(now)
 
     def _latest(self, item: Waiting) -> float:
-        """Return until when a request may wait."""
-        latest = item.deadline - MARGIN * self.estimates.least_s(item)
-        if item.objective == math.inf:
-            return latest
-        first_s = FIRST_MARGIN * self.estimates.least_first_s(item)
-        return min(latest, item.objective - first_s)
+        """Return until when a request may wait with its present rank."""
+        latest = item.deadline - MARGIN * item.forecast.least_s
+        due = item.patience if item.is_late() else item.objective
+        return min(latest, due - FIRST_MARGIN * item.forecast.least_first_s)
 
     def _ration(self, item: Waiting, repeat: bool, now: float) -> Decision | None:
         """Refuse what is beyond the team's quota or the budget of repeats."""
@@ -213,7 +219,7 @@
             detail = "the budget of repeats is used up"
             return self._refuse(item, Reason.REPEAT_BUDGET, detail, None, now)
         # Charged at once, so that what waits together stays within the quota.
-        idle = not self._all_busy(now)
+        idle = self._is_idle(now)
         wait_s = self.quotas.take(item.team, item.quota_tokens, now, idle)
         if wait_s > 0:
             detail = "the team's quota is used up"
@@ -224,7 +230,11 @@
         """Forget a waiting request whose caller has gone."""
         item = self.queue.remove(key)
         if item is not None:
-            self.quotas.refund(item.team, item.quota_tokens)
+            self._refund(item)
+
+    def _refund(self, item: Waiting | Running) -> None:
+        """Return the tokens of a request that was charged and does not run."""
+        self.quotas.refund(item.team, item.quota_tokens, item.arrived)
 
     def started(self, message: Started, now: float) -> list[Decision]:
         """Take in that the first byte of an answer has arrived."""
@@ -261,7 +271,7 @@
         load.remove(item.key)
         self.placed.pop(item.key, None)
         if result in _NOT_RUN:
-            self.quotas.refund(item.team, item.quota_tokens)
+            self._refund(item)
             if result is ReleaseResult.UNREACHABLE:
                 load.fail(now, self.rng)
                 self.estimates.prefixes.forget(load.id)
@@ -341,7 +351,7 @@
         for load in self.endpoints.values():
             load.learn_overdue(now)
             load.relax(now)
-        decisions = self._expire(now)
+        decisions = self._expire(now) + self._thin_late(now)
         self._forget_old(now)
         return decisions + self.pump(now)
 
@@ -373,14 +383,15 @@
     ) -> EndpointLoad | None:
         """Return the endpoint for a request, or None and what it waits for."""
         best = busy = None
+        output = self.estimates.output(item)
+        tokens = item.prompt_tokens + item.output_tokens
         for load in self.estimates.candidates(item, now):
             if load.id in blocked:
                 continue
             uncached = self.estimates.uncached(load, item)
-            total_s = load.total_s(uncached, self.estimates.output(item))
+            total_s = load.total_s(uncached, output)
             total_s *= 1 + FAILING_PENALTY * load.failing
             option = Option(load, uncached, total_s)
-            tokens = item.prompt_tokens + item.output_tokens
             if not load.has_room(tokens, uncached, self.share):
                 busy = _sooner(busy, option)
                 blocked.add(load.id)
@@ -510,9 +521,13 @@
             objective=math.inf
             if message.objective_ms < 0
             else now + message.objective_ms / 1000,
+            patience=now
+            + (message.deadline_ms if message.patience_ms < 0 else message.patience_ms)
+            / 1000,
             quota_tokens=message.quota_tokens,
         )
-        item.cost_s = self.estimates.cost_s(item)
+        item.forecast = self.estimates.forecast(item)
+        item.cost_s = item.forecast.cost_s
         return item
 
     def _admit(self, item: Waiting, now: float) -> Decision | None:
@@ -530,23 +545,42 @@
                 item, Reason.TEAM_LIMIT, detail, self.drain_s(item.rank), now
             )
         left_s = item.deadline - now
-        if MARGIN * self.estimates.least_s(item) > left_s:
+        if MARGIN * item.forecast.least_s > left_s:
             detail = "no endpoint can answer within the deadline"
             return self._refuse(item, Reason.DEADLINE, detail, None, now)
         wait_s = self._wait_s(item, now)
-        if wait_s + self.estimates.least_s(item) > left_s:
+        if wait_s + item.forecast.least_s > left_s:
             detail = "the queue is too long for the deadline"
             return self._refuse(
                 item, Reason.DEADLINE, detail, self.drain_s(item.rank), now
             )
-        first_s = wait_s + FIRST_MARGIN * self.estimates.least_first_s(item)
-        if self._all_busy(now) and first_s > item.objective - now:
+        first_s = wait_s + FIRST_MARGIN * item.forecast.least_first_s
+        if not self._all_busy(now) or first_s <= item.objective - now:
+            return None
+        item.rank += LATE_RANKS
+        if self._is_in_vain(item, now):
             detail = "the queue is too long for the objective"
             return self._refuse(
                 item, Reason.OBJECTIVE, detail, self.drain_s(item.rank), now
             )
         return None
 
+    def _is_in_vain(self, item: Waiting, now: float) -> bool:
+        """Return whether a late request would probably never be granted.
+
+        It takes only room that all who ask now leave, let in or not.
+        """
+        own_s = item.cost_s / self._free_rate(item.rank, now)
+        return now + self._wait_s(item, now) + own_s > self._latest(item)
+
+    def _is_idle(self, now: float) -> bool:
+        """Return whether most places are free and nothing waits for them."""
+        if self.queue.by_key:
+            return False
+        loads = [load for load in self.endpoints.values() if load.usable(now)]
+        places = sum(load.credits(self.share) for load in loads)
+        return sum(len(load.running) for load in loads) < IDLE_SHARE * places
+
     def _all_busy(self, now: float) -> bool:
         """Return whether no endpoint has a place for one more request."""
         return not any(
@@ -563,7 +597,7 @@
             if item is None:
                 break
             self.queue.remove(item.key)
-            self.quotas.refund(item.team, item.quota_tokens)
+            self._refund(item)
             retry_s = self.drain_s(item.rank)
             detail = f"{limit} requests wait in the pool"
             decisions.append(
@@ -579,10 +613,33 @@
             if item is None or item.attempt != attempt:
                 continue
             self.queue.remove(key)
-            self.quotas.refund(item.team, item.quota_tokens)
-            detail = "the deadline or objective can no longer be met"
-            retry_s = self.drain_s(item.rank)
-            decisions.append(self._refuse(item, Reason.DEADLINE, detail, retry_s, now))
+            if not item.is_late():
+                item.rank += LATE_RANKS
+                if not self._is_in_vain(item, now):
+                    self._push(item)
+                    continue
+            decisions.append(self._give_up(item, now))
+        return decisions
+
+    def _give_up(self, item: Waiting, now: float) -> Decision:
+        """Refuse a request that has waited."""
+        self._refund(item)
+        detail = "the deadline or objective can no longer be met"
+        retry_s = self.drain_s(item.rank)
+        return self._refuse(item, Reason.DEADLINE, detail, retry_s, now)
+
+    def _thin_late(self, now: float) -> list[Decision]:
+        """Refuse late requests, the last ones first, once they wait in vain.
+
+        A burst that goes on longer than expected leaves less room than was
+        reckoned with when they were let in.
+        """
+        decisions = []
+        item = self.queue.lowest()
+        while item is not None and item.is_late() and self._is_in_vain(item, now):
+            self.queue.remove(item.key)
+            decisions.append(self._give_up(item, now))
+            item = self.queue.lowest()
         return decisions
 
     def drain_s(self, rank: int) -> float:
@@ -606,8 +663,8 @@
     def _free_rate(self, rank: int, now: float) -> float:
         """Return endpoint seconds a second that more urgent requests leave."""
         places = max(1, self.estimates.usable_count())
-        urgent = self.demand.above(rank, now)
-        return max(LEAST_FREE_SHARE * places, places - urgent)
+        taken = self.offered if rank >= LATE_RANKS else self.demand
+        return max(LEAST_FREE_SHARE * places, places - taken.above(rank, now))
 
     def _remember(self, key: RequestKey, endpoint: EndpointId, now: float) -> None:
         self.recent[key] = Recent(endpoint, now)
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -48,6 +48,8 @@
         Time to the first byte that was predicted at the grant.
     orphaned : float or None
         When its entry was found dead.
+    arrived : float
+        When its quota was charged, if it was charged here.
     expected_first_s : float
         Time to the first byte at the assumed speed.
     overdue_s : float
@@ -66,6 +68,7 @@
     started: bool = False
     orphaned: float | None = None
     quota_tokens: int = 0
+    arrived: float = 0.0
     expected_first_s: float = 0.0
     overdue_s: float = 0.0
 
@@ -195,8 +198,10 @@
             granted=now,
             predicted_first_s=self.first_byte_s(uncached),
             started=started,
-            quota_tokens=request.quota_tokens if isinstance(request, Waiting) else 0,
         )
+        if isinstance(request, Waiting):
+            item.quota_tokens = request.quota_tokens
+            item.arrived = request.arrived
         item.expected_first_s = item.predicted_first_s / self.prefill_factor
         self.running[item.key] = item
         self.tokens += item.prompt_tokens + item.output_tokens
--- a/src/savorydyke/_estimates.py
+++ b/src/savorydyke/_estimates.py
@@ -4,10 +4,11 @@
 get are learned from answers; every estimate is in seconds of one request.
 """
 
+import math
 from dataclasses import dataclass, field
 
 from savorydyke._endpoint_load import EndpointLoad, Running
-from savorydyke._fair_queue import Waiting
+from savorydyke._fair_queue import Forecast, Waiting
 from savorydyke._ids import EndpointId, TeamId
 from savorydyke._prefixes import PrefixIndex
 
@@ -24,38 +25,56 @@
     ----------
     output_ratio : dict of TeamId to float
         Share of the asked output tokens that the team's answers had.
+    reachable : dict
+        Endpoints by the set of names that a team may use.
     """
 
     endpoints: dict[EndpointId, EndpointLoad] = field(default_factory=dict)
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     output_ratio: dict[TeamId, float] = field(default_factory=dict)
+    reachable: dict[frozenset[EndpointId], list[EndpointLoad]] = field(
+        default_factory=dict
+    )
 
     def usable_count(self) -> int:
         """Return how many endpoints share the work."""
         return sum(not load.is_closed() for load in self.endpoints.values())
 
+    def remaining(self, item: Waiting) -> list[EndpointLoad]:
+        """Return the endpoints to which a request may go sooner or later."""
+        return [load for load in self._reachable(item) if not load.is_closed()]
+
+    def _reachable(self, item: Waiting) -> list[EndpointLoad]:
+        """Return the endpoints that a request's team may use, in order of name.
+
+        Requests of one team share the set of names, so that it is looked up
+        instead of sorted for each of them.
+        """
+        loads = self.reachable.get(item.allowed)
+        if loads is None:
+            known = self.endpoints
+            loads = [known[name] for name in sorted(item.allowed) if name in known]
+            self.reachable[item.allowed] = loads
+        return loads
+
+    def forget_reachable(self) -> None:
+        """Take in that endpoints were added."""
+        self.reachable.clear()
+
     def candidates(self, item: Waiting, now: float) -> list[EndpointLoad]:
         """Return the endpoints to which a request may go now."""
-        open_loads = [
-            self.endpoints[name]
-            for name in sorted(item.allowed)
-            if name in self.endpoints and not self.endpoints[name].is_closed()
-        ]
+        open_loads = self.remaining(item)
         # With none usable, a doubtful endpoint is better than a sure refusal.
         loads = [load for load in open_loads if load.usable(now)] or open_loads
+        if not item.avoid:
+            return loads
         fresh = [load for load in loads if load.id not in item.avoid]
         return fresh or loads
 
-    def remaining(self, item: Waiting) -> list[EndpointLoad]:
-        """Return the endpoints to which a request may go sooner or later."""
-        return [
-            self.endpoints[name]
-            for name in item.allowed
-            if name in self.endpoints and not self.endpoints[name].is_closed()
-        ]
-
     def uncached(self, load: EndpointLoad, item: Waiting) -> int:
         """Return the prompt tokens that an endpoint would have to process."""
+        if not item.prefix:
+            return max(1, item.prompt_tokens)
         cached = self.prefixes.cached_tokens(load.id, item.prefix)
         return max(1, item.prompt_tokens - cached)
 
@@ -64,35 +83,24 @@
         ratio = self.output_ratio.get(item.team, 1.0)
         return int(item.output_tokens * ratio)
 
-    def least_s(self, item: Waiting) -> float:
-        """Return the least time in which an idle endpoint would answer."""
-        output = self.output(item)
-        times = [
-            load.prefill_s(self.uncached(load, item))
-            + output / load.decode_tokens_per_s
-            for load in self.remaining(item)
-        ]
-        return min(times, default=0.0)
-
-    def least_first_s(self, item: Waiting) -> float:
-        """Return the least time in which an idle endpoint would begin to answer."""
-        times = [
-            load.prefill_factor * load.spec.first_s
-            + load.prefill_s(self.uncached(load, item))
-            for load in self.remaining(item)
-        ]
-        return min(times, default=0.0)
-
-    def cost_s(self, item: Waiting) -> float:
-        """Return the time of an average endpoint that a request takes."""
+    def forecast(self, item: Waiting) -> Forecast:
+        """Return what a request would take at idle endpoints."""
         output = self.output(item)
-        costs = [
-            load.engine_s(self.uncached(load, item), output)
-            for load in self.remaining(item)
-        ]
-        if not costs:
-            return 0.0
-        return len(costs) / sum(1 / max(cost, MIN_COST_S) for cost in costs)
+        least_s = least_first_s = math.inf
+        rate = 0.0
+        count = 0
+        for load in self.remaining(item):
+            uncached = self.uncached(load, item)
+            prefill_s = load.prefill_s(uncached)
+            decode_s = output / load.decode_tokens_per_s
+            least_s = min(least_s, prefill_s + decode_s)
+            first_s = load.prefill_factor * load.spec.first_s + prefill_s
+            least_first_s = min(least_first_s, first_s)
+            rate += 1 / max(load.engine_s(uncached, output), MIN_COST_S)
+            count += 1
+        if count == 0:
+            return Forecast(0.0, 0.0, 0.0)
+        return Forecast(least_s, least_first_s, count / rate)
 
     def learn_output(self, item: Running, tokens: int) -> None:
         """Learn from the length of a complete answer."""
--- a/src/savorydyke/_fair_queue.py
+++ b/src/savorydyke/_fair_queue.py
@@ -15,6 +15,25 @@
 
 LOOK_AHEAD = 4
 """Requests of each team that are looked at for a grant."""
+LATE_RANKS = 1_000_000
+"""Added to the rank of a late request, so that all that can be on time goes first."""
+
+
+@dataclass(frozen=True)
+class Forecast:
+    """What a request would take at the endpoints that it may go to.
+
+    Attributes
+    ----------
+    least_s, least_first_s : float
+        Least time to the last and to the first byte at an idle endpoint.
+    cost_s : float
+        Time of an average endpoint that the request takes.
+    """
+
+    least_s: float
+    least_first_s: float
+    cost_s: float
 
 
 @dataclass
@@ -31,8 +50,12 @@
         Estimated engine time, in seconds.
     objective : float
         Time by which the first byte is due, on the same clock.
+    patience : float
+        Time by which the caller gives up on a first byte that is late.
     quota_tokens : int
         What the request counts against its team's quota.
+    forecast : Forecast
+        What it would take at idle endpoints, as seen when it arrived.
     """
 
     key: RequestKey
@@ -52,6 +75,12 @@
     named: bool
     objective: float = math.inf
     quota_tokens: int = 0
+    forecast: Forecast = Forecast(0.0, 0.0, 0.0)
+    patience: float = math.inf
+
+    def is_late(self) -> bool:
+        """Return whether the objective is missed already."""
+        return self.rank >= LATE_RANKS
 
 
 @dataclass
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -35,6 +35,7 @@
 from savorydyke._metrics import Metrics
 from savorydyke._peers import Peers
 from savorydyke._quota import Quotas, Tolerance
+from savorydyke._quota_levels import QuotaLevels
 from savorydyke._repeat_budget import RepeatBudget
 from savorydyke._routes import TeamQuota
 from savorydyke._scheduler import HOME_STALLED_S, Demand, Scheduler
@@ -78,6 +79,8 @@
     ----------
     own_quotas : Quotas
         This instance's share of quotas, for requests whose home is silent.
+    levels : QuotaLevels
+        Hands quotas on when homes move.
     stopping : bool
         Whether the signal to stop has come.
     """
@@ -96,6 +99,7 @@
     metrics: Metrics
     lines: Buffer
     own_quotas: Quotas
+    levels: QuotaLevels
     stopping: bool = False
 
     def deliver(self, instance: InstanceId, message: Message) -> None:
@@ -152,7 +156,7 @@
                 self.states.set_listed(self.directory.leaving(), now)
                 self.membership.update(now)
                 records = self.directory.instances.values()
-                self.peers.listed = {record.address for record in records}
+                self.peers.listed = {r.id: r.address for r in records}
                 self.membership.weights = {r.id: r.cores for r in records}
 
     def _pace(self) -> int:
@@ -242,7 +246,8 @@
         )
         self.own_quotas.share = OWN_QUOTA_SHARE / self.membership.known()
         tokens = demand.quota_tokens
-        if name and self.own_quotas.take(demand.team, tokens, now, False) > 0:
+        draw = self.rng.random()
+        if name and not self.own_quotas.take_part(demand.team, tokens, now, draw):
             return None
         log.info(
             "Home silent.",
@@ -278,9 +283,12 @@
         """Write this instance's entry; return its lease, or 0."""
         lease = await self.store.open_lease(LEASE_S)
         settings = self.settings
-        record = InstanceRecord(settings.instance, settings.peers, settings.data_centre)
+        record = InstanceRecord(
+            settings.instance, settings.peers, settings.data_centre, settings.cores
+        )
         data = write_instance(record)
-        result = await self.store.write(instance_key(settings.instance), data, lease)
+        values = {instance_key(settings.instance): data}
+        result = await self.store.write(values, lease)
         return 0 if isinstance(result, LeaseLost) else lease
 
 
@@ -312,8 +320,9 @@
         orphan_grace_s=0.5,
         rng=rng,
         endpoints_report=False,
-        equip=lambda cell: _equip(cell, settings, directory),
+        equip=lambda cell: _equip(gateway, cell),
     )
+    levels = QuotaLevels(store, homes, membership.is_home, rng)
     scheduler = Scheduler(
         membership=membership,
         send=lambda peer, message: gateway.deliver(peer, message),
@@ -337,6 +346,7 @@
         lines,
         # Opened now and empty, so that a start of all hands out no burst.
         Quotas(opened=trio.current_time()),
+        levels,
     )
     membership.listeners.append(scheduler.follow_homes)
     membership.lost.append(homes.entry_lost)
@@ -347,9 +357,9 @@
     return gateway
 
 
-def _equip(cell: Cell, settings: GatewaySettings, directory: Directory) -> None:
+def _equip(gateway: Gateway, cell: Cell) -> None:
     """Give a cell the calling teams' quotas and the budget of repeats."""
-    bounds = settings.bounds
+    bounds = gateway.settings.bounds
     cell.least_retry_s = LEAST_RETRY_S
     cell.repeats = RepeatBudget(
         bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_s
@@ -358,7 +368,8 @@
     cell.quotas.tolerance = Tolerance(
         bounds.quota_excess, bounds.quota_slack, bounds.quota_window_s
     )
-    cell.quotas.limits = _limits_of_teams(directory)
+    cell.quotas.limits = _limits_of_teams(gateway.directory)
+    gateway.levels.hosted.set()
 
 
 def _limits_of_teams(directory: Directory) -> dict[TeamId, TeamQuota]:
--- a/src/savorydyke/_homes.py
+++ b/src/savorydyke/_homes.py
@@ -279,6 +279,7 @@
         if not self.membership.is_home(pool):
             # Should it become the home again, it will have missed requests.
             cell.born = now
+            cell.quotas.reset(now)
         for endpoint, item in cell.take_orphans(now - self.orphan_grace_s, now):
             self.cancel_orphan(endpoint, item)
         self._send(cell, cell.tick(now))
--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -8,7 +8,7 @@
 import hashlib
 import math
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import lru_cache
 
@@ -285,14 +285,12 @@
 
     def wanted_links(self) -> list[Member]:
         """Return the members that this instance should hold a link to."""
-        others = [m for m in self.members.values() if m.id not in self._dead()]
+        dead = self._dead()
+        others = [m for m in self.members.values() if m.id not in dead]
         if len(others) < FULL_MESH:
             return [member for member in others if member.id > self.id]
-        # Links at doubling distances along the ring of ids keep the way from
-        # any instance to any other logarithmic.
-        ring = sorted(others, key=lambda m: (m.id < self.id, m.id))
-        steps = range(len(ring).bit_length())
-        return [ring[2**step - 1] for step in steps if 2**step <= len(ring)]
+        names = ring_neighbours(self.id, {member.id for member in others})
+        return [self.members[name] for name in names]
 
     def _dead(self) -> set[InstanceId]:
         return {n for n, s in self.states.items() if s is MemberState.DEAD}
@@ -319,6 +317,17 @@
         )
 
 
+def ring_neighbours(own: InstanceId, others: Iterable[InstanceId]) -> list[InstanceId]:
+    """Return the instances that `own` holds links to in a large fleet.
+
+    Links at doubling distances along the ring of ids keep the way from any
+    instance to any other logarithmic.
+    """
+    ring = sorted(set(others) - {own}, key=lambda name: (name < own, name))
+    steps = range(len(ring).bit_length())
+    return [ring[2**step - 1] for step in steps if 2**step <= len(ring)]
+
+
 @lru_cache(maxsize=SCORES_KEPT)
 def rendezvous_score(what: str, instance: InstanceId) -> bytes:
     """Return the weight of `instance` for `what` in rendezvous hashing."""
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -149,6 +149,9 @@
         Rank within the team's tier, 0 for the highest.
     objective_ms : int
         Time left until the first byte is due; -1 if only the deadline counts.
+    patience_ms : int
+        Time left until the caller gives up on a first byte that is late; -1 if
+        it waits until the deadline.
     repeat : bool
         Whether the request was sent before, so that the budget of repeats is
         drawn on.
@@ -173,6 +176,7 @@
     objective_ms: int = -1
     repeat: bool = False
     quota_tokens: int = 0
+    patience_ms: int = -1
 
 
 @dataclass(frozen=True)
--- a/src/savorydyke/_monitor.py
+++ b/src/savorydyke/_monitor.py
@@ -10,7 +10,7 @@
 from savorydyke._endpoint_states import EndpointStates
 from savorydyke._exceptions import PlatformUnavailableError
 from savorydyke._homes import Homes
-from savorydyke._ids import EndpointId, MemberState
+from savorydyke._ids import EndpointId, InstanceId, MemberState
 from savorydyke._manifest import Endpoint, Manifest, PoolKind
 from savorydyke._membership import Membership
 from savorydyke._peers import Peers
@@ -123,7 +123,9 @@
             log.debug("List not read.", extra={"error": str(error)})
             return
         self.peers.listed = {
-            item.address for item in instances if item.state is MemberState.LIVE
+            InstanceId(item.name): item.address
+            for item in instances
+            if item.state is MemberState.LIVE
         }
         leaving = {
             EndpointId(item.name)
--- a/src/savorydyke/_peers.py
+++ b/src/savorydyke/_peers.py
@@ -23,7 +23,7 @@
 from savorydyke._backoff import backoff_s
 from savorydyke._exceptions import HandshakeError, ProtocolError
 from savorydyke._ids import InstanceId
-from savorydyke._membership import Membership
+from savorydyke._membership import FULL_MESH, Membership, ring_neighbours
 from savorydyke._messages import (
     MAX_FRAME_BYTES,
     PROTOCOL_VERSION,
@@ -118,7 +118,7 @@
         self.dialling: set[str] = set()
         self.wanted: set[InstanceId] = set()
         self.seeds: set[str] = set()
-        self.listed: set[str] = set()
+        self.listed: dict[InstanceId, str] = {}
         self.seed_owners: dict[str, InstanceId] = {}
         self.traffic = Traffic()
 
@@ -174,12 +174,24 @@
         addresses = {a for peer, a in wanted.items() if peer not in self.links}
         known = {member.address for member in members.values()}
         linked = {members[p].address for p in self.links if p in members}
-        addresses |= self.listed - known
+        addresses |= self._listed_unknown() - known
         for seed in self.seeds - linked:
             if self.seed_owners.get(seed) not in self.links:
                 addresses.add(seed)
         return sorted(addresses - self.dialling - {self.membership.address})
 
+    def _listed_unknown(self) -> set[str]:
+        """Return addresses of listed instances that are to be met.
+
+        In a large fleet those next to this one on the ring of ids are enough;
+        they tell of the others.
+        """
+        unknown = {i for i in self.listed if i not in self.membership.members}
+        if len(self.listed) > FULL_MESH:
+            everyone = unknown | self.membership.members.keys()
+            unknown &= set(ring_neighbours(self.membership.id, everyone))
+        return {self.listed[instance] for instance in unknown}
+
     async def _dial(self, address: str) -> None:
         attempt = 0
         scheme = "wss" if self.client_tls else "ws"
--- a/src/savorydyke/_routed.py
+++ b/src/savorydyke/_routed.py
@@ -284,6 +284,7 @@
         marks = job.marks
         is_repeat = bool(job.sent_to)
         objective = job.incoming.arrived + job.route.objective_s
+        patience = job.incoming.arrived + job.route.patience_s
         return Demand(
             key=self.new_key(marks.request_id),
             pool=job.pool,
@@ -297,6 +298,7 @@
             urgency=job.route.urgency,
             # What is under way goes on, also when it is late by now.
             objective=job.expires if is_repeat else min(objective, job.expires),
+            patience=job.expires if is_repeat else min(patience, job.expires),
             repeat=is_repeat,
             quota_tokens=job.quota_tokens,
         )
--- a/src/savorydyke/_routes.py
+++ b/src/savorydyke/_routes.py
@@ -41,6 +41,8 @@
         Longest time to a final answer.
     objective_s : float
         Time in which an answer, or the first event of a stream, is due.
+    patience_s : float
+        Time after which callers give up a stream that has not begun.
     urgency : int
         Rank within a calling team's tier, 0 for the highest.
     public : bool
@@ -57,6 +59,7 @@
     max_endpoints: int
     timeout_s: float
     objective_s: float
+    patience_s: float
     urgency: int
     public: bool
 
--- a/src/savorydyke/_scheduler.py
+++ b/src/savorydyke/_scheduler.py
@@ -64,6 +64,8 @@
         Rank within the team's tier, 0 for the highest.
     objective : float
         Time by which the first byte is due, on the same clock.
+    patience : float
+        Time by which the caller gives up on a first byte that is late.
     repeat : bool
         Whether the request was sent before.
     quota_tokens : int
@@ -83,6 +85,7 @@
     once: bool = False
     urgency: int = 0
     objective: float = math.inf
+    patience: float = math.inf
     repeat: bool = False
     quota_tokens: int = 0
 
@@ -281,14 +284,12 @@
 
     def _refreshed(self, pending: Pending) -> Acquire:
         now = trio.current_time()
-        left_s = pending.demand.deadline - now
-        due_ms = -1
-        if pending.demand.objective != math.inf:
-            due_ms = max(0, math.floor((pending.demand.objective - now) * 1000))
+        demand = pending.demand
         return replace(
             pending.message,
-            deadline_ms=max(0, math.floor(left_s * 1000)),
-            objective_ms=due_ms,
+            deadline_ms=_left_ms(demand.deadline, now),
+            objective_ms=_left_ms(demand.objective, now),
+            patience_ms=_left_ms(demand.patience, now),
         )
 
     def _withdraw(self, demand: Demand) -> None:
@@ -463,3 +464,8 @@
         item.demand.output_tokens,
         item.started,
     )
+
+
+def _left_ms(until: float, now: float) -> int:
+    """Return the whole milliseconds left, -1 for no limit."""
+    return -1 if until == math.inf else max(0, math.floor((until - now) * 1000))
--- a/src/savorydyke/platform/_records.py
+++ b/src/savorydyke/platform/_records.py
@@ -22,6 +22,10 @@
 INSTANCES = "savorydyke/instances/"
 READINESS_PATH = b"/savorydyke/readyz"
 EVENT_TOKENS_DEFAULT = 1
+LEAST_PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4
+PATIENCE_PAUSES = 8
+"""Callers abandon a silent stream after the longest of these (the protocol)."""
 
 
 class BadRecordError(Exception):
@@ -175,6 +179,8 @@
     else:
         targets = (Target(PoolId(item["service"]), 1.0),)
     streaming = item["kind"] == "streaming"
+    timeout_s = float(item["timeout_ms"]) / 1000
+    objective_s = float(item.get("slo_ms") or item["timeout_ms"]) / 1000
     resumable = bool(item.get("resumable", False))
     return Route(
         name=str(item["name"]),
@@ -186,13 +192,27 @@
         repeatable=item["kind"] == "idempotent" or (streaming and resumable),
         resumable=streaming and resumable,
         max_endpoints=max(1, int(item.get("attempts", 1))),
-        timeout_s=float(item["timeout_ms"]) / 1000,
-        objective_s=float(item.get("slo_ms") or item["timeout_ms"]) / 1000,
+        timeout_s=timeout_s,
+        objective_s=objective_s,
+        patience_s=_patience_s(item, objective_s) if streaming else timeout_s,
         urgency=int(item.get("priority") or 0),
         public=bool(item.get("public", False)),
     )
 
 
+def _patience_s(item: dict[str, Any], objective_s: float) -> float:
+    """Return after which silence callers abandon a stream.
+
+    `gap_target_ms` is the longest pause between events of a stream in time.
+    """
+    pause_s = float(item.get("gap_target_ms") or 0) / 1000
+    return max(
+        LEAST_PATIENCE_S,
+        PATIENCE_OBJECTIVES * objective_s,
+        PATIENCE_PAUSES * pause_s,
+    )
+
+
 def _pool(item: dict[str, Any]) -> RoutedPool:
     engine = item.get("backend")
     if not isinstance(engine, dict):
--- a/src/savorydyke/platform/_store.py
+++ b/src/savorydyke/platform/_store.py
@@ -7,7 +7,7 @@
 import base64
 import binascii
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -177,15 +177,18 @@
         return _decode(_changes, value)
 
     async def write(
-        self, key: str, value: bytes, lease: int = 0
+        self, values: Mapping[str, bytes], lease: int = 0
     ) -> Written | LeaseLost:
-        """Write a value, to be removed when `lease` ends."""
-        item: dict[str, Any] = {
-            "key": key,
-            "value": base64.b64encode(value).decode(),
-            "lease": lease,
-        }
-        body = {"if_rev": [], "writes": [item], "remove": []}
+        """Write values together, to be removed when `lease` ends."""
+        items: list[dict[str, Any]] = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "lease": lease,
+            }
+            for key, value in values.items()
+        ]
+        body = {"if_rev": [], "writes": items, "remove": []}
         return await self._transact(body)
 
     async def create(
