Tell those refused when room is expected; meet ring neighbours only; fewer watches

Change: the time to come back counts all that is asked for, up to the refused rank.

A case holds that 80 instances form no full mesh, and one that an instance enters the processor of its settings, which it did not before.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -31,7 +31,9 @@
       | late requests keep nobody from being on time                  |
       | late requests that wait in vain are refused at once           |
       | returns after a burst are spread                              |
+      | in a long burst those refused are told to come back after it  |
       | instances on their own stay within an endpoint's places       |
+      | instances of a large fleet meet their neighbours on the ring only |
       | only strong instances become homes                            |
       | the longest prefix wins                                       |
       | a split route follows its weights                             |
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -67,6 +67,7 @@
       | an endpoint whose entry went is gone               |
       | entries that lapsed in an outage get their time    |
       | an instance cut from the store learns from a peer  |
+      | an instance enters what it can bear                |
       | an entry whose lease was lost is written anew      |
       | endpoints beyond the first page are found          |
       | an endpoint that starts again is another one       |
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -24,6 +24,7 @@
 from savorydyke._log_writer import MAX_BUFFERED_BYTES, Buffer, write_lines
 from savorydyke._membership import Membership
 from savorydyke._messages import Acquire, Grant, MemberRow, Refuse, Release, Started
+from savorydyke._peers import Peers
 from savorydyke._quota import Quotas, Tolerance
 from savorydyke._quota_levels import CHECK_S, read_levels, write_levels
 from savorydyke._repeat_budget import RepeatBudget
@@ -565,6 +566,17 @@
     assert Counter(t // 20 for t in times).most_common(1)[0][1] < len(times) / 3
 
 
+@case("in a long burst those refused are told to come back after it")
+def _():
+    short, long = cell_of("e1", "e2"), cell_of("e1", "e2")
+    _, early, _ = burst(short, 60, 0.6)
+    _, late, _ = burst(long, 60, 5)
+    lowest = [answer.retry_ms for kind, answer in late[-50:] if kind == "2"]
+    # Nothing is left for the lowest rank while this goes on.
+    assert min(lowest) >= 2000, lowest
+    assert all(answer.retry_ms < 2000 for _, answer in early)
+
+
 # Homes and placement without one
 
 
@@ -587,6 +599,24 @@
     assert place_alone(manifest, demand, ("e0",), {"e1"}, [], "i", 4) == "e2"
 
 
+@case("instances of a large fleet meet their neighbours on the ring only")
+def _():
+    # The store lists 80 instances to each of them when they start.
+    names = [f"i-{number:02}" for number in range(80)]
+    links = set()
+    for own in names:
+        membership = Membership(own, f"{own}:1", "a", 1)
+        peers = Peers(membership, "", lambda sender, message: None, random.Random(1))
+        peers.listed = {name: f"{name}:1" for name in names}
+        links |= {frozenset((own, address[:-2])) for address in peers._missing()}
+    assert len(links) <= 80 * 7
+    # Everyone is reached over them in a few steps.
+    reached = {"i-00"}
+    for _ in range(7):
+        reached |= {n for link in links if link & reached for n in link}
+    assert reached == set(names)
+
+
 @case("only strong instances become homes")
 def _():
     membership = Membership("i0", "127.0.0.1:1", "a", 1)
@@ -780,6 +810,7 @@
         "_ingress",
         "_homes",
         "_peers",
+        "_quota_levels",
     )
     pattern = re.compile(r'log\.(?:info|warning|error|exception)\(\s*"([^"]+)"')
     for name in routed:
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -3,9 +3,12 @@
 import json
 import subprocess
 import sys
+from base64 import b64decode
 
 import trio
 
+from savorydyke._ids import InstanceId
+from savorydyke.platform import read_instance
 from savorydyke_bench._soak import Link, listen_link
 from savorydyke_standins._routed_endpoint import (
     EVENTS,
@@ -696,6 +699,18 @@
     assert (await site.ask("/claim/1")).status == 401
 
 
+@case("an instance enters what it can bear")
+async def _(site):
+    await one(site, "desk")
+    key = "savorydyke/instances/instance-1"
+    await site.until(lambda: key in site.store.items)
+    record = read_instance(
+        InstanceId("instance-1"), b64decode(site.store.items[key].value)
+    )
+    # Half of a core that is twice as fast as the common one, and a bit.
+    assert record.cores == 1.1
+
+
 @case("an entry whose lease was lost is written anew")
 async def _(site):
     await one(site, "desk")
--- a/src/savorydyke/_cell.py
+++ b/src/savorydyke/_cell.py
@@ -542,7 +542,7 @@
         if self.queue.team_length(item.rank, item.team) >= limit:
             detail = f"{limit} requests of the team wait"
             return self._refuse(
-                item, Reason.TEAM_LIMIT, detail, self.drain_s(item.rank), now
+                item, Reason.TEAM_LIMIT, detail, self.room_s(item.rank, now), now
             )
         left_s = item.deadline - now
         if MARGIN * item.forecast.least_s > left_s:
@@ -552,7 +552,7 @@
         if wait_s + item.forecast.least_s > left_s:
             detail = "the queue is too long for the deadline"
             return self._refuse(
-                item, Reason.DEADLINE, detail, self.drain_s(item.rank), now
+                item, Reason.DEADLINE, detail, self.room_s(item.rank, now), now
             )
         first_s = wait_s + FIRST_MARGIN * item.forecast.least_first_s
         if not self._all_busy(now) or first_s <= item.objective - now:
@@ -561,7 +561,7 @@
         if self._is_in_vain(item, now):
             detail = "the queue is too long for the objective"
             return self._refuse(
-                item, Reason.OBJECTIVE, detail, self.drain_s(item.rank), now
+                item, Reason.OBJECTIVE, detail, self.room_s(item.rank, now), now
             )
         return None
 
@@ -598,7 +598,7 @@
                 break
             self.queue.remove(item.key)
             self._refund(item)
-            retry_s = self.drain_s(item.rank)
+            retry_s = self.room_s(item.rank, now)
             detail = f"{limit} requests wait in the pool"
             decisions.append(
                 self._refuse(item, Reason.OVERLOADED, detail, retry_s, now)
@@ -625,7 +625,7 @@
         """Refuse a request that has waited."""
         self._refund(item)
         detail = "the deadline or objective can no longer be met"
-        retry_s = self.drain_s(item.rank)
+        retry_s = self.room_s(item.rank, now)
         return self._refuse(item, Reason.DEADLINE, detail, retry_s, now)
 
     def _thin_late(self, now: float) -> list[Decision]:
@@ -642,12 +642,18 @@
             item = self.queue.lowest()
         return decisions
 
-    def drain_s(self, rank: int) -> float:
-        """Return when a request of this tier could expect to be granted."""
+    def room_s(self, rank: int, now: float) -> float:
+        """Return when a request of this rank could expect to be granted.
+
+        In a burst the more urgent ones that keep coming count too, so that those
+        who come back are not refused again.
+        """
         ahead_s = sum(t.cost_s for r, t in self.queue.tiers.items() if r <= rank)
+        usable = max(1, self.estimates.usable_count())
+        asked = self.offered.up_to(rank, now)
+        free = max(LEAST_FREE_SHARE * usable, usable - asked)
         _, high = RETRY_RANGE_S
-        low = self.least_retry_s
-        return min(high, max(low, ahead_s / max(1, self.estimates.usable_count())))
+        return min(high, max(self.least_retry_s, ahead_s / free))
 
     def _wait_s(self, item: Waiting, now: float) -> float:
         """Return how long a request would wait behind what is and will be ahead.
--- a/src/savorydyke/_demand_rate.py
+++ b/src/savorydyke/_demand_rate.py
@@ -26,8 +26,12 @@
 
     def above(self, rank: int, now: float) -> float:
         """Return the rate of all that is more urgent than `rank`."""
+        return self.up_to(rank - 1, now)
+
+    def up_to(self, rank: int, now: float) -> float:
+        """Return the rate of all that is as urgent as `rank` or more."""
         self._fade(now)
-        total = sum(cost for other, cost in self.sums.items() if other < rank)
+        total = sum(cost for other, cost in self.sums.items() if other <= rank)
         # A steady rate of 1 fills the sum up to the mean life of its parts.
         return total / (HALF_LIFE_S / 0.693)
 
--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -43,7 +43,7 @@
 
 WATCH_WAIT_S = 0.5
 """A tenth of the usual bound on revoked keys, so that several may fail."""
-WATCH_PAUSE_S = 0.25
+WATCH_PAUSE_S = 0.4
 """Gathers the endpoints' heartbeats, of which each would end a watch."""
 RETRY_BASE_S = 0.1
 RETRY_MOST_S = 1.0
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -53,8 +53,8 @@
 DEAD_AFTER_S = 0.9
 """The shortest objectives are 0.4 s; a dead home costs its requests twice that."""
 LARGE_FLEET_TICKS = 3
-LARGE_FLEET_WATCH_PAUSE_S = 0.8
-"""Keeps a fleet's calls under the store's rates, and a change within a second."""
+LARGE_FLEET_WATCH_PAUSE_S = 1.4
+"""Half of the time in which a large fleet must follow a change."""
 OWN_QUOTA_SHARE = 0.5
 """Part of the quotas for requests placed without a home, which may be at work."""
 LEASE_S = 10.0
--- a/src/savorydyke_standins/_routed_site.py
+++ b/src/savorydyke_standins/_routed_site.py
@@ -242,6 +242,7 @@
             "peers": free_address(),
             "store": store or self.store_address,
             "bounds": BOUNDS,
+            "processor": {"share": 0.55, "speed": 2},
         }
         path = self.folder / f"{name}.jsonc"
         path.write_text(json.dumps(settings))
