Relay events in fewer steps of the event loop

Cause: each send and receive of trio's streams yields to the event loop, and each receive opened a cancel scope although no silence ends most channels.

--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -14,6 +14,8 @@
 import h11
 import trio
 
+from savorydyke._sockets import receive, send
+
 READ_BYTES = 65536
 INLINE_BODY_BYTES = 8192
 """Largest body sent before the answer is read; fits an empty socket buffer."""
@@ -134,7 +136,7 @@
 
     async def _write(self, data: bytes) -> None:
         try:
-            await self.stream.send_all(data)
+            await send(self.stream, data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ChannelBrokenError(f"send failed: {error!r}") from None
 
@@ -201,8 +203,10 @@
         return self.patience_s != math.inf
 
     async def _receive(self) -> bytes:
+        if not self.has_patience():
+            return await receive(self.stream, READ_BYTES)
         with trio.move_on_after(self.patience_s):
-            return await self.stream.receive_some(READ_BYTES)
+            return await receive(self.stream, READ_BYTES)
         raise ChannelBrokenError(f"silent for {self.patience_s:.2f} s")
 
     def reuse(self) -> bool:
--- a/src/savorydyke/_ingress.py
+++ b/src/savorydyke/_ingress.py
@@ -14,6 +14,7 @@
 
 from savorydyke import _logs
 from savorydyke._http1 import Headers
+from savorydyke._sockets import receive, send
 
 READ_BYTES = 65536
 PIPELINED_BYTES = 65536
@@ -172,14 +173,14 @@
         """
         data = b"".join(self.http.send(event) or b"" for event in events)
         try:
-            await self.stream.send_all(data)
+            await send(self.stream, data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             raise CallerGoneError from None
 
     async def receive(self) -> bool:
         """Read more bytes; return False at the end of the connection."""
         try:
-            data = await self.stream.receive_some(READ_BYTES)
+            data = await receive(self.stream, READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             data = b""
         self.http.receive_data(data)
