Send levels of quotas to the next home too; move the reckoning of room out of the cell

Cause: levels lie in the store; a home that begins while the store is out took all quotas for spent. Change: each report goes to the instance that would be home next as well; it uses what it was sent while the store does not answer.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -51,38 +51,39 @@
     Then the routed case "<case>" holds
 
     Examples:
-      | case                                               |
-      | a new version is in force soon                     |
-      | an older version never comes back                  |
-      | a key that was taken away stops working            |
-      | keyed requests stop when nothing is confirmed      |
-      | a start waits for a store that is busy             |
-      | a start waits for a store that limits              |
-      | a start waits for a store that resets              |
-      | a start waits for a store that is silent           |
-      | a start waits for a store that loses answers       |
-      | history that is gone is read anew                  |
-      | unreadable entries name no endpoint                |
-      | a leaving endpoint gets nothing                    |
-      | an endpoint whose entry went is gone               |
-      | entries that lapsed in an outage get their time    |
-      | an instance cut from the store learns from a peer  |
-      | an instance enters what it can bear                |
-      | an entry whose lease was lost is written anew      |
-      | endpoints beyond the first page are found          |
-      | an endpoint that starts again is another one       |
+      | case                                              |
+      | a new version is in force soon                    |
+      | an older version never comes back                 |
+      | a key that was taken away stops working           |
+      | keyed requests stop when nothing is confirmed     |
+      | a start waits for a store that is busy            |
+      | a start waits for a store that limits             |
+      | a start waits for a store that resets             |
+      | a start waits for a store that is silent          |
+      | a start waits for a store that loses answers      |
+      | history that is gone is read anew                 |
+      | unreadable entries name no endpoint               |
+      | a leaving endpoint gets nothing                   |
+      | an endpoint whose entry went is gone              |
+      | entries that lapsed in an outage get their time   |
+      | an instance cut from the store learns from a peer |
+      | an instance enters what it can bear               |
+      | an entry whose lease was lost is written anew     |
+      | endpoints beyond the first page are found         |
+      | an endpoint that starts again is another one      |
 
   Scenario Outline: How an instance stops and starts
     Then the routed case "<case>" holds
 
     Examples:
-      | case                                            |
-      | a stop lets a stream end                        |
-      | a stop refuses what comes later                 |
-      | settings are checked together                   |
-      | an instance that starts again is a new one      |
-      | a quota that was used up stays so after a kill  |
-      | a request whose home is silent is placed anyway |
+      | case                                                           |
+      | a stop lets a stream end                                       |
+      | a stop refuses what comes later                                |
+      | settings are checked together                                  |
+      | an instance that starts again is a new one                     |
+      | a quota that was used up stays so after a kill                 |
+      | a quota that was used up stays so when home and store are lost |
+      | a request whose home is silent is placed anyway                |
 
   Scenario: The soak's checks can fail
     Then each check of the soak finds a planted fault
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -98,7 +98,7 @@
     records = {name: record(name, slots) for name in names}
     manifest = build_manifest(configuration(), records)
     cell = new_cell(POOL, manifest, 0.0, random.Random(1))
-    cell.least_retry_s = 0.1
+    cell.room.least_retry_s = 0.1
     return cell
 
 
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -839,6 +839,29 @@
     assert (await site.ask("/claim/1")).status == 429
 
 
+@case("a quota that was used up stays so when home and store are lost")
+async def _(site):
+    await site.endpoint("e1", "desk")
+    team = {"name": "crew", "api_keys": [KEY], "rate_per_s": 0.5, "burst": 5}
+    site.configure(tenants=[team])
+    for name in ("instance-1", "instance-2"):
+        daemon = await site.daemon(name)
+        log = daemon.log
+    await site.until(lambda: "Link opened." in log.read_text(), 6.0)
+    await trio.sleep(0.5)
+    statuses = [(await site.ask("/claim/1")).status for _ in range(12)]
+    assert statuses[:5] == [200] * 5 and statuses[-1] == 429, statuses
+    await trio.sleep(0.5)
+    hosts = [d for d in site.daemons if "home: Granted." in d.log.read_text()]
+    (home,) = hosts
+    site.store.mode = Mode.BUSY
+    home.process.kill()
+    site.daemons.remove(home)
+    heir = site.daemons[0]
+    await site.until(lambda: '"source": "home"' in heir.log.read_text(), 4.0)
+    assert (await site.ask("/claim/1")).status == 429
+
+
 @case("an instance that starts again is a new one")
 async def _(site):
     await site.endpoint("e1", "desk")
--- a/src/savorydyke/_cell.py
+++ b/src/savorydyke/_cell.py
@@ -12,7 +12,6 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from savorydyke._demand_rate import DemandRate
 from savorydyke._endpoint_load import EndpointLoad, Running, judge_suspects, new_load
 from savorydyke._estimates import Estimates
 from savorydyke._fair_queue import LATE_RANKS, FairQueue, Waiting
@@ -28,6 +27,7 @@
 from savorydyke._messages import Acquire, Grant, Refuse, Register, Release, Started
 from savorydyke._quota import Quotas
 from savorydyke._repeat_budget import RepeatBudget
+from savorydyke._room import MARGIN, RETRY_RANGE_S, Room
 
 RECENT_KEPT = 20_000
 RECENT_S = 600.0
@@ -35,24 +35,15 @@
 RECONCILE_GRACE_S = 2.0
 YOUNG_S = 60.0
 """For how long after taking over a home may lack earlier request ids."""
-RETRY_RANGE_S = (1.0, 60.0)
 RETRY_SPREAD = 0.5
 """Share of a time to come back by which returns are spread."""
 URGENCIES = 16
 """Ranks that requests of one tier may have among themselves."""
-MARGIN = 1.2
-"""Factor on predicted times that a deadline must leave room for."""
 MAX_WAIT_RATIO = 1.5
 """How much longer a free endpoint may take than the best busy one."""
 AFFINITY_TOKENS = 2048
 """Cached prefix for which a request waits for a busy endpoint."""
 AFFINITY_SLACK = 3.0
-LEAST_FREE_SHARE = 0.05
-"""Part of the endpoints' time that the least urgent are thought to get."""
-IDLE_SHARE = 0.5
-"""Part of the places in use below which a team may go beyond its quota."""
-FIRST_MARGIN = 1.5
-"""Factor on the time to a first byte at an idle endpoint, for busy ones."""
 FAILING_PENALTY = 4.0
 """Factor on the time of an endpoint whose answers all fail."""
 FALLBACK_SLACK = 1.5
@@ -98,9 +89,8 @@
 
     Attributes
     ----------
-    share : float
-        Part of each endpoint's credits that this home may use; below 1 while
-        it is cut off from most of its peers.
+    room : Room
+        What waits, and what the endpoints can take.
     born : float
         When this instance became the home.
     settled : bool
@@ -110,29 +100,30 @@
         Tokens that the calling teams may use.
     repeats : RepeatBudget or None
         Limits sends beyond the first of each request; None for no limit.
-    least_retry_s : float
-        Soonest time to come back that a refusal names.
-    offered, demand : DemandRate
-        What is asked for, and what of it is let in, by rank.
     """
 
     pool: PoolId
     manifest: Manifest
     born: float
     rng: random.Random
-    share: float = 1.0
+    room: Room = field(default_factory=Room)
     settled: bool = True
-    estimates: Estimates = field(default_factory=Estimates)
-    queue: FairQueue = field(default_factory=FairQueue)
     quotas: Quotas = field(default_factory=Quotas)
     repeats: RepeatBudget | None = None
-    least_retry_s: float = RETRY_RANGE_S[0]
-    offered: DemandRate = field(default_factory=DemandRate)
-    demand: DemandRate = field(default_factory=DemandRate)
     placed: dict[RequestKey, EndpointId] = field(default_factory=dict)
     recent: OrderedDict[RequestKey, Recent] = field(default_factory=OrderedDict)
     expiry: list[tuple[float, RequestKey, int]] = field(default_factory=list)
 
+    @property
+    def queue(self) -> FairQueue:
+        """Return what waits."""
+        return self.room.queue
+
+    @property
+    def estimates(self) -> Estimates:
+        """Return what is known of endpoints and teams."""
+        return self.room.estimates
+
     @property
     def endpoints(self) -> dict[EndpointId, EndpointLoad]:
         """Return what is known of each endpoint."""
@@ -193,23 +184,17 @@
         if message.team not in self.manifest.teams:
             return [_deny(message, entry, Reason.NOT_APPROVED, "unknown team")]
         item = self._waiting(message, entry, now)
-        self.offered.add(item.rank, item.cost_s, now)
+        self.room.offered.add(item.rank, item.cost_s, now)
         refusal = self._admit(item, now) or self._ration(item, message.repeat, now)
         if refusal is not None:
             return [refusal]
-        self.demand.add(item.rank, item.cost_s, now)
+        self.room.demand.add(item.rank, item.cost_s, now)
         self._push(item)
         return self._shed(now) + self.pump(now)
 
     def _push(self, item: Waiting) -> None:
         self.queue.push(item)
-        heapq.heappush(self.expiry, (self._latest(item), item.key, item.attempt))
-
-    def _latest(self, item: Waiting) -> float:
-        """Return until when a request may wait with its present rank."""
-        latest = item.deadline - MARGIN * item.forecast.least_s
-        due = item.patience if item.is_late() else item.objective
-        return min(latest, due - FIRST_MARGIN * item.forecast.least_first_s)
+        heapq.heappush(self.expiry, (self.room.latest(item), item.key, item.attempt))
 
     def _ration(self, item: Waiting, repeat: bool, now: float) -> Decision | None:
         """Refuse what is beyond the team's quota or the budget of repeats."""
@@ -219,7 +204,7 @@
             detail = "the budget of repeats is used up"
             return self._refuse(item, Reason.REPEAT_BUDGET, detail, None, now)
         # Charged at once, so that what waits together stays within the quota.
-        idle = self._is_idle(now)
+        idle = self.room.is_idle(now)
         wait_s = self.quotas.take(item.team, item.quota_tokens, now, idle)
         if wait_s > 0:
             detail = "the team's quota is used up"
@@ -392,7 +377,7 @@
             total_s = load.total_s(uncached, output)
             total_s *= 1 + FAILING_PENALTY * load.failing
             option = Option(load, uncached, total_s)
-            if not load.has_room(tokens, uncached, self.share):
+            if not load.has_room(tokens, uncached, self.room.share):
                 busy = _sooner(busy, option)
                 blocked.add(load.id)
             else:
@@ -542,52 +527,28 @@
         if self.queue.team_length(item.rank, item.team) >= limit:
             detail = f"{limit} requests of the team wait"
             return self._refuse(
-                item, Reason.TEAM_LIMIT, detail, self.room_s(item.rank, now), now
+                item, Reason.TEAM_LIMIT, detail, self.room.retry_s(item.rank, now), now
             )
         left_s = item.deadline - now
         if MARGIN * item.forecast.least_s > left_s:
             detail = "no endpoint can answer within the deadline"
             return self._refuse(item, Reason.DEADLINE, detail, None, now)
-        wait_s = self._wait_s(item, now)
+        wait_s = self.room.wait_s(item, now)
         if wait_s + item.forecast.least_s > left_s:
             detail = "the queue is too long for the deadline"
             return self._refuse(
-                item, Reason.DEADLINE, detail, self.room_s(item.rank, now), now
+                item, Reason.DEADLINE, detail, self.room.retry_s(item.rank, now), now
             )
-        first_s = wait_s + FIRST_MARGIN * item.forecast.least_first_s
-        if not self._all_busy(now) or first_s <= item.objective - now:
+        if not self.room.is_full(now) or self.room.is_on_time(item, now):
             return None
         item.rank += LATE_RANKS
-        if self._is_in_vain(item, now):
+        if self.room.is_in_vain(item, now):
             detail = "the queue is too long for the objective"
             return self._refuse(
-                item, Reason.OBJECTIVE, detail, self.room_s(item.rank, now), now
+                item, Reason.OBJECTIVE, detail, self.room.retry_s(item.rank, now), now
             )
         return None
 
-    def _is_in_vain(self, item: Waiting, now: float) -> bool:
-        """Return whether a late request would probably never be granted.
-
-        It takes only room that all who ask now leave, let in or not.
-        """
-        own_s = item.cost_s / self._free_rate(item.rank, now)
-        return now + self._wait_s(item, now) + own_s > self._latest(item)
-
-    def _is_idle(self, now: float) -> bool:
-        """Return whether most places are free and nothing waits for them."""
-        if self.queue.by_key:
-            return False
-        loads = [load for load in self.endpoints.values() if load.usable(now)]
-        places = sum(load.credits(self.share) for load in loads)
-        return sum(len(load.running) for load in loads) < IDLE_SHARE * places
-
-    def _all_busy(self, now: float) -> bool:
-        """Return whether no endpoint has a place for one more request."""
-        return not any(
-            load.usable(now) and len(load.running) < load.credits(self.share)
-            for load in self.endpoints.values()
-        )
-
     def _shed(self, now: float) -> list[Decision]:
         """Refuse from the lowest tier while too many requests wait."""
         decisions = []
@@ -598,7 +559,7 @@
                 break
             self.queue.remove(item.key)
             self._refund(item)
-            retry_s = self.room_s(item.rank, now)
+            retry_s = self.room.retry_s(item.rank, now)
             detail = f"{limit} requests wait in the pool"
             decisions.append(
                 self._refuse(item, Reason.OVERLOADED, detail, retry_s, now)
@@ -615,7 +576,7 @@
             self.queue.remove(key)
             if not item.is_late():
                 item.rank += LATE_RANKS
-                if not self._is_in_vain(item, now):
+                if not self.room.is_in_vain(item, now):
                     self._push(item)
                     continue
             decisions.append(self._give_up(item, now))
@@ -625,7 +586,7 @@
         """Refuse a request that has waited."""
         self._refund(item)
         detail = "the deadline or objective can no longer be met"
-        retry_s = self.room_s(item.rank, now)
+        retry_s = self.room.retry_s(item.rank, now)
         return self._refuse(item, Reason.DEADLINE, detail, retry_s, now)
 
     def _thin_late(self, now: float) -> list[Decision]:
@@ -636,42 +597,12 @@
         """
         decisions = []
         item = self.queue.lowest()
-        while item is not None and item.is_late() and self._is_in_vain(item, now):
+        while item is not None and item.is_late() and self.room.is_in_vain(item, now):
             self.queue.remove(item.key)
             decisions.append(self._give_up(item, now))
             item = self.queue.lowest()
         return decisions
 
-    def room_s(self, rank: int, now: float) -> float:
-        """Return when a request of this rank could expect to be granted.
-
-        In a burst the more urgent ones that keep coming count too, so that those
-        who come back are not refused again.
-        """
-        ahead_s = sum(t.cost_s for r, t in self.queue.tiers.items() if r <= rank)
-        usable = max(1, self.estimates.usable_count())
-        asked = self.offered.up_to(rank, now)
-        free = max(LEAST_FREE_SHARE * usable, usable - asked)
-        _, high = RETRY_RANGE_S
-        return min(high, max(self.least_retry_s, ahead_s / free))
-
-    def _wait_s(self, item: Waiting, now: float) -> float:
-        """Return how long a request would wait behind what is and will be ahead.
-
-        While more urgent requests take all places as they come free, the least
-        urgent would wait in vain; they are refused at once.
-        """
-        ahead_s = self.queue.cost_ahead_s(item.rank, item.team, item.weight)
-        if ahead_s == 0:
-            return 0.0
-        return ahead_s / self._free_rate(item.rank, now)
-
-    def _free_rate(self, rank: int, now: float) -> float:
-        """Return endpoint seconds a second that more urgent requests leave."""
-        places = max(1, self.estimates.usable_count())
-        taken = self.offered if rank >= LATE_RANKS else self.demand
-        return max(LEAST_FREE_SHARE * places, places - taken.above(rank, now))
-
     def _remember(self, key: RequestKey, endpoint: EndpointId, now: float) -> None:
         self.recent[key] = Recent(endpoint, now)
         if len(self.recent) > RECENT_KEPT:
--- a/src/savorydyke/_daemon.py
+++ b/src/savorydyke/_daemon.py
@@ -202,7 +202,7 @@
 def _cell_status(cell: Any, now: float) -> dict[str, Any]:
     return {
         "settled": cell.settled,
-        "share": round(cell.share, 3),
+        "share": round(cell.room.share, 3),
         "waiting": len(cell.queue),
         "endpoints": {
             load.id: {
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -26,6 +26,7 @@
     Heartbeat,
     Message,
     Queued,
+    QuotaPush,
     Refuse,
     Register,
     Release,
@@ -122,6 +123,8 @@
                 self._answer_configuration(sender, message)
             case ConfigurationPush():
                 self.directory.take_push(message.record)
+            case QuotaPush():
+                self.levels.hear(message, trio.current_time())
 
     def _hear_heartbeat(self, sender: InstanceId, beat: Heartbeat) -> None:
         now = trio.current_time()
@@ -322,7 +325,13 @@
         endpoints_report=False,
         equip=lambda cell: _equip(gateway, cell),
     )
-    levels = QuotaLevels(store, homes, membership.is_home, rng)
+    levels = QuotaLevels(
+        store,
+        homes,
+        membership,
+        lambda peer, message: gateway.deliver(peer, message),
+        rng,
+    )
     scheduler = Scheduler(
         membership=membership,
         send=lambda peer, message: gateway.deliver(peer, message),
@@ -360,7 +369,7 @@
 def _equip(gateway: Gateway, cell: Cell) -> None:
     """Give a cell the calling teams' quotas and the budget of repeats."""
     bounds = gateway.settings.bounds
-    cell.least_retry_s = LEAST_RETRY_S
+    cell.room.least_retry_s = LEAST_RETRY_S
     cell.repeats = RepeatBudget(
         bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_s
     )
--- a/src/savorydyke/_homes.py
+++ b/src/savorydyke/_homes.py
@@ -165,7 +165,7 @@
             "entry": decision.entry,
             "pool": cell.pool,
             "waiting": len(cell.queue),
-            "share": round(cell.share, 2),
+            "share": round(cell.room.share, 2),
         }
         if isinstance(answer, Refuse):
             extra |= {"reason": answer.reason.value, "detail": answer.detail}
@@ -215,7 +215,7 @@
         """Limit the credits of a cell whose home may not be the only one."""
         alone = self.membership.is_home(cell.pool)
         most = self.membership.reaches_majority(trio.current_time())
-        cell.share = 1.0 if alone and most else 1.0 / self.membership.known()
+        cell.room.share = 1.0 if alone and most else 1.0 / self.membership.known()
 
     # Events
 
--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -229,8 +229,15 @@
         candidates = [
             name for name in self.live() if name == self.id or self._sendable(name)
         ]
-        if not candidates:
-            return self.id
+        return self._highest(pool, candidates) if candidates else self.id
+
+    def heir(self, pool: PoolId) -> InstanceId | None:
+        """Return the home of `pool` after this instance, None if it is alone."""
+        others = [n for n in self.live() if n != self.id and self._sendable(n)]
+        return self._highest(pool, others) if others else None
+
+    def _highest(self, pool: PoolId, candidates: list[InstanceId]) -> InstanceId:
+        """Return the strong instance with the highest hash."""
         strongest = max(self.weights.get(name, 1.0) for name in candidates)
         candidates = [
             name
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -122,6 +122,20 @@
     record: bytes
 
 
+@dataclass(frozen=True)
+class QuotaPush:
+    """What the calling teams have left of their quotas, for a pool's next home.
+
+    Attributes
+    ----------
+    record : bytes
+        The levels as they are stored.
+    """
+
+    pool: PoolId
+    record: bytes
+
+
 @dataclass(frozen=True)
 class Acquire:
     """Asks the home of a pool for a grant.
@@ -307,6 +321,7 @@
     | Withdraw
     | Register
     | Queued
+    | QuotaPush
 )
 _NESTED = (MemberRow, RunningRow)
 _TAGS = {kind: tag for tag, kind in enumerate(get_args(Message))}
--- a/src/savorydyke/_quota_levels.py
+++ b/src/savorydyke/_quota_levels.py
@@ -1,10 +1,12 @@
 """Hands the levels of quotas from one home of a pool to the next.
 
-The home writes them to the platform's store when a team has used much since the
-last time, and a new home reads them before it lets waves of requests through.
+When a team has used much since the last time, the home sends them to the instance
+that would be home after it and writes them to the platform's store. A new home
+reads them there, or takes what it was sent while the store does not answer.
 """
 
 import json
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -14,13 +16,17 @@
 from savorydyke import _logs
 from savorydyke._backoff import backoff_s
 from savorydyke._homes import Homes
-from savorydyke._ids import PoolId, TeamId
-from savorydyke._quota import Level
+from savorydyke._ids import InstanceId, PoolId, TeamId
+from savorydyke._membership import Membership
+from savorydyke._messages import QuotaPush
+from savorydyke._quota import Level, Quotas
 from savorydyke.platform import Store, StoreError
 
 LEVELS = "savorydyke/quotas/"
 CHECK_S = 0.2
 """Short against the time in which a team uses what may be unreported."""
+HEARD_VALID_S = 30.0
+"""Older levels say little; the pool has had another home since."""
 RETRY_BASE_S = 0.2
 RETRY_MOST_S = 1.0
 
@@ -33,17 +39,25 @@
 
     Attributes
     ----------
-    is_home : callable
-        Returns whether this instance is the home of a pool.
+    send : callable
+        Sends a message to an instance.
+    heard : dict of PoolId to tuple of float and bytes
+        Levels that homes have sent here, and when they came.
     hosted : trio.Event
         Set when a pool is hosted here for the first time.
     """
 
     store: Store
     homes: Homes
-    is_home: Callable[[PoolId], bool]
+    membership: Membership
+    send: Callable[[InstanceId, QuotaPush], None]
     rng: random.Random
     hosted: trio.Event = field(default_factory=trio.Event)
+    heard: dict[PoolId, tuple[float, bytes]] = field(default_factory=dict)
+
+    def hear(self, message: QuotaPush, now: float) -> None:
+        """Take in the levels of a pool from its home."""
+        self.heard[message.pool] = (now, message.record)
 
     async def run(self) -> None:
         """Read and write levels until cancelled."""
@@ -63,29 +77,57 @@
                 await trio.sleep(wait_s)
 
     async def _exchange(self) -> None:
+        hosted = [
+            (pool, hosted.cell.quotas)
+            for pool, hosted in list(self.homes.hosted.items())
+            if self.membership.is_home(pool)
+        ]
+        failure = None
+        try:
+            await self._write([row for row in hosted if row[1].known])
+        except StoreError as error:
+            failure = error
+        for pool, quotas in hosted:
+            try:
+                if not quotas.known:
+                    quotas.restore(await self._read(pool))
+            except StoreError as error:
+                # The levels of another pool may have come from its home.
+                failure = error
+        if failure is not None:
+            raise failure
+
+    async def _write(self, hosted: list[tuple[PoolId, Quotas]]) -> None:
         changed: dict[str, bytes] = {}
-        stored = []
-        for pool, hosted in list(self.homes.hosted.items()):
-            if not self.is_home(pool):
-                continue
-            quotas = hosted.cell.quotas
-            if not quotas.known:
-                quotas.restore(await self._read(pool))
-                continue
-            if quotas.should_report():
-                levels = quotas.export(trio.current_time())
-                changed[LEVELS + pool] = write_levels(levels)
-                stored.append(quotas)
+        reporting = [row for row in hosted if row[1].should_report()]
+        for pool, quotas in reporting:
+            record = write_levels(quotas.export(trio.current_time()))
+            changed[LEVELS + pool] = record
+            heir = self.membership.heir(pool)
+            if heir is not None:
+                self.send(heir, QuotaPush(pool, record))
         if changed:
             await self.store.write(changed)
-            for quotas in stored:
-                quotas.unreported.clear()
+        for _, quotas in reporting:
+            quotas.unreported.clear()
 
     async def _read(self, pool: PoolId) -> dict[TeamId, Level] | None:
-        item = await self.store.read(LEVELS + pool)
-        levels = read_levels(item.value) if item else {}
-        teams = None if levels is None else len(levels)
-        log.info("Levels read.", extra={"pool": pool, "teams": teams})
+        source = "store"
+        try:
+            item = await self.store.read(LEVELS + pool)
+            levels = read_levels(item.value) if item else {}
+        except StoreError:
+            came, record = self.heard.get(pool, (-math.inf, b""))
+            if trio.current_time() - came > HEARD_VALID_S:
+                raise
+            source = "home"
+            levels = read_levels(record)
+        extra = {
+            "pool": pool,
+            "teams": None if levels is None else len(levels),
+            "source": source,
+        }
+        log.info("Levels read.", extra=extra)
         return levels
 
 
