Keep homes in place when entries lapse; read levels before a home is asked

The entry of the real home had lapsed, since the store had turned that instance away for 9 s; its weight was forgotten with the entry, and homes go to strong instances only. Besides, a cell forgot its quotas at each tick while its instance was not the home. Now weights last, levels are read as soon as a pool is hosted, and again when its home moves here.

A store that forgets its history cut the watches of all instances; the answer "gone" was followed by the pause between watches, twice in a row, so that the configuration was too old for keyed requests. Reading anew no longer pauses; 1 s, not 1.4, else.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -17,6 +17,7 @@
       | a start of all instances hands out no burst                   |
       | many small shares let through no more than their sum          |
       | repeats stay within their budget                              |
+      | history that is gone is read anew without a pause             |
       | freshness counts suspension                                   |
       | a peer's confirmation counts from the heartbeat it answers    |
       | a slowed engine is known within two seconds                   |
@@ -34,6 +35,8 @@
       | in a long burst those refused are told to come back after it  |
       | instances on their own stay within an endpoint's places       |
       | instances of a large fleet meet their neighbours on the ring only |
+      | homes do not move when entries lapse in an outage             |
+      | entries that see a new home first are not refused for quotas  |
       | only strong instances become homes                            |
       | the longest prefix wins                                       |
       | a split route follows its weights                             |
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -9,20 +9,22 @@
 import sys
 import tempfile
 from collections import Counter
+from itertools import pairwise
 from pathlib import Path
 
 import trio
+from trio.testing import MockClock
 
 from savorydyke import _logs
 from savorydyke._alone import place_alone
 from savorydyke._cell import new_cell
-from savorydyke._directory import build_manifest
+from savorydyke._directory import Directory, build_manifest
 from savorydyke._freshness import Freshness
 from savorydyke._gateway import new_gateway
 from savorydyke._gateway_settings import check_gateway_settings
 from savorydyke._ids import InstanceId, PoolId, Reason, ReleaseResult, TeamId
 from savorydyke._log_writer import MAX_BUFFERED_BYTES, Buffer, write_lines
-from savorydyke._membership import Membership
+from savorydyke._membership import Membership, rendezvous_score
 from savorydyke._messages import Acquire, Grant, MemberRow, Refuse, Release, Started
 from savorydyke._peers import Peers
 from savorydyke._quota import Quotas, Tolerance
@@ -33,7 +35,10 @@
 from savorydyke._scheduler import Demand
 from savorydyke.platform import (
     BadRecordError,
+    Compacted,
     EndpointRecord,
+    InstanceRecord,
+    Listing,
     open_store,
     read_configuration,
     read_endpoint,
@@ -325,6 +330,34 @@
 # Freshness
 
 
+@case("history that is gone is read anew without a pause")
+def _():
+    # A store that forgets its history cuts the watches of a whole fleet at once.
+    calls = []
+
+    class Forgetful:
+        async def list(self, prefix):
+            calls.append(("list", trio.current_time()))
+            return Listing((), 5)
+
+        async def watch(self, prefix, revision, wait_s):
+            calls.append(("watch", trio.current_time()))
+            await trio.sleep(0.1)
+            return Compacted()
+
+    async def play():
+        directory = Directory(Forgetful(), Freshness(), random.Random(1))
+        directory.watch_pause_s = 1.0
+        with trio.move_on_after(10):
+            await directory.follow()
+
+    trio.run(play, clock=MockClock(autojump_threshold=0))
+    names = [name for name, _ in calls]
+    assert names[:4] == ["list", "watch", "list", "watch"]
+    reads = [at for name, at in calls if name == "list"]
+    assert all(b - a <= 1.2 for a, b in pairwise(reads))
+
+
 @case("freshness counts suspension")
 def _():
     freshness = Freshness()
@@ -617,6 +650,70 @@
     assert reached == set(names)
 
 
+def quiet_gateway():
+    """Return a gateway without links."""
+    settings, findings = check_gateway_settings(json.dumps(SETTINGS), "settings")
+    assert not findings.items
+    return new_gateway(settings, open_store("127.0.0.1:1"), Buffer())
+
+
+@case("homes do not move when entries lapse in an outage")
+def _():
+    async def play():
+        gateway = quiet_gateway()
+        names = [InstanceId(f"i{n}") for n in range(4)]
+        gateway.directory.instances = {
+            name: InstanceRecord(name, f"{name}:1", "a", 2.0) for name in names
+        }
+        gateway.follow_entries()
+        del gateway.directory.instances[names[2]]
+        gateway.follow_entries()
+        assert gateway.membership.weights[names[2]] == 2.0
+
+    trio.run(play)
+
+
+@case("entries that see a new home first are not refused for quotas")
+def _():
+    async def play():
+        gateway = quiet_gateway()
+        membership = gateway.membership
+        now = trio.current_time()
+        limit = {"rate_per_s": 10, "burst": 10}
+        teams = [{"name": "crew", "api_keys": ["k"], **limit}]
+        gateway.directory.configuration = configuration(tenants=teams)
+        manifest = build_manifest(
+            gateway.directory.configuration, {"e1": record("e1", 64)}
+        )
+        gateway.directory.manifest = manifest
+        other = next(
+            name
+            for name in (f"o{number}" for number in range(99))
+            if rendezvous_score(POOL, name) > rendezvous_score(POOL, membership.id)
+        )
+        membership.hear(MemberRow(other, "o:1", "a", 1, 1, 0, False), now)
+        membership.members[other].linked = True
+        membership.update(now)
+        assert not membership.is_home(POOL)
+        answers = []
+        gateway.homes.answer = lambda entry, answer: answers.append(answer)
+        hosted = gateway.homes._host(POOL, now)
+        hosted.cell.settled = True
+        hosted.cell.quotas.restore({})
+        for number in range(5):
+            gateway.homes._tick(POOL, hosted, now)
+            message = acquire(f"r{number}", quota_tokens=1)
+            gateway.homes.handle(ENTRY, message)
+        assert [type(answer) for answer in answers] == [Grant] * 5, answers
+        # When it becomes the home, it reads what the one before has left.
+        membership.members[other].leaving = True
+        membership.update(now)
+        gateway.homes._tick(POOL, hosted, now)
+        assert not hosted.cell.quotas.known
+
+    trio.run(play)
+
+
 @case("only strong instances become homes")
 def _():
     membership = Membership("i0", "127.0.0.1:1", "a", 1)
--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -121,7 +121,8 @@
                 else:
                     revision = await self._watch(revision, sent)
                 failures = 0
-                await trio.sleep(self.watch_pause_s)
+                if revision:
+                    await trio.sleep(self.watch_pause_s)
             except StoreError as error:
                 failures += 1
                 self.connected = False
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -54,8 +54,8 @@
 DEAD_AFTER_S = 0.9
 """The shortest objectives are 0.4 s; a dead home costs its requests twice that."""
 LARGE_FLEET_TICKS = 3
-LARGE_FLEET_WATCH_PAUSE_S = 1.4
-"""Half of the time in which a large fleet must follow a change."""
+LARGE_FLEET_WATCH_PAUSE_S = 1.0
+"""A third of the time in which a large fleet must follow a change."""
 OWN_QUOTA_SHARE = 0.5
 """Part of the quotas for requests placed without a home, which may be at work."""
 LEASE_S = 10.0
@@ -158,9 +158,17 @@
                 self._send_heartbeats(counter, now)
                 self.states.set_listed(self.directory.leaving(), now)
                 self.membership.update(now)
-                records = self.directory.instances.values()
-                self.peers.listed = {r.id: r.address for r in records}
-                self.membership.weights = {r.id: r.cores for r in records}
+                self.follow_entries()
+
+    def follow_entries(self) -> None:
+        """Take over what the instances have entered in the store.
+
+        An entry may lapse in an outage of the store while its instance lives;
+        homes must not move for that.
+        """
+        records = self.directory.instances.values()
+        self.peers.listed = {r.id: r.address for r in records}
+        self.membership.weights |= {r.id: r.cores for r in records}
 
     def _pace(self) -> int:
         """Adapt the pace of heartbeats and calls to the size of the fleet.
@@ -324,6 +332,7 @@
         rng=rng,
         endpoints_report=False,
         equip=lambda cell: _equip(gateway, cell),
+        took_over=lambda cell: _take_over(gateway, cell),
     )
     levels = QuotaLevels(
         store,
@@ -381,6 +390,12 @@
     gateway.levels.hosted.set()
 
 
+def _take_over(gateway: Gateway, cell: Cell) -> None:
+    """Have the levels read that the home before has left."""
+    cell.quotas.reset(trio.current_time())
+    gateway.levels.hosted.set()
+
+
 def _limits_of_teams(directory: Directory) -> dict[TeamId, TeamQuota]:
     if directory.configuration is None:
         return {}
--- a/src/savorydyke/_homes.py
+++ b/src/savorydyke/_homes.py
@@ -53,6 +53,9 @@
         Entries that have not yet registered what they have in flight.
     unreported : set of EndpointId
         Endpoints that have not yet said whether they are leaving.
+    is_home : bool
+        Whether this instance was the home at the latest tick. Entries that see
+        it earlier than this instance does ask here before that.
     """
 
     cell: Cell
@@ -60,6 +63,7 @@
     unregistered: set[InstanceId]
     unreported: set[EndpointId]
     used: float
+    is_home: bool = False
 
     def is_informed(self) -> bool:
         """Return whether everyone who should know something has told it."""
@@ -81,6 +85,8 @@
         says so.
     equip : callable
         Gives a new cell its quotas and its budget of repeats.
+    took_over : callable
+        Called with a cell whose pool this instance has become the home of.
     """
 
     membership: Membership
@@ -92,6 +98,7 @@
     rng: random.Random
     endpoints_report: bool = True
     equip: Callable[[Cell], None] = field(default=lambda cell: None)
+    took_over: Callable[[Cell], None] = field(default=lambda cell: None)
     hosted: dict[PoolId, Hosted] = field(default_factory=dict)
     last_tick: float = field(default_factory=trio.current_time)
 
@@ -200,7 +207,8 @@
             cell.set_leaving(endpoint, True)
         entries = {*self.membership.live(), self.membership.id}
         unreported = set(cell.endpoints) if self.endpoints_report else set()
-        hosted = Hosted(cell, now + SETTLE_S, entries, unreported, now)
+        is_home = self.membership.is_home(pool)
+        hosted = Hosted(cell, now + SETTLE_S, entries, unreported, now, is_home)
         self.hosted[pool] = hosted
         log.info("Cell hosted.", extra={"pool": pool})
         return hosted
@@ -276,14 +284,17 @@
         if now >= hosted.settle_at or hosted.is_informed():
             self._settle(hosted, now)
         self.set_share(cell)
-        if not self.membership.is_home(pool):
+        is_home = self.membership.is_home(pool)
+        if is_home and not hosted.is_home:
+            self.took_over(cell)
+        hosted.is_home = is_home
+        if not is_home:
             # Should it become the home again, it will have missed requests.
             cell.born = now
-            cell.quotas.reset(now)
         for endpoint, item in cell.take_orphans(now - self.orphan_grace_s, now):
             self.cancel_orphan(endpoint, item)
         self._send(cell, cell.tick(now))
-        if self.membership.is_home(pool) or len(cell.queue) > 0:
+        if is_home or len(cell.queue) > 0:
             hosted.used = now
         elif now - hosted.used > IDLE_S:
             del self.hosted[pool]
--- a/src/savorydyke/_quota_levels.py
+++ b/src/savorydyke/_quota_levels.py
@@ -77,14 +77,10 @@
                 await trio.sleep(wait_s)
 
     async def _exchange(self) -> None:
-        hosted = [
-            (pool, hosted.cell.quotas)
-            for pool, hosted in list(self.homes.hosted.items())
-            if self.membership.is_home(pool)
-        ]
+        hosted = [(p, h.cell.quotas) for p, h in list(self.homes.hosted.items())]
         failure = None
         try:
-            await self._write([row for row in hosted if row[1].known])
+            await self._write(hosted)
         except StoreError as error:
             failure = error
         for pool, quotas in hosted:
@@ -99,7 +95,11 @@
 
     async def _write(self, hosted: list[tuple[PoolId, Quotas]]) -> None:
         changed: dict[str, bytes] = {}
-        reporting = [row for row in hosted if row[1].should_report()]
+        reporting = [
+            (pool, quotas)
+            for pool, quotas in hosted
+            if quotas.known and quotas.should_report() and self.membership.is_home(pool)
+        ]
         for pool, quotas in reporting:
             record = write_levels(quotas.export(trio.current_time()))
             changed[LEVELS + pool] = record
