--- a/src/savorydyke/_sockets.py
+++ b/src/savorydyke/_sockets.py
@@ -22,7 +22,7 @@
     except BlockingIOError:
         sent = 0
     except OSError as error:
-        raise trio.BrokenResourceError from error
+        raise trio.BrokenResourceError(str(error)) from error
     if sent < len(data):
         await stream.send_all(data[sent:])
 
@@ -42,4 +42,4 @@
         except BlockingIOError:
             continue
         except OSError as error:
-            raise trio.BrokenResourceError from error
+            raise trio.BrokenResourceError(str(error)) from error
