Add experiments in simulated time, with a model of engines that batch

Load patterns from the rates and sizes that the users state, against the product's cell, the cell as it was before late requests waited, three baselines and a greedy policy that knows all.

No change of the product. The model is not held against the users' bench yet.

--- a/src/savorydyke_bench/_main.py
+++ b/src/savorydyke_bench/_main.py
@@ -9,6 +9,7 @@
     _cost,
     _cost_fleet,
     _demo,
+    _experiment,
     _histories,
     _policy_bench,
     _soak,
@@ -55,6 +56,28 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def experiment(
+    patterns: Annotated[
+        list[str] | None, typer.Argument(help="Load patterns; all if none.")
+    ] = None,
+    policy: Annotated[
+        list[str] | None, typer.Option(help="Policies; all if none.")
+    ] = None,
+    seed: Annotated[int, typer.Option(help="Seed of the arrivals.")] = 1,
+    report: Annotated[str, typer.Option(help="JSON report to write.")] = "",
+) -> None:
+    """Play load patterns against policies in simulated time."""
+    known = _experiment.pattern_names()
+    names = patterns or known
+    policies = policy or list(_experiment.POLICIES)
+    unknown = sorted({*names} - {*known} | {*policies} - {*_experiment.POLICIES})
+    if unknown:
+        typer.echo(f"unknown: {', '.join(unknown)}", err=True)
+        raise typer.Exit(2)
+    _experiment.show(names, policies, seed, report)
+
+
 @app.command()
 def cost(
     report: Annotated[str, typer.Option(help="JSON report to write.")] = "",
