--- a/src/savorydyke/_capacity.py
+++ b/src/savorydyke/_capacity.py
@@ -33,8 +33,8 @@
         while it is cut off from most of its peers.
     min_retry_s : float
         Least retry time that a refusal names.
-    offered, demand : DemandRate
-        Rates of all requests and of the admitted ones, by rank.
+    offered, demand, granted : DemandRate
+        Rates of all requests, of the admitted ones and of the granted ones, by rank.
     """
 
     estimates: Estimates = field(default_factory=Estimates)
@@ -43,6 +43,7 @@
     min_retry_s: float = RETRY_RANGE_S[0]
     offered: DemandRate = field(default_factory=DemandRate)
     demand: DemandRate = field(default_factory=DemandRate)
+    granted: DemandRate = field(default_factory=DemandRate)
 
     def is_idle(self, now: float) -> bool:
         """Return whether most slots are free and no request is waiting."""
@@ -52,12 +53,25 @@
         slots = sum(load.credits(self.share) for load in loads)
         return sum(len(load.running) for load in loads) < IDLE_SHARE * slots
 
+    def free_slots(self, now: float) -> int:
+        """Return how many more requests the usable endpoints have a slot for."""
+        loads = [e for e in self.estimates.endpoints.values() if e.usable(now)]
+        return sum(
+            max(0, load.credits(self.share) - len(load.running)) for load in loads
+        )
+
     def is_full(self, now: float) -> bool:
         """Return whether no endpoint has a slot for one more request."""
-        return not any(
-            load.usable(now) and len(load.running) < load.credits(self.share)
-            for load in self.estimates.endpoints.values()
-        )
+        return self.free_slots(now) == 0
+
+    def utilization_above(self, rank: int, now: float) -> float:
+        """Return the part of the endpoints' time requested by more urgent requests."""
+        return self.offered.above(rank, now) / max(1, self.estimates.usable_count())
+
+    def granted_share(self, rank: int, now: float) -> float:
+        """Return the part of the endpoint time requested by a rank that it got."""
+        offered = self.offered.of(rank, now)
+        return self.granted.of(rank, now) / offered if offered > 0 else 1.0
 
     def wait_s(self, item: Waiting, now: float) -> float:
         """Return how long a request would wait for a grant.
--- a/src/savorydyke/_demand_rate.py
+++ b/src/savorydyke/_demand_rate.py
@@ -24,6 +24,10 @@
         self._decay(now)
         self.sums[rank] = self.sums.get(rank, 0.0) + cost_s
 
+    def of(self, rank: int, now: float) -> float:
+        """Return the rate of the requests of one rank."""
+        return self.up_to(rank, now) - self.up_to(rank - 1, now)
+
     def above(self, rank: int, now: float) -> float:
         """Return the rate of all requests more urgent than `rank`."""
         return self.up_to(rank - 1, now)
--- a/src/savorydyke/_fair_queue.py
+++ b/src/savorydyke/_fair_queue.py
@@ -83,6 +83,10 @@
         """Return whether the objective is missed or expected to be missed."""
         return self.rank >= LATE_RANKS
 
+    def base_rank(self) -> int:
+        """Return the rank by tier and urgency alone."""
+        return self.rank % LATE_RANKS
+
 
 @dataclass
 class TeamQueue:
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -13,6 +13,7 @@
 import trio
 
 from savorydyke import _logs
+from savorydyke._capacity import Capacity
 from savorydyke._endpoint_load import Running
 from savorydyke._endpoint_states import EndpointStates
 from savorydyke._ids import EndpointId, InstanceId, PoolId, Reason
@@ -166,11 +167,12 @@
             self._enable_grants(hosted, now)
 
     def _send(self, scheduler: PoolScheduler, decisions: list[Decision]) -> None:
+        now = trio.current_time()
         for decision in decisions:
-            self._log(scheduler, decision)
+            self._log(scheduler, decision, now)
             self.answer(decision.frontend, decision.answer)
 
-    def _log(self, scheduler: PoolScheduler, decision: Decision) -> None:
+    def _log(self, scheduler: PoolScheduler, decision: Decision, now: float) -> None:
         """Log a decision with the state that it depends on."""
         answer = decision.answer
         extra: dict[str, object] = {
@@ -179,10 +181,12 @@
             "pool": scheduler.pool,
             "waiting": len(scheduler.queue),
             "share": round(scheduler.capacity.share, 2),
+            "rank": decision.rank,
         }
         if isinstance(answer, Refuse):
             extra |= {"reason": answer.reason.value, "detail": answer.detail}
             extra["retry_ms"] = answer.retry_ms
+            extra |= _overload_fields(scheduler.capacity, decision.rank, now)
             log.info("Refused.", extra=extra)
             return
         load = scheduler.endpoints[answer.endpoint]
@@ -316,3 +320,14 @@
         elif now - hosted.used > IDLE_S:
             del self.hosted[pool]
             log.info("Pool no longer hosted.", extra={"pool": pool})
+
+
+def _overload_fields(
+    capacity: Capacity, rank: int | None, now: float
+) -> dict[str, object]:
+    """Return what tells an overload by more urgent requests from other causes."""
+    fields: dict[str, object] = {"free_slots": capacity.free_slots(now)}
+    if rank is not None:
+        fields["utilization_above"] = round(capacity.utilization_above(rank, now), 2)
+        fields["granted_share"] = round(capacity.granted_share(rank, now), 2)
+    return fields
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -56,10 +56,17 @@
 
 @dataclass(frozen=True)
 class Decision:
-    """An answer of the scheduler for one frontend."""
+    """An answer of the scheduler for one frontend.
+
+    Attributes
+    ----------
+    rank : int or None
+        Rank of the request by tier and urgency; None if it did not wait.
+    """
 
     frontend: InstanceId
     answer: Grant | Refuse
+    rank: int | None = None
 
 
 @dataclass(frozen=True)
@@ -443,13 +450,14 @@
     def _grant(self, item: Waiting, load: EndpointLoad, now: float) -> Decision:
         uncached = self.estimates.uncached(load, item)
         self.queue.charge(item)
+        self.capacity.granted.add(item.base_rank(), item.cost_s, now)
         load.take(item, item.frontend, uncached, now)
         self.placed[item.key] = load.id
         self.estimates.prefixes.add(load.id, item.prefix)
         probe = self._probe(item, now)
         first_ms = int(load.running[item.key].predicted_first_s * 1000)
         grant = Grant(item.key, item.attempt, load.id, False, probe, first_ms)
-        return Decision(item.frontend, grant)
+        return Decision(item.frontend, grant, item.base_rank())
 
     def _probe(self, item: Waiting, now: float) -> tuple[EndpointId, ...]:
         """Return the endpoints to check for an earlier run, during the warm-up."""
@@ -479,7 +487,7 @@
             retry_s *= 1 + RETRY_SPREAD * self.rng.random()
         retry_ms = -1 if retry_s is None else int(retry_s * 1000)
         refusal = Refuse(item.key, item.attempt, reason, detail, retry_ms, ran)
-        return Decision(item.frontend, refusal)
+        return Decision(item.frontend, refusal, item.base_rank())
 
     def _answer_known(
         self, message: Acquire, frontend: InstanceId
