--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -27,6 +27,7 @@
       | a retry avoids the endpoint that failed the request                        |
       | with no endpoint a routed request is refused as not run                    |
       | in a burst the most urgent requests are served and others get a retry time |
+      | short requests of low urgency are served in an overload by urgent ones     |
       | a waiting request is refused before its caller abandons it                 |
       | a burst of one second is served late rather than not at all                |
       | late requests do not delay requests that can be on time                    |
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -492,12 +492,19 @@
 """Time to the first byte of the requests of a burst."""
 
 
-def burst(scheduler, rate, seconds, hold_s=0.5):
+HOLD_S = 0.5
+"""Time for which a request of a burst holds its slot."""
+
+
+def burst(scheduler, rate, seconds, short_hold_s=HOLD_S, short_size=None):
     """Send a mix of three ranks; return grants by rank, refusals and the total.
 
-    `rate` is the number of requests per second, or a function of the time.
+    `rate` is the number of requests per second, or a function of the time. The
+    requests of the lowest rank hold their slot for `short_hold_s` and have the fields
+    of `short_size`.
     """
     rate_at = rate if callable(rate) else lambda now: rate
+    hold_s = {"0": HOLD_S, "1": HOLD_S, "2": short_hold_s}
     now, number = 0.0, 0
     running, unstarted, served, refusals = [], [], Counter(), []
     while now < seconds:
@@ -509,7 +516,8 @@
             for d in end(scheduler, key, endpoint, now):
                 record_decision(d, now, hold_s, running, unstarted, served, refusals)
         kind = number % 3
-        message = acquire(f"{number}-{kind}", urgency=kind)
+        size = short_size if kind == 2 and short_size else {}
+        message = acquire(f"{number}-{kind}", urgency=kind, **size)
         for d in scheduler.acquire(message, FRONTEND, now):
             record_decision(d, now, hold_s, running, unstarted, served, refusals)
         for d in scheduler.tick(now):
@@ -523,7 +531,7 @@
     """Record one decision."""
     key = decision.answer.key.rpartition("/")[2]
     if isinstance(decision.answer, Grant):
-        running.append((now + hold_s, key, decision.answer.endpoint))
+        running.append((now + hold_s[key[-1]], key, decision.answer.endpoint))
         unstarted.append((now + FIRST_S, key))
         served[key[-1]] += 1
     else:
@@ -541,6 +549,22 @@
     assert all(not answer.may_have_run for _, answer in refusals)
 
 
+@case("short requests of low urgency are served in an overload by urgent ones")
+def _():
+    # The urgent ones alone ask for 18 slots' worth of the 16 that are served per
+    # second; the short ones would need one more.
+    served, _, number = burst(
+        scheduler_of("e1", "e2"),
+        27,
+        20,
+        short_hold_s=HOLD_S / 8,
+        short_size={"prompt_tokens": 100, "output_tokens": 10},
+    )
+    assert served["2"] >= 0.3 * number / 3, served
+    assert served["0"] >= 0.97 * number / 3, served
+    assert served["0"] >= served["1"] >= served["2"], served
+
+
 @case("a waiting request is refused before its caller abandons it")
 def _():
     scheduler = scheduler_of("e1", slots=1)
