--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -28,6 +28,8 @@
       | with no endpoint a routed request is refused as not run                    |
       | in a burst the most urgent requests are served and others get a retry time |
       | short requests of low urgency are served in an overload by urgent ones     |
+      | a guaranteed share changes the order only behind the first rank of a tier  |
+      | a rank is owed time until it got as great a part as more urgent ones       |
       | a waiting request is refused before its caller abandons it                 |
       | a burst of one second is served late rather than not at all                |
       | late requests do not delay requests that can be on time                    |
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -33,6 +33,7 @@
 from savorydyke._retry_budget import RetryBudget
 from savorydyke._routed_handler import RoutedHandler
 from savorydyke._routes import TeamQuota
+from savorydyke._tier_shares import TierShares
 from savorydyke.platform import (
     BadRecordError,
     Compacted,
@@ -565,6 +566,34 @@
     assert served["0"] >= served["1"] >= served["2"], served
 
 
+@case("a guaranteed share changes the order only behind the first rank of a tier")
+def _():
+    scheduler = scheduler_of("e1", slots=1)
+    scheduler.acquire(acquire("holds", prompt_tokens=10), FRONTEND, 0.0)
+    for team in (TeamId("other"), CREW):
+        for urgency in (2, 1, 0):
+            more = acquire(f"{team}-{urgency}", team=team, urgency=urgency)
+            assert not scheduler.acquire(more, FRONTEND, 0.0)
+    ranks = [item.rank for item in scheduler.queue.heads(owed=[2, 18])]
+    assert ranks == [0, 2, 1, 16, 18, 17], ranks
+
+
+@case("a rank is owed time until it got as great a part as more urgent ones")
+def _():
+    shares = TierShares()
+    for rank, offered_s, granted_s in ((0, 9, 9), (1, 4, 2), (2, 1, 0.4), (18, 1, 0)):
+        shares.offered.add(rank, offered_s, 0.0)
+        shares.granted.add(rank, granted_s, 0.0)
+    assert shares.owed_ranks([0, 1, 2, 18], 0.0) == [2]
+    # 0.6 of what it requested, where the more urgent rank got 0.5.
+    shares.granted.add(2, 0.2, 0.0)
+    assert shares.owed_ranks([0, 1, 2, 18], 0.0) == []
+    # Less than 0.5 again, and beyond a quarter of the time of both ranks.
+    shares.offered.add(2, 9, 0.0)
+    shares.granted.add(2, 0.1, 0.0)
+    assert shares.owed_ranks([0, 1, 2, 18], 0.0) == []
+
+
 @case("a waiting request is refused before its caller abandons it")
 def _():
     scheduler = scheduler_of("e1", slots=1)
--- a/src/savorydyke/_capacity.py
+++ b/src/savorydyke/_capacity.py
@@ -9,6 +9,7 @@
 from savorydyke._demand_rate import DemandRate
 from savorydyke._estimates import Estimates
 from savorydyke._fair_queue import LATE_RANKS, FairQueue, Waiting
+from savorydyke._tier_shares import TierShares
 
 RETRY_RANGE_S = (1.0, 60.0)
 """Range of the retry time in a refusal; `Capacity.min_retry_s` sets the lower end."""
@@ -33,17 +34,18 @@
         while it is cut off from most of its peers.
     min_retry_s : float
         Least retry time that a refusal names.
-    offered, demand, granted : DemandRate
-        Rates of all requests, of the admitted ones and of the granted ones, by rank.
+    shares : TierShares
+        Rates of all requests and of the granted ones, by rank.
+    demand : DemandRate
+        Rate of the admitted requests, by rank.
     """
 
     estimates: Estimates = field(default_factory=Estimates)
     queue: FairQueue = field(default_factory=FairQueue)
     share: float = 1.0
     min_retry_s: float = RETRY_RANGE_S[0]
-    offered: DemandRate = field(default_factory=DemandRate)
+    shares: TierShares = field(default_factory=TierShares)
     demand: DemandRate = field(default_factory=DemandRate)
-    granted: DemandRate = field(default_factory=DemandRate)
 
     def is_idle(self, now: float) -> bool:
         """Return whether most slots are free and no request is waiting."""
@@ -66,24 +68,36 @@
 
     def utilization_above(self, rank: int, now: float) -> float:
         """Return the part of the endpoints' time requested by more urgent requests."""
-        return self.offered.above(rank, now) / max(1, self.estimates.usable_count())
-
-    def granted_share(self, rank: int, now: float) -> float:
-        """Return the part of the endpoint time requested by a rank that it got."""
-        offered = self.offered.of(rank, now)
-        return self.granted.of(rank, now) / offered if offered > 0 else 1.0
+        above = self.shares.offered.above(rank, now)
+        return above / max(1, self.estimates.usable_count())
 
     def wait_s(self, item: Waiting, now: float) -> float:
         """Return how long a request would wait for a grant.
 
         The time covers the requests ahead of it and the more urgent ones that are
         expected to arrive. While these use every slot that is freed, the least
-        urgent requests would never be granted, so they are refused at once.
+        urgent requests get no more than their guaranteed share, and those that would
+        wait too long for it are refused at once.
         """
         ahead_s = self.queue.cost_ahead_s(item.rank, item.team, item.weight)
         if ahead_s == 0:
             return 0.0
-        return ahead_s / self._free_rate(item.rank, now)
+        wait_s = ahead_s / self._free_rate(item.rank, now)
+        if item.is_late():
+            return wait_s
+        guaranteed = self.shares.guaranteed_rate(item.rank, now)
+        if guaranteed == 0:
+            return wait_s
+        rank_s = self.queue.rank_cost_ahead_s(item.rank, item.team, item.weight)
+        return min(wait_s, rank_s / guaranteed)
+
+    def owed_ranks(self, now: float) -> list[int]:
+        """Return the waiting ranks that are due before more urgent ones of their tier.
+
+        Requests that are late already do not count.
+        """
+        waiting = [rank for rank in self.queue.ranks() if rank < LATE_RANKS]
+        return self.shares.owed_ranks(waiting, now) if len(waiting) > 1 else []
 
     def meets_objective(self, item: Waiting, now: float) -> bool:
         """Return whether the first byte would come within the objective."""
@@ -114,7 +128,7 @@
         tiers = self.queue.tiers.items()
         ahead_s = sum(tier.cost_s for other, tier in tiers if other <= rank)
         usable = max(1, self.estimates.usable_count())
-        rate = self.offered.up_to(rank, now)
+        rate = self.shares.offered.up_to(rank, now)
         free = max(LEAST_FREE_SHARE * usable, usable - rate)
         _, high = RETRY_RANGE_S
         return min(high, max(self.min_retry_s, ahead_s / free))
@@ -122,5 +136,5 @@
     def _free_rate(self, rank: int, now: float) -> float:
         """Return the endpoint seconds per second left by more urgent requests."""
         usable = max(1, self.estimates.usable_count())
-        rates = self.offered if rank >= LATE_RANKS else self.demand
+        rates = self.shares.offered if rank >= LATE_RANKS else self.demand
         return max(LEAST_FREE_SHARE * usable, usable - rates.above(rank, now))
--- a/src/savorydyke/_demand_rate.py
+++ b/src/savorydyke/_demand_rate.py
@@ -4,6 +4,10 @@
 
 HALF_LIFE_S = 1.5
 """A burst shows within a second or two and fades as quickly after its end."""
+MEAN_LIFETIME_S = HALF_LIFE_S / 0.693
+"""At a steady rate of 1 a sum tends to this value, half-life / ln 2."""
+LEAST_SUM_S = 1e-3
+"""Sum below which a rank counts as having no recent requests."""
 
 
 @dataclass
@@ -26,7 +30,13 @@
 
     def of(self, rank: int, now: float) -> float:
         """Return the rate of the requests of one rank."""
-        return self.up_to(rank, now) - self.up_to(rank - 1, now)
+        self._decay(now)
+        return self.sums.get(rank, 0.0) / MEAN_LIFETIME_S
+
+    def ranks(self, now: float) -> list[int]:
+        """Return the ranks of recent requests."""
+        self._decay(now)
+        return [rank for rank, cost in self.sums.items() if cost > LEAST_SUM_S]
 
     def above(self, rank: int, now: float) -> float:
         """Return the rate of all requests more urgent than `rank`."""
@@ -36,10 +46,11 @@
         """Return the rate of all requests as urgent as `rank` or more."""
         self._decay(now)
         total = sum(cost for other, cost in self.sums.items() if other <= rank)
-        # At a steady rate of 1 the sum tends to the mean lifetime, half-life / ln 2.
-        return total / (HALF_LIFE_S / 0.693)
+        return total / MEAN_LIFETIME_S
 
     def _decay(self, now: float) -> None:
+        if now <= self.updated:
+            return
         kept = 0.5 ** (max(0.0, now - self.updated) / HALF_LIFE_S)
         self.updated = max(self.updated, now)
         self.sums = {rank: cost * kept for rank, cost in self.sums.items()}
--- a/src/savorydyke/_fair_queue.py
+++ b/src/savorydyke/_fair_queue.py
@@ -7,7 +7,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 from itertools import islice
 
@@ -15,6 +15,8 @@
 
 LOOK_AHEAD = 4
 """Number of a team's first requests that are considered for a grant."""
+URGENCIES = 16
+"""Number of urgency ranks within a tier."""
 LATE_RANKS = 1_000_000
 """Added to the rank of a late request; those that can still be on time go first."""
 
@@ -164,13 +166,27 @@
         team.virtual_s += item.cost_s / team.weight
         self.remove(item.key)
 
-    def heads(self) -> Iterator[Waiting]:
+    def ranks(self) -> list[int]:
+        """Return the ranks with waiting requests, the most urgent one first."""
+        return sorted(rank for rank, tier in self.tiers.items() if tier.length)
+
+    def heads(self, owed: Collection[int] = ()) -> Iterator[Waiting]:
         """Yield each team's first requests, in the order of dispatch.
 
         Those behind the first one are needed when it waits for a busy endpoint
         that holds its prefix although another endpoint is free.
+
+        Parameters
+        ----------
+        owed : collection of int
+            Ranks that go before the more urgent ones of their tier, except the first.
         """
-        for rank in sorted(self.tiers):
+
+        def order(rank: int) -> tuple[int, bool, bool, int]:
+            tier, urgency = divmod(rank, URGENCIES)
+            return tier, urgency > 0, rank not in owed, rank
+
+        for rank in sorted(self.tiers, key=order):
             teams = sorted(
                 self.tiers[rank].teams.values(), key=lambda team: team.virtual_s
             )
@@ -198,14 +214,16 @@
     def cost_ahead_s(self, rank: int, team: TeamId, weight: float) -> float:
         """Return the engine time that will be granted before a new request."""
         above = sum(tier.cost_s for r, tier in self.tiers.items() if r < rank)
+        return above + self.rank_cost_ahead_s(rank, team, weight)
+
+    def rank_cost_ahead_s(self, rank: int, team: TeamId, weight: float) -> float:
+        """Return the part of `cost_ahead_s` that has the same rank."""
         tier = self.tiers.get(rank)
         if tier is None:
-            return above
+            return 0.0
         own = tier.teams.get(team)
         own_cost_s = own.cost_s if own else 0.0
         others = [queue for name, queue in tier.teams.items() if name != team]
         others_weight = sum(queue.weight for queue in others)
         others_cost_s = sum(queue.cost_s for queue in others)
-        return (
-            above + own_cost_s + min(others_cost_s, own_cost_s * others_weight / weight)
-        )
+        return own_cost_s + min(others_cost_s, own_cost_s * others_weight / weight)
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -329,5 +329,5 @@
     fields: dict[str, object] = {"free_slots": capacity.free_slots(now)}
     if rank is not None:
         fields["utilization_above"] = round(capacity.utilization_above(rank, now), 2)
-        fields["granted_share"] = round(capacity.granted_share(rank, now), 2)
+        fields["granted_share"] = round(capacity.shares.granted_share(rank, now), 2)
     return fields
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -16,7 +16,7 @@
 from savorydyke._capacity import MARGIN, RETRY_RANGE_S, Capacity
 from savorydyke._endpoint_load import EndpointLoad, Running, mark_suspects, new_load
 from savorydyke._estimates import Estimates
-from savorydyke._fair_queue import LATE_RANKS, FairQueue, Waiting
+from savorydyke._fair_queue import LATE_RANKS, URGENCIES, FairQueue, Waiting
 from savorydyke._ids import (
     EndpointId,
     InstanceId,
@@ -39,8 +39,6 @@
 """Time after a takeover in which the coordinator may not know earlier request ids."""
 RETRY_SPREAD = 0.5
 """Largest part of a retry time that is randomly added to it, to spread the retries."""
-URGENCIES = 16
-"""Number of urgency ranks within a tier."""
 MAX_WAIT_RATIO = 1.5
 """Largest factor by which a free endpoint may be slower than the best busy one."""
 AFFINITY_TOKENS = 2048
@@ -204,7 +202,7 @@
         if message.team not in self.manifest.teams:
             return [_deny(message, frontend, Reason.NOT_APPROVED, "unknown team")]
         item = self._new_waiting(message, frontend, now)
-        self.capacity.offered.add(item.rank, item.cost_s, now)
+        self.capacity.shares.offered.add(item.rank, item.cost_s, now)
         refusal = self._admit(item, now) or self._check_budgets(
             item, message.is_retry, now
         )
@@ -391,8 +389,11 @@
     def _grant_next(self, usable: int, now: float) -> Decision | None:
         """Grant the first request in order for which an endpoint has capacity."""
         blocked: set[EndpointId] = set()
-        for item in self.queue.heads():
-            load = self._choose(item, blocked, now)
+        owed = self.capacity.owed_ranks(now)
+        for item in self.queue.heads(owed):
+            # A more urgent request may use an endpoint that has no capacity for one
+            # that only goes first because of its guaranteed share.
+            load = self._choose(item, set() if item.rank in owed else blocked, now)
             if load is not None:
                 return self._grant(item, load, now)
             if len(blocked) >= usable:
@@ -450,7 +451,7 @@
     def _grant(self, item: Waiting, load: EndpointLoad, now: float) -> Decision:
         uncached = self.estimates.uncached(load, item)
         self.queue.charge(item)
-        self.capacity.granted.add(item.base_rank(), item.cost_s, now)
+        self.capacity.shares.granted.add(item.base_rank(), item.cost_s, now)
         load.take(item, item.frontend, uncached, now)
         self.placed[item.key] = load.id
         self.estimates.prefixes.add(load.id, item.prefix)
