--- a/src/savorydyke/_quota.py
+++ b/src/savorydyke/_quota.py
@@ -86,11 +86,15 @@
         Content of the bucket; below 0 after a large request.
     used : dict of int to float
         Admitted tokens by the number of the window's part.
+    fraction : float or None
+        Sum of the covered fractions of requests, less those admitted; None before
+        the first request.
     """
 
     tokens: float
     updated: float
     used: dict[int, float] = field(default_factory=dict)
+    fraction: float | None = None
 
 
 @dataclass
@@ -163,22 +167,29 @@
         """Return whether a request is admitted within a small share of a quota.
 
         A share may hold fewer tokens than one request. The available tokens are
-        used up in any case, and the request is admitted with a probability equal
-        to the fraction of it that they cover. So all holders of shares together
-        admit the sum of their shares.
+        used up in any case, and the fractions that they cover are added up: a
+        request is admitted whenever the sum reaches 1. So all holders of shares
+        together admit the sum of their shares, give or take one request each.
 
         Parameters
         ----------
         draw : float
-            Uniform in [0, 1).
+            Uniform in [0, 1). The sum of a team starts at it, so that the holders
+            do not all admit their first request late.
         """
         limit = self.limits.get(team)
         if limit is None or limit.tokens_per_s <= 0:
             return True
         account = self._account(team, limit, now)
+        if account.fraction is None:
+            account.fraction = draw
         part = min(tokens, max(0.0, account.tokens))
         account.tokens -= part
-        return draw * tokens < part
+        account.fraction += part / tokens if tokens > 0 else 1.0
+        if account.fraction < 1:
+            return False
+        account.fraction -= 1
+        return True
 
     # Handover
 
