--- a/features/steps/service_steps.py
+++ b/features/steps/service_steps.py
@@ -64,7 +64,6 @@
 
     def __init__(self, fleet):
         self.fleet = fleet
-        self.must_replace = False
         self.revision = 1
 
     def run(self, function, *arguments, **keywords):
@@ -125,20 +124,12 @@
         return sum(entry.get("idempotency_key") == key for entry in self.requests())
 
 
-def start_small_fleet(context):
-    context.shared_fleet = None
-    fleet = context.shared.enter_context(open_fleet())
-    small = SmallFleet(fleet)
-    fleet.limits = LIMITS
-    small.run(SITE.start, fleet)
-    context.shared_fleet = small
-
-
 @given("the small fleet")
 def small_fleet(context):
-    if context.shared_fleet is None:
-        start_small_fleet(context)
-    context.small = context.shared_fleet
+    fleet = context.stack.enter_context(open_fleet())
+    context.small = SmallFleet(fleet)
+    fleet.limits = LIMITS
+    context.small.run(SITE.start, fleet)
 
 
 def is_complete(record):
@@ -687,7 +678,6 @@
 
 @when("the platform is out and a third instance starts")
 def third_instance_starts(context):
-    context.small.must_replace = True
     platform_out(context)
     context.small.fleet.add_instance("instance-3")
     context.small.run(context.small.fleet.wait_ready, 3)
@@ -730,7 +720,6 @@
 
 @when("all instances get a stop signal while streams run")
 def stop_all(context):
-    context.small.must_replace = True
 
     def action():
         for instance in context.small.instances():
@@ -749,7 +738,6 @@
 
 @when("an instance gets two stop signals while a stream runs")
 def stop_twice(context):
-    context.small.must_replace = True
     instance = context.small.instances()[0]
 
     def action():
@@ -850,7 +838,6 @@
 
 @when("requests arrive at a stopping instance that still finishes a stream")
 def requests_while_stopping(context):
-    context.small.must_replace = True
     small = context.small
     instance = small.instances()[0]
     context.answers = {}
