--- a/src/savorydyke/_fair_queue.py
+++ b/src/savorydyke/_fair_queue.py
@@ -179,7 +179,7 @@
         Parameters
         ----------
         owed : collection of int
-            Ranks that go before the more urgent ones of their tier, except the first.
+            Ranks that go before more urgent ones of their tier, except urgency 0.
         """
 
         def order(rank: int) -> tuple[int, bool, bool, int]:
--- a/src/savorydyke/_tier_shares.py
+++ b/src/savorydyke/_tier_shares.py
@@ -1,10 +1,10 @@
-"""How the urgency ranks of a tier share the endpoint time that the first one leaves.
+"""Minimum shares of endpoint time for the less urgent ranks of a tier.
 
-The most urgent requests of a tier always go first. The other ranks go in order of
-urgency too, but none of them is starved: in an overload the least urgent ones would
-get nothing, although they are often short and need little time. A rank may go before
-more urgent ones while a smaller part of what it requested has been granted, as long
-as it got less than its guaranteed share. Tiers stay in strict order.
+Requests of urgency 0 always go first in their tier. The other ranks share the time
+that these leave. They go in order of urgency too, but none of them is starved: in an
+overload the least urgent ones would get nothing, although they are often short. A
+rank goes before more urgent ones while a smaller part of what it requested has been
+granted, as long as it got less than its guaranteed share. Tiers stay in strict order.
 """
 
 from dataclasses import dataclass, field
@@ -13,8 +13,8 @@
 from savorydyke._fair_queue import URGENCIES
 
 RESERVED_SHARE = 0.25
-"""Part of the time of the sharing ranks of a tier that all but the first of them are
-guaranteed together."""
+"""Part of the shared time of a tier that all ranks but the most urgent of those that
+share it are guaranteed together."""
 
 
 @dataclass
@@ -41,12 +41,13 @@
         Returns
         -------
         float
-            0 for a rank that has got as great a part of what it requested as a more
-            urgent one, the first rank of the tier apart.
+            0 for urgency 0, for the most urgent rank that shares its tier's time,
+            and for a rank that got as great a part of what it requested as a more
+            urgent one that shares the time.
         """
-        if not _shares(rank):
+        if not _shares_time(rank):
             return 0.0
-        ranks = [r for r in self.offered.ranks(now) if _are_sharing(r, rank)]
+        ranks = [r for r in self.offered.ranks(now) if _share_time(r, rank)]
         more_urgent = [other for other in ranks if other < rank]
         if not more_urgent:
             return 0.0
@@ -65,11 +66,12 @@
         ]
 
 
-def _shares(rank: int) -> bool:
-    """Return whether a rank is not the most urgent one of its tier."""
+def _shares_time(rank: int) -> bool:
+    """Return whether a rank shares the time that urgency 0 of its tier leaves."""
     return rank % URGENCIES > 0
 
 
-def _are_sharing(rank: int, other: int) -> bool:
-    """Return whether two ranks share the time that their tier's first rank leaves."""
-    return _shares(rank) and _shares(other) and rank // URGENCIES == other // URGENCIES
+def _share_time(rank: int, other: int) -> bool:
+    """Return whether two ranks share the time of the same tier."""
+    is_same_tier = rank // URGENCIES == other // URGENCIES
+    return is_same_tier and _shares_time(rank) and _shares_time(other)
