--- a/src/savorydyke_standins/_routed_site.py
+++ b/src/savorydyke_standins/_routed_site.py
@@ -26,6 +26,7 @@
 KEY = "key-of-crew"
 START_TIMEOUT_S = 10.0
 ANSWER_TIMEOUT_S = 6.0
+LOG_SHOWN_CHARS = 2000
 LOG_FLUSH_S = 0.2
 BOUNDS = {"revocation_ms": 3000, "stop_s": 4, "repeat_slack": 50}
 
@@ -260,10 +261,23 @@
         return daemon
 
     async def wait_until_ready(self, daemon: Daemon, ready: bool = True) -> None:
-        """Wait until an instance reports that it is ready, or that it is not."""
-        with trio.fail_after(START_TIMEOUT_S):
+        """Wait until an instance reports that it is ready, or that it is not.
+
+        Raises
+        ------
+        TimeoutError
+            With the exit status of the process, if it has ended, and the end of its
+            log.
+        """
+        with trio.move_on_after(START_TIMEOUT_S):
             while await self.is_ready(daemon) is not ready:
                 await trio.sleep(0.05)
+            return
+        end_of_log = daemon.log.read_text()[-LOG_SHOWN_CHARS:]
+        raise TimeoutError(
+            f"{daemon.name} did not report ready={ready} within {START_TIMEOUT_S} s; "
+            f"exit status {daemon.process.poll()}; its log ends: {end_of_log}"
+        )
 
     async def is_ready(self, daemon: Daemon) -> bool:
         """Return whether an instance reports that it is ready."""
