--- a/src/savorydyke/_capacity.py
+++ b/src/savorydyke/_capacity.py
@@ -64,7 +64,10 @@
 
     def is_full(self, now: float) -> bool:
         """Return whether no endpoint has a slot for one more request."""
-        return self.free_slots(now) == 0
+        return not any(
+            load.usable(now) and len(load.running) < load.credits(self.share)
+            for load in self.estimates.endpoints.values()
+        )
 
     def utilization_above(self, rank: int, now: float) -> float:
         """Return the part of the endpoints' time requested by more urgent requests."""
