Withstand a store that is restored from a backup

Cause: the store may come back from a copy some seconds old. Watches missed changes when revisions had been given out again, an instance that started from the copy accepted keys that had been revoked, endpoints that had left were listed and used again, balances of quotas were given out twice, a lease number could belong to another instance, and a lost fleet key split the fleet.

Each answer states a generation (Store-Era on the wire). It is checked on every call; late answers of an earlier one count as lost. After a rise all keys are read again, confirmations wait for the operator or for half of the bound on revoked keys, records of endpoints that had left are told from new ones by their heartbeat number, and instances write their records again.

A second fault beside it: the store's channels were kept, and an answer sent twice was read as that of the next call ("bad answer: KeyError('events')" in the log of the new case on the code before). Each call now has a channel of its own.

Ruled out: revisions that fall as the sign of a restore (they may have risen again), asking peers at each start (all may have restarted).

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -75,6 +75,24 @@
       | endpoints beyond the first page of a listing are found             |
       | a restarted endpoint replaces its earlier process                  |
 
+  Scenario Outline: A store that is restored from a backup
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                     |
+      | a key that was revoked before a restore is not accepted after a restart  |
+      | a configuration that a restored store lacks is not confirmed             |
+      | changes under revisions that are assigned again are applied              |
+      | two restores in a row are both detected                                  |
+      | an endpoint that had left is not used because a backup lists it          |
+      | an endpoint that drains is not used because a backup lists it as ready   |
+      | an endpoint that a backup lacks stays in use                             |
+      | an exhausted quota stays exhausted after a restore                       |
+      | a coordinator writes balances again after a restore                      |
+      | an instance writes its record with a new lease after a restore           |
+      | instances link with one that starts after a restore                      |
+      | an answer that the store repeats is not taken for the next one           |
+
   Scenario Outline: Start and stop of an instance
     Then the routed case "<case>" holds
 
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -35,6 +35,7 @@
 from savorydyke._retry_budget import RetryBudget
 from savorydyke._routed_handler import RoutedHandler
 from savorydyke._routes import TeamQuota
+from savorydyke._store_restores import new_store_restores
 from savorydyke._tier_shares import TierShares
 from savorydyke.platform import (
     BadRecordError,
@@ -248,7 +249,7 @@
         stored, admitted, now = b"{}", [], 10.0
         while now < killed:
             if first.should_report():
-                stored = encode_balances(first.export(now))
+                stored = encode_balances(first.export(now), 1)
                 first.unreported.clear()
             admitted += spend(first, now, min(killed, now + CHECK_S), rng, 0.12)
             now += CHECK_S
@@ -339,6 +340,9 @@
     calls = []
 
     class CompactedStore:
+        generation = 0
+        restored = trio.Event()
+
         async def list(self, prefix):
             calls.append(("list", trio.current_time()))
             return Listing((), 5)
@@ -349,7 +353,8 @@
             return Compacted()
 
     async def play():
-        directory = Directory(CompactedStore(), ConfigurationAge(), random.Random(1))
+        rng, restores = random.Random(1), new_store_restores(5.0)
+        directory = Directory(CompactedStore(), ConfigurationAge(), rng, restores)
         directory.watch_pause_s = 1.0
         with trio.move_on_after(10):
             await directory.watch_store()
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -829,6 +829,237 @@
     assert (len(first.received_requests), len(second.received_requests)) == (0, 2)
 
 
+# A store that is restored from a backup
+
+
+async def restart_alone(site):
+    """Kill all instances, and start one that knows nothing of them."""
+    for daemon in site.daemons:
+        daemon.process.kill()
+        daemon.process.wait()
+    site.daemons.clear()
+    return await site.daemon("instance-new", wait=False)
+
+
+REWRITTEN_S = 2.0
+"""Time after which the operator and the endpoints have written again."""
+OTHER_KEY = [{"name": "crew", "api_keys": ["another"]}]
+
+
+@case("a key that was revoked before a restore is not accepted after a restart")
+async def _(site):
+    endpoint = await start_one(site, "desk")
+    backup = site.store.back_up()
+    site.configure(tenants=OTHER_KEY)
+    await trio.sleep(1.0)
+    site.store.restore(backup)
+    await restart_alone(site)
+    for _ in range(20):
+        if await site.is_ready(site.daemons[0]):
+            break
+        await trio.sleep(0.1)
+    # The backup still has the key.
+    assert (await site.ask("/claim/1")).status == 503
+    site.store.put("op/config", site.configuration(tenants=OTHER_KEY))
+    await site.wait_until_ready(site.daemons[0])
+    assert (await site.ask("/claim/1")).status == 401
+    assert (await site.ask("/claim/1", key="another")).status == 200
+    assert len(endpoint.received_requests) == 1
+
+
+@case("a configuration that a restored store lacks is not confirmed")
+async def _(site):
+    await start_one(site, "desk")
+    backup = site.store.back_up()
+    site.configure(tenants=OTHER_KEY)
+    await trio.sleep(1.0)
+    assert (await site.ask("/claim/1")).status == 401
+    site.store.restore(backup)
+    await trio.sleep(0.5)
+    assert (await site.ask("/claim/1", key="another")).status == 200
+    # Without the operator a newer version may have been lost, too.
+    await trio.sleep(BOUNDS["revocation_ms"] / 1000)
+    assert (await site.ask("/claim/1", key="another")).status == 503
+    assert (await site.ask("/claim/1")).status == 503
+    site.store.put("op/config", site.configuration(tenants=OTHER_KEY))
+    await site.wait_until_ready(site.daemons[0])
+    assert (await site.ask("/claim/1", key="another")).status == 200
+    assert (await site.ask("/claim/1")).status == 401
+
+
+@case("changes under revisions that are assigned again are applied")
+async def _(site):
+    await start_one(site, "desk")
+    await trio.sleep(1.0)
+    backup = site.store.back_up()
+    for number in range(3):
+        site.store.put("other/key", {"n": number})
+    await trio.sleep(1.0)
+    site.store.restore(backup)
+    site.configure(tenants=OTHER_KEY)
+    for number in range(5):
+        site.store.put("other/key", {"n": number})
+    await trio.sleep(1.5)
+    assert (await site.ask("/claim/1", key="another")).status == 200
+    # 503 while a newer version may be missing.
+    assert (await site.ask("/claim/1")).status in {401, 503}
+
+
+@case("two restores in a row are both detected")
+async def _(site):
+    await start_one(site, "desk")
+    await trio.sleep(1.0)
+    backup = site.store.back_up()
+    site.store.restore(backup)
+    await trio.sleep(0.3)
+    site.store.restore(backup)
+    site.configure(tenants=OTHER_KEY)
+    await trio.sleep(1.5)
+    assert (await site.ask("/claim/1", key="another")).status == 200
+    noted = "savorydyke/generation"
+
+    def is_noted():
+        item = site.store.items.get(noted)
+        return item is not None and b64decode(item.value) == b"%d" % site.store.era
+
+    await site.wait_until(is_noted, 5.0)
+
+
+@case("an endpoint that had left is not used because a backup lists it")
+async def _(site):
+    first = await site.endpoint("e1", "desk")
+    second = await site.endpoint("e2", "desk")
+    await site.daemon()
+    await trio.sleep(2.5)
+    backup = site.store.back_up()
+    site.store.remove("servers/e1")
+    await trio.sleep(1.0)
+    site.store.restore(backup)
+    await trio.sleep(1.0)
+    for number in range(8):
+        assert (await site.ask(f"/claim/{number}")).status == 200
+    assert (len(first.received_requests), len(second.received_requests)) == (0, 8)
+    # It was only cut off from the store, and writes its record again.
+    site.write_record("e1", "desk", seq=7)
+    site.write_record("e2", "desk", state="draining")
+    await trio.sleep(1.0)
+    assert (await site.ask("/claim/9")).status == 200
+    assert len(first.received_requests) == 1
+
+
+@case("an endpoint that drains is not used because a backup lists it as ready")
+async def _(site):
+    first = await site.endpoint("e1", "desk")
+    await site.endpoint("e2", "desk")
+    await site.daemon()
+    backup = site.store.back_up()
+    site.write_record("e1", "desk", state="draining", seq=2)
+    await trio.sleep(1.0)
+    site.store.restore(backup)
+    await trio.sleep(1.0)
+    for number in range(8):
+        assert (await site.ask(f"/claim/{number}")).status == 200
+    assert not first.received_requests
+
+
+@case("an endpoint that a backup lacks stays in use")
+async def _(site):
+    await site.endpoint("e2", "engines")
+    backup = site.store.back_up()
+    await start_one(site, "desk")
+    await trio.sleep(2.5)
+    site.store.restore(backup)
+    await trio.sleep(1.0)
+    assert (await site.ask("/claim/1")).status == 200
+    site.write_record("e1", "desk", seq=9)
+    await trio.sleep(REWRITTEN_S + 0.5)
+    assert (await site.ask("/claim/2")).status == 200
+
+
+@case("an exhausted quota stays exhausted after a restore")
+async def _(site):
+    await site.endpoint("e1", "desk")
+    team = {"name": "crew", "api_keys": [KEY], "rate_per_s": 0.5, "burst": 5}
+    site.configure(tenants=[team])
+    first = await site.daemon()
+    await site.wait_until(lambda: "Balances read." in first.log.read_text(), 6.0)
+    balances = "savorydyke/quotas/desk"
+    statuses = [(await site.ask("/claim/1")).status]
+    await site.wait_until(lambda: balances in site.store.items)
+    backup = site.store.back_up()
+    statuses += [(await site.ask("/claim/1")).status for _ in range(11)]
+    assert statuses[:5] == [200] * 5 and statuses[-1] == 429, statuses
+    site.store.restore(backup)
+    second = await restart_alone(site)
+    site.store.put("op/config", site.configuration(tenants=[team]))
+    await site.wait_until_ready(second)
+    assert (await site.ask("/claim/1")).status == 429
+    await site.wait_until(lambda: "Balances read." in second.log.read_text())
+    assert (await site.ask("/claim/1")).status == 429
+
+
+@case("a coordinator writes balances again after a restore")
+async def _(site):
+    await site.endpoint("e1", "desk")
+    team = {"name": "crew", "api_keys": [KEY], "rate_per_s": 0.5, "burst": 5}
+    site.configure(tenants=[team])
+    first = await site.daemon()
+    await site.wait_until(lambda: "Balances read." in first.log.read_text(), 6.0)
+    backup = site.store.back_up()
+    for _ in range(12):
+        await site.ask("/claim/1")
+    balances = "savorydyke/quotas/desk"
+    await site.wait_until(lambda: balances in site.store.items)
+    site.store.restore(backup)
+    assert balances not in site.store.items
+    await site.wait_until(lambda: balances in site.store.items)
+
+
+@case("an instance writes its record with a new lease after a restore")
+async def _(site):
+    backup = site.store.back_up()
+    await start_one(site, "desk")
+    key = "savorydyke/instances/instance-1"
+    await site.wait_until(lambda: key in site.store.items)
+    lease = site.store.items[key].lease
+    site.store.restore(backup)
+    # The number of the lease now belongs to someone else.
+    assert site.store.grant_lease({"ttl_ms": 60_000})[1]["lease"] == lease
+    site.store.put("other/key", {}, lease)
+    await site.wait_until(lambda: key in site.store.items, 2.5)
+    assert site.store.items[key].lease != lease
+
+
+@case("instances link with one that starts after a restore")
+async def _(site):
+    await site.endpoint("e1", "desk")
+    backup = site.store.back_up()
+    await site.daemon("instance-1")
+    await site.wait_until(lambda: "savorydyke/fleet-key" in site.store.items)
+    await trio.sleep(0.5)
+    site.store.restore(backup)
+    await site.daemon("instance-2", wait=False)
+    logs = [daemon.log for daemon in site.daemons]
+    await site.wait_until(
+        lambda: all("Link opened." in log.read_text() for log in logs), 8.0
+    )
+
+
+@case("an answer that the store repeats is not taken for the next one")
+async def _(site):
+    endpoint = await start_one(site, "desk")
+    site.store.mode = Mode.REPEATED
+    await trio.sleep(8.0)
+    # Repeated answers that were read now would confirm a revoked key.
+    site.configure(tenants=OTHER_KEY)
+    site.store.mode = Mode.SILENT
+    await trio.sleep(BOUNDS["revocation_ms"] / 1000)
+    assert (await site.ask("/claim/1")).status == 503
+    assert not endpoint.received_requests
+    # Nor did a call get the answer of another one.
+    assert "bad answer" not in site.daemons[0].log.read_text()
+
+
 # Stops and starts
 
 
--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -3,6 +3,10 @@
 A single watch covers all keys. Each response of the store confirms that the
 known configuration is the newest; peers forward their confirmations. A
 configuration is never replaced by one with a lower version.
+
+After a restore of the store from a backup all keys are read again. Endpoints that
+have left are not used again because the backup still lists them, and nothing is
+confirmed until the changes that it lacks have been written again.
 """
 
 import random
@@ -25,13 +29,16 @@
     Tier,
 )
 from savorydyke._routes import PUBLIC_TEAM, RoutedConfiguration, RoutedTeam
+from savorydyke._store_restores import GENERATION_KEY, StoreRestores, read_generation
 from savorydyke.platform import (
     CONFIGURATION_KEY,
+    FLEET_KEY,
     BadRecordError,
     Change,
     Changes,
     EndpointRecord,
     InstanceRecord,
+    Listing,
     Store,
     StoreError,
     endpoint_of_key,
@@ -52,8 +59,10 @@
 MISSING_GRACE_S = 2.0
 """After an outage of the store, endpoints that are alive write their records
 again within this time."""
-REMOVED_KEPT_S = 10.0
+REMOVED_REPORTED_S = 10.0
 """For how long removed endpoints are reported to peers as leaving."""
+REMOVED_KEPT_S = 600.0
+"""For how long removed endpoints are remembered. A backup is some seconds old."""
 DEFAULT_DEADLINE_S = 30.0
 """Deadline of requests if neither the caller nor the route sets one."""
 ENGINE_FIRST_S = 0.015
@@ -67,6 +76,23 @@
 log = _logs.component_logger("directory")
 
 
+@dataclass(frozen=True)
+class RemovedEndpoint:
+    """An endpoint that was removed.
+
+    Attributes
+    ----------
+    at : float
+        Time of the removal on the monotonic clock.
+    generation : int
+        Generation of the store at that time.
+    """
+
+    record: EndpointRecord
+    at: float
+    generation: int
+
+
 @dataclass
 class Directory:
     """The latest state of the store known to this instance.
@@ -78,6 +104,8 @@
         store.
     manifest : Manifest or None
         The configuration and endpoints in the form used for scheduling.
+    is_manifest_outdated : bool
+        Whether configuration or endpoints have changed since it was made.
     loaded : bool
         Whether the endpoints have been read.
     connected : bool
@@ -88,27 +116,41 @@
     suspects : dict
         Endpoints whose records were missing after an outage, and until when
         they are kept nevertheless, on the monotonic clock.
-    removed_at : dict
-        Endpoints removed recently, and when.
+    removed : dict
+        Endpoints removed recently.
+    restores : StoreRestores
+        Whether the store may lack changes that it acknowledged before a restore.
+    stored_version : int
+        Highest version of the configuration that the store has held since it was
+        last restored, 0 for none.
+    fleet_key : bytes
+        The secret of the fleet's instances in the store, empty for none.
     listeners : list of callable
         Called with each new manifest.
+    restart_listeners : list of callable
+        Called with an endpoint whose record is from a new process.
     """
 
     store: Store
     configuration_age: ConfigurationAge
     rng: random.Random
+    restores: StoreRestores
     configuration: RoutedConfiguration | None = None
     record: bytes = b""
     manifest: Manifest | None = None
+    is_manifest_outdated: bool = False
     loaded: bool = False
     endpoints: dict[EndpointId, EndpointRecord] = field(default_factory=dict)
     instances: dict[InstanceId, InstanceRecord] = field(default_factory=dict)
     suspects: dict[EndpointId, float] = field(default_factory=dict)
-    removed_at: dict[EndpointId, float] = field(default_factory=dict)
+    removed: dict[EndpointId, RemovedEndpoint] = field(default_factory=dict)
+    stored_version: int = 0
+    fleet_key: bytes = b""
     watch_pause_s: float = WATCH_PAUSE_S
     connected: bool = False
     reconnected_at: float = float("-inf")
     listeners: list[Callable[[Manifest], None]] = field(default_factory=list)
+    restart_listeners: list[Callable[[EndpointId], None]] = field(default_factory=list)
 
     @property
     def version(self) -> int:
@@ -130,7 +172,7 @@
                     revision = await self._watch(revision, sent)
                 failures = 0
                 if revision:
-                    await trio.sleep(self.watch_pause_s)
+                    await self._pause()
             except StoreError as error:
                 failures += 1
                 self.connected = False
@@ -139,20 +181,31 @@
                 wait_s = backoff_s(failures, RETRY_BASE_S, RETRY_MAX_S, self.rng)
                 await trio.sleep(RETRY_BASE_S / 2 + wait_s)
 
+    async def _pause(self) -> None:
+        """Wait before the next watch, or until the store has been restored.
+
+        The random delay after a restore spreads the listings of all instances.
+        """
+        with trio.move_on_after(self.watch_pause_s):
+            await self.store.restored.wait()
+            await trio.sleep(self.watch_pause_s * self.rng.random())
+
     async def _read_all(self, sent: float) -> int:
         """Read all keys; return the revision from which to watch."""
         listing = await self.store.list("")
         self._record_response()
-        keys = {item.key for item in listing.items}
+        self._begin_listing(listing)
         for item in listing.items:
-            self._apply_change(Change(item.key, item.value, item.revision))
-        for endpoint in list(self.endpoints):
-            if not any(endpoint_of_key(key) == endpoint for key in keys):
-                self._handle_missing_endpoint(endpoint)
-        for instance in list(self.instances):
-            if not any(instance_of_key(key) == instance for key in keys):
-                del self.instances[instance]
-        self.configuration_age.confirm(sent)
+            change = Change(item.key, item.value, item.revision)
+            if not self._is_from_backup(change):
+                self._apply_change(change)
+        endpoints = {endpoint_of_key(item.key) for item in listing.items}
+        for endpoint in self.endpoints.keys() - endpoints:
+            self._handle_missing_endpoint(endpoint)
+        instances = {instance_of_key(item.key) for item in listing.items}
+        for instance in self.instances.keys() - instances:
+            del self.instances[instance]
+        self._confirm(sent)
         self.loaded = True
         self._publish()
         log.info(
@@ -161,21 +214,59 @@
         )
         return listing.revision
 
+    def _begin_listing(self, listing: Listing) -> None:
+        """Determine whether a listing may lack changes because of a restore."""
+        values = {item.key: item.value for item in listing.items}
+        now = trio.current_time()
+        if self.restores.generation not in {0, self.store.generation}:
+            # Records that the backup lacks are treated as after an outage.
+            self.reconnected_at = now
+            self.stored_version = 0
+        self.fleet_key = values.get(FLEET_KEY, b"")
+        noted = read_generation(values.get(GENERATION_KEY, b""))
+        self.restores.observe_listing(self.store.generation, noted, now)
+
+    def _confirm(self, sent: float) -> None:
+        """Confirm the configuration by an answer to a call made at time `sent`.
+
+        A restored store confirms nothing before it has the newest version again.
+        """
+        if self.stored_version >= self.version and self.is_store_complete():
+            self.configuration_age.confirm(sent)
+
+    def is_store_complete(self) -> bool:
+        """Return whether the store has all changes that it acknowledged."""
+        is_listed = self.restores.generation == self.store.generation
+        return is_listed and self.restores.is_complete(trio.current_time())
+
+    def should_note_generation(self) -> bool:
+        """Return whether to note in the store that a restore is complete."""
+        return (
+            self.restores.noted != self.restores.generation
+            and self.stored_version >= self.version
+            and self.is_store_complete()
+        )
+
     async def _watch(self, revision: int, sent: float) -> int:
+        if self.restores.generation != self.store.generation:
+            return 0
         changes = await self.store.watch("", revision, WATCH_WAIT_S)
         self._record_response()
+        if self.restores.generation != self.store.generation:
+            return 0
         if not isinstance(changes, Changes):
             log.info(
                 "Store history compacted; reading all keys.",
                 extra={"revision": revision},
             )
             return 0
-        before = (self.version, dict(self.endpoints))
         for change in changes.changes:
             self._apply_change(change)
+            if change.key == CONFIGURATION_KEY:
+                self.restores.record_configuration_written()
         self._remove_expired_suspects()
-        self.configuration_age.confirm(sent)
-        if before != (self.version, self.endpoints):
+        self._confirm(sent)
+        if self.is_manifest_outdated:
             self._publish()
         return max(revision, changes.revision)
 
@@ -188,10 +279,38 @@
 
     # Records
 
+    def _is_from_backup(self, change: Change) -> bool:
+        """Return whether a listed record is of an endpoint that had been removed.
+
+        Before a restore the endpoint's removal was known here. If the endpoint has
+        returned, it writes its record again.
+        """
+        endpoint = endpoint_of_key(change.key)
+        removed = self.removed.get(endpoint) if endpoint else None
+        if endpoint is None or removed is None or change.value is None:
+            return False
+        if removed.generation == self.store.generation:
+            return False
+        try:
+            record = read_endpoint(endpoint, change.value)
+        except BadRecordError:
+            # `_apply_endpoint` reports it.
+            return False
+        return (record.started_ms, record.heartbeat) <= (
+            removed.record.started_ms,
+            removed.record.heartbeat,
+        )
+
     def _apply_change(self, change: Change) -> None:
         if change.key == CONFIGURATION_KEY:
             if change.value is not None:
-                self.accept_if_newer(change.value)
+                self._apply_configuration(change.value)
+            return
+        if change.key == GENERATION_KEY:
+            self.restores.observe_note(read_generation(change.value or b""))
+            return
+        if change.key == FLEET_KEY:
+            self.fleet_key = change.value or b""
             return
         endpoint = endpoint_of_key(change.key)
         if endpoint is not None:
@@ -216,9 +335,15 @@
         known = self.endpoints.get(endpoint)
         if known is not None and known.started_ms > record.started_ms:
             return
+        if known is not None and known.started_ms < record.started_ms:
+            for listener in self.restart_listeners:
+                listener(endpoint)
+        elif known is not None and known.leaving and not record.leaving:
+            # An earlier record of the same process, from a backup of the store.
+            return
         if not record.leaving:
-            self.removed_at.pop(endpoint, None)
-        if known is None or replace(known, warm_up_s=0) != replace(record, warm_up_s=0):
+            self.removed.pop(endpoint, None)
+        if known is None or not _same_endpoint(known, record):
             changed: dict[str, object] = {
                 "endpoint": endpoint,
                 "pool": record.pool,
@@ -226,7 +351,8 @@
                 "born_ms": record.started_ms,
             }
             log.info("Endpoint record changed.", extra=changed)
-            self.endpoints[endpoint] = record
+            self.is_manifest_outdated = True
+        self.endpoints[endpoint] = record
 
     def _handle_missing_endpoint(self, endpoint: EndpointId) -> None:
         """Remove an endpoint, unless its record may have expired in an outage."""
@@ -246,20 +372,25 @@
                 self._remove_endpoint(endpoint, "entry not back after an outage")
 
     def _remove_endpoint(self, endpoint: EndpointId, why: str) -> None:
-        if self.endpoints.pop(endpoint, None) is None:
+        record = self.endpoints.pop(endpoint, None)
+        if record is None:
             return
-        self.removed_at[endpoint] = trio.current_time()
+        self.is_manifest_outdated = True
+        self.removed[endpoint] = RemovedEndpoint(
+            record, trio.current_time(), self.store.generation
+        )
         log.info("Endpoint removed.", extra={"endpoint": endpoint, "why": why})
 
     def leaving_endpoints(self) -> set[EndpointId]:
         """Return the endpoints to report to peers as leaving or removed."""
         now = trio.current_time()
-        self.removed_at = {
-            e: t for e, t in self.removed_at.items() if now - t < REMOVED_KEPT_S
+        self.removed = {
+            e: r for e, r in self.removed.items() if now - r.at < REMOVED_KEPT_S
         }
-        return {e.id for e in self.endpoints.values() if e.leaving} | set(
-            self.removed_at
-        )
+        removed = {
+            e for e, r in self.removed.items() if now - r.at < REMOVED_REPORTED_S
+        }
+        return {e.id for e in self.endpoints.values() if e.leaving} | removed
 
     def _apply_instance(self, instance: InstanceId, data: bytes | None) -> None:
         if data is None:
@@ -271,33 +402,52 @@
             extra = {"instance": instance, "error": str(error)}
             log.warning("Instance record unreadable.", extra=extra)
 
-    def accept_if_newer(self, data: bytes) -> bool:
+    def _apply_configuration(self, data: bytes) -> None:
+        """Apply the configuration that the store holds."""
+        configuration = _read_configuration(data)
+        if configuration is not None:
+            self.stored_version = max(self.stored_version, configuration.version)
+            self._accept_if_newer(configuration, data)
+
+    def _accept_if_newer(self, configuration: RoutedConfiguration, data: bytes) -> bool:
         """Use a configuration if it is newer; return whether it was."""
-        try:
-            configuration = read_configuration(data)
-        except BadRecordError as error:
-            log.error("Configuration unreadable.", extra={"error": str(error)})
-            return False
         if configuration.version <= self.version:
             return False
         self.configuration = configuration
         self.record = data
+        self.is_manifest_outdated = True
         log.info("Version in force.", extra={"version": configuration.version})
         return True
 
     def receive_push(self, data: bytes) -> None:
         """Use a configuration sent by a peer if it is newer."""
-        if self.accept_if_newer(data):
+        configuration = _read_configuration(data)
+        if configuration is not None and self._accept_if_newer(configuration, data):
             self._publish()
 
     def _publish(self) -> None:
         if self.configuration is None:
             return
+        self.is_manifest_outdated = False
         self.manifest = build_manifest(self.configuration, self.endpoints)
         for listener in self.listeners:
             listener(self.manifest)
 
 
+def _same_endpoint(one: EndpointRecord, other: EndpointRecord) -> bool:
+    """Return whether two records differ only in what each heartbeat changes."""
+    same = replace(other, warm_up_s=one.warm_up_s, heartbeat=one.heartbeat)
+    return one == same
+
+
+def _read_configuration(data: bytes) -> RoutedConfiguration | None:
+    try:
+        return read_configuration(data)
+    except BadRecordError as error:
+        log.error("Configuration unreadable.", extra={"error": str(error)})
+        return None
+
+
 def build_manifest(
     configuration: RoutedConfiguration,
     endpoints: dict[EndpointId, EndpointRecord],
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -40,8 +40,14 @@
 from savorydyke._quota_balances import QuotaBalances
 from savorydyke._retry_budget import RetryBudget
 from savorydyke._routes import TeamQuota
+from savorydyke._store_restores import (
+    GENERATION_KEY,
+    new_store_restores,
+    write_generation,
+)
 from savorydyke._timers import TimerService
 from savorydyke.platform import (
+    FLEET_KEY,
     InstanceRecord,
     LeaseExpired,
     Store,
@@ -66,6 +72,9 @@
 """A third of the lease, so that two renewals may fail."""
 RETRY_BASE_S = 0.2
 RETRY_MAX_S = 1.0
+REWRITE_CHECK_S = 0.5
+REWRITE_SPREAD_S = 1.0
+"""Time over which the instances write their records again after a restore."""
 MIN_RETRY_S = 0.1
 """Shortest retry delay in refusals: about the time in which a slot of a pool becomes
 free."""
@@ -293,15 +302,25 @@
     # This instance's record in the store
 
     async def keep_instance_record(self) -> None:
-        """Write this instance's record and renew its lease until cancelled."""
+        """Write this instance's record and renew its lease until cancelled.
+
+        After a restore of the store the lease may belong to another instance, so the
+        record is written again with a new one.
+        """
         failures = 0
-        lease = 0
+        lease = generation = 0
         while True:
+            restored = self.store.restored
             try:
+                if generation != self.store.generation:
+                    lease = 0
                 if lease == 0 or not await self.store.renew_lease(lease):
                     lease = await self._write_instance_record()
+                    generation = self.store.generation
                 failures = 0
-                await trio.sleep(LEASE_RENEWAL_S)
+                with trio.move_on_after(LEASE_RENEWAL_S):
+                    await restored.wait()
+                    await trio.sleep(REWRITE_SPREAD_S * self.rng.random())
             except StoreError as error:
                 failures += 1
                 log.debug("Instance record not renewed.", extra={"error": str(error)})
@@ -309,6 +328,34 @@
                     backoff_s(failures, RETRY_BASE_S, RETRY_MAX_S, self.rng)
                 )
 
+    async def rewrite_shared_records(self) -> None:
+        """After restores of the store, write the records that no instance owns.
+
+        Runs until cancelled.
+        """
+        async with self.timers.every(REWRITE_CHECK_S) as ticks:
+            async for _ in ticks:
+                try:
+                    await self._rewrite_shared_records()
+                except StoreError as error:
+                    extra = {"error": str(error)}
+                    log.warning("Shared records not written.", extra=extra)
+
+    async def _rewrite_shared_records(self) -> None:
+        directory = self.directory
+        if directory.restores.generation != self.store.generation:
+            # What the store lacks is known after the next listing.
+            return
+        self.peers.shared_key = directory.fleet_key or self.peers.shared_key
+        if not self.membership.is_chosen("shared records", 1):
+            return
+        if not directory.fleet_key:
+            await self.store.create(FLEET_KEY, self.peers.shared_key)
+        if directory.should_note_generation():
+            generation = directory.restores.generation
+            await self.store.write({GENERATION_KEY: write_generation(generation)})
+            log.info("Store complete.", extra={"generation": generation})
+
     async def _write_instance_record(self) -> int:
         """Write this instance's record; return its lease, or 0 if it has expired."""
         lease = await self.store.open_lease(LEASE_S)
@@ -330,7 +377,8 @@
     metrics = Metrics()
     store.on_call = metrics.observe_store_call
     configuration_age = ConfigurationAge()
-    directory = Directory(store, configuration_age, rng)
+    restores = new_store_restores(settings.bounds.revocation_s)
+    directory = Directory(store, configuration_age, rng, restores)
     membership = Membership(
         settings.instance,
         settings.peers,
@@ -361,6 +409,7 @@
         membership,
         lambda peer, message: gateway.deliver(peer, message),
         rng,
+        directory.is_store_complete,
     )
     grant_client = GrantClient(
         membership=membership,
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -27,10 +27,16 @@
 )
 from savorydyke._log_writer import LogBuffer, flush, write_lines
 from savorydyke._routed_handler import RoutedHandler
-from savorydyke.platform import READINESS_PATH, Item, Store, StoreError, open_store
+from savorydyke.platform import (
+    FLEET_KEY,
+    READINESS_PATH,
+    Item,
+    Store,
+    StoreError,
+    open_store,
+)
 
 FLEET_KEY_BYTES = 24
-FLEET_KEY = "savorydyke/fleet-key"
 DRAIN_NOTICE_S = 2.6
 """The balancer checks readiness once a second and removes an instance after two
 failed checks."""
@@ -104,6 +110,7 @@
     async with trio.open_nursery() as nursery:
         await nursery.start(gateway.peers.listen, gateway.settings.peers)
         nursery.start_soon(gateway.keep_instance_record)
+        nursery.start_soon(gateway.rewrite_shared_records)
         nursery.start_soon(gateway.quota_balances.run)
         nursery.start_soon(gateway.run_heartbeats)
         nursery.start_soon(gateway.peers.maintain_links)
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -1,13 +1,12 @@
 """HTTP/1.1 client over trio streams that reports what may have been sent.
 
 Endpoints and the platform's store are both called through it. A channel serves
-one request at a time. Whether a failure came before or after the first byte was
+one request only. Whether a failure came before or after the first byte was
 sent decides what may be done next, so connections are managed here and not in a
 library's pool.
 """
 
 import math
-import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
@@ -97,22 +96,16 @@
 
     Attributes
     ----------
-    opened : float
-        When it was opened, on the monotonic clock.
-    body_sent : bool
-        Whether the whole request has been sent.
     read_timeout_s : float
         Silence after which reading raises `ChannelTimeoutError`.
     """
 
     stream: trio.SocketStream
-    opened: float
     connection: h11.Connection = field(
         default_factory=lambda: h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
     )
-    body_sent: bool = False
     read_timeout_s: float = math.inf
 
     async def send(
@@ -138,7 +131,6 @@
         assert head is not None
         if nursery is None or len(body) <= INLINE_BODY_BYTES:
             await self._write(head + body)
-            self.body_sent = True
             return
         await self._write(head)
         nursery.start_soon(self._send_body, body)
@@ -152,7 +144,6 @@
     async def _send_body(self, body: bytes) -> None:
         try:
             await self.stream.send_all(body)
-            self.body_sent = True
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # Either reading the answer fails too, or the endpoint has answered
             # without reading the body.
@@ -218,17 +209,6 @@
             return await receive(self.stream, READ_BYTES)
         raise ChannelTimeoutError(f"silent for {self.read_timeout_s:.2f} s")
 
-    def reuse(self) -> bool:
-        """Prepare for another request; return whether that is possible."""
-        ours, theirs = self.connection.our_state, self.connection.their_state
-        if not self.body_sent or ours is not h11.DONE or theirs is not h11.DONE:
-            return False
-        if self.connection.trailing_data != (b"", False):
-            return False
-        self.connection.start_next_cycle()
-        self.body_sent = False
-        return True
-
     def close(self) -> None:
         """Close the connection at once."""
         self.stream.socket.close()
@@ -253,7 +233,7 @@
                 raise
     except (OSError, ValueError, trio.TooSlowError) as error:
         raise ChannelBrokenError(f"connect failed: {error!r}") from None
-    return Channel(trio.SocketStream(sock), time.monotonic())
+    return Channel(trio.SocketStream(sock))
 
 
 def without_hop_headers(headers: Headers) -> Headers:
--- a/src/savorydyke/_quota_balances.py
+++ b/src/savorydyke/_quota_balances.py
@@ -4,6 +4,9 @@
 balances to the instance that would follow it and writes them to the platform's
 store. A new coordinator reads them from the store or, while the store does not
 answer, uses those that it was sent.
+
+A store that was restored from a backup holds older balances. The coordinator then
+writes the balances again; until it has, those in the store are not used.
 """
 
 import json
@@ -21,12 +24,13 @@
 from savorydyke._messages import QuotaPush
 from savorydyke._pool_host import PoolHost
 from savorydyke._quota import Balance, Quotas
-from savorydyke.platform import Store, StoreError
+from savorydyke.platform import Store, StoreError, StoreFault
 
 BALANCES_PREFIX = "savorydyke/quotas/"
 CHECK_S = 0.2
 """Short compared with the time in which a team uses the tokens that may be
 unreported."""
+NO_BALANCES = b"{}"
 RECEIVED_VALID_S = 30.0
 """Older balances are ignored; the pool has had another coordinator since."""
 RETRY_BASE_S = 0.2
@@ -47,6 +51,10 @@
         Balances sent by coordinators, with the time of their arrival.
     hosted : trio.Event
         Set when a pool is hosted here for the first time.
+    is_store_complete : callable
+        Whether the store has all that it acknowledged before it was restored.
+    written : dict of PoolId to int
+        Generation of the store in which the balances of a pool were last written.
     """
 
     store: Store
@@ -54,8 +62,10 @@
     membership: Membership
     send: Callable[[InstanceId, QuotaPush], None]
     rng: random.Random
+    is_store_complete: Callable[[], bool]
     hosted: trio.Event = field(default_factory=trio.Event)
     received: dict[PoolId, tuple[float, bytes]] = field(default_factory=dict)
+    written: dict[PoolId, int] = field(default_factory=dict)
 
     def receive(self, message: QuotaPush, now: float) -> None:
         """Store the balances that the coordinator of a pool has sent."""
@@ -91,6 +101,7 @@
             try:
                 if not quotas.balances_loaded:
                     quotas.restore(await self._read(pool))
+                    self.written.setdefault(pool, self.store.generation)
             except StoreError as error:
                 # Continue: coordinators may have sent the balances of other pools.
                 failure = error
@@ -99,35 +110,54 @@
 
     async def _write(self, hosted: list[tuple[PoolId, Quotas]]) -> None:
         changed: dict[str, bytes] = {}
+        generation = self.store.generation
         reporting = [
             (pool, quotas)
             for pool, quotas in hosted
             if quotas.balances_loaded
-            and quotas.should_report()
+            and (quotas.should_report() or self._is_lost(pool, generation))
             and self.membership.is_coordinator(pool)
         ]
         for pool, quotas in reporting:
-            record = encode_balances(quotas.export(trio.current_time()))
+            balances = quotas.export(trio.current_time())
+            record = encode_balances(balances, generation)
             changed[BALANCES_PREFIX + pool] = record
             next_coordinator = self.membership.next_coordinator(pool)
             if next_coordinator is not None:
                 self.send(next_coordinator, QuotaPush(pool, record))
         if changed:
             await self.store.write(changed)
-        for _, quotas in reporting:
+        for pool, quotas in reporting:
             quotas.unreported.clear()
+            self.written[pool] = generation
+
+    def _is_lost(self, pool: PoolId, generation: int) -> bool:
+        """Return whether the store was restored since balances were written here."""
+        return self.written.get(pool, generation) != generation
 
     async def _read(self, pool: PoolId) -> dict[TeamId, Balance] | None:
+        """Return the balances of the previous coordinator, None if unknown.
+
+        Raises
+        ------
+        StoreError
+            If nothing is known yet.
+        """
         source = "store"
         try:
             item = await self.store.read(BALANCES_PREFIX + pool)
-            balances = decode_balances(item.value) if item else {}
         except StoreError:
-            arrived, record = self.received.get(pool, (-math.inf, b""))
-            if trio.current_time() - arrived > RECEIVED_VALID_S:
+            source, record = "home", self._received(pool)
+            if record is None:
                 raise
-            source = "home"
-            balances = decode_balances(record)
+        else:
+            record = item.value if item else NO_BALANCES
+            if item is None and not self.is_store_complete():
+                detail = "balances may be missing after a restore"
+                raise StoreError(StoreFault.REFUSED, detail)
+            if item and decode_generation(record) != self.store.generation:
+                source, record = "home", self._received(pool)
+        balances = None if record is None else decode_balances(record)
         extra = {
             "pool": pool,
             "teams": None if balances is None else len(balances),
@@ -136,22 +166,46 @@
         log.info("Balances read.", extra=extra)
         return balances
 
+    def _received(self, pool: PoolId) -> bytes | None:
+        """Return the balances that the previous coordinator sent, if recent."""
+        arrived, record = self.received.get(pool, (-math.inf, b""))
+        is_recent = trio.current_time() - arrived <= RECEIVED_VALID_S
+        return record if is_recent else None
+
+
+def encode_balances(balances: dict[TeamId, Balance], generation: int) -> bytes:
+    """Return the stored form of balances.
 
-def encode_balances(balances: dict[TeamId, Balance]) -> bytes:
-    """Return the stored form of balances."""
+    Parameters
+    ----------
+    generation : int
+        Generation of the store in which they are written.
+    """
     rows = {
         team: [round(balance.tokens), *map(round, balance.used)]
         for team, balance in balances.items()
     }
-    return json.dumps(rows).encode()
+    return json.dumps({"generation": generation, "teams": rows}).encode()
+
+
+def decode_generation(data: bytes) -> int:
+    """Return the generation of the store in which balances were written."""
+    try:
+        return int(json.loads(data)["generation"])
+    except (ValueError, TypeError, LookupError):
+        # Earlier versions of this program stored none.
+        return 0
 
 
 def decode_balances(data: bytes) -> dict[TeamId, Balance] | None:
     """Return stored balances, or None if they are unreadable."""
     try:
+        value = json.loads(data)
+        # Earlier versions of this program stored the rows only.
+        rows = value["teams"] if isinstance(value.get("teams"), dict) else value
         return {
             TeamId(team): Balance(float(row[0]), tuple(float(used) for used in row[1:]))
-            for team, row in json.loads(data).items()
+            for team, row in rows.items()
         }
     except (ValueError, TypeError, AttributeError, LookupError) as error:
         log.error("Balances unreadable.", extra={"error": repr(error)})
--- a/src/savorydyke/platform/__init__.py
+++ b/src/savorydyke/platform/__init__.py
@@ -16,6 +16,7 @@
 )
 from savorydyke.platform._records import (
     CONFIGURATION_KEY,
+    FLEET_KEY,
     READINESS_PATH,
     BadRecordError,
     EndpointRecord,
@@ -37,12 +38,14 @@
     Listing,
     Store,
     StoreError,
+    StoreFault,
     Written,
     open_store,
 )
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "FLEET_KEY",
     "READINESS_PATH",
     "BadRecordError",
     "BadRequestHeadError",
@@ -58,6 +61,7 @@
     "ResponseInfo",
     "Store",
     "StoreError",
+    "StoreFault",
     "Written",
     "endpoint_headers",
     "endpoint_of_key",
--- a/src/savorydyke/platform/_records.py
+++ b/src/savorydyke/platform/_records.py
@@ -20,6 +20,7 @@
 CONFIGURATION_KEY = "op/config"
 ENDPOINT_PREFIX = "servers/"
 INSTANCE_PREFIX = "savorydyke/instances/"
+FLEET_KEY = "savorydyke/fleet-key"
 READINESS_PATH = b"/savorydyke/readyz"
 DEFAULT_TOKENS_PER_EVENT = 1
 MIN_ABANDON_AFTER_S = 2.0
@@ -43,6 +44,8 @@
     started_ms : int
         Start of the process, in Unix milliseconds. It differs after a restart
         under the same name.
+    heartbeat : int
+        Number of the heartbeat with which it was written, 0 if not given.
     warm_up_s : float
         For how much longer it is slow because it has only just started.
     """
@@ -55,6 +58,7 @@
     leaving: bool
     warm_up_s: float
     started_ms: int
+    heartbeat: int = 0
 
 
 @dataclass(frozen=True)
@@ -150,6 +154,7 @@
         leaving=state == "draining",
         warm_up_s=_number(value, "cold_left_ms", 0.0) / 1000,
         started_ms=_integer(value, "born", 0),
+        heartbeat=_integer(value, "seq", 0),
     )
 
 
--- a/src/savorydyke/platform/_store.py
+++ b/src/savorydyke/platform/_store.py
@@ -1,7 +1,12 @@
 """A client of the platform's store: values, watches, transactions, leases.
 
 Each call has a time limit and either returns a result or raises a `StoreError`,
-which says whether the call may have taken effect.
+which says whether the call may have taken effect. Each call uses a connection of its
+own, so that a repeated answer is never taken for that of the next call.
+
+The store may be restored from a backup. It then lacks the latest changes, and assigns
+their revisions and leases again. Each answer states a generation, which rises with
+each restore.
 """
 
 import base64
@@ -15,8 +20,9 @@
 
 import trio
 
+from savorydyke import _logs
 from savorydyke._http1 import (
-    Channel,
+    AnswerHead,
     ChannelBrokenError,
     OutgoingRequest,
     open_channel,
@@ -28,10 +34,10 @@
 CALL_TIMEOUT_S = 1.5
 WATCH_SLACK_S = 1.0
 """Time beyond the requested wait after which a watch counts as lost."""
-IDLE_CHANNELS = 2
-IDLE_CHANNEL_S = 4.0
-"""Idle connections older than this are closed instead of reused, since they may
-no longer work."""
+GENERATION_HEADER = b"store-era"
+
+
+log = _logs.component_logger("store")
 
 
 class StoreFault(Enum):
@@ -124,15 +130,18 @@
     ----------
     on_call : callable
         Called with the name of each call, its duration in seconds and its result.
-    idle_channels : list of (float, Channel)
-        Connections for reuse, and since when they are idle.
+    generation : int
+        Highest generation stated in an answer; 0 if none was.
+    restored : trio.Event
+        Set when the generation rises, and replaced then.
     """
 
     address: str
     on_call: Callable[[str, float, str], None] = field(
         default=lambda name, seconds, result: None
     )
-    idle_channels: list[tuple[float, Channel]] = field(default_factory=list)
+    generation: int = 0
+    restored: trio.Event = field(default_factory=trio.Event)
 
     async def read(self, key: str) -> Item | None:
         """Return the current item of a key, or None."""
@@ -147,6 +156,7 @@
         items: list[Item] = []
         first = 0
         after = ""
+        generation = None
         while True:
             params = {"prefix": prefix}
             if after:
@@ -156,6 +166,9 @@
             page = _decode(lambda v: [_item(item) for item in v["items"]], value)
             items += page
             first = first or _decode(lambda v: int(v["current_rev"]), value)
+            if generation not in {None, self.generation}:
+                raise StoreError(StoreFault.ANSWER_LOST, "restored during a listing")
+            generation = self.generation
             if not value.get("more_pages") or not page:
                 return Listing(tuple(items), first)
             after = page[-1].key
@@ -259,33 +272,53 @@
     async def _exchange(
         self, method: str, target: str, body: dict[str, Any] | None, timeout_s: float
     ) -> tuple[int, bytes]:
-        channel = await self._idle_or_new_channel()
-        reusable = False
+        try:
+            channel = await open_channel(self.address, CONNECT_TIMEOUT_S)
+        except ChannelBrokenError as error:
+            raise StoreError(StoreFault.UNREACHABLE, str(error)) from None
         try:
             with trio.fail_after(timeout_s):
                 await channel.send(self._outgoing(method, target, body), None)
                 head = await channel.read_head()
                 data = b"".join([part async for part in channel.read_body()])
-            reusable = channel.reuse()
-            return head.status, data
         except (ChannelBrokenError, trio.TooSlowError) as error:
             raise StoreError(StoreFault.ANSWER_LOST, repr(error)) from None
         finally:
-            if reusable and len(self.idle_channels) < IDLE_CHANNELS:
-                self.idle_channels.append((trio.current_time(), channel))
-            else:
-                channel.close()
-
-    async def _idle_or_new_channel(self) -> Channel:
-        while self.idle_channels:
-            since, channel = self.idle_channels.pop()
-            if trio.current_time() - since <= IDLE_CHANNEL_S:
-                return channel
             channel.close()
-        try:
-            return await open_channel(self.address, CONNECT_TIMEOUT_S)
-        except ChannelBrokenError as error:
-            raise StoreError(StoreFault.UNREACHABLE, str(error)) from None
+        self._check_generation(head)
+        return head.status, data
+
+    def _check_generation(self, head: AnswerHead) -> None:
+        """Record the generation that an answer states.
+
+        Raises
+        ------
+        StoreError
+            If the answer is from before a restore that is already known. What it
+            confirms may have been lost.
+        """
+        text = head.get(GENERATION_HEADER)
+        if text is None:
+            return
+        if not text.isdigit():
+            log.warning(
+                "Generation unreadable.", extra={"value": text.decode("latin-1")}
+            )
+            return
+        generation = int(text)
+        if generation < self.generation:
+            detail = f"answer of generation {generation}, now {self.generation}"
+            raise StoreError(StoreFault.ANSWER_LOST, detail)
+        if generation == self.generation:
+            return
+        if self.generation:
+            log.warning(
+                "Store restored.",
+                extra={"generation": generation, "before": self.generation},
+            )
+        self.generation = generation
+        self.restored.set()
+        self.restored = trio.Event()
 
     def _outgoing(
         self, method: str, target: str, body: dict[str, Any] | None
--- a/src/savorydyke_standins/_store.py
+++ b/src/savorydyke_standins/_store.py
@@ -1,8 +1,10 @@
 """Stand-in for the store of a routed deployment, with faults on demand."""
 
 import base64
+import copy
 import json
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -20,12 +22,14 @@
 
 MAX_PAGE = 50
 TTL_MIN_MS = 1000
+REPEAT_DELAY_S = 0.02
 
 
 class Mode(Enum):
     """How the store answers calls.
 
-    `LOST` carries out each call but sends no answer.
+    `LOST` carries out each call but sends no answer. `REPEATED` sends each answer
+    twice, the second time a little later.
     """
 
     OK = "sound"
@@ -34,6 +38,7 @@
     SILENT = "silent"
     RESET = "reset"
     LOST = "lost"
+    REPEATED = "repeated"
 
 
 @dataclass
@@ -51,6 +56,18 @@
         return dict(self.__dict__)
 
 
+@dataclass(frozen=True)
+class Backup:
+    """The contents of the store at one time."""
+
+    revision: int
+    oldest_revision: int
+    items: dict[str, StoredItem]
+    history: list[dict[str, Any]]
+    leases: dict[int, tuple[float, float]]
+    last_lease: int
+
+
 @dataclass
 class StandInStore:
     """All keys, their history, leases and the current fault.
@@ -59,6 +76,8 @@
     ----------
     mode : Mode
         How calls are answered.
+    era : int
+        Sent in each answer; increased by each restore. 0 sends none.
     oldest_revision : int
         Revision before which the history was compacted.
     calls : list of str
@@ -66,6 +85,7 @@
     """
 
     mode: Mode = Mode.OK
+    era: int = 1
     revision: int = 1
     oldest_revision: int = 0
     items: dict[str, StoredItem] = field(default_factory=dict)
@@ -105,6 +125,31 @@
         self.history.clear()
         self._wake_watches()
 
+    def back_up(self) -> Backup:
+        """Return a copy of the contents."""
+        return Backup(
+            self.revision,
+            self.oldest_revision,
+            copy.deepcopy(self.items),
+            copy.deepcopy(self.history),
+            dict(self.leases),
+            self.last_lease,
+        )
+
+    def restore(self, backup: Backup) -> None:
+        """Replace the contents by a copy; what was written since is lost.
+
+        Revisions and leases that were assigned since are assigned again.
+        """
+        self.era += 1
+        self.revision = backup.revision
+        self.oldest_revision = backup.oldest_revision
+        self.items = copy.deepcopy(backup.items)
+        self.history = copy.deepcopy(backup.history)
+        self.leases = dict(backup.leases)
+        self.last_lease = backup.last_lease
+        self._wake_watches()
+
     def _record_event(self, event: dict[str, Any]) -> None:
         self.history.append(event)
         self._wake_watches()
@@ -124,18 +169,30 @@
         if self.mode is Mode.RESET:
             return
         if self.mode is Mode.BUSY:
-            await responder.send_answer(503, [], b"")
+            await responder.send_answer(503, self._era_header(), b"")
             return
         if self.mode is Mode.LIMITED:
-            await responder.send_answer(429, [], b"")
+            await responder.send_answer(429, self._era_header(), b"")
             return
         params = {name: values[0] for name, values in parse_qs(query, True).items()}
         body = json.loads(incoming.body) if incoming.body else {}
         status, value = await self._serve(path, params, body)
         if self.mode is Mode.LOST:
             return
-        headers = [(b"Content-Type", b"application/json")]
-        await responder.send_answer(status, headers, json.dumps(value).encode())
+        headers = [(b"Content-Type", b"application/json"), *self._era_header()]
+        data = json.dumps(value).encode()
+        await responder.send_answer(status, headers, data)
+        if self.mode is Mode.REPEATED:
+            await trio.sleep(REPEAT_DELAY_S)
+            lines = [b"%s: %s" % pair for pair in headers]
+            lines = [b"HTTP/1.1 %d X" % status, *lines]
+            lines.append(b"Content-Length: %d" % len(data))
+            with suppress(trio.BrokenResourceError):
+                again = b"\r\n".join(lines) + b"\r\n\r\n" + data
+                await responder.connection.stream.send_all(again)
+
+    def _era_header(self) -> list[tuple[bytes, bytes]]:
+        return [(b"Store-Era", str(self.era).encode())] if self.era else []
 
     async def _serve(
         self, path: str, params: dict[str, str], body: dict[str, Any]
@@ -145,7 +202,7 @@
             "kv-key": lambda: self._read(params["key"]),
             "kv-range": lambda: self._list(params),
             "kv-txn": lambda: self._apply_transaction(body),
-            "kv-lease": lambda: self._grant_lease(body),
+            "kv-lease": lambda: self.grant_lease(body),
             "kv-keep": lambda: self._renew_lease(int(rest)),
             "kv-lease-end": lambda: self.end_lease(int(rest)),
         }
@@ -175,15 +232,18 @@
     async def _watch(self, params: dict[str, str]) -> tuple[int, Any]:
         after = int(params["after"])
         with trio.move_on_after(int(params["wait_ms"]) / 1000):
-            while after >= self.oldest_revision and not self._events(
+            while self._has_history(after) and not self._events(
                 params["prefix"], after
             ):
                 await self.changed.wait()
-        if after < self.oldest_revision:
+        if not self._has_history(after):
             return 410, {}
         events = self._events(params["prefix"], after)
         return 200, {"events": events, "current_rev": self.revision}
 
+    def _has_history(self, after: int) -> bool:
+        return self.oldest_revision <= after <= self.revision
+
     def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
         return [
             event
@@ -206,7 +266,8 @@
             self.remove(key)
         return 200, {"revision": self.revision}
 
-    def _grant_lease(self, body: dict[str, Any]) -> tuple[int, Any]:
+    def grant_lease(self, body: dict[str, Any]) -> tuple[int, Any]:
+        """Grant a lease."""
         ttl_ms = max(TTL_MIN_MS, body["ttl_ms"])
         self.last_lease += 1
         lease = self.last_lease
