Honour endpoints that say that they leave or ask for a pause

Cause: an instance believed only the store's record of an endpoint. One that said in its answers that it leaves went on to get requests, and one that rejected requests with Retry-After was tried again after 0.1 s.

The statement counts from the answer on, by the instance's own knowledge and until the record is of another process; it goes to peers with heartbeats and so to coordinators. A pause holds for the instance that got it; the coordinator is told when the grant is returned, and stops granting for all frontends once two of them have to pause. Retry-After is read by its standard, is bounded, and a bad value is logged and ignored. A request that no endpoint takes is refused with the time until the first pause ends.

A grant that can not be used counts as an attempt that sent nothing, so that a coordinator that does not know of a pause yet is asked three times at most.

Ruled out: a pause of one frontend for the whole fleet (the others may use the endpoint; it would lose its slots for them).

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -17,6 +17,9 @@
       | a start of all instances admits no burst                                   |
       | many small shares admit no more than their sum                             |
       | retries stay within their budget                                           |
+      | an endpoint that asks frontends for a pause gets no request of them        |
+      | if all endpoints ask for a pause requests are refused until its end        |
+      | the time of a Retry-After header is read by its standard                   |
       | the store is listed again without a pause when its history is compacted    |
       | the age of the configuration includes suspension                           |
       | a peer's confirmation counts from the heartbeat that it answers            |
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -75,6 +75,19 @@
       | endpoints beyond the first page of a listing are found             |
       | a restarted endpoint replaces its earlier process                  |
 
+  Scenario Outline: Endpoints that leave or ask for a pause
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                               |
+      | an endpoint that says that it leaves gets no more requests         |
+      | an endpoint that leaves with an error gets no more requests        |
+      | all endpoints of a pool may leave at once                          |
+      | an endpoint that says that it leaves is not used after a restore   |
+      | an endpoint that asks for a pause gets no requests until its end   |
+      | a pool that asks for a pause gets no requests until its end        |
+      | an endpoint whose pause is unreadable is used                      |
+
   Scenario Outline: A store that is restored from a backup
     Then the routed case "<case>" holds
 
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -24,7 +24,14 @@
 from savorydyke._gateway import new_gateway
 from savorydyke._gateway_settings import check_gateway_settings
 from savorydyke._grant_client import Demand
-from savorydyke._ids import InstanceId, PoolId, Reason, ReleaseResult, TeamId
+from savorydyke._ids import (
+    EndpointId,
+    InstanceId,
+    PoolId,
+    Reason,
+    ReleaseResult,
+    TeamId,
+)
 from savorydyke._log_writer import MAX_BUFFERED_BYTES, LogBuffer, write_lines
 from savorydyke._membership import Membership, rendezvous_score
 from savorydyke._messages import Acquire, Grant, MemberRow, Refuse, Release, Started
@@ -32,6 +39,11 @@
 from savorydyke._pool_scheduler import new_pool_scheduler
 from savorydyke._quota import Quotas, Tolerance
 from savorydyke._quota_balances import CHECK_S, decode_balances, encode_balances
+from savorydyke._retry_after import (
+    MAX_PAUSE_S,
+    BadRetryAfterError,
+    parse_retry_after,
+)
 from savorydyke._retry_budget import RetryBudget
 from savorydyke._routed_handler import RoutedHandler
 from savorydyke._routes import TeamQuota
@@ -331,6 +343,66 @@
         assert 6 <= len(window) <= 0.2 * 100 + 10
 
 
+# Endpoints that leave or ask for a pause
+
+
+@case("an endpoint that asks frontends for a pause gets no request of them")
+def _():
+    scheduler = scheduler_of("e0", "e1")
+    (grant,) = scheduler.acquire(acquire("a"), FRONTEND, 0.0)
+    endpoint = grant.answer.endpoint
+    other = "e1" if endpoint == "e0" else "e0"
+
+    def reject(grant, frontend, now):
+        key, attempt, rejected = grant.key, grant.attempt, ReleaseResult.REJECTED
+        fields = (key, attempt, POOL, grant.endpoint, rejected, 0, 0, 2000)
+        scheduler.release(Release(*fields), frontend, now)
+
+    reject(grant.answer, FRONTEND, 0.0)
+    for number in range(4):
+        decisions = scheduler.acquire(acquire(f"b{number}", 0.5), FRONTEND, 0.5)
+        assert granted(decisions) == [other]
+    # The endpoint has not asked the other frontend.
+    neighbour = InstanceId("neighbour")
+    (grant,) = scheduler.acquire(acquire("c", 0.5), neighbour, 0.5)
+    assert grant.answer.endpoint == endpoint
+    reject(grant.answer, neighbour, 0.5)
+    # Two pauses hold for all, and the slots of the other endpoint are taken.
+    assert not scheduler.acquire(acquire("d", 0.7), InstanceId("third"), 0.7)
+    scheduler.endpoint_restarted(EndpointId(endpoint))
+    assert granted(scheduler.grant_waiting(0.8)) == [endpoint]
+
+
+@case("if all endpoints ask for a pause requests are refused until its end")
+def _():
+    scheduler = scheduler_of("e0", "e1")
+    for name in ("e0", "e1"):
+        load = scheduler.endpoints[name]
+        load.pause(FRONTEND, 2.0, 0.0, random.Random(1))
+    (refusal,) = refused(scheduler.acquire(acquire("a", 0.5), FRONTEND, 0.5))
+    assert refusal.reason is Reason.NO_ENDPOINT and not refusal.may_have_run
+    # The spread of the pause and of the refusal.
+    assert 1500 <= refusal.retry_ms <= (2200 - 500) * 1.5
+    assert len(granted(scheduler.acquire(acquire("b", 2.3), FRONTEND, 2.3))) == 1
+
+
+@case("the time of a Retry-After header is read by its standard")
+def _():
+    assert parse_retry_after("2", "") == 2.0
+    assert parse_retry_after("0.25", "") == 0.25
+    assert parse_retry_after("1000000000", "") == MAX_PAUSE_S
+    sent = "Fri, 04 Dec 2026 09:00:00 GMT"
+    assert parse_retry_after("Fri, 04 Dec 2026 09:00:07 GMT", sent) == 7.0
+    assert parse_retry_after("Fri, 04 Dec 2026 08:00:00 GMT", sent) == 0.0
+    for value in ("-1", "nan", "soon", "-inf", "7 s"):
+        try:
+            parse_retry_after(value, sent)
+        except BadRetryAfterError as error:
+            assert value in str(error)
+        else:
+            raise AssertionError(value)
+
+
 # Age of the configuration
 
 
@@ -687,16 +759,17 @@
     for instance in range(4):
         own = []
         while True:
-            name = place_fallback(manifest, demand, (), set(), own, f"i{instance}", 4)
+            name = place_fallback(
+                manifest, demand, (), lambda e: False, own, f"i{instance}", 4
+            )
             if name is None:
                 break
             own.append(name)
         used.update(own)
     assert used == {"e0": 4, "e1": 4, "e2": 4}
-    assert (
-        place_fallback(manifest, demand, ("e0", "e1", "e2"), set(), [], "i", 4) is None
-    )
-    assert place_fallback(manifest, demand, ("e0",), {"e1"}, [], "i", 4) == "e2"
+    avoid, unusable = ("e0", "e1", "e2"), {"e1"}.__contains__
+    assert place_fallback(manifest, demand, avoid, unusable, [], "i", 4) is None
+    assert place_fallback(manifest, demand, ("e0",), unusable, [], "i", 4) == "e2"
 
 
 @case("instances of a large fleet connect to their neighbours on the ring only")
@@ -930,7 +1003,7 @@
             None,
             random.Random(1),
             5.0,
-            set,
+            None,
             None,
             incarnation=incarnation,
         )
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -829,6 +829,181 @@
     assert (len(first.received_requests), len(second.received_requests)) == (0, 2)
 
 
+# Endpoints that leave or ask for a pause
+
+LEAVING = (b"Server-Leaving", b"1")
+NOT_RUN = (b"X-Savorydyke-Not-Executed", b"1")
+
+
+async def leave(exchange):
+    """Answer, and state that this is the last request that is taken."""
+    await exchange.send_complete(200, b"answer", LEAVING)
+
+
+def count(endpoint):
+    """Return how many requests an endpoint has received."""
+    return len(endpoint.received_requests)
+
+
+async def ask_all(site, number, path="/claim/1"):
+    """Send requests to each instance in turn; return their statuses."""
+    statuses = []
+    for turn in range(number):
+        caller = await site.connect(site.daemons[turn % len(site.daemons)].callers)
+        answer = await caller.request("POST", path, site.headers(), BODY)
+        await caller.stream.aclose()
+        statuses.append(answer.status)
+    return statuses
+
+
+@case("an endpoint that says that it leaves gets no more requests")
+async def _(site):
+    leaving = await site.endpoint("e1", "desk", leave)
+    await site.endpoint("e2", "desk")
+    await site.daemon("instance-1")
+    await site.daemon("instance-2")
+    await trio.sleep(1.0)
+    while not leaving.received_requests:
+        await site.ask("/claim/1")
+    # Its record says that it is ready.
+    for _ in range(8):
+        assert (await site.ask("/claim/1")).status == 200
+    assert count(leaving) == 1
+    await trio.sleep(0.6)
+    assert await ask_all(site, 8) == [200] * 8
+    site.write_record("e1", "desk", seq=5)
+    await trio.sleep(1.0)
+    assert await ask_all(site, 8) == [200] * 8
+    assert count(leaving) == 1
+    # Another process of the same name takes requests.
+    again = RoutedEndpoint()
+    site.addresses["e1"] = await site.listen(again.serve, free_address())
+    site.write_record("e1", "desk", born=2)
+    site.write_record("e2", "desk", state="draining")
+    await trio.sleep(4.0)
+    assert await ask_all(site, 4) == [200] * 4
+    assert count(again) == 4
+
+
+@case("an endpoint that leaves with an error gets no more requests")
+async def _(site):
+    async def reject(exchange):
+        await exchange.send_complete(503, b"", NOT_RUN, LEAVING)
+
+    async def stream(exchange):
+        exchange.more_headers = [LEAVING]
+        await answer_stream(exchange)
+
+    first = await site.endpoint("e1", "desk", reject)
+    await site.endpoint("e2", "desk")
+    third = await site.endpoint("e3", "engines", stream)
+    await site.endpoint("e4", "engines", answer_stream)
+    await site.daemon()
+    for number in range(8):
+        assert (await site.ask(f"/claim/{number}")).status == 200
+        assert is_whole_stream(await site.ask(f"/question/{number}"))
+    assert count(first) <= 1 and count(third) <= 1
+
+
+@case("all endpoints of a pool may leave at once")
+async def _(site):
+    endpoints = [await site.endpoint(f"e{n}", "desk", leave) for n in range(3)]
+    await site.daemon("instance-1")
+    await site.daemon("instance-2")
+    await trio.sleep(1.0)
+    statuses = await ask_all(site, 12)
+    assert statuses.count(200) <= 6 and statuses[-1] == 503
+    answer = await site.ask("/claim/1")
+    assert b"not run" in answer.body and float(answer.headers[b"retry-after"]) > 0
+    # Each instance hears of it from the endpoint or from the other one.
+    assert all(1 <= count(endpoint) <= 2 for endpoint in endpoints)
+
+
+@case("an endpoint that says that it leaves is not used after a restore")
+async def _(site):
+    leaving = await site.endpoint("e1", "desk", leave)
+    await site.endpoint("e2", "desk")
+    await site.daemon()
+    backup = site.store.back_up()
+    while not leaving.received_requests:
+        await site.ask("/claim/1")
+    site.store.restore(backup)
+    await trio.sleep(1.0)
+    site.write_record("e1", "desk", seq=9)
+    await trio.sleep(1.0)
+    assert await ask_all(site, 8) == [200] * 8
+    assert count(leaving) == 1
+
+
+def rejecting(*values):
+    """Return a script that rejects requests and asks for a pause."""
+
+    async def reject(exchange):
+        headers = [(b"Retry-After", value) for value in values]
+        await exchange.send_complete(503, b"", NOT_RUN, *headers)
+
+    return reject
+
+
+@case("an endpoint that asks for a pause gets no requests until its end")
+async def _(site):
+    # A claim asks again elsewhere, so that the first rejection costs nothing.
+    pausing_one = await site.endpoint("e1", "desk", rejecting(b"2.5"), answer_plainly)
+
+    async def answer_slowly(exchange):
+        # The endpoint that pauses would be preferred.
+        await trio.sleep(0.15)
+        await exchange.send_complete()
+
+    await site.endpoint("e2", "desk", answer_slowly)
+    await site.daemon()
+    while not pausing_one.received_requests:
+        assert (await site.ask("/claim/1")).status == 200
+    started = trio.current_time()
+    while trio.current_time() < started + 2.4:
+        assert (await site.ask("/claim/1")).status == 200
+        await trio.sleep(0.02)
+    assert count(pausing_one) == 1
+    site.write_record("e2", "desk", state="draining")
+    await trio.sleep(1.0)
+    assert (await site.ask("/claim/1")).status == 200
+    assert count(pausing_one) == 2
+
+
+@case("a pool that asks for a pause gets no requests until its end")
+async def _(site):
+    names = ("e1", "e2")
+    scripts = (rejecting(b"2.0"), answer_plainly)
+    endpoints = [await site.endpoint(name, "desk", *scripts) for name in names]
+    await site.daemon()
+    assert (await site.ask("/claim/1")).status == 503
+    started = trio.current_time()
+    while trio.current_time() < started + 1.8:
+        answer = await site.ask("/claim/1")
+        assert answer.status == 503 and b"not run" in answer.body
+        assert 0 < float(answer.headers[b"retry-after"]) <= 3.0
+        await trio.sleep(0.05)
+    assert [count(endpoint) for endpoint in endpoints] == [1, 1]
+    await trio.sleep(0.6)
+    assert (await site.ask("/claim/1")).status == 200
+
+
+@case("an endpoint whose pause is unreadable is used")
+async def _(site):
+    values = (b"-5", b"soon")
+    scripts = [*(rejecting(value) for value in values), answer_plainly]
+    endpoint = await site.endpoint("e1", "desk", *scripts)
+    daemon = await site.daemon()
+    for _ in range(3):
+        await site.ask("/claim/1")
+        await trio.sleep(0.3)
+    assert (await site.ask("/claim/1")).status == 200
+    assert count(endpoint) >= 3
+    await site.wait_until(
+        lambda: daemon.log.read_text().count("Pause unreadable.") == 2
+    )
+
+
 # A store that is restored from a backup
 
 
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -35,6 +35,11 @@
 """Factor by which a suspect endpoint fails more often than the median of its pool."""
 SUSPECT_SLOTS = 1
 """Most requests in flight at a suspect endpoint, to find out whether it recovered."""
+PAUSED_FRONTENDS = 2
+"""Number of frontends that an endpoint asks for a pause, from which on it gets no
+requests of the others either."""
+PAUSE_SPREAD = 0.1
+"""Largest part of a pause that is randomly added to it, to spread the return."""
 REPORTS_KEPT = 3
 MIN_PREDICTION_S = 0.005
 
@@ -99,6 +104,8 @@
         Whether that share is high, and higher than at most other endpoints.
     external : deque of int
         Requests in recent load reports beyond those granted here.
+    paused_until : dict of InstanceId to float
+        Frontends whose requests the endpoint does not want, and until when.
     parallel : bool
         Whether requests are processed side by side, as plain services do, and
         not one prompt after the other.
@@ -120,6 +127,7 @@
     failing: float = 0.0
     suspect: bool = False
     learned: float = 0.0
+    paused_until: dict[InstanceId, float] = field(default_factory=dict)
     external: deque[int] = field(default_factory=lambda: deque(maxlen=REPORTS_KEPT))
 
     @property
@@ -135,11 +143,33 @@
         """Return whether new work may go to this endpoint."""
         if self.is_closed():
             return False
-        if now < self.open_until:
+        if now < self.open_until or self.is_paused(None, now):
             return False
         # After the back-off, one request at a time tests the endpoint.
         return self.failures == 0 or not self.running
 
+    def pause(
+        self, frontend: InstanceId, pause_s: float, now: float, rng: random.Random
+    ) -> None:
+        """Record that the endpoint wants no request of a frontend for a while."""
+        until = now + pause_s * (1 + PAUSE_SPREAD * rng.random())
+        self.paused_until = {f: t for f, t in self.paused_until.items() if t > now}
+        self.paused_until[frontend] = until
+
+    def is_paused(self, frontend: InstanceId | None, now: float) -> bool:
+        """Return whether the endpoint wants no request of a frontend, or of any."""
+        return now < self.paused_end(frontend)
+
+    def paused_end(self, frontend: InstanceId | None) -> float:
+        """Return until when the endpoint wants no request of a frontend, or of any."""
+        if not self.paused_until:
+            return 0.0
+        ends = sorted(self.paused_until.values())
+        # Of `PAUSED_FRONTENDS` pauses all have to last.
+        shared = ends[-PAUSED_FRONTENDS] if len(ends) >= PAUSED_FRONTENDS else 0.0
+        own = self.paused_until.get(frontend, 0.0) if frontend else 0.0
+        return max(own, shared)
+
     def credits(self, share: float) -> int:
         """Return how many requests granted here may be in flight."""
         outside = min(self.external) if len(self.external) == REPORTS_KEPT else 0
--- a/src/savorydyke/_endpoint_states.py
+++ b/src/savorydyke/_endpoint_states.py
@@ -1,8 +1,9 @@
-"""Endpoints that are leaving, from own observation and from peers.
+"""Endpoints that take no new requests, from own observation and from peers.
 
-Own observations are the platform's list and the endpoint's load report. Only these
-are sent to peers, so that an outdated state is not passed around in circles. Reports
-of peers expire soon after they stop.
+An endpoint may leave, or ask this instance for a pause. Own observations of leaving
+endpoints are the platform's list and what the endpoint itself states. Only these are
+sent to peers, so that an outdated state is not passed around in circles. Reports of
+peers expire soon after they stop. A pause concerns this instance only.
 """
 
 from collections.abc import Callable
@@ -16,7 +17,7 @@
 
 @dataclass
 class EndpointStates:
-    """Which endpoints are leaving.
+    """Which endpoints are leaving or have asked for a pause.
 
     Attributes
     ----------
@@ -26,12 +27,15 @@
         Leaving endpoints by the platform's list and by their own reports.
     from_peers : dict of EndpointId to float
         Endpoints that peers report as leaving, with the time of the last report.
+    paused_until : dict of EndpointId to float
+        Endpoints that want no request from this instance, and until when.
     """
 
     listed: set[EndpointId] = field(default_factory=set)
     reported: set[EndpointId] = field(default_factory=set)
     from_peers: dict[EndpointId, float] = field(default_factory=dict)
     leaving: set[EndpointId] = field(default_factory=set)
+    paused_until: dict[EndpointId, float] = field(default_factory=dict)
     listeners: list[Callable[[EndpointId, bool], None]] = field(default_factory=list)
 
     def set_listed(self, endpoints: set[EndpointId], now: float) -> None:
@@ -54,15 +58,33 @@
         if endpoints:
             self.update(now)
 
+    def pause(self, endpoint: EndpointId, until: float) -> None:
+        """Record that an endpoint wants no request from this instance for a while."""
+        self.paused_until[endpoint] = max(until, self.paused_until.get(endpoint, 0.0))
+
+    def is_unusable(self, endpoint: EndpointId, now: float) -> bool:
+        """Return whether an endpoint is leaving or has asked for a pause."""
+        return endpoint in self.leaving or now < self.paused_until.get(endpoint, 0.0)
+
+    def forget(self, endpoint: EndpointId, now: float) -> None:
+        """Drop the reports of an endpoint, whose process has been replaced."""
+        self.reported.discard(endpoint)
+        self.from_peers.pop(endpoint, None)
+        self.paused_until.pop(endpoint, None)
+        self.update(now)
+
     def observed_leaving(self) -> tuple[EndpointId, ...]:
         """Return the leaving endpoints by own observation, to be sent to peers."""
         return tuple(sorted(self.listed | self.reported))
 
     def update(self, now: float) -> None:
-        """Drop expired reports of peers and notify listeners of changes."""
+        """Drop what has expired and notify listeners of changes."""
         for endpoint, reported_at in list(self.from_peers.items()):
             if now - reported_at > PEER_REPORT_TTL_S:
                 del self.from_peers[endpoint]
+        for endpoint, until in list(self.paused_until.items()):
+            if now >= until:
+                del self.paused_until[endpoint]
         leaving = self.listed | self.reported | self.from_peers.keys()
         changed = leaving ^ self.leaving
         self.leaving = leaving
--- a/src/savorydyke/_estimates.py
+++ b/src/savorydyke/_estimates.py
@@ -64,7 +64,11 @@
 
     def candidates(self, item: Waiting, now: float) -> list[EndpointLoad]:
         """Return the endpoints to which a request may go now."""
-        open_loads = self.open_endpoints(item)
+        open_loads = [
+            load
+            for load in self.open_endpoints(item)
+            if not (load.paused_until and load.is_paused(item.frontend, now))
+        ]
         # If none is usable, an endpoint that may fail is better than a refusal.
         loads = [load for load in open_loads if load.usable(now)] or open_loads
         if not item.avoid:
@@ -72,6 +76,17 @@
         untried = [load for load in loads if load.id not in item.avoid]
         return untried or loads
 
+    def pause_s(self, item: Waiting, now: float) -> float:
+        """Return the time until an open endpoint wants requests of a frontend again.
+
+        Returns
+        -------
+        float
+            0 if there is no open endpoint.
+        """
+        ends = [load.paused_end(item.frontend) for load in self.open_endpoints(item)]
+        return max(0.0, min(ends, default=0.0) - now)
+
     def uncached(self, load: EndpointLoad, item: Waiting) -> int:
         """Return the prompt tokens that an endpoint would have to process."""
         if not item.prefix:
--- a/src/savorydyke/_fallback_placement.py
+++ b/src/savorydyke/_fallback_placement.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from savorydyke._grant_client import Demand
 from savorydyke._ids import EndpointId, InstanceId
@@ -17,7 +17,7 @@
     manifest: Manifest,
     demand: Demand,
     avoid: tuple[EndpointId, ...],
-    unusable: set[EndpointId],
+    is_unusable: Callable[[EndpointId], bool],
     in_flight: Iterable[EndpointId],
     instance: InstanceId,
     instances: int,
@@ -26,6 +26,8 @@
 
     Parameters
     ----------
+    is_unusable : callable
+        Whether an endpoint takes no new requests.
     in_flight : iterable of EndpointId
         The endpoint of each request of this instance.
     instances : int
@@ -37,7 +39,7 @@
         for name in manifest.reachable(demand.team, demand.pool)
         if not (spec := manifest.endpoints[name]).drained
         and name not in avoid
-        and name not in unusable
+        and not is_unusable(name)
         and used[name] < max(1, spec.max_concurrency // max(1, instances))
     ]
     if not free:
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -274,7 +274,7 @@
             manifest,
             demand,
             avoid,
-            self.states.leaving,
+            lambda endpoint: self.states.is_unusable(endpoint, now),
             in_flight,
             self.membership.id,
             self.membership.known_count(),
@@ -440,6 +440,10 @@
     membership.listeners.append(grant_client.follow_coordinators)
     membership.loss_listeners.append(pool_host.frontend_lost)
     states.listeners.append(pool_host.set_leaving)
+    directory.restart_listeners.append(
+        lambda endpoint: states.forget(endpoint, trio.current_time())
+    )
+    directory.restart_listeners.append(pool_host.endpoint_restarted)
     directory.listeners.append(pool_host.reconfigure)
     directory.listeners.append(lambda manifest: _update_quota_limits(gateway))
     directory.listeners.append(lambda manifest: grant_client.follow_coordinators())
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -68,7 +68,7 @@
             nursery,
             gateway.rng,
             settings.bounds.revocation_s,
-            lambda: gateway.states.leaving,
+            gateway.states,
             gateway.metrics,
             incarnation=gateway.membership.incarnation,
         )
--- a/src/savorydyke/_grant_client.py
+++ b/src/savorydyke/_grant_client.py
@@ -392,8 +392,15 @@
         result: ReleaseResult,
         output_tokens: int = 0,
         decode_s: float = 0.0,
+        pause_s: float = 0.0,
     ) -> None:
-        """Return a grant, and report how its request ended."""
+        """Return a grant, and report how its request ended.
+
+        Parameters
+        ----------
+        pause_s : float
+            For how long the endpoint wants no other request of this instance.
+        """
         item = self.in_flight.pop(key, None)
         if item is None:
             return
@@ -405,6 +412,7 @@
             result,
             output_tokens,
             int(decode_s * 1000),
+            math.ceil(pause_s * 1000),
         )
         self._send_to_coordinator(item.demand.pool, message)
         is_fallback = item.granted.coordinator == FALLBACK
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -27,7 +27,7 @@
     TeamId,
 )
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 MAX_FRAME_BYTES = 2_000_000
 
 
@@ -269,6 +269,8 @@
     ----------
     output_tokens, decode_ms : int
         Tokens generated, and the time that this took after the first byte.
+    pause_ms : int
+        For how long the endpoint wants no other request of the sending frontend.
     """
 
     key: RequestKey
@@ -278,6 +280,7 @@
     result: ReleaseResult
     output_tokens: int
     decode_ms: int
+    pause_ms: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -267,6 +267,11 @@
         for hosted in self.hosted.values():
             hosted.scheduler.set_leaving(endpoint, leaving)
 
+    def endpoint_restarted(self, endpoint: EndpointId) -> None:
+        """Record in all schedulers that an endpoint's process has been replaced."""
+        for hosted in self.hosted.values():
+            hosted.scheduler.endpoint_restarted(endpoint)
+
     def frontend_lost(self, frontend: InstanceId) -> None:
         """Record in all schedulers that an instance has died."""
         now = trio.current_time()
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -184,6 +184,12 @@
         if leaving:
             self.estimates.prefixes.forget(endpoint)
 
+    def endpoint_restarted(self, endpoint: EndpointId) -> None:
+        """Drop what an earlier process of an endpoint has asked for."""
+        load = self.endpoints.get(endpoint)
+        if load is not None:
+            load.paused_until.clear()
+
     # Requests
 
     def acquire(
@@ -282,6 +288,8 @@
         message: Release,
     ) -> None:
         result = message.result
+        if message.pause_ms > 0:
+            load.pause(item.frontend, message.pause_ms / 1000, now, self.rng)
         load.remove(item.key)
         self.placed.pop(item.key, None)
         if result in _NOT_RUN:
@@ -578,7 +586,8 @@
             return self._refuse(item, Reason.NOT_APPROVED, detail, None, now)
         if not self.estimates.candidates(item, now):
             detail = "no endpoint of the pool takes new work"
-            return self._refuse(item, Reason.NO_ENDPOINT, detail, RETRY_RANGE_S[0], now)
+            retry_s = self.estimates.pause_s(item, now) or RETRY_RANGE_S[0]
+            return self._refuse(item, Reason.NO_ENDPOINT, detail, retry_s, now)
         limit = self.manifest.teams[item.team].max_waiting
         if self.queue.team_length(item.rank, item.team) >= limit:
             detail = f"{limit} requests of the team wait"
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -7,7 +7,6 @@
 
 import math
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 import trio
@@ -15,6 +14,7 @@
 from savorydyke import _logs
 from savorydyke._configuration_age import boot_time
 from savorydyke._directory import Directory
+from savorydyke._endpoint_states import EndpointStates
 from savorydyke._grant_client import Demand, GrantClient, Granted, Refused
 from savorydyke._http1 import (
     ChannelBrokenError,
@@ -36,6 +36,7 @@
 from savorydyke._manifest import SERVICE_CALL_TOKENS, Endpoint
 from savorydyke._metrics import Metrics
 from savorydyke._problems import Refusal
+from savorydyke._retry_after import BadRetryAfterError, parse_retry_after
 from savorydyke._routed_relay import (
     NO_CAPACITY_RETRY_S,
     deliver,
@@ -58,6 +59,7 @@
 from savorydyke.platform import (
     BadRequestHeadError,
     RequestInfo,
+    ResponseInfo,
     endpoint_headers,
     parse_request_headers,
     parse_response_headers,
@@ -66,8 +68,8 @@
 
 CONNECT_TIMEOUT_S = 0.3
 """Endpoints are a few ms away; one that takes longer counts as unreachable."""
-MAX_UNREACHABLE = 3
-"""Number of unreachable endpoints after which a request is refused."""
+MAX_UNSENT = 3
+"""Number of endpoints after which a request that could not be sent is refused."""
 REJECT_MAX_AGE_S = 1.5
 """Configuration age up to which unknown keys and paths are rejected.
 
@@ -112,7 +114,7 @@
     background: trio.Nursery
     rng: random.Random
     revocation_s: float
-    unusable: Callable[[], set[EndpointId]]
+    states: EndpointStates
     metrics: Metrics
     refusing: bool = False
     incarnation: int = 0
@@ -292,7 +294,7 @@
     def _may_retry(self, request: RoutedRequest, result: SendResult) -> bool:
         """Return whether another endpoint may be tried."""
         if isinstance(result, NotRun) and was_not_sent(request):
-            return request.unreachable < MAX_UNREACHABLE
+            return request.unsent < MAX_UNSENT
         if len(request.sent_to) >= request.route.max_endpoints:
             return False
         if isinstance(result, NotRun):
@@ -366,26 +368,30 @@
         """Use one grant and release it."""
         request.granted_at = granted.received
         request.first_byte = None
+        request.pause_s = 0.0
         request.result = ReleaseResult.NOT_SENT
         events = request.events
         try:
             endpoint = self._endpoint(granted.endpoint)
             if endpoint is None:
-                return NotRun("the endpoint has left")
+                request.unsent += 1
+                return NotRun("the endpoint takes no new requests")
             return await self._send(request, endpoint, key, granted.first_s)
         finally:
             tokens = (request.events - events) * self._tokens_per_event(request.pool)
             decode_s = (
                 request.last_byte - request.first_byte if request.first_byte else 0.0
             )
-            self.grant_client.release(key, request.result, tokens, decode_s)
+            self.grant_client.release(
+                key, request.result, tokens, decode_s, request.pause_s
+            )
 
     def _endpoint(self, name: EndpointId) -> Endpoint | None:
         manifest = self.directory.manifest
         spec = manifest.endpoints.get(name) if manifest else None
-        if spec is None or spec.drained or name in self.unusable():
+        if spec is None or spec.drained:
             return None
-        return spec
+        return None if self.states.is_unusable(name, trio.current_time()) else spec
 
     def _tokens_per_event(self, pool: PoolId) -> int:
         configuration = self.directory.configuration
@@ -403,9 +409,13 @@
             channel = await open_channel(endpoint.address, CONNECT_TIMEOUT_S)
         except ChannelBrokenError as error:
             request.result = ReleaseResult.UNREACHABLE
-            request.unreachable += 1
+            request.unsent += 1
             return NotRun(str(error))
         try:
+            if self.states.is_unusable(endpoint.id, trio.current_time()):
+                # It has said so in another answer meanwhile.
+                request.unsent += 1
+                return NotRun("the endpoint takes no new requests")
             request.sent_to.append(endpoint.id)
             request.may_have_run_before = request.may_have_run
             request.may_have_run = True
@@ -414,6 +424,7 @@
             await channel.send(self._outgoing(request, endpoint), self.background)
             head = await read_head(channel, lambda: self._reserve_alternative(request))
             response_info = parse_response_headers(head.status, head.headers)
+            self._observe_endpoint(request, endpoint.id, response_info)
             return await relay_answer(
                 request,
                 channel,
@@ -428,6 +439,28 @@
         finally:
             channel.close()
 
+    def _observe_endpoint(
+        self, request: RoutedRequest, endpoint: EndpointId, info: ResponseInfo
+    ) -> None:
+        """Record what an endpoint states about further requests."""
+        now = trio.current_time()
+        extra: dict[str, object] = {
+            "request": request.request_info.request_id,
+            "endpoint": endpoint,
+        }
+        if info.leaving and endpoint not in self.states.reported:
+            self.states.set_reported(endpoint, True, now)
+            log.info("Endpoint leaves.", extra=extra)
+        if not info.retry_after:
+            return
+        try:
+            request.pause_s = parse_retry_after(info.retry_after, info.date)
+        except BadRetryAfterError as error:
+            log.warning("Pause unreadable.", extra=extra | {"error": str(error)})
+            return
+        self.states.pause(endpoint, now + request.pause_s)
+        log.info("Endpoint pauses.", extra=extra | {"pause_s": request.pause_s})
+
     def _read_timeout_s(self, request: RoutedRequest, first_s: float) -> float:
         """Return how long to wait for a first byte before trying another endpoint."""
         is_last = len(request.sent_to) >= request.route.max_endpoints
--- a/src/savorydyke/_routed_request.py
+++ b/src/savorydyke/_routed_request.py
@@ -73,6 +73,10 @@
         Whether it may have run in any attempt, and in one before the latest.
     last_event_id : str
         Id of the last event that the caller has received.
+    unsent : int
+        Number of attempts that sent nothing.
+    pause_s : float
+        For how long the endpoint of the latest attempt wants no other request.
     reserved : ReservedGrant or None
         Grant for the next attempt, if one has been reserved.
     """
@@ -90,7 +94,8 @@
     tier: TierId
     avoid: list[EndpointId] = field(default_factory=list)
     sent_to: list[EndpointId] = field(default_factory=list)
-    unreachable: int = 0
+    unsent: int = 0
+    pause_s: float = 0.0
     may_have_run: bool = False
     may_have_run_before: bool = False
     last_event_id: str = ""
--- a/src/savorydyke/platform/_headers.py
+++ b/src/savorydyke/platform/_headers.py
@@ -18,6 +18,7 @@
 INSTANCE = b"x-savorydyke-instance-id"
 EXPECT_INSTANCE = b"x-savorydyke-expect-instance"
 TENANT = b"x-savorydyke-tenant"
+LEAVING = b"server-leaving"
 
 OVERRIDDEN_HEADERS = frozenset(
     {
@@ -204,6 +205,11 @@
         Whether the endpoint states that the request did not run.
     running, waiting : int or None
         The endpoint's load, if given.
+    leaving : bool
+        Whether the endpoint states that it takes no new requests from now on.
+    retry_after, date : str
+        When an endpoint that rejects a request takes the next one, and the time at
+        which it said so; empty if not given.
     """
 
     request_id: str
@@ -211,6 +217,9 @@
     not_executed: bool
     running: int | None
     waiting: int | None
+    leaving: bool
+    retry_after: str
+    date: str
 
 
 def parse_response_headers(status: int, headers: Headers) -> ResponseInfo:
@@ -227,6 +236,9 @@
         not_executed=NOT_EXECUTED in found or status == 421,
         running=running,
         waiting=waiting,
+        leaving=found.get(LEAVING, "").strip() == "1",
+        retry_after=found.get(b"retry-after", "").strip() if status == 503 else "",
+        date=found.get(b"date", "").strip(),
     )
 
 
--- a/src/savorydyke_standins/_routed_endpoint.py
+++ b/src/savorydyke_standins/_routed_endpoint.py
@@ -39,13 +39,14 @@
     endpoint: "RoutedEndpoint"
     stream: trio.SocketStream
     request: ReceivedRequest
+    more_headers: list[tuple[bytes, bytes]] = field(default_factory=list)
 
     def response_head(
         self, status: int = 200, *more: tuple[bytes, bytes], stamped: bool = True
     ) -> bytes:
         """Return a response head that echoes the request's id."""
         request_id = self.request.headers.get(b"x-savorydyke-request-id", b"")
-        headers = [(b"X-Savorydyke-Request-Id", request_id), *more]
+        headers = [(b"X-Savorydyke-Request-Id", request_id), *self.more_headers, *more]
         if stamped:
             headers.append(STAMP)
         lines = [b"HTTP/1.1 %d X" % status, *(b"%s: %s" % pair for pair in headers)]
