Move coordination off instances that turn slow; correct what a returning one counts

- The timer service tells by how much its ticks are late.
An instance with two late ones in a row announces that it is slow and coordinates no pool for 3 s more; with 0.15 s it refuses new requests as not run and is not ready.
- A coordinator that is replaced marks what it knows of requests in flight as unverified: nothing is learned from it, and a registration drops or corrects it at once.

A pool without a free slot is not searched for one. Pools are no longer hosted after 10 s instead of 60 s without use.

Ruled out: too few engines (slots were free), quotas, the retry budget.

Tests: five decision cases; the two on returning coordinators failed before the change to registrations.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -20,6 +20,11 @@
       | an endpoint that asks frontends for a pause gets no request of them        |
       | if all endpoints ask for a pause requests are refused until its end        |
       | the time of a Retry-After header is read by its standard                   |
+      | a slow instance does not coordinate                                        |
+      | an instance is slow if its timers are late, not after one pause            |
+      | timers of a process with too much work are late each time                  |
+      | a coordinator that returns does not count what ended or began meanwhile    |
+      | a lost report of a first byte is corrected by a registration               |
       | the store is listed again without a pause when its history is compacted    |
       | the age of the configuration includes suspension                           |
       | a peer's confirmation counts from the heartbeat that it answers            |
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -34,7 +34,18 @@
 )
 from savorydyke._log_writer import MAX_BUFFERED_BYTES, LogBuffer, write_lines
 from savorydyke._membership import Membership, rendezvous_score
-from savorydyke._messages import Acquire, Grant, MemberRow, Refuse, Release, Started
+from savorydyke._messages import (
+    Acquire,
+    Grant,
+    Heartbeat,
+    MemberRow,
+    Refuse,
+    Register,
+    Release,
+    RunningRow,
+    Started,
+)
+from savorydyke._overload import SLOW_DELAY_S, SLOW_HOLD_S, Overload
 from savorydyke._peers import Peers
 from savorydyke._pool_scheduler import new_pool_scheduler
 from savorydyke._quota import Quotas, Tolerance
@@ -49,6 +60,7 @@
 from savorydyke._routes import TeamQuota
 from savorydyke._store_restores import new_store_restores
 from savorydyke._tier_shares import TierShares
+from savorydyke._timers import TimerService
 from savorydyke.platform import (
     BadRecordError,
     Compacted,
@@ -403,6 +415,117 @@
             raise AssertionError(value)
 
 
+# Instances that turn slow
+
+
+def instance_of_three(own="a"):
+    """Return a membership that sees itself and two linked peers."""
+    membership = Membership(InstanceId(own), "127.0.0.1:1", "dc", 1)
+    for name in {"a", "b", "c"} - {own}:
+        membership.merge_row(MemberRow(name, "127.0.0.1:2", "dc", 1, 1, 0, False), 0.0)
+        membership.members[name].linked = True
+    membership.update(0.0)
+    return membership
+
+
+@case("a slow instance does not coordinate")
+def _():
+    views = [instance_of_three(own) for own in ("a", "b", "c")]
+    (coordinator,) = {view.coordinator(POOL) for view in views}
+    changes = []
+    for view in views:
+        view.listeners.append(lambda: changes.append(1))
+        if view.id == coordinator:
+            view.slow = True
+            continue
+        heartbeat = Heartbeat(2, 0, False, 1, 0, (), (), slow=True)
+        view.receive_heartbeat(coordinator, heartbeat, 0.1)
+    # Waiting requests are registered with the next one at once.
+    assert len(changes) == 2
+    (successor,) = {view.coordinator(POOL) for view in views}
+    assert successor != coordinator
+    # If all are slow, one of them must do.
+    for view in views:
+        view.slow = True
+        for member in view.members.values():
+            member.slow = True
+    assert {view.coordinator(POOL) for view in views} == {coordinator}
+
+
+@case("an instance is slow if its timers are late, not after one pause")
+def _():
+    overload = Overload()
+    for delay_s in (0.0, 4.0, 0.0):
+        overload.observe_delay(delay_s, 1.0)
+    assert not overload.is_slow(1.0) and not overload.is_overloaded(1.0)
+    for delay_s in (0.3, 0.06):
+        overload.observe_delay(delay_s, 2.0)
+    assert overload.is_slow(2.0) and not overload.is_overloaded(2.0)
+    for delay_s in (0.2, 0.3, 0.0):
+        overload.observe_delay(delay_s, 2.0)
+    assert overload.is_overloaded(2.1) and not overload.is_overloaded(2.6)
+    assert overload.is_slow(2.0 + SLOW_HOLD_S - 0.1)
+    assert not overload.is_slow(2.0 + SLOW_HOLD_S + 0.1)
+
+
+@case("timers of a process with too much work are late each time")
+def _():
+    async def play(work_s):
+        timers, delays = TimerService(random.Random(1)), []
+        timers.delay_listeners.append(lambda delay_s, now: delays.append(delay_s))
+
+        async def work():
+            while True:
+                time.sleep(work_s)
+                await trio.sleep(0)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(timers.run)
+            nursery.start_soon(work)
+            async with timers.every(0.02) as ticks:
+                for _ in range(8):
+                    await anext(ticks)
+            nursery.cancel_scope.cancel()
+        return min(delays)
+
+    # Each pass of the event loop takes as long as the work.
+    assert trio.run(play, 0.2) > SLOW_DELAY_S
+    assert trio.run(play, 0.001) < SLOW_DELAY_S
+
+
+@case("a coordinator that returns does not count what ended or began meanwhile")
+def _():
+    scheduler = scheduler_of("e0", slots=4)
+    rows = []
+    for number in range(4):
+        key = acquire(f"a{number}").key
+        (decision,) = scheduler.acquire(acquire(f"a{number}"), FRONTEND, 0.0)
+        rows.append(RunningRow(key, 1, CREW, decision.answer.endpoint, 1000, 100, True))
+    load = scheduler.endpoints["e0"]
+    assert not scheduler.acquire(acquire("b", 1.0), FRONTEND, 1.0)
+    # Another instance coordinates for a second; two of the requests end, and the
+    # other two begin.
+    for now in (1.0, 1.5, 2.0):
+        scheduler.suspend(now)
+        scheduler.tick(now)
+    scheduler.register(Register(POOL, True, tuple(rows[:2])), FRONTEND, 2.0)
+    assert load.unstarted_tokens == 0 and len(load.running) == 2
+    assert load.prefill_factor < 1.5
+    assert granted(scheduler.grant_waiting(2.0)) == ["e0"]
+
+
+@case("a lost report of a first byte is corrected by a registration")
+def _():
+    scheduler = scheduler_of("e0", slots=4)
+    message = acquire("a", prompt_tokens=14_000)
+    (decision,) = scheduler.acquire(message, FRONTEND, 0.0)
+    assert not scheduler.acquire(acquire("b", prompt_tokens=14_000), FRONTEND, 0.0)
+    endpoint = decision.answer.endpoint
+    row = RunningRow(message.key, 1, CREW, endpoint, 14_000, 100, True)
+    scheduler.register(Register(POOL, True, (row,)), FRONTEND, 0.2)
+    assert granted(scheduler.grant_waiting(0.2)) == ["e0"]
+
+
 # Age of the configuration
 
 
@@ -1005,6 +1128,7 @@
             5.0,
             None,
             None,
+            None,
             incarnation=incarnation,
         )
         for number in range(3):
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -62,6 +62,9 @@
         Time to the first byte at the assumed speed.
     overdue_s : float
         Part of the time to the first byte that has been learned from already.
+    is_verified : bool
+        Whether its frontend has or will have reported its end here. False after
+        another instance has been the coordinator.
     """
 
     key: RequestKey
@@ -79,6 +82,7 @@
     arrived: float = 0.0
     expected_first_s: float = 0.0
     overdue_s: float = 0.0
+    is_verified: bool = True
 
 
 @dataclass
@@ -245,11 +249,22 @@
         """Learn from the first byte of an answer."""
         if item.started:
             return
-        item.started = True
-        self.unstarted_tokens -= item.uncached_tokens
+        self.mark_started(item)
         observed_s = first_byte_s - item.overdue_s
         self._learn(observed_s, item.expected_first_s, item.granted + first_byte_s)
 
+    def mark_started(self, item: Running) -> None:
+        """Record that an answer has begun, at an unknown time."""
+        if not item.started:
+            item.started = True
+            self.unstarted_tokens -= item.uncached_tokens
+
+    def unverify(self) -> None:
+        """Mark all requests as possibly ended or begun without a report to here."""
+        for item in self.running.values():
+            self.mark_started(item)
+            item.is_verified = False
+
     def remove(self, key: RequestKey) -> Running | None:
         """Remove a request and free its credits."""
         item = self.running.pop(key, None)
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -16,7 +16,7 @@
 from savorydyke._grant_client import COORDINATOR_STALLED_S, Demand, GrantClient
 from savorydyke._ids import EndpointId, InstanceId, PoolId, Revision, TeamId
 from savorydyke._log_writer import LogBuffer
-from savorydyke._membership import MAX_FULL_MESH, Membership
+from savorydyke._membership import Membership
 from savorydyke._messages import (
     Acquire,
     ConfigurationPush,
@@ -33,6 +33,7 @@
     Withdraw,
 )
 from savorydyke._metrics import Metrics
+from savorydyke._overload import Overload
 from savorydyke._peers import Peers
 from savorydyke._pool_host import PoolHost
 from savorydyke._pool_scheduler import PoolScheduler
@@ -116,6 +117,7 @@
     log_buffer: LogBuffer
     fallback_quotas: Quotas
     quota_balances: QuotaBalances
+    overload: Overload
     stopping: bool = False
 
     def deliver(self, instance: InstanceId, message: Message) -> None:
@@ -167,9 +169,10 @@
         async with self.timers.every(HEARTBEAT_INTERVAL_S) as ticks:
             async for _ in ticks:
                 ticks_seen += 1
-                if ticks_seen % self._adapt_to_fleet_size():
-                    continue
                 now = trio.current_time()
+                has_changed = self._update_slow(now)
+                if ticks_seen % self._adapt_to_fleet_size() and not has_changed:
+                    continue
                 counter = self.membership.next_heartbeat(now)
                 self.configuration_age.record_heartbeat(counter, boot_time())
                 self._send_heartbeats(counter, now)
@@ -177,6 +180,17 @@
                 self.membership.update(now)
                 self.apply_instance_records()
 
+    def _update_slow(self, now: float) -> bool:
+        """Announce whether this instance is slow; return whether that has changed."""
+        slow = self.overload.is_slow(now)
+        if slow == self.membership.slow:
+            return False
+        self.membership.slow = slow
+        self.membership.notify()
+        delay_ms = int(self.overload.delay_s * 1000)
+        log.info("Speed changed.", extra={"slow": slow, "delay_ms": delay_ms})
+        return True
+
     def apply_instance_records(self) -> None:
         """Apply the addresses and weights of the instances' records in the store.
 
@@ -195,7 +209,7 @@
         int
             Ticks per heartbeat.
         """
-        is_large = self.membership.alive_count >= MAX_FULL_MESH
+        is_large = self.membership.is_large_fleet()
         ticks = LARGE_FLEET_TICKS if is_large else 1
         self.membership.heartbeat_interval_s = ticks * HEARTBEAT_INTERVAL_S
         self.membership.dead_after_s = ticks * DEAD_AFTER_S
@@ -204,8 +218,22 @@
         self.directory.watch_pause_s = pause_s
         return ticks
 
-    def _send_heartbeats(self, counter: int, now: float) -> None:
+    def _due_peers(self, counter: int) -> list[InstanceId]:
+        """Return the peers to send a heartbeat to.
+
+        In a large fleet each instance and the coordinators hear of each other at each
+        interval, others at every second one, which is still within the timeout.
+        """
         peers = list(self.peers.links)
+        if counter % 2 == 0 or not self.membership.is_large_fleet():
+            return peers
+        coordinators = {self.membership.coordinator(pool) for pool in self.pools()}
+        if self.membership.id in coordinators:
+            return peers
+        return [peer for peer in peers if peer in coordinators]
+
+    def _send_heartbeats(self, counter: int, now: float) -> None:
+        peers = self._due_peers(counter)
         informed = self.rng.choice(peers) if peers else None
         for peer in peers:
             member = self.membership.members.get(peer)
@@ -218,6 +246,7 @@
                 confirmation_age_ms=self.configuration_age.age_ms(boot_time()),
                 leaving_endpoints=self.states.observed_leaving(),
                 rows=rows,
+                slow=self.membership.slow,
             )
             self.peers.send(peer, heartbeat)
 
@@ -225,6 +254,8 @@
         """Return whether the balancer may send new callers to this instance."""
         if self.stopping or not self.directory.loaded:
             return False
+        if self.overload.is_overloaded(trio.current_time()):
+            return False
         age_s = self.configuration_age.age_s(boot_time())
         return age_s <= READY_AGE_SHARE * self.settings.bounds.revocation_s
 
@@ -242,6 +273,7 @@
             "homes": len(schedulers),
             "waiting": sum(len(scheduler.queue) for scheduler in schedulers),
             "places_used": sum(len(scheduler.placed) for scheduler in schedulers),
+            "delay_ms": int(self.overload.delay_s * 1000),
             "log_lines_dropped": self.log_buffer.dropped,
             "log_lines_sampled": self.log_buffer.sampled,
             "peer_bytes_sent": self.peers.traffic.bytes_sent,
@@ -418,10 +450,12 @@
         pools=lambda: gateway.pools(),
         place_fallback=lambda demand, avoid: gateway.place_fallback(demand, avoid),
     )
+    timers, overload = TimerService(rng), Overload()
+    timers.delay_listeners.append(overload.observe_delay)
     gateway = Gateway(
         settings,
         rng,
-        TimerService(rng),
+        timers,
         store,
         configuration_age,
         directory,
@@ -436,6 +470,7 @@
         # all instances does not allow a burst.
         Quotas(opened=trio.current_time()),
         quota_balances,
+        overload,
     )
     membership.listeners.append(grant_client.follow_coordinators)
     membership.loss_listeners.append(pool_host.frontend_lost)
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -69,6 +69,7 @@
             gateway.rng,
             settings.bounds.revocation_s,
             gateway.states,
+            gateway.overload,
             gateway.metrics,
             incarnation=gateway.membership.incarnation,
         )
--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -52,6 +52,8 @@
         When opening a link to it last failed.
     acknowledged_at : float
         When the latest heartbeat that it has acknowledged was sent.
+    slow : bool
+        Whether it is too slow to coordinate a pool.
     """
 
     id: InstanceId
@@ -66,6 +68,7 @@
     acknowledged_at: float = float("-inf")
     last_direct_counter: int = 0
     dial_failed_at: float = float("-inf")
+    slow: bool = False
 
 
 @dataclass
@@ -94,6 +97,7 @@
     dead_after_s: float = DEAD_AFTER_S
     counter: int = 0
     leaving: bool = False
+    slow: bool = False
     next_row: int = 0
     alive_count: int = 0
     members: dict[InstanceId, Member] = field(default_factory=dict)
@@ -117,8 +121,14 @@
             return
         member.counter = row.counter
         member.leaving = member.leaving or row.leaving
+        self._set_slow(member, row.slow)
         member.last_seen = max(member.last_seen, now - row.age_ms / 1000)
 
+    def _set_slow(self, member: Member, slow: bool) -> None:
+        if member.slow != slow:
+            member.slow = slow
+            self.notify()
+
     def _add(self, row: MemberRow, now: float, earlier: Member | None) -> None:
         if earlier is not None:
             self._report_lost(row.instance)
@@ -131,6 +141,7 @@
             leaving=row.leaving,
             last_seen=now - row.age_ms / 1000,
             linked=earlier.linked if earlier else False,
+            slow=row.slow,
         )
 
     def receive_heartbeat(
@@ -145,6 +156,7 @@
         if heartbeat.counter > member.counter:
             member.counter = heartbeat.counter
             member.last_seen = now
+            self._set_slow(member, heartbeat.slow)
         member.leaving = member.leaving or heartbeat.leaving
         sent_at = self.sent_at.get(heartbeat.echo)
         if sent_at is not None:
@@ -196,6 +208,19 @@
         hops = math.ceil(math.log2(count)) + EXTRA_HOPS
         return self.dead_after_s + self.heartbeat_interval_s * turns * hops
 
+    def is_large_fleet(self) -> bool:
+        """Return whether instances have links to some others only."""
+        return self.alive_count >= MAX_FULL_MESH
+
+    def expect_no_heartbeats(self, instance: InstanceId) -> None:
+        """Record that a link was closed because it is not needed.
+
+        What peers report of the instance counts from now on.
+        """
+        member = self.members.get(instance)
+        if member is not None and self.is_large_fleet():
+            member.has_direct_heartbeats = False
+
     def _state(self, member: Member, now: float) -> MemberState:
         if now - member.last_seen > self._dead_after_s(member):
             return MemberState.DEAD
@@ -245,7 +270,11 @@
         return self._highest_score(pool, others) if others else None
 
     def _highest_score(self, pool: PoolId, candidates: list[InstanceId]) -> InstanceId:
-        """Return the instance with the highest hash among the strong ones."""
+        """Return the instance with the highest hash among the strong ones.
+
+        Slow instances are chosen only if all are.
+        """
+        candidates = [n for n in candidates if not self.is_slow(n)] or candidates
         strongest = max(self.weights.get(name, 1.0) for name in candidates)
         candidates = [
             name
@@ -256,11 +285,18 @@
 
     def _is_reachable(self, name: InstanceId) -> bool:
         member = self.members[name]
-        if member.linked or self.alive_count < MAX_FULL_MESH:
+        if member.linked or not self.is_large_fleet():
             return member.linked
         # In a large fleet links are opened on demand.
         return member.dial_failed_at < member.last_seen
 
+    def is_slow(self, name: InstanceId) -> bool:
+        """Return whether an instance has announced that it is slow."""
+        if name == self.id:
+            return self.slow
+        member = self.members.get(name)
+        return member is not None and member.slow
+
     def is_silent(self, instance: InstanceId, now: float, after_s: float) -> bool:
         """Return whether a member has no link or was not seen for `after_s`."""
         member = self.members.get(instance)
@@ -335,6 +371,7 @@
                 m.counter,
                 max(0, int((now - m.last_seen) * 1000)),
                 m.leaving,
+                m.slow,
             )
             for m in alive
         )
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -81,6 +81,7 @@
     counter: int
     age_ms: int
     leaving: bool
+    slow: bool = False
 
 
 @dataclass(frozen=True)
@@ -102,6 +103,8 @@
         Endpoints that the sender knows to be leaving.
     rows : tuple of MemberRow
         The sender's view of the fleet; sent on only one link at each interval.
+    slow : bool
+        Whether the sender is too slow to coordinate a pool.
     """
 
     counter: int
@@ -111,6 +114,7 @@
     confirmation_age_ms: int
     leaving_endpoints: tuple[EndpointId, ...]
     rows: tuple[MemberRow, ...]
+    slow: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/savorydyke/_peers.py
+++ b/src/savorydyke/_peers.py
@@ -28,6 +28,7 @@
     MAX_FRAME_BYTES,
     PROTOCOL_VERSION,
     Challenge,
+    Heartbeat,
     Hello,
     MemberRow,
     Message,
@@ -43,6 +44,9 @@
 DIAL_BASE_S = 0.2
 DIAL_MAX_S = 5.0
 LINK_CHECK_INTERVAL_S = 0.25
+UNUSED_LINK_S = 8.0
+"""Twice the interval at which frontends register with a coordinator, so that links to
+coordinators are kept."""
 LINK_SILENT_S = 2.5
 """Five heartbeats. A connection may stop carrying data without being reset, so a
 silent one is closed."""
@@ -79,6 +83,8 @@
     dialler : InstanceId
         The instance that opened it. Of two links between the same pair, the one
         opened by the instance with the smaller id is kept.
+    last_used_at : float
+        When the latest message other than a heartbeat was sent or received.
     """
 
     peer: InstanceId
@@ -88,14 +94,21 @@
     queue: list[Message] = field(default_factory=list)
     wake: trio.Event = field(default_factory=trio.Event)
     last_received_at: float = field(default_factory=trio.current_time)
+    last_used_at: float = field(default_factory=trio.current_time)
 
     def send(self, message: Message) -> None:
         """Queue a message; close the link if the peer does not read."""
+        self.note_use(message)
         self.queue.append(message)
         self.wake.set()
         if len(self.queue) > MAX_QUEUED:
             self.scope.cancel()
 
+    def note_use(self, message: Message) -> None:
+        """Record the time of a message other than a heartbeat."""
+        if not isinstance(message, Heartbeat):
+            self.last_used_at = trio.current_time()
+
 
 class Peers:
     """All links of this instance.
@@ -178,6 +191,8 @@
                     self.dialling.add(address)
                     nursery.start_soon(self._dial, address)
                 self._close_silent_links(trio.current_time())
+                for link in self._unused_links(trio.current_time()):
+                    nursery.start_soon(link.websocket.aclose)
                 await trio.sleep(LINK_CHECK_INTERVAL_S)
 
     def _close_silent_links(self, now: float) -> None:
@@ -187,6 +202,23 @@
                 log.warning("Closing silent link.", extra={"peer": link.peer})
                 link.scope.cancel()
 
+    def _unused_links(self, now: float) -> list[Link]:
+        """Return the links of a large fleet that this instance no longer needs.
+
+        While instances find each other after their start, they open more links than
+        those to their neighbours on the ring. Each costs heartbeats at both ends.
+        """
+        if not self.membership.is_large_fleet():
+            return []
+        wanted = {member.id for member in self.membership.wanted_links()}
+        return [
+            link
+            for link in self.links.values()
+            if link.dialler == self.membership.id
+            and link.peer not in wanted
+            and now - link.last_used_at > UNUSED_LINK_S
+        ]
+
     def _missing_addresses(self) -> list[str]:
         members = self.membership.members
         wanted = {m.id: m.address for m in self.membership.wanted_links()}
@@ -400,11 +432,15 @@
                 if not isinstance(frame, bytes):
                     raise ProtocolError("expected a binary frame")
                 for message in decode(frame):
+                    link.note_use(message)
                     self.handler(link.peer, message)
         except ConnectionClosed:
             return
         except ProtocolError as error:
             self._record_refusal(f"{link.peer}: {error}")
+        else:
+            # Closed because it is not needed; the peer goes on elsewhere.
+            self.membership.expect_no_heartbeats(link.peer)
 
     async def _write(self, link: Link) -> None:
         while True:
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -35,7 +35,7 @@
 
 TICK_S = 0.1
 REGISTRATION_TIMEOUT_S = 1.5
-IDLE_S = 60.0
+IDLE_S = 10.0
 STALL_S = 1.0
 
 log = _logs.component_logger("home")
@@ -216,6 +216,8 @@
         for endpoint in self.states.leaving:
             scheduler.set_leaving(endpoint, True)
         frontends = {*self.membership.live(), self.membership.id}
+        # A slow one registers late.
+        frontends = {n for n in frontends if not self.membership.is_slow(n)}
         unreported = set(scheduler.endpoints) if self.endpoints_report else set()
         is_coordinator = self.membership.is_coordinator(pool)
         hosted = HostedPool(
@@ -315,8 +317,7 @@
             self.on_takeover(scheduler)
         hosted.is_coordinator = is_coordinator
         if not is_coordinator:
-            # If it becomes the coordinator again, it will have missed requests.
-            scheduler.coordinating_since = now
+            scheduler.suspend(now)
         for endpoint, item in scheduler.release_orphans(now - self.orphan_grace_s, now):
             self.cancel_orphan(endpoint, item)
         self._send(scheduler, scheduler.tick(now))
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -317,7 +317,15 @@
             self._drop_missing(message, frontend, now)
         for row in message.running:
             load = self.endpoints.get(row.endpoint)
-            if load is None or row.key in self.placed:
+            if load is None:
+                continue
+            known = load.running.get(row.key)
+            if known is not None:
+                known.is_verified = True
+                if row.started:
+                    # The report of its first byte was lost with a link.
+                    load.mark_started(known)
+            if row.key in self.placed:
                 continue
             uncached = 0 if row.started else row.prompt_tokens
             self.queue.remove(row.key)
@@ -329,7 +337,8 @@
     ) -> None:
         """Free the credits of requests that their frontend does not have.
 
-        A recent grant is kept: it may not have reached the frontend yet.
+        A recent grant is kept: it may not have reached the frontend yet. One from
+        before another instance was the coordinator has reached it.
         """
         registered = {row.key for row in message.running}
         for load in self.endpoints.values():
@@ -337,11 +346,22 @@
                 is_missing = item.frontend == frontend and item.key not in registered
                 if not is_missing or item.orphaned is not None:
                     continue
-                if now - item.granted > RECONCILE_GRACE_S:
+                is_recent = now - item.granted <= RECONCILE_GRACE_S
+                if not is_recent or not item.is_verified:
                     load.remove(item.key)
                     self.placed.pop(item.key, None)
                     self._remember_finished(item.key, load.id, now)
 
+    def suspend(self, now: float) -> None:
+        """Record that another instance coordinates the pool.
+
+        Reports about the requests in flight go there. What is known of them is
+        checked when the frontends register here again.
+        """
+        self.coordinating_since = now
+        for load in self.endpoints.values():
+            load.unverify()
+
     def frontend_lost(self, frontend: InstanceId, now: float) -> None:
         """Remove the waiting requests of a dead frontend; orphan its running ones."""
         for item in list(self.queue.by_key.values()):
@@ -387,6 +407,8 @@
         if not self.grants_enabled or not self.queue.by_key:
             return []
         usable = sum(load.usable(now) for load in self.endpoints.values())
+        if usable and self.capacity.is_full(now):
+            return []
         decisions: list[Decision] = []
         while True:
             decision = self._grant_next(usable, now)
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -35,9 +35,11 @@
 from savorydyke._ingress import IncomingRequest, Rejected, Responder
 from savorydyke._manifest import SERVICE_CALL_TOKENS, Endpoint
 from savorydyke._metrics import Metrics
+from savorydyke._overload import Overload
 from savorydyke._problems import Refusal
 from savorydyke._retry_after import BadRetryAfterError, parse_retry_after
 from savorydyke._routed_relay import (
+    MIN_RETRY_S,
     NO_CAPACITY_RETRY_S,
     deliver,
     read_head,
@@ -115,6 +117,7 @@
     rng: random.Random
     revocation_s: float
     states: EndpointStates
+    overload: Overload
     metrics: Metrics
     refusing: bool = False
     incarnation: int = 0
@@ -175,6 +178,10 @@
             return Refusal(Reason.NO_CONFIGURATION, "no configuration is known yet")
         if self.refusing:
             return Refusal(Reason.STOPPING, "this instance is stopping", retry_s=0.1)
+        if self.overload.is_overloaded(incoming.arrived):
+            # Retries go to other instances.
+            detail = "this instance is overloaded"
+            return Refusal(Reason.OVERLOADED, detail, retry_s=MIN_RETRY_S)
         age_s = self.directory.configuration_age.age_s(boot_time())
         path = incoming.target.partition(b"?")[0].decode("latin-1")
         route = configuration.match(request_info.host, path)
--- a/src/savorydyke/_timers.py
+++ b/src/savorydyke/_timers.py
@@ -8,7 +8,7 @@
 import itertools
 import math
 import random
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from contextlib import aclosing, asynccontextmanager
 
 import trio
@@ -25,6 +25,11 @@
     >>> async with timers.every(0.5) as ticks:  # doctest: +SKIP
     ...     async for _ in ticks:
     ...         send_heartbeat()
+
+    Attributes
+    ----------
+    delay_listeners : list of callable
+        Called after each wake-up with its delay and the time, in seconds.
     """
 
     def __init__(self, rng: random.Random | None = None) -> None:
@@ -32,6 +37,7 @@
         self.heap: list[tuple[float, int, float, trio.MemorySendChannel[None]]] = []
         self.serial = itertools.count()
         self.changed = trio.Event()
+        self.delay_listeners: list[Callable[[float, float], None]] = []
 
     @asynccontextmanager
     async def every(self, period_s: float) -> AsyncIterator[AsyncIterator[None]]:
@@ -59,6 +65,9 @@
             self._deliver(trio.current_time())
 
     def _deliver(self, now: float) -> None:
+        if self.heap and self.heap[0][0] <= now:
+            for listener in self.delay_listeners:
+                listener(now - self.heap[0][0], now)
         while self.heap and self.heap[0][0] <= now:
             _, _, period_s, send = heapq.heappop(self.heap)
             try:
