Answer six failures of similar systems by tests; derive intervals from the bounds

Of the six, tried on the real programs, two failed: - A stream that sent a part of an event now and then never counted as stalled: every byte restarted the time-out (the case failed: the stream was cut at the route's limit while another endpoint was free). Only complete events count as progress now. - The product's own endpoint client kept its connections, and an answer that was repeated late was read as that of the next request (bodies 0, 0, 2). The others held: a stop under load, restarts after a revocation and a departure, frozen instances, expired records, lost answers.

Pauses between watches follow from the deployment's bounds in one place (_timing); a bound that can not be met is refused at the start. In large fleets the pause is 1.65 s where a change has 3 s, 2.2 s where it has 4 s, in place of 1 s for all; instances that see a version first tell peers at once.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -25,6 +25,8 @@
       | timers of a process with too much work are late each time                  |
       | a coordinator that returns does not count what ended or began meanwhile    |
       | a lost report of a first byte is corrected by a registration               |
+      | a bound that can not be met is refused at the start                        |
+      | changes in the store are read within every bound                           |
       | the store is listed again without a pause when its history is compacted    |
       | the age of the configuration includes suspension                           |
       | a peer's confirmation counts from the heartbeat that it answers            |
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -75,6 +75,20 @@
       | endpoints beyond the first page of a listing are found             |
       | a restarted endpoint replaces its earlier process                  |
 
+  Scenario Outline: Failures that operators of similar systems reported
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                   |
+      | an answer that an endpoint repeats late is not taken for the next one  |
+      | a stop under load leaves no accepted request without an answer         |
+      | a stream that only sends parts of an event counts as stalled           |
+      | a stream that stalls for good ends at the route's time-out             |
+      | a slow stream whose events keep coming is not cut                      |
+      | a restarted instance does not use what left or was revoked before      |
+      | work of a frozen instance goes on and is not run again                 |
+      | work of an endpoint whose record expires goes on and is not run again  |
+
   Scenario Outline: Endpoints that leave or ask for a pause
     Then the routed case "<case>" holds
 
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -61,6 +61,12 @@
 from savorydyke._store_restores import new_store_restores
 from savorydyke._tier_shares import TierShares
 from savorydyke._timers import TimerService
+from savorydyke._timing import (
+    REVOKE_MARGIN_S,
+    WATCH_WAIT_S,
+    ApplyBounds,
+    watch_pause_s,
+)
 from savorydyke.platform import (
     BadRecordError,
     Compacted,
@@ -415,6 +421,36 @@
             raise AssertionError(value)
 
 
+# Bounds of the deployment
+
+
+@case("a bound that can not be met is refused at the start")
+def _():
+    for field, shortest in (
+        ("revocation_ms", 2200),
+        ("configuration_ms", 1800),
+        ("leaving_ms", 1800),
+    ):
+        for value in (shortest, shortest - 1):
+            text = json.dumps(SETTINGS | {"bounds": {field: value}})
+            _, findings = check_gateway_settings(text, "f")
+            assert bool(findings.items) is (value < shortest), (field, value)
+            assert not findings.items or field in str(findings.items[0])
+
+
+@case("changes in the store are read within every bound")
+def _():
+    for revocation_s in (2.2, 3.0, 5.0, 60.0):
+        for apply_s in (1.8, 2.0, 3.0, 4.0, 30.0):
+            for leaving_s in (1.8, 2.0, 4.0):
+                bounds = ApplyBounds(revocation_s, apply_s, leaving_s)
+                for is_large in (False, True):
+                    pause_s = watch_pause_s(bounds, is_large)
+                    longest_s = pause_s + WATCH_WAIT_S
+                    assert longest_s < min(apply_s, leaving_s), bounds
+                    assert longest_s < revocation_s - REVOKE_MARGIN_S, bounds
+
+
 # Instances that turn slow
 
 
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -1,14 +1,18 @@
 """Test cases for routed requests, each against a fresh deployment."""
 
 import json
+import signal
 import subprocess
 import sys
 from base64 import b64decode
+from contextlib import suppress
 
 import trio
 
-from savorydyke._ids import InstanceId
-from savorydyke.platform import read_instance
+from savorydyke._directory import build_manifest
+from savorydyke._endpoint_client import EndpointClient
+from savorydyke._ids import InstanceId, PoolId
+from savorydyke.platform import EndpointRecord, read_configuration, read_instance
 from savorydyke_bench._soak import FaultProxy, serve_proxy
 from savorydyke_standins._routed_endpoint import (
     EVENTS,
@@ -18,13 +22,23 @@
     chunk,
     event,
 )
-from savorydyke_standins._routed_site import BOUNDS, HOST, KEY, Answer, free_address
+from savorydyke_standins._routed_site import (
+    BOUNDS,
+    HOST,
+    KEY,
+    Answer,
+    free_address,
+    start_process,
+)
 from savorydyke_standins._store import Mode
 
 CASES = {}
 DISCONNECT_S = 0.5
 """Time within which the disconnect of a caller must reach the endpoint."""
+CROSSING_S = 0.2
+"""Time in which a request may cross the close of its connection."""
 BODY = b"the body of a claim"
+OTHER_KEY = [{"name": "crew", "api_keys": ["another"]}]
 
 
 def case(name):
@@ -829,6 +843,224 @@
     assert (len(first.received_requests), len(second.received_requests)) == (0, 2)
 
 
+# Failures that operators of similar systems reported
+
+
+@case("an answer that an endpoint repeats late is not taken for the next one")
+async def _(site):
+    async def repeat(stream):
+        while request := await stream.receive_some(65536):
+            number = request.split(b" ")[1][-1:]
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + number
+            await stream.send_all(answer)
+            await trio.sleep(0.1)
+            with suppress(trio.BrokenResourceError):
+                await stream.send_all(answer)
+
+    address = await site.listen(repeat, free_address())
+    record = EndpointRecord("e1", PoolId("desk"), address, "a", 4, False, 0.0, 1)
+    configuration = read_configuration(json.dumps(site.configuration()).encode())
+    endpoint = build_manifest(configuration, {"e1": record}).endpoints["e1"]
+    client = EndpointClient()
+    bodies = []
+    for number in range(3):
+        opened = await client.open(endpoint, "GET", f"/v1/{number}", [], b"")
+        bodies.append(b"".join([part async for part in opened.chunks]))
+        await opened.close()
+        # The copy arrives while the next request is under way.
+        await trio.sleep(0.05)
+    assert bodies == [b"0", b"1", b"2"], bodies
+
+
+@case("a stop under load leaves no accepted request without an answer")
+async def _(site):
+    async def work(exchange):
+        await trio.sleep(0.05)
+        await exchange.send_complete()
+
+    for number in range(3):
+        await site.endpoint(f"e{number}", "desk", work)
+    daemon = await site.daemon()
+    without_answer = []
+    answered = []
+
+    async def call(keep):
+        caller = None
+        while daemon.process.poll() is None:
+            try:
+                if caller is None:
+                    caller = await site.connect(daemon.callers)
+                sent = trio.current_time()
+                answer = await caller.request("POST", "/lookup/1", site.headers(), BODY)
+            except (OSError, trio.BrokenResourceError):
+                # Not accepted, or closed before the request was sent.
+                caller = None
+                await trio.sleep(0.01)
+                continue
+            took_s = trio.current_time() - sent
+            (answered if answer.complete else without_answer).append(took_s)
+            if not keep or answer.headers.get(b"connection") == b"close":
+                await caller.stream.aclose()
+                caller = None
+            elif not answer.complete:
+                caller = None
+
+    async with trio.open_nursery() as nursery:
+        for number in range(12):
+            nursery.start_soon(call, number % 2 == 0)
+        await trio.sleep(0.5)
+        daemon.stop()
+    assert len(answered) > 100
+    # A request may cross the close of its connection.
+    assert not [took_s for took_s in without_answer if took_s > CROSSING_S], (
+        without_answer
+    )
+
+
+@case("a stream that only sends parts of an event counts as stalled")
+async def _(site):
+    async def dribble(exchange):
+        kind = (b"Content-Type", b"text/event-stream")
+        head = exchange.response_head(200, kind, (b"Transfer-Encoding", b"chunked"))
+        await exchange.send(head + chunk(event(1)) + chunk(event(2)))
+        while True:
+            await trio.sleep(0.1)
+            await exchange.send(chunk(b":"))
+
+    other = await site.endpoint("e2", "engines", answer_stream)
+    daemon = await site.daemon()
+    await site.endpoint("e1", "engines", dribble)
+    await site.wait_until(lambda: '"endpoint": "e1"' in daemon.log.read_text())
+    site.write_record("e2", "engines", state="draining")
+    await trio.sleep(1.0)
+    answers = []
+
+    async def ask():
+        answers.append(await site.ask("/digest/1"))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask)
+        await trio.sleep(0.2)
+        site.write_record("e2", "engines", born=2)
+    assert is_whole_stream(answers[0]), answers
+    assert other.received_requests[-1].headers[b"last-event-id"] == b"2"
+
+
+@case("a stream that stalls for good ends at the route's time-out")
+async def _(site):
+    async def dribble(exchange):
+        kind = (b"Content-Type", b"text/event-stream")
+        head = exchange.response_head(200, kind, (b"Transfer-Encoding", b"chunked"))
+        await exchange.send(head + chunk(event(1)))
+        while True:
+            await trio.sleep(0.1)
+            await exchange.send(chunk(b":"))
+
+    endpoint = await start_one(site, "engines", dribble)
+    started = trio.current_time()
+    answer = await site.ask("/question/1", deadline_ms=9000)
+    assert not answer.complete
+    assert 1.9 < trio.current_time() - started < 2.4
+    await site.wait_until(
+        lambda: endpoint.received_requests[0].closed_at is not None, DISCONNECT_S
+    )
+
+
+@case("a slow stream whose events keep coming is not cut")
+async def _(site):
+    async def slow(exchange):
+        await exchange.stream_events(1, EVENTS, pause_s=0.35)
+
+    first = await start_one(site, "engines", slow)
+    second = await site.endpoint("e2", "engines", slow)
+    await trio.sleep(1.0)
+    assert is_whole_stream(await site.ask("/digest/1"))
+    assert count(first) + count(second) == 1
+
+
+@case("a restarted instance does not use what left or was revoked before")
+async def _(site):
+    leaving = await site.endpoint("e1", "desk")
+    await site.endpoint("e2", "desk")
+    daemon = await site.daemon()
+    await trio.sleep(2.5)
+    site.store.remove("servers/e1")
+    site.configure(tenants=OTHER_KEY)
+    await trio.sleep(1.0)
+    daemon.process.kill()
+    daemon.process.wait()
+    # The store is out, so that the instance can not know what has changed.
+    site.store.mode = Mode.BUSY
+    daemon.process = start_process(daemon.settings, daemon.log)
+    await trio.sleep(1.5)
+    for key in (KEY, "another"):
+        assert (await site.ask("/claim/1", key=key)).status == 503
+    site.store.mode = Mode.OK
+    await site.wait_until_ready(daemon)
+    assert (await site.ask("/claim/1")).status == 401
+    for number in range(6):
+        assert (await site.ask(f"/claim/{number}", key="another")).status == 200
+    assert count(leaving) == 0
+
+
+@case("work of a frozen instance goes on and is not run again")
+async def _(site):
+    async def slow(exchange):
+        await trio.sleep(1.0)
+        await exchange.send_complete()
+
+    async def stream(exchange):
+        await exchange.stream_events(1, EVENTS, pause_s=0.3)
+
+    desk = [await site.endpoint(f"e{n}", "desk", slow) for n in range(2)]
+    engines = [await site.endpoint(f"m{n}", "engines", stream) for n in range(2)]
+    for number in range(2):
+        await site.daemon(f"instance-{number}")
+    await trio.sleep(1.5)
+    for frozen in site.daemons:
+        answers = []
+
+        async def ask(path, answers=answers):
+            answers.append(await site.ask(path, deadline_ms=6000))
+
+        before = sum(count(endpoint) for endpoint in desk + engines)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, "/claim/1")
+            nursery.start_soon(ask, "/question/1")
+            await trio.sleep(0.4)
+            # Longer than peers wait for its heartbeats.
+            frozen.process.send_signal(signal.SIGSTOP)
+            await trio.sleep(1.3)
+            frozen.process.send_signal(signal.SIGCONT)
+        assert [answer.status for answer in answers] == [200, 200]
+        assert all(answer.complete for answer in answers)
+        assert sum(count(endpoint) for endpoint in desk + engines) == before + 2
+        await trio.sleep(1.0)
+
+
+@case("work of an endpoint whose record expires goes on and is not run again")
+async def _(site):
+    async def stream(exchange):
+        await exchange.stream_events(1, EVENTS, pause_s=0.35)
+
+    first = await site.endpoint("e1", "engines", stream)
+    second = await site.endpoint("e2", "engines", stream)
+    await site.daemon()
+    await trio.sleep(2.5)
+    answers = []
+
+    async def ask():
+        answers.append(await site.ask("/digest/1"))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask)
+        await site.wait_until(lambda: count(first) + count(second) == 1)
+        site.store.remove("servers/e1")
+        site.store.remove("servers/e2")
+    assert is_whole_stream(answers[0])
+    assert count(first) + count(second) == 1
+
+
 # Endpoints that leave or ask for a pause
 
 LEAVING = (b"Server-Leaving", b"1")
@@ -1018,7 +1250,6 @@
 
 REWRITTEN_S = 2.0
 """Time after which the operator and the endpoints have written again."""
-OTHER_KEY = [{"name": "crew", "api_keys": ["another"]}]
 
 
 @case("a key that was revoked before a restore is not accepted after a restart")
@@ -1369,8 +1600,6 @@
 
 @case("requests are placed while their coordinator is silent")
 async def _(site):
-    import signal
-
     await site.endpoint("e1", "desk")
     await site.endpoint("e2", "engines", answer_stream)
     for number in range(3):
--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -30,6 +30,7 @@
 )
 from savorydyke._routes import PUBLIC_TEAM, RoutedConfiguration, RoutedTeam
 from savorydyke._store_restores import GENERATION_KEY, StoreRestores, read_generation
+from savorydyke._timing import SHORT_PAUSE_S, WATCH_WAIT_S
 from savorydyke.platform import (
     CONFIGURATION_KEY,
     FLEET_KEY,
@@ -48,12 +49,6 @@
     read_instance,
 )
 
-WATCH_WAIT_S = 0.5
-"""A tenth of the usual time in which a revoked key must stop working, so that
-several watches may fail within it."""
-WATCH_PAUSE_S = 0.4
-"""Pause between watches. It batches the endpoints' heartbeats, each of which
-would end a watch."""
 RETRY_BASE_S = 0.1
 RETRY_MAX_S = 1.0
 MISSING_GRACE_S = 2.0
@@ -146,7 +141,7 @@
     removed: dict[EndpointId, RemovedEndpoint] = field(default_factory=dict)
     stored_version: int = 0
     fleet_key: bytes = b""
-    watch_pause_s: float = WATCH_PAUSE_S
+    watch_pause_s: float = SHORT_PAUSE_S
     connected: bool = False
     reconnected_at: float = float("-inf")
     listeners: list[Callable[[Manifest], None]] = field(default_factory=list)
--- a/src/savorydyke/_endpoint_client.py
+++ b/src/savorydyke/_endpoint_client.py
@@ -17,7 +17,6 @@
 
 CONNECT_TIMEOUT_S = 1.0
 CONTROL_TIMEOUT_S = 2.0
-KEEPALIVE_S = 4.0
 MAX_CLIENT_CONNECTIONS = 16
 STREAM_IDLE_TIMEOUT_S = 60.0
 UNFORWARDED_HEADERS = frozenset(
@@ -97,11 +96,12 @@
 
 
 class EndpointClient:
-    """Sends requests to all endpoints over persistent connections.
+    """Sends requests to all endpoints, each over a connection of its own.
 
-    For each request, a connection pool of the HTTP library takes time quadratic
-    in the number of its connections. Each endpoint therefore has several clients,
-    each with at most `MAX_CLIENT_CONNECTIONS` requests.
+    An endpoint may repeat an answer late, when its connection would already carry
+    the next request. For each request, a connection pool of the HTTP library takes
+    time quadratic in the number of its connections. Each endpoint therefore has
+    several clients, each with at most `MAX_CLIENT_CONNECTIONS` requests.
     """
 
     def __init__(self) -> None:
@@ -114,8 +114,7 @@
     def _new_client(self, timeout_s: float) -> httpx.AsyncClient:
         limits = httpx.Limits(
             max_connections=None,
-            max_keepalive_connections=MAX_CLIENT_CONNECTIONS,
-            keepalive_expiry=KEEPALIVE_S,
+            max_keepalive_connections=0,
         )
         return httpx.AsyncClient(
             limits=limits,
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -9,7 +9,7 @@
 from savorydyke import _logs
 from savorydyke._backoff import backoff_s
 from savorydyke._configuration_age import ConfigurationAge, boot_time
-from savorydyke._directory import WATCH_PAUSE_S, Directory
+from savorydyke._directory import Directory
 from savorydyke._endpoint_states import EndpointStates
 from savorydyke._fallback_placement import place_fallback
 from savorydyke._gateway_settings import GatewaySettings
@@ -47,6 +47,7 @@
     write_generation,
 )
 from savorydyke._timers import TimerService
+from savorydyke._timing import watch_pause_s
 from savorydyke.platform import (
     FLEET_KEY,
     InstanceRecord,
@@ -63,8 +64,6 @@
 is 0.4 s."""
 LARGE_FLEET_TICKS = 3
 """Factor by which heartbeats and timeouts are slower in a large fleet."""
-LARGE_FLEET_WATCH_PAUSE_S = 1.0
-"""A third of the time within which a large fleet must apply a change."""
 FALLBACK_QUOTA_SHARE = 0.5
 """Share of the quotas that fallback placement may use, over all instances. It is
 less than 1 since the coordinator may be working and granting at the same time."""
@@ -100,6 +99,8 @@
         Transfers quota balances when a pool's coordinator changes.
     stopping : bool
         Whether the stop signal has been received.
+    announced_version : int
+        Version of the configuration in the latest heartbeats.
     """
 
     settings: GatewaySettings
@@ -119,6 +120,7 @@
     quota_balances: QuotaBalances
     overload: Overload
     stopping: bool = False
+    announced_version: int = 0
 
     def deliver(self, instance: InstanceId, message: Message) -> None:
         """Send a message to an instance, possibly this one."""
@@ -170,16 +172,25 @@
             async for _ in ticks:
                 ticks_seen += 1
                 now = trio.current_time()
-                has_changed = self._update_slow(now)
+                has_changed = self._update_slow(now) or self._has_new_version()
                 if ticks_seen % self._adapt_to_fleet_size() and not has_changed:
                     continue
                 counter = self.membership.next_heartbeat(now)
                 self.configuration_age.record_heartbeat(counter, boot_time())
-                self._send_heartbeats(counter, now)
+                self._send_heartbeats(counter, now, has_changed)
                 self.states.set_listed(self.directory.leaving_endpoints(), now)
                 self.membership.update(now)
                 self.apply_instance_records()
 
+    def _has_new_version(self) -> bool:
+        """Return whether the version has changed since the latest heartbeat.
+
+        Peers are told at once, since they may ask the store only later.
+        """
+        has_changed = self.announced_version != self.directory.version
+        self.announced_version = self.directory.version
+        return has_changed
+
     def _update_slow(self, now: float) -> bool:
         """Announce whether this instance is slow; return whether that has changed."""
         slow = self.overload.is_slow(now)
@@ -214,26 +225,27 @@
         self.membership.heartbeat_interval_s = ticks * HEARTBEAT_INTERVAL_S
         self.membership.dead_after_s = ticks * DEAD_AFTER_S
         self.grant_client.coordinator_stalled_s = ticks * COORDINATOR_STALLED_S
-        pause_s = LARGE_FLEET_WATCH_PAUSE_S if is_large else WATCH_PAUSE_S
-        self.directory.watch_pause_s = pause_s
+        bounds = self.settings.bounds.apply
+        self.directory.watch_pause_s = watch_pause_s(bounds, is_large)
         return ticks
 
-    def _due_peers(self, counter: int) -> list[InstanceId]:
+    def _due_peers(self, counter: int, has_changed: bool) -> list[InstanceId]:
         """Return the peers to send a heartbeat to.
 
         In a large fleet each instance and the coordinators hear of each other at each
         interval, others at every second one, which is still within the timeout.
         """
         peers = list(self.peers.links)
-        if counter % 2 == 0 or not self.membership.is_large_fleet():
+        is_due = counter % 2 == 0 or has_changed
+        if is_due or not self.membership.is_large_fleet():
             return peers
         coordinators = {self.membership.coordinator(pool) for pool in self.pools()}
         if self.membership.id in coordinators:
             return peers
         return [peer for peer in peers if peer in coordinators]
 
-    def _send_heartbeats(self, counter: int, now: float) -> None:
-        peers = self._due_peers(counter)
+    def _send_heartbeats(self, counter: int, now: float, has_changed: bool) -> None:
+        peers = self._due_peers(counter, has_changed)
         informed = self.rng.choice(peers) if peers else None
         for peer in peers:
             member = self.membership.members.get(peer)
@@ -257,7 +269,7 @@
         if self.overload.is_overloaded(trio.current_time()):
             return False
         age_s = self.configuration_age.age_s(boot_time())
-        return age_s <= READY_AGE_SHARE * self.settings.bounds.revocation_s
+        return age_s <= READY_AGE_SHARE * self.settings.bounds.apply.revocation_s
 
     def update_gauges(self) -> None:
         """Set the gauges to the current values."""
@@ -409,7 +421,7 @@
     metrics = Metrics()
     store.on_call = metrics.observe_store_call
     configuration_age = ConfigurationAge()
-    restores = new_store_restores(settings.bounds.revocation_s)
+    restores = new_store_restores(settings.bounds.apply.revocation_s)
     directory = Directory(store, configuration_age, rng, restores)
     membership = Membership(
         settings.instance,
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -67,7 +67,7 @@
             gateway.grant_client,
             nursery,
             gateway.rng,
-            settings.bounds.revocation_s,
+            settings.bounds.apply.revocation_s,
             gateway.states,
             gateway.overload,
             gateway.metrics,
--- a/src/savorydyke/_gateway_settings.py
+++ b/src/savorydyke/_gateway_settings.py
@@ -6,6 +6,7 @@
 from savorydyke._exceptions import FindingsError
 from savorydyke._findings import Fields, Findings, read_document
 from savorydyke._ids import DataCentreId, InstanceId
+from savorydyke._timing import REVOKE_MARGIN_S, ApplyBounds, shortest_bound_s
 
 EDGES = "routed"
 """Value of ``edges`` that identifies settings of a gateway."""
@@ -17,8 +18,8 @@
 
     Attributes
     ----------
-    revocation_s : float
-        Time after which a revoked key must no longer be accepted.
+    apply : ApplyBounds
+        Times within which a change in the store must take effect.
     stop_s : float
         Time between the stop signal and the kill.
     retry_ratio, retry_slack, retry_window_s : float
@@ -31,7 +32,7 @@
         Length of the sliding window in which use of the quota is counted.
     """
 
-    revocation_s: float
+    apply: ApplyBounds
     stop_s: float
     retry_ratio: float
     retry_slack: float
@@ -123,8 +124,16 @@
 
 
 def _bounds(fields: Fields) -> Bounds:
+    shortest_ms = 1000 * shortest_bound_s()
+    revocation_ms = fields.number(
+        "revocation_ms", 5000, shortest_ms + 1000 * REVOKE_MARGIN_S
+    )
     bounds = Bounds(
-        revocation_s=fields.number("revocation_ms", 5000, 1) / 1000,
+        apply=ApplyBounds(
+            revocation_s=revocation_ms / 1000,
+            configuration_s=fields.number("configuration_ms", 2000, shortest_ms) / 1000,
+            leaving_s=fields.number("leaving_ms", 2000, shortest_ms) / 1000,
+        ),
         stop_s=fields.number("stop_s", 8, 0.5),
         retry_ratio=fields.number("repeat_ratio", 0.2),
         retry_slack=fields.number("repeat_slack", 10),
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -44,7 +44,7 @@
 
 
 class ChannelTimeoutError(ChannelBrokenError):
-    """Raised when nothing was received within the read time-out.
+    """Raised when too little was received in time.
 
     The connection may still be intact; reading may continue.
     """
@@ -96,8 +96,9 @@
 
     Attributes
     ----------
-    read_timeout_s : float
-        Silence after which reading raises `ChannelTimeoutError`.
+    read_until : float
+        Time at which reading raises `ChannelTimeoutError`, on the monotonic clock.
+        Bytes that arrive do not extend it; the caller does when it sees progress.
     """
 
     stream: trio.SocketStream
@@ -106,7 +107,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
     )
-    read_timeout_s: float = math.inf
+    read_until: float = math.inf
 
     async def send(
         self, request: OutgoingRequest, nursery: trio.Nursery | None
@@ -200,14 +201,14 @@
 
     def has_read_timeout(self) -> bool:
         """Return whether reading is subject to a time-out."""
-        return self.read_timeout_s != math.inf
+        return self.read_until != math.inf
 
     async def _receive(self) -> bytes:
         if not self.has_read_timeout():
             return await receive(self.stream, READ_BYTES)
-        with trio.move_on_after(self.read_timeout_s):
+        with trio.move_on_at(self.read_until):
             return await receive(self.stream, READ_BYTES)
-        raise ChannelTimeoutError(f"silent for {self.read_timeout_s:.2f} s")
+        raise ChannelTimeoutError("no progress in time")
 
     def close(self) -> None:
         """Close the connection at once."""
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -58,6 +58,7 @@
     was_not_sent,
 )
 from savorydyke._routes import PUBLIC_TEAM, Route, RoutedConfiguration
+from savorydyke._timing import REVOKE_MARGIN_S
 from savorydyke.platform import (
     BadRequestHeadError,
     RequestInfo,
@@ -77,8 +78,6 @@
 
 With an older configuration they may have been added in the meantime.
 """
-REVOKE_MARGIN_S = 0.4
-"""Part of `revocation_s` that is reserved for clock differences and for waiting."""
 STALL_SHARE = 0.45
 """Share of the objective after which another endpoint can still answer in time."""
 STALL_FACTOR = 4.0
@@ -427,7 +426,8 @@
             request.may_have_run_before = request.may_have_run
             request.may_have_run = True
             request.result = ReleaseResult.CANCELLED
-            channel.read_timeout_s = self._read_timeout_s(request, first_s)
+            timeout_s = self._read_timeout_s(request, first_s)
+            channel.read_until = trio.current_time() + timeout_s
             await channel.send(self._outgoing(request, endpoint), self.background)
             head = await read_head(channel, lambda: self._reserve_alternative(request))
             response_info = parse_response_headers(head.status, head.headers)
--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -110,7 +110,7 @@
     except ChannelTimeoutError:
         if await reserve_alternative():
             raise
-        channel.read_timeout_s = math.inf
+        channel.read_until = math.inf
         return await channel.read_head()
 
 
@@ -126,7 +126,7 @@
         except ChannelTimeoutError:
             if await reserve_alternative():
                 raise
-            channel.read_timeout_s = math.inf
+            channel.read_until = math.inf
 
 
 async def _relay_whole(
@@ -139,8 +139,11 @@
     """Buffer an answer until it is complete, then deliver it."""
     parts: list[bytes] = []
     size = 0
+    is_limited = channel.has_read_timeout()
     async for part in _body_parts(channel, reserve_alternative):
         on_first_byte()
+        if is_limited:
+            channel.read_until = trio.current_time() + STALLED_STREAM_S
         parts.append(part)
         size += len(part)
         if size > BUFFER_BYTES:
@@ -186,8 +189,11 @@
     """Relay complete events as they arrive."""
     if not request.responder.started:
         await request.responder.start(head.status, response_headers(head.headers))
-    if channel.has_read_timeout():
-        channel.read_timeout_s = STALLED_STREAM_S
+    # Parts of an event are no progress, so that an endpoint that only sends some now
+    # and then counts as stalled.
+    is_limited = channel.has_read_timeout()
+    if is_limited:
+        channel.read_until = trio.current_time() + STALLED_STREAM_S
     rest = b""
     async for part in _body_parts(channel, reserve_alternative):
         on_first_byte()
@@ -197,6 +203,8 @@
             continue
         complete, rest = rest[: end + len(EVENT_END)], rest[end + len(EVENT_END) :]
         _count_events(request, complete)
+        if is_limited:
+            channel.read_until = trio.current_time() + STALLED_STREAM_S
         await request.responder.body(complete)
     if rest:
         raise ChannelBrokenError("the stream ended within an event")
