--- a/src/savorydyke_bench/_soak.py
+++ b/src/savorydyke_bench/_soak.py
@@ -2,8 +2,9 @@
 
 Instances run as processes, which are killed, paused, terminated and restarted.
 Proxies in front of the store and of each endpoint delay, stall or reset
-connections. The store refuses calls, loses answers or compacts its history. API
-keys are revoked. The guarantees are checked on what callers and endpoints saw.
+connections. The store refuses calls, loses answers, repeats them, compacts its
+history or is restored from a backup. Endpoints ask for pauses. API keys are revoked.
+The guarantees are checked on what callers and endpoints saw.
 """
 
 import random
@@ -33,6 +34,11 @@
 CALL_PAUSE_S = 0.05
 FAULT_PAUSE_S = (0.2, 1.2)
 FAULT_S = (0.3, 2.5)
+BACKUP_AGE_S = (0.3, 4.0)
+REWRITE_S = (0.1, 0.9)
+"""Time after a restore until the operator and the endpoints have written again. It is
+shorter than the time for which instances wait for that."""
+PAUSE_S = 0.8
 CANCEL_LIMIT_S = 1.0
 """Time in which an endpoint learns that the caller is gone; the rule says 0.5 s."""
 NOT_EXECUTED = {408, 421, 429, 503}
@@ -143,9 +149,10 @@
         request_id = headers[b"x-savorydyke-request-id"].decode()
         draw = self.rng.random()
         if draw < 0.04:
-            await exchange.send_complete(
-                503, b"full", (b"X-Savorydyke-Not-Executed", b"1")
-            )
+            more = [(b"X-Savorydyke-Not-Executed", b"1")]
+            if draw < 0.01:
+                more.append((b"Retry-After", str(PAUSE_S).encode()))
+            await exchange.send_complete(503, b"full", *more)
             return
         self.executions[request_id] += 1
         started_at = trio.current_time()
@@ -207,6 +214,7 @@
             self._freeze,
             self._disturb_store,
             self._disturb_store_proxy,
+            self._restore_store,
             self._disturb_endpoint_proxy,
             self._toggle_spare_key,
         ]
@@ -248,13 +256,24 @@
                 daemon.process.send_signal(signal.SIGCONT)
 
     async def _disturb_store(self) -> None:
-        modes = [Mode.BUSY, Mode.LIMITED, Mode.SILENT, Mode.RESET, Mode.LOST]
+        modes = [mode for mode in Mode if mode is not Mode.OK]
         self.site.store.mode = self.rng.choice(modes)
         await trio.sleep(self._fault_s())
         self.site.store.mode = Mode.OK
         if self.rng.random() < 0.3:
             self.site.store.compact()
 
+    async def _restore_store(self) -> None:
+        """Restore the store; the operator and the endpoints then write again."""
+        site = self.site
+        backup = site.store.back_up()
+        await trio.sleep(self.rng.uniform(*BACKUP_AGE_S))
+        site.store.restore(backup)
+        await trio.sleep(self.rng.uniform(*REWRITE_S))
+        site.store.put("op/config", site.configuration(tenants=self._tenants()))
+        for name in site.addresses:
+            site.write_record(name, name.partition("-")[0], seq=site.store.revision)
+
     async def _disturb_store_proxy(self) -> None:
         await self._disturb_proxy(self.rng.choice(self.store_proxies))
 
@@ -268,12 +287,13 @@
 
     async def _toggle_spare_key(self) -> None:
         """Revoke the spare key, or grant it again."""
-        keys = [KEY] if "spare-key" not in self.revoked_at else [KEY, "spare-key"]
-        self.site.configure(tenants=[{"name": "crew", "api_keys": keys}])
-        if len(keys) == 1:
+        if self.revoked_at.pop("spare-key", None) is None:
             self.revoked_at["spare-key"] = trio.current_time()
-        else:
-            del self.revoked_at["spare-key"]
+        self.site.configure(tenants=self._tenants())
+
+    def _tenants(self) -> list[dict[str, object]]:
+        keys = [KEY] if "spare-key" in self.revoked_at else [KEY, "spare-key"]
+        return [{"name": "crew", "api_keys": keys}]
 
     # Checks
 
