--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -7,7 +7,6 @@
 import trio
 
 from savorydyke import _logs
-from savorydyke._backoff import backoff_s
 from savorydyke._configuration_age import ConfigurationAge, boot_time
 from savorydyke._directory import Directory
 from savorydyke._endpoint_states import EndpointStates
@@ -41,22 +40,11 @@
 from savorydyke._quota_balances import QuotaBalances
 from savorydyke._retry_budget import RetryBudget
 from savorydyke._routes import TeamQuota
-from savorydyke._store_restores import (
-    GENERATION_KEY,
-    new_store_restores,
-    write_generation,
-)
+from savorydyke._store_records import StoreRecords
+from savorydyke._store_restores import new_store_restores
 from savorydyke._timers import TimerService
 from savorydyke._timing import watch_pause_s
-from savorydyke.platform import (
-    FLEET_KEY,
-    InstanceRecord,
-    LeaseExpired,
-    Store,
-    StoreError,
-    instance_key,
-    write_instance,
-)
+from savorydyke.platform import InstanceRecord, Store
 
 HEARTBEAT_INTERVAL_S = 0.25
 DEAD_AFTER_S = 0.9
@@ -67,14 +55,6 @@
 FALLBACK_QUOTA_SHARE = 0.5
 """Share of the quotas that fallback placement may use, over all instances. It is
 less than 1 since the coordinator may be working and granting at the same time."""
-LEASE_S = 10.0
-LEASE_RENEWAL_S = 3.0
-"""A third of the lease, so that two renewals may fail."""
-RETRY_BASE_S = 0.2
-RETRY_MAX_S = 1.0
-REWRITE_CHECK_S = 0.5
-REWRITE_SPREAD_S = 1.0
-"""Time over which the instances write their records again after a restore."""
 MIN_RETRY_S = 0.1
 """Shortest retry delay in refusals: about the time in which a slot of a pool becomes
 free."""
@@ -92,6 +72,8 @@
 
     Attributes
     ----------
+    store_records : StoreRecords
+        Writes the records of this instance and of the fleet.
     fallback_quotas : Quotas
         This instance's share of the quotas, for requests that it places because
         the coordinator does not respond.
@@ -119,6 +101,7 @@
     fallback_quotas: Quotas
     quota_balances: QuotaBalances
     overload: Overload
+    store_records: StoreRecords
     stopping: bool = False
     announced_version: int = 0
 
@@ -343,75 +326,6 @@
         )
         return name
 
-    # This instance's record in the store
-
-    async def keep_instance_record(self) -> None:
-        """Write this instance's record and renew its lease until cancelled.
-
-        After a restore of the store the lease may belong to another instance, so the
-        record is written again with a new one.
-        """
-        failures = 0
-        lease = generation = 0
-        while True:
-            restored = self.store.restored
-            try:
-                if generation != self.store.generation:
-                    lease = 0
-                if lease == 0 or not await self.store.renew_lease(lease):
-                    lease = await self._write_instance_record()
-                    generation = self.store.generation
-                failures = 0
-                with trio.move_on_after(LEASE_RENEWAL_S):
-                    await restored.wait()
-                    await trio.sleep(REWRITE_SPREAD_S * self.rng.random())
-            except StoreError as error:
-                failures += 1
-                log.debug("Instance record not renewed.", extra={"error": str(error)})
-                await trio.sleep(
-                    backoff_s(failures, RETRY_BASE_S, RETRY_MAX_S, self.rng)
-                )
-
-    async def rewrite_shared_records(self) -> None:
-        """After restores of the store, write the records that no instance owns.
-
-        Runs until cancelled.
-        """
-        async with self.timers.every(REWRITE_CHECK_S) as ticks:
-            async for _ in ticks:
-                try:
-                    await self._rewrite_shared_records()
-                except StoreError as error:
-                    extra = {"error": str(error)}
-                    log.warning("Shared records not written.", extra=extra)
-
-    async def _rewrite_shared_records(self) -> None:
-        directory = self.directory
-        if directory.restores.generation != self.store.generation:
-            # What the store lacks is known after the next listing.
-            return
-        self.peers.shared_key = directory.fleet_key or self.peers.shared_key
-        if not self.membership.is_chosen("shared records", 1):
-            return
-        if not directory.fleet_key:
-            await self.store.create(FLEET_KEY, self.peers.shared_key)
-        if directory.should_note_generation():
-            generation = directory.restores.generation
-            await self.store.write({GENERATION_KEY: write_generation(generation)})
-            log.info("Store complete.", extra={"generation": generation})
-
-    async def _write_instance_record(self) -> int:
-        """Write this instance's record; return its lease, or 0 if it has expired."""
-        lease = await self.store.open_lease(LEASE_S)
-        settings = self.settings
-        record = InstanceRecord(
-            settings.instance, settings.peers, settings.data_centre, settings.cores
-        )
-        data = write_instance(record)
-        values = {instance_key(settings.instance): data}
-        result = await self.store.write(values, lease)
-        return 0 if isinstance(result, LeaseExpired) else lease
-
 
 def new_gateway(
     settings: GatewaySettings, store: Store, log_buffer: LogBuffer
@@ -462,6 +376,9 @@
         pools=lambda: gateway.pools(),
         place_fallback=lambda demand, avoid: gateway.place_fallback(demand, avoid),
     )
+    record = InstanceRecord(
+        settings.instance, settings.peers, settings.data_centre, settings.cores
+    )
     timers, overload = TimerService(rng), Overload()
     timers.delay_listeners.append(overload.observe_delay)
     gateway = Gateway(
@@ -483,6 +400,7 @@
         Quotas(opened=trio.current_time()),
         quota_balances,
         overload,
+        StoreRecords(store, record, directory, membership, peers, timers, rng),
     )
     membership.listeners.append(grant_client.follow_coordinators)
     membership.loss_listeners.append(pool_host.frontend_lost)
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -2,21 +2,14 @@
 
 import gc
 import json
-import random
 import signal
 import sys
 
 import trio
 
 from savorydyke import _logs
-from savorydyke._backoff import backoff_s
 from savorydyke._directory import Directory
-from savorydyke._gateway import (
-    RETRY_BASE_S,
-    RETRY_MAX_S,
-    Gateway,
-    new_gateway,
-)
+from savorydyke._gateway import Gateway, new_gateway
 from savorydyke._gateway_settings import GatewaySettings, read_gateway_settings
 from savorydyke._ingress import (
     IncomingRequest,
@@ -27,16 +20,9 @@
 )
 from savorydyke._log_writer import LogBuffer, flush, write_lines
 from savorydyke._routed_handler import RoutedHandler
-from savorydyke.platform import (
-    FLEET_KEY,
-    READINESS_PATH,
-    Item,
-    Store,
-    StoreError,
-    open_store,
-)
+from savorydyke._store_records import read_or_create_fleet_key
+from savorydyke.platform import READINESS_PATH, open_store
 
-FLEET_KEY_BYTES = 24
 DRAIN_NOTICE_S = 2.6
 """The balancer checks readiness once a second and removes an instance after two
 failed checks."""
@@ -110,8 +96,8 @@
     gateway.peers.shared_key = secret.encode()
     async with trio.open_nursery() as nursery:
         await nursery.start(gateway.peers.listen, gateway.settings.peers)
-        nursery.start_soon(gateway.keep_instance_record)
-        nursery.start_soon(gateway.rewrite_shared_records)
+        nursery.start_soon(gateway.store_records.keep_instance_record)
+        nursery.start_soon(gateway.store_records.rewrite_fleet_records)
         nursery.start_soon(gateway.quota_balances.run)
         nursery.start_soon(gateway.run_heartbeats)
         nursery.start_soon(gateway.peers.maintain_links)
@@ -195,22 +181,3 @@
         log.error("Settings check failed.", extra={"error": str(error)})
         return
     log.info("Settings checked.", extra={"changed": settings != gateway.settings})
-
-
-async def read_or_create_fleet_key(store: Store, rng: random.Random) -> str:
-    """Return the secret with which the fleet's instances authenticate to each other.
-
-    The first instance of the fleet creates it in the store, where it persists.
-    """
-    candidate = random.SystemRandom().randbytes(FLEET_KEY_BYTES).hex()
-    failures = 0
-    while True:
-        try:
-            found = await store.create(FLEET_KEY, candidate.encode())
-            if isinstance(found, Item):
-                return found.value.decode()
-            return candidate
-        except StoreError as error:
-            failures += 1
-            log.warning("Fleet key not read.", extra={"error": str(error)})
-            await trio.sleep(backoff_s(failures, RETRY_BASE_S, RETRY_MAX_S, rng))
