--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -27,6 +27,7 @@
       | a lost report of a first byte is corrected by a registration               |
       | a bound that can not be met is refused at the start                        |
       | changes in the store are read within every bound                           |
+      | links that an instance of a large fleet does not use are closed            |
       | the store is listed again without a pause when its history is compacted    |
       | the age of the configuration includes suspension                           |
       | a peer's confirmation counts from the heartbeat that it answers            |
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -46,7 +46,7 @@
     Started,
 )
 from savorydyke._overload import SLOW_DELAY_S, SLOW_HOLD_S, Overload
-from savorydyke._peers import Peers
+from savorydyke._peers import UNUSED_LINK_S, Link, Peers
 from savorydyke._pool_scheduler import new_pool_scheduler
 from savorydyke._quota import Quotas, Tolerance
 from savorydyke._quota_balances import CHECK_S, decode_balances, encode_balances
@@ -421,6 +421,38 @@
             raise AssertionError(value)
 
 
+@case("links that an instance of a large fleet does not use are closed")
+def _():
+    async def play():
+        names = [f"i-{number:02}" for number in range(40)]
+        membership = Membership(InstanceId("i-00"), "127.0.0.1:1", "dc", 1)
+        for name in names[1:]:
+            row = MemberRow(name, f"127.0.0.2:{name[2:]}", "dc", 1, 1, 0, False)
+            membership.merge_row(row, trio.current_time())
+        membership.update(trio.current_time())
+        peers = Peers(membership, "", lambda sender, message: None, random.Random(1))
+        # In the first seconds it opened links to all, and half of them to it.
+        for number, name in enumerate(names[1:]):
+            dialler = membership.id if number % 2 else InstanceId(name)
+            scope = trio.CancelScope()
+            peers.links[name] = Link(InstanceId(name), dialler, None, scope)
+        later = trio.current_time() + UNUSED_LINK_S + 1
+        used = peers.links["i-20"]
+        used.last_used_at = later
+        closed = {link.peer for link in peers._unused_links(later)}
+        wanted = {member.id for member in membership.wanted_links()}
+        own = {link.peer for link in peers.links.values() if link.dialler == "i-00"}
+        assert closed == own - wanted - {used.peer} and len(closed) > 10
+        assert not peers._unused_links(trio.current_time())
+        # Its silence over the closed link does not count as its end.
+        peer = next(iter(closed))
+        membership.members[peer].has_direct_heartbeats = True
+        membership.expect_no_heartbeats(peer)
+        assert not membership.members[peer].has_direct_heartbeats
+
+    trio.run(play)
+
+
 # Bounds of the deployment
 
 
