Log the parts of prompts of requests that end or lose an answer

The incident of endpoints that end under one prompt part has three hypotheses, and the log lines could not tell them apart: they did not say which parts the prompts of broken answers, and of whole ones, had in common. Only log fields change.

--- a/src/savorydyke/_ids.py
+++ b/src/savorydyke/_ids.py
@@ -12,6 +12,8 @@
 RequestId = NewType("RequestId", str)
 RequestKey = NewType("RequestKey", str)
 """Team and request id together, since request ids are unique only within a team."""
+PromptPartId = NewType("PromptPartId", str)
+"""Part of the prompts for one pool that several requests may share."""
 Revision = NewType("Revision", int)
 
 
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -55,6 +55,7 @@
     RoutedRequest,
     SendResult,
     describe,
+    shared_parts,
     was_not_sent,
 )
 from savorydyke._routes import PUBLIC_TEAM, Route, RoutedConfiguration
@@ -191,18 +192,20 @@
         timeout_s = route.timeout_s
         if request_info.deadline_s is not None:
             timeout_s = min(timeout_s, request_info.deadline_s)
+        pool = route.choose_pool(self.rng.random())
         return RoutedRequest(
             incoming=incoming,
             responder=responder,
             request_info=request_info,
             route=route,
             team=team,
-            pool=route.choose_pool(self.rng.random()),
+            pool=pool,
             expires=incoming.arrived + timeout_s,
             quota_tokens=_quota_tokens(configuration, team, request_info),
             config_version=configuration.version,
             config_age_s=age_s,
             tier=_tier(configuration, team, route),
+            parts=shared_parts(pool, request_info.prefix),
             last_event_id=request_info.last_event_id,
         )
 
@@ -527,6 +530,7 @@
                 "result": request.result.value,
                 "why": describe(result),
                 "events": request.events,
+                "parts": request.parts,
             },
         )
 
@@ -568,6 +572,7 @@
                 else -1,
                 "total_ms": int((now - arrived) * 1000),
                 "events": request.events,
+                "parts": request.parts,
             },
         )
 
--- a/src/savorydyke/_routed_request.py
+++ b/src/savorydyke/_routed_request.py
@@ -7,6 +7,7 @@
 from savorydyke._ids import (
     EndpointId,
     PoolId,
+    PromptPartId,
     ReleaseResult,
     RequestKey,
     TeamId,
@@ -17,6 +18,9 @@
 from savorydyke._routes import Route
 from savorydyke.platform import RequestInfo
 
+MAX_PROMPT_PARTS = 16
+"""Leading parts of a prompt that are told apart."""
+
 
 @dataclass(frozen=True)
 class Done:
@@ -77,6 +81,8 @@
         Number of attempts that sent nothing.
     pause_s : float
         For how long the endpoint of the latest attempt wants no other request.
+    parts : tuple of PromptPartId
+        The parts of its prompt that other requests may share.
     reserved : ReservedGrant or None
         Grant for the next attempt, if one has been reserved.
     """
@@ -92,6 +98,7 @@
     config_version: int
     config_age_s: float
     tier: TierId
+    parts: tuple[PromptPartId, ...] = ()
     avoid: list[EndpointId] = field(default_factory=list)
     sent_to: list[EndpointId] = field(default_factory=list)
     unsent: int = 0
@@ -111,6 +118,22 @@
     reserved: ReservedGrant | None = None
 
 
+def shared_parts(
+    pool: PoolId, prefix: tuple[tuple[str, int], ...]
+) -> tuple[PromptPartId, ...]:
+    """Return the parts of a prompt that other requests of the pool may share.
+
+    The last part belongs to the request itself.
+
+    Parameters
+    ----------
+    prefix : tuple of (str, int)
+        The parts in order, with their numbers of tokens.
+    """
+    names = [name for name, _ in prefix[:-1]]
+    return tuple(PromptPartId(f"{pool}/{name}") for name in names[:MAX_PROMPT_PARTS])
+
+
 def was_not_sent(request: RoutedRequest) -> bool:
     """Return whether the latest attempt sent nothing."""
     return request.result in {ReleaseResult.NOT_SENT, ReleaseResult.UNREACHABLE}
