Add a failing case: a part of prompts that crashes endpoints is sent on

Five engines end whenever they answer a prompt with a certain part, and are replaced after a second; three instances get such requests between sound ones that share the key and the first part. From 3 s (the stated bound) after the fifth end at most three requests with the part may reach endpoints. The stand-in endpoints can end and be replaced.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -143,3 +143,10 @@
       | seed |
       | 1    |
       | 2    |
+
+  Scenario Outline: Prompts that crash endpoints
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                          |
+      | a part of prompts that crashes endpoints is not sent any more |
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -1612,3 +1612,130 @@
         assert (await site.ask(f"/claim/{number}")).status == 200
         assert is_whole_stream(await site.ask(f"/digest/{number}"))
         assert trio.current_time() - started < 1.5
+
+
+# Prompts that crash endpoints
+
+CONTACT_S = 3.0
+"""Time within which the fleet has to act on what single instances know."""
+ENDS_ALLOWED = 5
+BAD_PART = b"bad0"
+ENGINES = 5
+SOUND_PAUSE_S = 0.06
+BAD_PAUSE_S = 0.15
+
+
+def prompt(number, part):
+    """Return the parts of a prompt; all prompts share the first one."""
+    value = b"first:60,%s:300,own%d:20" % (part, number)
+    return b"X-Savorydyke-Prompt-Prefix", value
+
+
+async def crash_on_bad_part(exchange):
+    """Stream an answer; crash after its first event if the prompt has the part."""
+    parts = exchange.request.headers.get(b"x-savorydyke-prompt-prefix", b"")
+    if BAD_PART not in parts:
+        await exchange.stream_events(1, EVENTS, pause_s=0.03)
+        return
+    await exchange.stream_events(1, 1, end=False)
+    exchange.endpoint.crash()
+
+
+class PromptTraffic:
+    """Requests with a part that crashes endpoints, between sound ones."""
+
+    def __init__(self, site):
+        self.site = site
+        self.sound = []
+        self.bad_answers = []
+        self.number = 0
+
+    def ends(self):
+        """Return the times at which endpoints ended."""
+        found = [e.ended_at for e in self.site.endpoints.values()]
+        return sorted(at for at in found if at is not None)
+
+    def bad_arrivals(self):
+        """Return the times at which requests with the part reached endpoints."""
+        return sorted(
+            request.at
+            for endpoint in self.site.endpoints.values()
+            for request in endpoint.received_requests
+            if BAD_PART in request.headers.get(b"x-savorydyke-prompt-prefix", b"")
+        )
+
+    async def ask(self, part):
+        """Send one request to the next instance; return its answer, None if broken."""
+        self.number += 1
+        daemon = self.site.daemons[self.number % len(self.site.daemons)]
+        headers = self.site.headers(prompt(self.number, part))
+        try:
+            caller = await self.site.connect(daemon.callers)
+            answer = await caller.request("POST", "/question/1", headers, BODY)
+            await caller.stream.aclose()
+        except (OSError, trio.TooSlowError, trio.BrokenResourceError):
+            # The instance was ended by the case.
+            return None
+        return answer
+
+    async def ask_sound(self):
+        """Send a sound request, and record whether it was answered in full."""
+        sent = trio.current_time()
+        answer = await self.ask(b"other%d" % (self.number % 7))
+        self.sound.append((sent, answer is not None and is_whole_stream(answer)))
+
+    async def ask_bad(self):
+        """Send a request with the part, and record its answer."""
+        self.bad_answers.append((trio.current_time(), await self.ask(BAD_PART)))
+
+    async def run(self, seconds):
+        """Send requests of both kinds."""
+
+        async def repeat(ask, pause_s):
+            while True:
+                nursery.start_soon(ask)
+                await trio.sleep(pause_s)
+
+        with trio.move_on_after(seconds):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(repeat, self.ask_sound, SOUND_PAUSE_S)
+                nursery.start_soon(repeat, self.ask_bad, BAD_PAUSE_S)
+
+    def check(self):
+        """Check that the part was not sent any more, and that sound requests were."""
+        ends = self.ends()
+        assert len(ends) >= 2, ends
+        last = ends[min(ENDS_ALLOWED, len(ends)) - 1]
+        late = [at for at in self.bad_arrivals() if at > last + CONTACT_S]
+        assert len(late) <= 3, [round(at - last, 2) for at in late]
+        whole = [is_whole for at, is_whole in self.sound if at > last + 2 * CONTACT_S]
+        assert len(whole) > 20 and sum(whole) > len(whole) / 2, (
+            sum(whole),
+            len(whole),
+        )
+        refused = [
+            answer
+            for at, answer in self.bad_answers
+            if answer is not None and at > last + CONTACT_S and answer.status == 503
+        ]
+        assert refused and all(b"not run" in answer.body for answer in refused)
+        assert all(float(answer.headers[b"retry-after"]) > 0 for answer in refused)
+
+
+async def start_crashing_engines(site, instances=3):
+    """Start engines that crash on the part and are replaced, and instances."""
+    for number in range(ENGINES):
+        site.nursery.start_soon(
+            site.replace_when_crashed, f"e{number}", "engines", 1.0, crash_on_bad_part
+        )
+    for number in range(instances):
+        await site.daemon(f"instance-{number}")
+    await trio.sleep(1.0)
+    return PromptTraffic(site)
+
+
+@case("a part of prompts that crashes endpoints is not sent any more")
+async def _(site):
+    traffic = await start_crashing_engines(site)
+    await traffic.run(10.0)
+    traffic.check()
--- a/src/savorydyke_standins/_routed_endpoint.py
+++ b/src/savorydyke_standins/_routed_endpoint.py
@@ -116,11 +116,34 @@
         One for each coming request; the last one is used for all further ones.
     received_requests : list of ReceivedRequest
         All requests received, in order.
+    process : trio.CancelScope
+        Ends the listener and all connections when it is cancelled.
+    ended_at : float or None
+        When the process was ended, by Trio's clock.
     """
 
     scripts: list[Script] = field(default_factory=lambda: [answer_plainly])
     received_requests: list[ReceivedRequest] = field(default_factory=list)
     read_body: bool = True
+    process: trio.CancelScope = field(default_factory=trio.CancelScope)
+    ended_at: float | None = None
+
+    def crash(self) -> None:
+        """End the process, which closes its connections in the middle of answers."""
+        self.ended_at = trio.current_time()
+        self.process.cancel()
+
+    async def listen(
+        self,
+        address: str,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve connections until cancelled or ended."""
+        host, _, port = address.partition(":")
+        listeners = await trio.open_tcp_listeners(int(port), host=host)
+        task_status.started()
+        with self.process:
+            await trio.serve_listeners(self.serve, listeners)
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection: one request and its answer."""
--- a/src/savorydyke_standins/_routed_site.py
+++ b/src/savorydyke_standins/_routed_site.py
@@ -28,6 +28,7 @@
 ANSWER_TIMEOUT_S = 6.0
 LOG_SHOWN_CHARS = 2000
 LOG_FLUSH_S = 0.2
+POLL_S = 0.05
 BOUNDS = {"revocation_ms": 3000, "stop_s": 4, "repeat_slack": 50}
 
 
@@ -221,10 +222,25 @@
         """Start an endpoint and write its record."""
         endpoint = RoutedEndpoint(list(scripts)) if scripts else RoutedEndpoint()
         self.endpoints[name] = endpoint
-        self.addresses[name] = await self.listen(endpoint.serve, free_address())
+        self.addresses[name] = free_address()
+        await self.nursery.start(endpoint.listen, self.addresses[name])
         self.write_record(name, service)
         return endpoint
 
+    async def replace_when_crashed(
+        self, name: str, service: str, after_s: float, *scripts: Script
+    ) -> None:
+        """Start an endpoint; whenever it has crashed, start another in its place."""
+        number = 0
+        while True:
+            number += 1
+            current = f"{name}-{number}"
+            endpoint = await self.endpoint(current, service, *scripts)
+            while endpoint.ended_at is None:
+                await trio.sleep(POLL_S)
+            await trio.sleep(after_s)
+            self.store.remove(f"servers/{current}")
+
     async def listen(self, handler: Callable[..., Any], address: str) -> str:
         """Serve a handler on an address."""
         host, _, port = address.partition(":")
