Choose as many instances for a task as are asked for

is_chosen listed the own instance twice, to allow for one that is leaving, and then took one more than asked for: the two best instances held that they were chosen. The records of the fleet, claims and watches were written or read by one instance too many.

--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -330,14 +330,12 @@
 
     def is_chosen(self, task: str, count: int) -> bool:
         """Return whether this instance is among the `count` chosen for a task."""
-        # Unless this instance is leaving, it is in the list twice, so that the first
-        # `count + 1` items hold `count` instances if it is among them.
         ranked = sorted(
-            [*self.live(), self.id],
+            {*self.live(), self.id},
             key=lambda name: rendezvous_score(task, name),
             reverse=True,
         )
-        return self.id in dict.fromkeys(ranked[: count + 1])
+        return self.id in ranked[:count]
 
     def wanted_links(self) -> list[Member]:
         """Return the members to which this instance should open a link.
