Hold back parts of prompts under which endpoints end

A third to a half of the requests of that kind failed for seconds.

Cause: the fleet learned nothing about requests from answers that broke off, only about endpoints, and each instance for itself. The next request with the part was placed like any other, at any instance. The class: what a single instance observes decides nothing at the others, or only as long as one coordinator remembers it.

Change: an instance whose answer breaks off checks by a connection whether the process has ended, which tells a crash from a reset connection or a faulty answer. The end counts against all shared parts of the prompts that broke off there; a complete answer clears the parts of its prompt. After three ends in at least two rounds (five for parts that were answered before) the part that explains them is held back: requests with it are refused as not run, with the time of the next trial, by frontends, coordinators and fallback placement alike. One request at a time is a trial, after 2, 10, 60, 300 s. Evidence travels in heartbeats (on all links when it changes, else to one peer), and through the store for instances that reach no others and for restarts: one instance of the fleet writes, readers use the watch they have.

Why it works: ends in a row are rare for a sound part, since its complete answers in between clear it; requests that share only other parts are explained by the held one and still sent.

One connection a broken answer and process is the cost; a write of the store a change, fleet-wide, while processes end. Protocol version 3.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -57,6 +57,19 @@
       | a stalled reader of logs does not block the process                        |
       | a flood of one line is sampled and errors are kept                         |
       | an invalid record is refused with the name of the faulty field             |
+      | a part is held back after three ends in a row, and its neighbours are not  |
+      | a part of prompts that were answered before needs more ends                |
+      | endpoints that end together hold no part back                              |
+      | broken answers of endpoints that are still there hold no part back         |
+      | a complete answer clears the parts of its prompt, at all instances         |
+      | a second part that crashes endpoints is found beside the first one         |
+      | one request at a time is the trial of a part, and rarer after each end     |
+      | waiting requests with a part that is then held back are refused            |
+      | a frontend without its coordinator does not place a part that is held back |
+      | 195 instances hold back a part in time, each at a bounded cost             |
+      | a report of evidence is bounded, and begins with the most suspect parts    |
+      | evidence in the store keeps its age, and clocks that differ do no harm     |
+      | one instance writes evidence to the store, and each that reaches no others |
       | request keys differ after a restart                                        |
       | a request is explained from its log lines                                  |
       | the page of log messages names all messages in the code                    |
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -148,5 +148,8 @@
     Then the routed case "<case>" holds
 
     Examples:
-      | case                                                          |
-      | a part of prompts that crashes endpoints is not sent any more |
+      | case                                                                        |
+      | a part of prompts that crashes endpoints is not sent any more               |
+      | a part that crashes endpoints is held back when its coordinator is killed   |
+      | a part that crashes endpoints is held back by instances without links       |
+      | a part that crashes endpoints is held back after a restart of all instances |
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -33,7 +33,11 @@
     TeamId,
 )
 from savorydyke._log_writer import MAX_BUFFERED_BYTES, LogBuffer, write_lines
-from savorydyke._membership import Membership, rendezvous_score
+from savorydyke._membership import (
+    Membership,
+    rendezvous_score,
+    ring_neighbours,
+)
 from savorydyke._messages import (
     Acquire,
     Grant,
@@ -44,10 +48,18 @@
     Release,
     RunningRow,
     Started,
+    encode,
 )
 from savorydyke._overload import SLOW_DELAY_S, SLOW_HOLD_S, Overload
 from savorydyke._peers import UNUSED_LINK_S, Link, Peers
 from savorydyke._pool_scheduler import new_pool_scheduler
+from savorydyke._prompt_quarantine import (
+    MAX_ROWS,
+    SETTLE_S,
+    TRIAL_DELAYS_S,
+    PromptQuarantine,
+    process_id,
+)
 from savorydyke._quota import Quotas, Tolerance
 from savorydyke._quota_balances import CHECK_S, decode_balances, encode_balances
 from savorydyke._retry_after import (
@@ -58,6 +70,11 @@
 from savorydyke._retry_budget import RetryBudget
 from savorydyke._routed_handler import RoutedHandler
 from savorydyke._routes import TeamQuota
+from savorydyke._shared_evidence import (
+    SharedEvidence,
+    decode_evidence,
+    encode_evidence,
+)
 from savorydyke._store_restores import new_store_restores
 from savorydyke._tier_shares import TierShares
 from savorydyke._timers import TimerService
@@ -1197,6 +1214,8 @@
             None,
             None,
             None,
+            None,
+            None,
             incarnation=incarnation,
         )
         for number in range(3):
@@ -1255,3 +1274,278 @@
         part = re.search(r'_logs\.component_logger\("(\w+)"\)', text).group(1)
         for message in pattern.findall(text):
             assert f"`{part}: {message}`" in page, (part, message)
+
+
+# Prompts that crash endpoints
+
+CONTACT_S = 3.0
+"""Time within which the fleet has to act on what single instances know."""
+SETTLED_S = SETTLE_S + 0.01
+
+
+def lose(quarantine, number, at, parts=("first", "bad"), took_s=0.1):
+    """Record that a process ended under a request that was sent `took_s` before."""
+    process = process_id(f"e{number}", 1)
+    quarantine.record_loss(process, parts, at - took_s, at)
+    quarantine.record_end(process)
+
+
+def held_after(quarantine, now):
+    """Return the parts that are held back once the latest ends have settled."""
+    quarantine.review(now + SETTLED_S)
+    return quarantine.held
+
+
+@case("a part is held back after three ends in a row, and its neighbours are not")
+def _():
+    quarantine = PromptQuarantine()
+    quarantine.record_answer(["first", "second"], 0.0)
+    for number in range(2):
+        lose(quarantine, number, 1.0 + number, ("first", "second", "bad"))
+    assert not held_after(quarantine, 2.0)
+    lose(quarantine, 2, 3.0, ("first", "other", "bad"))
+    quarantine.review(3.0 + SETTLE_S / 2)
+    assert not quarantine.held
+    assert held_after(quarantine, 3.0) == {"bad"}
+    assert quarantine.held_part(("first", "bad"), 4.0) is not None
+    assert quarantine.held_part(("first", "second"), 4.0) is None
+
+
+@case("a part of prompts that were answered before needs more ends")
+def _():
+    quarantine = PromptQuarantine()
+    quarantine.record_answer(["first", "bad"], 0.0)
+    quarantine.record_answer(["first"], 0.5)
+    for number in range(4):
+        lose(quarantine, number, 1.0 + number)
+    assert not held_after(quarantine, 4.0)
+    lose(quarantine, 4, 5.0)
+    # The part whose answer is older is held back, and not the one of all prompts.
+    assert held_after(quarantine, 5.0) == {"bad"}
+
+
+@case("endpoints that end together hold no part back")
+def _():
+    quarantine = PromptQuarantine()
+    for number in range(9):
+        lose(quarantine, number, 1.0 + 0.01 * number)
+    assert not held_after(quarantine, 1.1)
+
+
+@case("broken answers of endpoints that are still there hold no part back")
+def _():
+    quarantine = PromptQuarantine()
+    for number in range(9):
+        process = process_id(f"e{number}", 1)
+        quarantine.record_loss(process, ("first", "bad"), number, number + 0.1)
+    assert not held_after(quarantine, 9.0)
+    # A peer tells that three have ended.
+    for number in range(3):
+        quarantine.record_end(process_id(f"e{number}", 1))
+    assert held_after(quarantine, 9.0) == {"bad"}
+
+
+@case("a complete answer clears the parts of its prompt, at all instances")
+def _():
+    quarantine, peer = PromptQuarantine(), PromptQuarantine()
+    for number in range(3):
+        lose(quarantine, number, 1.0 + number, ("first",))
+    peer.merge(quarantine.rows(3.5), 3.5)
+    assert held_after(quarantine, 3.5) == held_after(peer, 3.5) == {"first"}
+    peer.record_answer(["first"], 4.0)
+    assert not peer.held
+    quarantine.merge(peer.rows(4.1), 4.1)
+    assert not quarantine.held
+    # The evidence of before, told again, does not count any more.
+    other = PromptQuarantine()
+    for number in range(3):
+        lose(other, number, 1.0 + number, ("first",))
+    quarantine.merge(other.rows(4.2), 4.2)
+    assert not held_after(quarantine, 4.2)
+
+
+@case("a second part that crashes endpoints is found beside the first one")
+def _():
+    quarantine = PromptQuarantine()
+    quarantine.record_answer(["first"], 0.5)
+    for number in range(3):
+        lose(quarantine, number, 1.0 + number, ("first", "bad"))
+    assert held_after(quarantine, 3.0) == {"bad"}
+    for number in range(3, 6):
+        lose(quarantine, number, 1.0 + number, ("first", "worse"))
+    assert held_after(quarantine, 6.0) == {"bad", "worse"}
+
+
+@case("one request at a time is the trial of a part, and rarer after each end")
+def _():
+    scheduler = scheduler_of("a", "b")
+    quarantine = scheduler.quarantine
+    for number in range(3):
+        lose(quarantine, number, 1.0 + number)
+    now = 3.0 + SETTLED_S
+    quarantine.review(now)
+    (refusal,) = refused(scheduler.acquire(acquire("1", parts=("bad",)), FRONTEND, now))
+    assert refusal.reason is Reason.HELD_BACK and not refusal.may_have_run
+    delay_s = TRIAL_DELAYS_S[1]
+    assert 0 < refusal.retry_ms <= 1500 * delay_s
+    now = 3.0 + delay_s
+    assert granted(scheduler.acquire(acquire("2", parts=("bad",)), FRONTEND, now))
+    assert refused(scheduler.acquire(acquire("3", parts=("bad",)), FRONTEND, now + 0.1))
+    assert granted(scheduler.acquire(acquire("4", parts=("first",)), FRONTEND, now))
+    lose(quarantine, 3, now + 0.2)
+    assert quarantine.trial_at("bad") == now + 0.2 + TRIAL_DELAYS_S[2]
+
+
+@case("waiting requests with a part that is then held back are refused")
+def _():
+    scheduler = scheduler_of("a", slots=1)
+    scheduler.acquire(acquire("0"), FRONTEND, 3.0)
+    for key, parts in (("1", ("bad",)), ("2", ("first",))):
+        message = acquire(key, parts=parts, objective_ms=9000)
+        assert not scheduler.acquire(message, FRONTEND, 3.0)
+    for number in range(3):
+        lose(scheduler.quarantine, number, 1.0 + number)
+    scheduler.quarantine.review(3.0 + SETTLED_S)
+    (refusal,) = refused(scheduler.refuse_held(3.5))
+    assert refusal.key.endswith("/1") and refusal.reason is Reason.HELD_BACK
+    assert len(scheduler.queue) == 1
+
+
+@case("a frontend without its coordinator does not place a part that is held back")
+def _():
+    async def play():
+        gateway = unconnected_gateway()
+        manifest = build_manifest(configuration(), {"a": record("a")})
+        gateway.directory.manifest = manifest
+        demand = {
+            "key": "k",
+            "pool": POOL,
+            "team": CREW,
+            "model": "",
+            "prompt_tokens": 1,
+            "output_tokens": 1,
+            "prefix": (),
+            "deadline": 9.0,
+            "has_caller_id": False,
+        }
+        bad = Demand(**demand, parts=("first", "bad"))
+        gateway.fallback_quotas.limits = {}
+        assert gateway.place_fallback(bad, ()) == "a"
+        now = trio.current_time()
+        for number in range(3):
+            lose(gateway.quarantine, number, now - 9.0 + number)
+        gateway.quarantine.review(now)
+        # Not as a trial either, which only the coordinator may start.
+        assert gateway.quarantine.held_part(("bad",), now + 60.0) is None
+        assert gateway.place_fallback(bad, ()) is None
+        sound = Demand(**demand, parts=("first",))
+        assert gateway.place_fallback(sound, ()) == "a"
+
+    trio.run(play)
+
+
+@case("195 instances hold back a part in time, each at a bounded cost")
+def _():
+    names = [f"instance-{number:03}" for number in range(195)]
+    links = {name: set(ring_neighbours(name, names)) for name in names}
+    for name in names:
+        for neighbour in links[name]:
+            links[neighbour].add(name)
+    quarantines = {name: PromptQuarantine() for name in names}
+    announced = dict.fromkeys(names, 0)
+    rng = random.Random(7)
+    sent_bytes = Counter()
+    for number in range(5):
+        # Each end is seen by another instance, in a crowd of broken sound answers.
+        quarantine = quarantines[rng.choice(names)]
+        lose(quarantine, number, 0.1 + 0.2 * number, (f"sound-{number}", "bad"))
+    now, last_end = 0.9, 0.9
+    held_at = {}
+    while len(held_at) < len(names):
+        now += 0.25
+        assert now <= last_end + CONTACT_S, len(held_at)
+        changed = [n for n in names if announced[n] != quarantines[n].changes]
+        messages = [(n, quarantines[n].rows(now)) for n in changed]
+        for name, rows in messages:
+            announced[name] = quarantines[name].changes
+            size = len(encode([Heartbeat(1, 1, False, 1, 0, (), (), losses=rows)]))
+            for neighbour in links[name]:
+                sent_bytes[name] += size
+                quarantines[neighbour].merge(rows, now)
+        for name in names:
+            quarantines[name].review(now)
+            if quarantines[name].held:
+                assert quarantines[name].held == {"bad"}
+                held_at.setdefault(name, now)
+    # The whole control traffic of an instance is to be at most 28 kB/s.
+    assert max(sent_bytes.values()) / CONTACT_S < 28_000, sent_bytes.most_common(3)
+
+
+@case("a report of evidence is bounded, and begins with the most suspect parts")
+def _():
+    quarantine = PromptQuarantine()
+    for number in range(300):
+        lose(quarantine, number, 1.0, (f"sound-{number}",))
+    for number in range(3):
+        lose(quarantine, number, 2.0 + number, ("bad",))
+    rows = quarantine.rows(4.5)
+    assert len(rows) == MAX_ROWS
+    assert [row.part for row in rows[:3]] == ["bad"] * 3
+    # Later only what several ends speak against is told again.
+    assert {row.part for row in quarantine.rows(60.0)} == {"bad"}
+
+
+@case("evidence in the store keeps its age, and clocks that differ do no harm")
+def _():
+    quarantine = PromptQuarantine()
+    for number in range(3):
+        lose(quarantine, number, 1.0 + number)
+    record = encode_evidence(quarantine.rows(10.0), written_ms=1_000_000)
+    for now_ms in (1_002_000, 990_000):
+        other = PromptQuarantine()
+        other.merge(decode_evidence(record, now_ms), 100.0)
+        assert held_after(other, 100.0) == {"bad"}
+        latest = max(loss.at for loss in other.parts["bad"].losses.values())
+        age_s = 7.0 + max(0, now_ms - 1_000_000) / 1000
+        assert abs(latest - (100.0 - age_s)) < 0.01
+
+
+@case("one instance writes evidence to the store, and each that reaches no others")
+def _():
+    class Writes:
+        def __init__(self):
+            self.generation, self.keys = 1, []
+
+        async def write(self, values, lease):
+            assert lease == 7
+            self.keys += values
+
+    async def play(names, acknowledged):
+        writes = Writes()
+        for own in names:
+            membership = Membership(own, "i:1", "dc", 1)
+            now = trio.current_time()
+            for name in names:
+                row = MemberRow(name, f"{name}:1", "dc", 1, 1, 0, False)
+                membership.merge_row(row, now)
+            for member in membership.members.values():
+                member.linked = True
+                if acknowledged:
+                    member.acknowledged_at = now
+            membership.update(now)
+            quarantine = PromptQuarantine()
+            shared = SharedEvidence(writes, quarantine, membership, lambda: 7)
+            await shared.write()
+            # While nothing speaks against any part there is no call.
+            assert not writes.keys or not writes.keys[-1].endswith(own)
+            lose(quarantine, 1, now)
+            await shared.write()
+            await shared.write()
+        return writes.keys
+
+    for count in (3, 195):
+        names = [InstanceId(f"instance-{number:03}") for number in range(count)]
+        written = trio.run(play, names, True)
+        assert len(written) == 1, written
+    written = trio.run(play, names[:5], False)
+    assert len(written) == 5, written
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -1739,3 +1739,57 @@
     traffic = await start_crashing_engines(site)
     await traffic.run(10.0)
     traffic.check()
+
+
+async def wait_for_ends(traffic, number):
+    """Wait until some endpoints have ended."""
+    while len(traffic.ends()) < number:
+        await trio.sleep(0.02)
+
+
+async def replace_daemon(site, daemon):
+    """Kill an instance and start another one under its name."""
+    daemon.process.kill()
+    daemon.process.wait()
+    again = await site.daemon(daemon.name)
+    site.daemons.remove(again)
+    site.daemons[site.daemons.index(daemon)] = again
+
+
+@case("a part that crashes endpoints is held back when its coordinator is killed")
+async def _(site):
+    traffic = await start_crashing_engines(site)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(traffic.run, 10.0)
+        await wait_for_ends(traffic, 2)
+        (coordinator,) = [
+            d for d in site.daemons if "home: Granted." in d.log.read_text()
+        ]
+        await replace_daemon(site, coordinator)
+    traffic.check()
+
+
+@case("a part that crashes endpoints is held back by instances without links")
+async def _(site):
+    site.store.hidden = "savorydyke/instances/"
+    traffic = await start_crashing_engines(site)
+    assert not any("Link opened." in d.log.read_text() for d in site.daemons)
+    await traffic.run(10.0)
+    traffic.check()
+
+
+@case("a part that crashes endpoints is held back after a restart of all instances")
+async def _(site):
+    traffic = await start_crashing_engines(site)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(traffic.run, 14.0)
+        await wait_for_ends(traffic, 4)
+        await trio.sleep(2.0)
+        before = len(traffic.ends())
+        for daemon in list(site.daemons):
+            daemon.process.kill()
+        for daemon in list(site.daemons):
+            await replace_daemon(site, daemon)
+    # One trial may have come due.
+    assert len(traffic.ends()) <= before + 1, (before, traffic.ends())
+    traffic.check()
--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -43,6 +43,7 @@
     Store,
     StoreError,
     endpoint_of_key,
+    evidence_of_key,
     instance_of_key,
     read_configuration,
     read_endpoint,
@@ -124,6 +125,8 @@
         Called with each new manifest.
     restart_listeners : list of callable
         Called with an endpoint whose record is from a new process.
+    evidence_listeners : list of callable
+        Called with an instance and the evidence that it has written.
     """
 
     store: Store
@@ -146,6 +149,9 @@
     reconnected_at: float = float("-inf")
     listeners: list[Callable[[Manifest], None]] = field(default_factory=list)
     restart_listeners: list[Callable[[EndpointId], None]] = field(default_factory=list)
+    evidence_listeners: list[Callable[[InstanceId, bytes], None]] = field(
+        default_factory=list
+    )
 
     @property
     def version(self) -> int:
@@ -314,6 +320,11 @@
         instance = instance_of_key(change.key)
         if instance is not None:
             self._apply_instance(instance, change.value)
+            return
+        writer = evidence_of_key(change.key)
+        if writer is not None and change.value is not None:
+            for listener in self.evidence_listeners:
+                listener(writer, change.value)
 
     def _apply_endpoint(self, endpoint: EndpointId, data: bytes | None) -> None:
         if data is None:
@@ -504,4 +515,5 @@
         prefill_tokens_per_s=ENGINE_PREFILL_TOKENS_PER_S if is_engine else call_speed,
         decode_tokens_per_s=ENGINE_DECODE_TOKENS_PER_S if is_engine else 1e9,
         first_s=ENGINE_FIRST_S if is_engine else 0.0,
+        started_ms=record.started_ms,
     )
--- a/src/savorydyke/_fair_queue.py
+++ b/src/savorydyke/_fair_queue.py
@@ -11,7 +11,13 @@
 from dataclasses import dataclass, field
 from itertools import islice
 
-from savorydyke._ids import EndpointId, InstanceId, RequestKey, TeamId
+from savorydyke._ids import (
+    EndpointId,
+    InstanceId,
+    PromptPartId,
+    RequestKey,
+    TeamId,
+)
 
 LOOK_AHEAD = 4
 """Number of a team's first requests that are considered for a grant."""
@@ -59,6 +65,8 @@
         Tokens that are charged to its team's quota.
     forecast : Forecast
         Predicted times at idle endpoints, made when it arrived.
+    parts : tuple of PromptPartId
+        The parts of its prompt that other requests may share.
     """
 
     key: RequestKey
@@ -80,6 +88,7 @@
     quota_tokens: int = 0
     forecast: Forecast = Forecast(0.0, 0.0, 0.0)
     abandon_at: float = math.inf
+    parts: tuple[PromptPartId, ...] = ()
 
     def is_late(self) -> bool:
         """Return whether the objective is missed or expected to be missed."""
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -13,7 +13,14 @@
 from savorydyke._fallback_placement import place_fallback
 from savorydyke._gateway_settings import GatewaySettings
 from savorydyke._grant_client import COORDINATOR_STALLED_S, Demand, GrantClient
-from savorydyke._ids import EndpointId, InstanceId, PoolId, Revision, TeamId
+from savorydyke._ids import (
+    EndpointId,
+    InstanceId,
+    PoolId,
+    PromptPartId,
+    Revision,
+    TeamId,
+)
 from savorydyke._log_writer import LogBuffer
 from savorydyke._membership import Membership
 from savorydyke._messages import (
@@ -36,10 +43,12 @@
 from savorydyke._peers import Peers
 from savorydyke._pool_host import PoolHost
 from savorydyke._pool_scheduler import PoolScheduler
+from savorydyke._prompt_quarantine import PromptQuarantine
 from savorydyke._quota import Quotas, Tolerance
 from savorydyke._quota_balances import QuotaBalances
 from savorydyke._retry_budget import RetryBudget
 from savorydyke._routes import TeamQuota
+from savorydyke._shared_evidence import SharedEvidence
 from savorydyke._store_records import StoreRecords
 from savorydyke._store_restores import new_store_restores
 from savorydyke._timers import TimerService
@@ -77,12 +86,18 @@
     fallback_quotas : Quotas
         This instance's share of the quotas, for requests that it places because
         the coordinator does not respond.
+    quarantine : PromptQuarantine
+        The parts of prompts that are held back.
+    shared_evidence : SharedEvidence
+        Keeps the evidence against parts of prompts in the store.
     quota_balances : QuotaBalances
         Transfers quota balances when a pool's coordinator changes.
     stopping : bool
         Whether the stop signal has been received.
     announced_version : int
         Version of the configuration in the latest heartbeats.
+    announced_evidence : int
+        State of the evidence in the latest heartbeats to all peers.
     """
 
     settings: GatewaySettings
@@ -94,6 +109,8 @@
     membership: Membership
     peers: Peers
     states: EndpointStates
+    quarantine: PromptQuarantine
+    shared_evidence: SharedEvidence
     pool_host: PoolHost
     grant_client: GrantClient
     metrics: Metrics
@@ -104,6 +121,7 @@
     store_records: StoreRecords
     stopping: bool = False
     announced_version: int = 0
+    announced_evidence: int = 0
 
     def deliver(self, instance: InstanceId, message: Message) -> None:
         """Send a message to an instance, possibly this one."""
@@ -132,6 +150,7 @@
         now = trio.current_time()
         self.membership.receive_heartbeat(sender, heartbeat, now)
         self.states.update_from_peer(heartbeat.leaving_endpoints, now)
+        self.quarantine.merge(heartbeat.losses, now)
         if heartbeat.revision > self.directory.version:
             request = ConfigurationRequest(Revision(self.directory.version))
             self.peers.send(sender, request)
@@ -155,12 +174,16 @@
             async for _ in ticks:
                 ticks_seen += 1
                 now = trio.current_time()
-                has_changed = self._update_slow(now) or self._has_new_version()
+                self.quarantine.review(now)
+                has_evidence = self._has_new_evidence()
+                has_changed = (
+                    self._update_slow(now) or self._has_new_version() or has_evidence
+                )
                 if ticks_seen % self._adapt_to_fleet_size() and not has_changed:
                     continue
                 counter = self.membership.next_heartbeat(now)
                 self.configuration_age.record_heartbeat(counter, boot_time())
-                self._send_heartbeats(counter, now, has_changed)
+                self._send_heartbeats(counter, now, has_changed, has_evidence)
                 self.states.set_listed(self.directory.leaving_endpoints(), now)
                 self.membership.update(now)
                 self.apply_instance_records()
@@ -174,6 +197,12 @@
         self.announced_version = self.directory.version
         return has_changed
 
+    def _has_new_evidence(self) -> bool:
+        """Return whether evidence against parts of prompts is new since the latest."""
+        has_changed = self.announced_evidence != self.quarantine.changes
+        self.announced_evidence = self.quarantine.changes
+        return has_changed
+
     def _update_slow(self, now: float) -> bool:
         """Announce whether this instance is slow; return whether that has changed."""
         slow = self.overload.is_slow(now)
@@ -227,9 +256,12 @@
             return peers
         return [peer for peer in peers if peer in coordinators]
 
-    def _send_heartbeats(self, counter: int, now: float, has_changed: bool) -> None:
+    def _send_heartbeats(
+        self, counter: int, now: float, has_changed: bool, has_evidence: bool
+    ) -> None:
         peers = self._due_peers(counter, has_changed)
         informed = self.rng.choice(peers) if peers else None
+        losses = self.quarantine.rows(now)
         for peer in peers:
             member = self.membership.members.get(peer)
             rows = self.membership.rows(now) if peer == informed else ()
@@ -242,6 +274,7 @@
                 leaving_endpoints=self.states.observed_leaving(),
                 rows=rows,
                 slow=self.membership.slow,
+                losses=losses if has_evidence or peer == informed else (),
             )
             self.peers.send(peer, heartbeat)
 
@@ -261,6 +294,7 @@
             "version": self.directory.version,
             "config_age_ms": self.configuration_age.age_ms(boot_time()),
             "ready": int(self.is_ready()),
+            "prompt_parts_held": len(self.quarantine.held),
             "endpoints": len(self.directory.endpoints),
             "links": len(self.peers.links),
             "pending": len(self.grant_client.pending),
@@ -293,7 +327,7 @@
             the team's quota is used up.
         """
         manifest = self.directory.manifest
-        if manifest is None:
+        if manifest is None or self.quarantine.held.intersection(demand.parts):
             return None
         now = trio.current_time()
         in_flight = [i.granted.endpoint for i in self.grant_client.in_flight.values()]
@@ -349,6 +383,7 @@
         membership, "", lambda sender, message: gateway.handle(sender, message), rng
     )
     states = EndpointStates()
+    quarantine = PromptQuarantine()
     pool_host = PoolHost(
         membership=membership,
         states=states,
@@ -380,6 +415,9 @@
         settings.instance, settings.peers, settings.data_centre, settings.cores
     )
     timers, overload = TimerService(rng), Overload()
+    store_records = StoreRecords(
+        store, record, directory, membership, peers, timers, rng
+    )
     timers.delay_listeners.append(overload.observe_delay)
     gateway = Gateway(
         settings,
@@ -391,6 +429,8 @@
         membership,
         peers,
         states,
+        quarantine,
+        SharedEvidence(store, quarantine, membership, lambda: store_records.lease),
         pool_host,
         grant_client,
         metrics,
@@ -400,8 +440,10 @@
         Quotas(opened=trio.current_time()),
         quota_balances,
         overload,
-        StoreRecords(store, record, directory, membership, peers, timers, rng),
+        store_records,
     )
+    quarantine.listeners.append(lambda part, held: _note_held(gateway, part, held))
+    directory.evidence_listeners.append(gateway.shared_evidence.receive)
     membership.listeners.append(grant_client.follow_coordinators)
     membership.loss_listeners.append(pool_host.frontend_lost)
     states.listeners.append(pool_host.set_leaving)
@@ -419,6 +461,7 @@
     """Set a new scheduler's quotas and retry budget from the settings."""
     bounds = gateway.settings.bounds
     scheduler.capacity.min_retry_s = MIN_RETRY_S
+    scheduler.quarantine = gateway.quarantine
     scheduler.retry_budget = RetryBudget(
         bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
     )
@@ -430,6 +473,17 @@
     gateway.quota_balances.hosted.set()
 
 
+def _note_held(gateway: Gateway, part: PromptPartId, held: bool) -> None:
+    """Log that a part of prompts is held back or released, and apply it."""
+    extra: dict[str, object] = {"prompt_part": part}
+    if not held:
+        log.info("Prompt part released.", extra=extra)
+        return
+    processes = gateway.quarantine.parts[part].losses
+    log.warning("Prompt part held back.", extra=extra | {"ended": list(processes)})
+    gateway.pool_host.refuse_held()
+
+
 def _on_takeover(gateway: Gateway, scheduler: PoolScheduler) -> None:
     """Reset the quotas and trigger a read of the previous coordinator's balances."""
     scheduler.quotas.reset(trio.current_time())
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -19,6 +19,7 @@
     open_listener,
 )
 from savorydyke._log_writer import LogBuffer, flush, write_lines
+from savorydyke._lost_answers import LostAnswers
 from savorydyke._routed_handler import RoutedHandler
 from savorydyke._store_records import read_or_create_fleet_key
 from savorydyke.platform import READINESS_PATH, open_store
@@ -55,6 +56,8 @@
             gateway.rng,
             settings.bounds.apply.revocation_s,
             gateway.states,
+            gateway.quarantine,
+            LostAnswers(gateway.quarantine, nursery),
             gateway.overload,
             gateway.metrics,
             incarnation=gateway.membership.incarnation,
@@ -99,6 +102,7 @@
         nursery.start_soon(gateway.store_records.keep_instance_record)
         nursery.start_soon(gateway.store_records.rewrite_fleet_records)
         nursery.start_soon(gateway.quota_balances.run)
+        nursery.start_soon(gateway.shared_evidence.run, gateway.timers)
         nursery.start_soon(gateway.run_heartbeats)
         nursery.start_soon(gateway.peers.maintain_links)
         nursery.start_soon(gateway.pool_host.run, gateway.timers)
--- a/src/savorydyke/_grant_client.py
+++ b/src/savorydyke/_grant_client.py
@@ -17,6 +17,7 @@
     EndpointId,
     InstanceId,
     PoolId,
+    PromptPartId,
     Reason,
     ReleaseResult,
     RequestKey,
@@ -73,6 +74,8 @@
         Whether the request was sent before.
     quota_tokens : int
         Tokens that are charged to its team's quota.
+    parts : tuple of PromptPartId
+        The parts of its prompt that other requests may share.
     """
 
     key: RequestKey
@@ -91,6 +94,7 @@
     abandon_at: float = math.inf
     is_retry: bool = False
     quota_tokens: int = 0
+    parts: tuple[PromptPartId, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -293,6 +297,7 @@
             urgency=demand.urgency,
             is_retry=demand.is_retry,
             quota_tokens=demand.quota_tokens,
+            parts=demand.parts,
         )
 
     def _with_time_left(self, pending: Pending) -> Acquire:
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -43,6 +43,10 @@
     """Raised when a channel ends early or receives something other than an answer."""
 
 
+class ChannelRefusedError(ChannelBrokenError):
+    """Raised when nothing listens at an address."""
+
+
 class ChannelTimeoutError(ChannelBrokenError):
     """Raised when too little was received in time.
 
@@ -82,6 +86,11 @@
     headers: Headers
     length: int | None
 
+    def is_delimited(self) -> bool:
+        """Return whether the end of the body is marked, other than by a close."""
+        coding = self.get(b"transfer-encoding") or b""
+        return self.length is not None or coding.lower().endswith(b"chunked")
+
     def get(self, name: bytes) -> bytes | None:
         """Return the value of a header, by its name in lower case."""
         for key, value in self.headers:
@@ -221,7 +230,8 @@
     Raises
     ------
     ChannelBrokenError
-        If it could not be opened in time; nothing has been sent.
+        If it could not be opened in time; nothing has been sent. It is a
+        `ChannelRefusedError` if nothing listens there.
     """
     host, _, port = address.rpartition(":")
     try:
@@ -232,6 +242,8 @@
             except BaseException:
                 sock.close()
                 raise
+    except ConnectionRefusedError as error:
+        raise ChannelRefusedError(f"connect failed: {error!r}") from None
     except (OSError, ValueError, trio.TooSlowError) as error:
         raise ChannelBrokenError(f"connect failed: {error!r}") from None
     return Channel(trio.SocketStream(sock))
--- a/src/savorydyke/_ids.py
+++ b/src/savorydyke/_ids.py
@@ -12,6 +12,8 @@
 RequestId = NewType("RequestId", str)
 RequestKey = NewType("RequestKey", str)
 """Team and request id together, since request ids are unique only within a team."""
+ProcessId = NewType("ProcessId", str)
+"""One process of an endpoint, which a restart replaces."""
 PromptPartId = NewType("PromptPartId", str)
 """Part of the prompts for one pool that several requests may share."""
 Revision = NewType("Revision", int)
@@ -58,6 +60,7 @@
     STALE_CONFIGURATION = "stale-configuration"
     CLAIMS_UNAVAILABLE = "claims-unavailable"
     STOPPING = "stopping"
+    HELD_BACK = "prompt-held-back"
     ENDPOINT_FAILED = "endpoint-failed"
     TIMEOUT = "timeout"
     NOT_FOUND = "not-found"
--- /dev/null
+++ b/src/savorydyke/_lost_answers.py
@@ -0,0 +1,111 @@
+"""Finds out whether endpoints have ended when their answers break off.
+
+An answer also breaks off when a connection is reset or an answer is faulty. A new
+connection shows whether the endpoint's process is still there.
+"""
+
+from dataclasses import dataclass, field
+
+import trio
+
+from savorydyke import _logs
+from savorydyke._http1 import (
+    ChannelBrokenError,
+    ChannelRefusedError,
+    open_channel,
+)
+from savorydyke._ids import ProcessId, PromptPartId
+from savorydyke._manifest import Endpoint
+from savorydyke._prompt_quarantine import PromptQuarantine, process_id
+
+CHECK_DELAY_S = 0.03
+"""Time for a process that ends to close its listener after its connections."""
+CONNECT_TIMEOUT_S = 0.3
+
+log = _logs.component_logger("request")
+
+
+@dataclass
+class LostAnswers:
+    """Collects the evidence of this instance's own requests.
+
+    Attributes
+    ----------
+    background : trio.Nursery
+        Runs the checks.
+    checking : set of ProcessId
+        Processes that are being checked.
+    """
+
+    quarantine: PromptQuarantine
+    background: trio.Nursery
+    checking: set[ProcessId] = field(default_factory=set)
+
+    def record_lost(
+        self, endpoint: Endpoint, parts: tuple[PromptPartId, ...], sent: float
+    ) -> None:
+        """Record that an endpoint's answer to a request broke off.
+
+        Parameters
+        ----------
+        sent : float
+            When the request was sent, on the monotonic clock.
+        """
+        if not parts:
+            return
+        process = process_id(endpoint.id, endpoint.started_ms)
+        self.quarantine.record_loss(process, parts, sent, trio.current_time())
+        if process not in self.checking:
+            self.checking.add(process)
+            self.background.start_soon(self._check, endpoint, process)
+
+    def record_refused(self, endpoint: Endpoint) -> None:
+        """Record that nothing listens at an endpoint's address."""
+        process = process_id(endpoint.id, endpoint.started_ms)
+        self.quarantine.record_end(process)
+
+    def record_complete(
+        self, endpoint: Endpoint, parts: tuple[PromptPartId, ...], is_delimited: bool
+    ) -> None:
+        """Record a complete answer.
+
+        One whose end is only marked by a close counts if the endpoint is still there.
+        """
+        if is_delimited:
+            self.quarantine.record_answer(parts, trio.current_time())
+        elif self.quarantine.has_evidence(parts):
+            self.background.start_soon(self._clear_if_there, endpoint, parts)
+
+    async def _check(self, endpoint: Endpoint, process: ProcessId) -> None:
+        try:
+            await trio.sleep(CHECK_DELAY_S)
+            await self._is_there(endpoint)
+        finally:
+            self.checking.discard(process)
+
+    async def _clear_if_there(
+        self, endpoint: Endpoint, parts: tuple[PromptPartId, ...]
+    ) -> None:
+        answered = trio.current_time()
+        await trio.sleep(CHECK_DELAY_S)
+        if await self._is_there(endpoint):
+            self.quarantine.record_answer(parts, answered)
+
+    async def _is_there(self, endpoint: Endpoint) -> bool:
+        """Return whether a connection can be opened; record it if it is refused."""
+        try:
+            channel = await open_channel(endpoint.address, CONNECT_TIMEOUT_S)
+        except ChannelRefusedError as error:
+            log.info(
+                "Endpoint ended.", extra={"endpoint": endpoint.id, "error": str(error)}
+            )
+            self.record_refused(endpoint)
+            return False
+        except ChannelBrokenError as error:
+            log.info(
+                "Endpoint not reached.",
+                extra={"endpoint": endpoint.id, "error": str(error)},
+            )
+            return False
+        channel.close()
+        return True
--- a/src/savorydyke/_manifest.py
+++ b/src/savorydyke/_manifest.py
@@ -103,6 +103,8 @@
         `SERVICE_CALL_TOKENS` prompt tokens.
     first_s : float
         Time to the first token of an empty prompt, assumed until it is learned.
+    started_ms : int
+        Start of its process in Unix milliseconds, 0 if unknown.
     """
 
     id: EndpointId
@@ -118,6 +120,7 @@
     prefill_tokens_per_s: float
     decode_tokens_per_s: float
     first_s: float = 0.0
+    started_ms: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -20,6 +20,8 @@
     EndpointId,
     InstanceId,
     PoolId,
+    ProcessId,
+    PromptPartId,
     Reason,
     ReleaseResult,
     RequestKey,
@@ -27,7 +29,7 @@
     TeamId,
 )
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 MAX_FRAME_BYTES = 2_000_000
 
 
@@ -84,6 +86,28 @@
     slow: bool = False
 
 
+@dataclass(frozen=True)
+class LossRow:
+    """A part of prompts under which a process of an endpoint has ended.
+
+    Attributes
+    ----------
+    depth : int
+        Place of the part in prompts, 0 for the first.
+    process : ProcessId
+        Empty if an answer to a prompt with the part was complete.
+    sent_age_ms, lost_age_ms : int
+        Time since the request was sent and since its answer broke off or, without
+        a process, was complete.
+    """
+
+    part: PromptPartId
+    depth: int
+    process: ProcessId
+    sent_age_ms: int
+    lost_age_ms: int
+
+
 @dataclass(frozen=True)
 class Heartbeat:
     """Shows that the sender is running, with state that must spread quickly.
@@ -105,6 +129,9 @@
         The sender's view of the fleet; sent on only one link at each interval.
     slow : bool
         Whether the sender is too slow to coordinate a pool.
+    losses : tuple of LossRow
+        Evidence against parts of prompts; sent on all links when it changes and
+        otherwise like `rows`.
     """
 
     counter: int
@@ -115,6 +142,7 @@
     leaving_endpoints: tuple[EndpointId, ...]
     rows: tuple[MemberRow, ...]
     slow: bool = False
+    losses: tuple[LossRow, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -183,6 +211,8 @@
         the retry budget.
     quota_tokens : int
         What the request counts against its team's quota.
+    parts : tuple of PromptPartId
+        The parts of its prompt that other requests may share.
     """
 
     key: RequestKey
@@ -203,6 +233,7 @@
     is_retry: bool = False
     quota_tokens: int = 0
     abandon_after_ms: int = -1
+    parts: tuple[PromptPartId, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -341,7 +372,7 @@
     | Queued
     | QuotaPush
 )
-_NESTED = (MemberRow, RunningRow)
+_NESTED = (MemberRow, RunningRow, LossRow)
 _TAGS = {kind: tag for tag, kind in enumerate(get_args(Message))}
 _KINDS = {tag: kind for kind, tag in _TAGS.items()}
 
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -274,6 +274,12 @@
         for hosted in self.hosted.values():
             hosted.scheduler.endpoint_restarted(endpoint)
 
+    def refuse_held(self) -> None:
+        """Refuse waiting requests with parts of prompts that are now held back."""
+        now = trio.current_time()
+        for hosted in self.hosted.values():
+            self._send(hosted.scheduler, hosted.scheduler.refuse_held(now))
+
     def frontend_lost(self, frontend: InstanceId) -> None:
         """Record in all schedulers that an instance has died."""
         now = trio.current_time()
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -27,6 +27,11 @@
 )
 from savorydyke._manifest import Manifest, PoolKind
 from savorydyke._messages import Acquire, Grant, Refuse, Register, Release, Started
+from savorydyke._prompt_quarantine import (
+    HELD_BACK_DETAIL,
+    TRIAL_S,
+    PromptQuarantine,
+)
 from savorydyke._quota import Quotas
 from savorydyke._retry_budget import RetryBudget
 
@@ -109,6 +114,8 @@
         Tokens that the calling teams may use.
     retry_budget : RetryBudget or None
         Limits retries of requests; None for no limit.
+    quarantine : PromptQuarantine
+        Parts of prompts that are held back.
     placed : dict of RequestKey to EndpointId
         The endpoint of each request in flight.
     recent : OrderedDict of RequestKey to Recent
@@ -126,6 +133,7 @@
     grants_enabled: bool = True
     quotas: Quotas = field(default_factory=Quotas)
     retry_budget: RetryBudget | None = None
+    quarantine: PromptQuarantine = field(default_factory=PromptQuarantine)
     placed: dict[RequestKey, EndpointId] = field(default_factory=dict)
     recent: OrderedDict[RequestKey, Recent] = field(default_factory=OrderedDict)
     expiry: list[tuple[float, RequestKey, int]] = field(default_factory=list)
@@ -209,8 +217,10 @@
             return [_deny(message, frontend, Reason.NOT_APPROVED, "unknown team")]
         item = self._new_waiting(message, frontend, now)
         self.capacity.shares.offered.add(item.rank, item.cost_s, now)
-        refusal = self._admit(item, now) or self._check_budgets(
-            item, message.is_retry, now
+        refusal = (
+            self._hold_back(item, now)
+            or self._admit(item, now)
+            or self._check_budgets(item, message.is_retry, now)
         )
         if refusal is not None:
             return [refusal]
@@ -218,6 +228,27 @@
         self._enqueue(item)
         return self._shed_excess(now) + self.grant_waiting(now)
 
+    def _hold_back(self, item: Waiting, now: float) -> Decision | None:
+        """Refuse a request with a part that is held back, unless it is a trial."""
+        held = self.quarantine.held_part(item.parts, now)
+        if held is None and self.quarantine.start_trial(item.parts, now):
+            return None
+        wait_s = held[1] if held else TRIAL_S
+        return self._refuse(item, Reason.HELD_BACK, HELD_BACK_DETAIL, wait_s, now)
+
+    def refuse_held(self, now: float) -> list[Decision]:
+        """Refuse the waiting requests with a part that is now held back."""
+        decisions = []
+        for item in list(self.queue.by_key.values()):
+            held = self.quarantine.held_part(item.parts, now)
+            if held is not None:
+                self.queue.remove(item.key)
+                self._refund(item)
+                decisions.append(
+                    self._refuse(item, Reason.HELD_BACK, HELD_BACK_DETAIL, held[1], now)
+                )
+        return decisions
+
     def _enqueue(self, item: Waiting) -> None:
         self.queue.push(item)
         heapq.heappush(
@@ -596,6 +627,7 @@
             )
             / 1000,
             quota_tokens=message.quota_tokens,
+            parts=message.parts,
         )
         item.forecast = self.estimates.forecast(item)
         item.cost_s = item.forecast.cost_s
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -18,6 +18,8 @@
 from savorydyke._grant_client import Demand, GrantClient, Granted, Refused
 from savorydyke._http1 import (
     ChannelBrokenError,
+    ChannelRefusedError,
+    ChannelTimeoutError,
     OutgoingRequest,
     open_channel,
 )
@@ -33,10 +35,12 @@
     TierId,
 )
 from savorydyke._ingress import IncomingRequest, Rejected, Responder
+from savorydyke._lost_answers import LostAnswers
 from savorydyke._manifest import SERVICE_CALL_TOKENS, Endpoint
 from savorydyke._metrics import Metrics
 from savorydyke._overload import Overload
 from savorydyke._problems import Refusal
+from savorydyke._prompt_quarantine import HELD_BACK_DETAIL, PromptQuarantine
 from savorydyke._retry_after import BadRetryAfterError, parse_retry_after
 from savorydyke._routed_relay import (
     MIN_RETRY_S,
@@ -117,6 +121,8 @@
     rng: random.Random
     revocation_s: float
     states: EndpointStates
+    quarantine: PromptQuarantine
+    lost_answers: LostAnswers
     overload: Overload
     metrics: Metrics
     refusing: bool = False
@@ -257,6 +263,9 @@
 
     async def _run_attempts(self, request: RoutedRequest) -> Refusal | None:
         while True:
+            held = self._held_back(request)
+            if held is not None:
+                return await self._final_answer(request, held)
             key, answer = await self._acquire(request)
             if isinstance(answer, Refused):
                 return await self._final_answer(request, answer)
@@ -268,6 +277,13 @@
             if not self._may_retry(request, result):
                 return await self._final_answer(request, result)
 
+    def _held_back(self, request: RoutedRequest) -> Refused | None:
+        """Return a refusal if a part of the request's prompt is held back."""
+        held = self.quarantine.held_part(request.parts, trio.current_time())
+        if held is None:
+            return None
+        return Refused(Reason.HELD_BACK, HELD_BACK_DETAIL, held[1])
+
     async def _acquire(
         self, request: RoutedRequest
     ) -> tuple[RequestKey, Granted | Refused]:
@@ -361,6 +377,7 @@
             else min(abandon_at, request.expires),
             is_retry=is_retry,
             quota_tokens=request.quota_tokens,
+            parts=request.parts,
         )
 
     def new_key(self, request_id: str) -> RequestKey:
@@ -417,14 +434,20 @@
         try:
             channel = await open_channel(endpoint.address, CONNECT_TIMEOUT_S)
         except ChannelBrokenError as error:
+            if isinstance(error, ChannelRefusedError):
+                self.lost_answers.record_refused(endpoint)
             request.result = ReleaseResult.UNREACHABLE
             request.unsent += 1
             return NotRun(str(error))
+        sent = trio.current_time()
         try:
             if self.states.is_unusable(endpoint.id, trio.current_time()):
                 # It has said so in another answer meanwhile.
                 request.unsent += 1
                 return NotRun("the endpoint takes no new requests")
+            if self._held_back(request) is not None:
+                request.unsent += 1
+                return NotRun(HELD_BACK_DETAIL)
             request.sent_to.append(endpoint.id)
             request.may_have_run_before = request.may_have_run
             request.may_have_run = True
@@ -435,7 +458,7 @@
             head = await read_head(channel, lambda: self._reserve_alternative(request))
             response_info = parse_response_headers(head.status, head.headers)
             self._observe_endpoint(request, endpoint.id, response_info)
-            return await relay_answer(
+            result = await relay_answer(
                 request,
                 channel,
                 head,
@@ -443,7 +466,13 @@
                 lambda: self._note_first_byte(request, key),
                 lambda: self._reserve_alternative(request),
             )
+            if isinstance(result, Done) and 200 <= result.status < 300:
+                is_delimited = head.is_delimited()
+                self.lost_answers.record_complete(endpoint, request.parts, is_delimited)
+            return result
         except ChannelBrokenError as error:
+            if not isinstance(error, ChannelTimeoutError):
+                self.lost_answers.record_lost(endpoint, request.parts, sent)
             request.result = ReleaseResult.TRUNCATED
             return Lost(str(error))
         finally:
--- /dev/null
+++ b/src/savorydyke/_shared_evidence.py
@@ -0,0 +1,132 @@
+"""Keeps evidence against parts of prompts in the platform's store.
+
+Instances tell each other what they know in heartbeats. The store brings it to those
+that no peer reaches, and to those that start. One instance of the fleet writes, and
+each that does not reach most others; all read with the watch that they have anyway.
+"""
+
+import json
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import trio
+
+from savorydyke import _logs
+from savorydyke._ids import InstanceId, ProcessId, PromptPartId
+from savorydyke._membership import Membership
+from savorydyke._messages import LossRow
+from savorydyke._prompt_quarantine import PromptQuarantine
+from savorydyke._timers import TimerService
+from savorydyke.platform import LeaseExpired, Store, StoreError, evidence_key
+
+WRITE_INTERVAL_S = 0.5
+"""Shortest time between two writes of an instance."""
+MAX_AGE_MS = 600_000
+"""Largest age of a record that is believed; clocks of instances may differ."""
+
+log = _logs.component_logger("evidence")
+
+
+@dataclass
+class SharedEvidence:
+    """Writes and reads the records.
+
+    Attributes
+    ----------
+    lease : callable
+        Returns the lease of this instance's records, 0 for none.
+    written : tuple of int
+        State of the evidence, generation of the store and lease at the latest write.
+    has_record : bool
+        Whether the store may hold a record of this instance that has rows.
+    """
+
+    store: Store
+    quarantine: PromptQuarantine
+    membership: Membership
+    lease: Callable[[], int]
+    written: tuple[int, int, int] = (0, 0, 0)
+    has_record: bool = False
+
+    async def run(self, timers: TimerService) -> None:
+        """Write what has changed until cancelled."""
+        async with timers.every(WRITE_INTERVAL_S) as ticks:
+            async for _ in ticks:
+                try:
+                    await self.write()
+                except StoreError as error:
+                    log.info("Evidence not written.", extra={"error": str(error)})
+
+    async def write(self) -> None:
+        """Write what has changed, if this instance is to write.
+
+        Raises
+        ------
+        StoreError
+            If the store does not take it.
+        """
+        now = trio.current_time()
+        lease = self.lease()
+        state = (self.quarantine.changes, self.store.generation, lease)
+        if state == self.written or not lease:
+            return
+        is_writer = self.membership.is_chosen("evidence", 1)
+        if not is_writer and self.membership.reaches_majority(now):
+            return
+        rows = self.quarantine.rows(now)
+        if rows or self.has_record:
+            record = encode_evidence(rows, time.time_ns() // 1_000_000)
+            key = evidence_key(self.membership.id)
+            if isinstance(await self.store.write({key: record}, lease), LeaseExpired):
+                return
+            self.has_record = bool(rows)
+        self.written = state
+
+    def receive(self, instance: InstanceId, record: bytes) -> None:
+        """Add the evidence in a record, possibly of this instance before a restart."""
+        try:
+            rows = decode_evidence(record, time.time_ns() // 1_000_000)
+        except (ValueError, TypeError, LookupError) as error:
+            extra = {"peer": instance, "error": repr(error)}
+            log.error("Evidence unreadable.", extra=extra)
+            return
+        now = trio.current_time()
+        self.quarantine.merge(rows, now)
+        # An instance that has just started refuses from its first request on.
+        self.quarantine.review(now)
+
+
+def encode_evidence(rows: tuple[LossRow, ...], written_ms: int) -> bytes:
+    """Return the stored form of evidence.
+
+    Parameters
+    ----------
+    written_ms : int
+        Time of day in Unix milliseconds, to which the ages of the rows relate.
+    """
+    values = [[r.part, r.depth, r.process, r.sent_age_ms, r.lost_age_ms] for r in rows]
+    return json.dumps({"written_ms": written_ms, "losses": values}).encode()
+
+
+def decode_evidence(record: bytes, now_ms: int) -> tuple[LossRow, ...]:
+    """Return the rows of a record, with their present ages.
+
+    Raises
+    ------
+    ValueError, TypeError, LookupError
+        If the record is not valid.
+    """
+    value: dict[str, Any] = json.loads(record)
+    age_ms = min(max(0, now_ms - int(value["written_ms"])), MAX_AGE_MS)
+    return tuple(
+        LossRow(
+            PromptPartId(str(part)),
+            int(depth),
+            ProcessId(str(process)),
+            int(sent_ms) + age_ms,
+            int(lost_ms) + age_ms,
+        )
+        for part, depth, process, sent_ms, lost_ms in value["losses"]
+    )
--- a/src/savorydyke/platform/_records.py
+++ b/src/savorydyke/platform/_records.py
@@ -20,6 +20,7 @@
 CONFIGURATION_KEY = "op/config"
 ENDPOINT_PREFIX = "servers/"
 INSTANCE_PREFIX = "savorydyke/instances/"
+EVIDENCE_PREFIX = "savorydyke/evidence/"
 FLEET_KEY = "savorydyke/fleet-key"
 READINESS_PATH = b"/savorydyke/readyz"
 DEFAULT_TOKENS_PER_EVENT = 1
@@ -97,6 +98,20 @@
     )
 
 
+def evidence_of_key(key: str) -> InstanceId | None:
+    """Return the instance whose evidence a key holds, or None."""
+    return (
+        InstanceId(key[len(EVIDENCE_PREFIX) :])
+        if key.startswith(EVIDENCE_PREFIX)
+        else None
+    )
+
+
+def evidence_key(instance: InstanceId) -> str:
+    """Return the key of the evidence that an instance has written."""
+    return EVIDENCE_PREFIX + instance
+
+
 def instance_key(instance: InstanceId) -> str:
     """Return the key of an instance's record."""
     return INSTANCE_PREFIX + instance
