--- a/features/routed.feature
+++ b/features/routed.feature
@@ -153,3 +153,16 @@
       | a part that crashes endpoints is held back when its coordinator is killed   |
       | a part that crashes endpoints is held back by instances without links       |
       | a part that crashes endpoints is held back after a restart of all instances |
+
+  Scenario Outline: Answers without length, and bytes without end
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                        |
+      | a stream without length or chunks is complete when its connection closes    |
+      | a stream without length or chunks that ends inside an event is not complete |
+      | an endpoint sends bytes that are no head                                    |
+      | an endpoint sends a header without end                                      |
+      | an endpoint sends headers without end                                       |
+      | an endpoint sends a chunk size without end                                  |
+      | an endpoint sends trailers without end                                      |
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -6,7 +6,10 @@
 import sys
 from base64 import b64decode
 from contextlib import suppress
+from functools import partial
+from pathlib import Path
 
+import h11
 import trio
 
 from savorydyke._directory import build_manifest
@@ -1793,3 +1796,127 @@
     # One trial may have come due.
     assert len(traffic.ends()) <= before + 1, (before, traffic.ends())
     traffic.check()
+
+
+# Answers without length, and bytes without end
+
+EVENT_STREAM = (b"Content-Type", b"text/event-stream")
+CHUNKED = (b"Transfer-Encoding", b"chunked")
+FLOOD = b"x" * 65536
+FLOOD_BYTES = 300_000_000
+"""More than an instance may ever hold."""
+MEMORY_GROWTH_MB = 24
+
+
+def unframed_stream(first, last, rest=b""):
+    """Return a script for a stream that ends with its connection."""
+
+    async def stream(exchange):
+        await exchange.send(exchange.response_head(200, EVENT_STREAM))
+        begin = int(exchange.request.headers.get(b"last-event-id", b"0")) + 1
+        for number in range(max(first, begin), last + 1):
+            await exchange.send(event(number))
+        await exchange.send(rest)
+
+    return stream
+
+
+@case("a stream without length or chunks is complete when its connection closes")
+async def _(site):
+    await start_one(site, "engines", unframed_stream(1, EVENTS))
+    assert is_whole_stream(await site.ask("/digest/1"))
+    assert is_whole_stream(await site.ask("/question/1"))
+
+
+@case("a stream without length or chunks that ends inside an event is not complete")
+async def _(site):
+    broken = unframed_stream(1, 2, b"id: 3\ndata: tok")
+    scripts = (broken, broken, unframed_stream(1, EVENTS))
+    endpoint = await start_one(site, "engines", *scripts)
+    answer = await site.ask("/question/1")
+    assert answer.status == 200 and not answer.complete
+    assert answer.body == event(1) + event(2)
+    # One that may be resumed goes on after its last whole event.
+    assert is_whole_stream(await site.ask("/digest/1"))
+    assert endpoint.received_requests[-1].headers[b"last-event-id"] == b"2"
+
+
+@case("a stream without length or chunks that ends before its first event is lost")
+async def _(site):
+    await start_one(site, "engines", unframed_stream(1, 0), answer_stream)
+    answer = await site.ask("/question/1")
+    assert not (answer.status == 200 and answer.complete)
+
+
+def flooding(head, more=FLOOD):
+    """Return a script that sends bytes without end, until the connection closes."""
+
+    async def flood(exchange):
+        exchange.endpoint.flooded = 0
+        await exchange.send(head(exchange))
+        while exchange.endpoint.flooded < FLOOD_BYTES:
+            await exchange.send(more)
+            exchange.endpoint.flooded += len(more)
+
+    return flood
+
+
+FLOODS = {
+    "bytes that are no head": flooding(lambda exchange: b""),
+    "a header without end": flooding(lambda exchange: b"HTTP/1.1 200 X\r\nA: "),
+    "headers without end": flooding(
+        lambda exchange: b"HTTP/1.1 200 X\r\n", b"A: b\r\n" * 9000
+    ),
+    "interim answers without end": flooding(
+        lambda exchange: b"", b"HTTP/1.1 102 X\r\n\r\n" * 3000
+    ),
+    "a chunk size without end": flooding(
+        lambda exchange: exchange.response_head(200, EVENT_STREAM, CHUNKED),
+        b"0" * 65536,
+    ),
+    "trailers without end": flooding(
+        lambda exchange: (
+            exchange.response_head(200, EVENT_STREAM, CHUNKED) + b"0\r\nA: "
+        )
+    ),
+    "an event without end": flooding(
+        lambda exchange: exchange.response_head(200, EVENT_STREAM)
+    ),
+    "an event without end in chunks": flooding(
+        lambda exchange: exchange.response_head(200, EVENT_STREAM, CHUNKED),
+        chunk(FLOOD),
+    ),
+    "a body without end": flooding(lambda exchange: exchange.response_head()),
+    "a failure without end": flooding(lambda exchange: exchange.response_head(500)),
+}
+"""Scripts by what they send without end."""
+
+
+def memory_mb(daemon):
+    """Return the largest resident memory that an instance has had."""
+    status = Path(f"/proc/{daemon.process.pid}/status").read_text()
+    (line,) = [line for line in status.splitlines() if line.startswith("VmHWM")]
+    return int(line.split()[1]) / 1024
+
+
+async def answer_flood(site, flood):
+    """Check one kind of flood: no complete answer, an early close, bounded memory."""
+    endpoint = await start_one(site, "engines", flood, answer_stream)
+    daemon = site.daemons[0]
+    before = memory_mb(daemon)
+    try:
+        answer = await site.ask("/question/1")
+        assert not (answer.status == 200 and answer.complete), answer.status
+        assert answer.status in {0, 200, 502, 500}, answer.status
+    except h11.RemoteProtocolError as error:
+        raise AssertionError("the caller got bytes that are no answer") from error
+    await site.wait_until(lambda: endpoint.received_requests[0].closed_at is not None)
+    taken = endpoint.received_requests[0].closed_at - endpoint.received_requests[0].at
+    # Long before the request's deadline.
+    assert taken < 1.0, taken
+    assert memory_mb(daemon) - before < MEMORY_GROWTH_MB, memory_mb(daemon) - before
+    assert is_whole_stream(await site.ask("/question/2"))
+
+
+for _what, _flood in FLOODS.items():
+    CASES[f"an endpoint sends {_what}"] = partial(answer_flood, flood=_flood)
