Do not take a stream that ends with its connection before its first event for complete

A stream with neither length nor chunks ends with its connection. One whose endpoint ended after the head had no event and no mark of its end, and was passed on as complete: the caller got 200 and nothing. It now counts as broken, so that it is tried again where that is allowed, and cut otherwise. The case got a complete, empty answer before. Other framings mark their end; an empty stream of theirs stays complete.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -161,6 +161,7 @@
       | case                                                                        |
       | a stream without length or chunks is complete when its connection closes    |
       | a stream without length or chunks that ends inside an event is not complete |
+      | a stream without length or chunks that ends before its first event is lost  |
       | an endpoint sends bytes that are no head                                    |
       | an endpoint sends a header without end                                      |
       | an endpoint sends headers without end                                       |
--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -194,6 +194,7 @@
     is_limited = channel.has_read_timeout()
     if is_limited:
         channel.read_until = trio.current_time() + STALLED_STREAM_S
+    has_events = request.events > 0
     rest = b""
     async for part in _body_parts(channel, reserve_alternative):
         on_first_byte()
@@ -201,6 +202,7 @@
         end = rest.rfind(EVENT_END)
         if end < 0:
             continue
+        has_events = True
         complete, rest = rest[: end + len(EVENT_END)], rest[end + len(EVENT_END) :]
         _count_events(request, complete)
         if is_limited:
@@ -208,6 +210,8 @@
         await request.responder.body(complete)
     if rest:
         raise ChannelBrokenError("the stream ended within an event")
+    if not has_events and not head.is_delimited():
+        raise ChannelBrokenError("the stream ended before its first event")
     await request.responder.end()
     request.result = ReleaseResult.COMPLETE
     return Done(head.status)
