Break off streams whose event does not end

Bytes after the last event were kept until the event ended, and searched again from the start with each part, until the request's deadline: 2.0 s in the two cases, whose bound is 1 s, at a processor time that grows with the square. An event may now have 1 MiB, and only new bytes are searched.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -167,3 +167,5 @@
       | an endpoint sends headers without end                                       |
       | an endpoint sends a chunk size without end                                  |
       | an endpoint sends trailers without end                                      |
+      | an endpoint sends an event without end                                      |
+      | an endpoint sends an event without end in chunks                            |
--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -37,6 +37,8 @@
 
 BUFFER_BYTES = 262_144
 """Largest answer that is buffered until it is complete."""
+MAX_EVENT_BYTES = 1_048_576
+"""Largest event of a stream. A faulty endpoint may send bytes without end."""
 STALLED_STREAM_S = 0.5
 """Gaps of up to 0.8 s are in time; another prefill of the prompt takes 0.2 s of it."""
 RETRY_SHARE = 0.33
@@ -195,15 +197,19 @@
     if is_limited:
         channel.read_until = trio.current_time() + STALLED_STREAM_S
     has_events = request.events > 0
-    rest = b""
+    rest = bytearray()
     async for part in _body_parts(channel, reserve_alternative):
         on_first_byte()
+        searched = max(0, len(rest) - len(EVENT_END) + 1)
         rest += part
-        end = rest.rfind(EVENT_END)
+        end = rest.rfind(EVENT_END, searched)
         if end < 0:
+            if len(rest) > MAX_EVENT_BYTES:
+                raise ChannelBrokenError(f"an event of over {MAX_EVENT_BYTES} bytes")
             continue
         has_events = True
-        complete, rest = rest[: end + len(EVENT_END)], rest[end + len(EVENT_END) :]
+        complete = bytes(rest[: end + len(EVENT_END)])
+        del rest[: end + len(EVENT_END)]
         _count_events(request, complete)
         if is_limited:
             channel.read_until = trio.current_time() + STALLED_STREAM_S
