Break off answers that begin with interim answers without end

The head was read past any number of interim answers, until the deadline; the case got 504 after 2 s. Eight are accepted now, then the answer counts as broken.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -165,6 +165,7 @@
       | an endpoint sends bytes that are no head                                    |
       | an endpoint sends a header without end                                      |
       | an endpoint sends headers without end                                       |
+      | an endpoint sends interim answers without end                               |
       | an endpoint sends a chunk size without end                                  |
       | an endpoint sends trailers without end                                      |
       | an endpoint sends an event without end                                      |
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -20,6 +20,8 @@
 """Largest body sent before the answer is read; fits an empty socket buffer."""
 MAX_HEAD_BYTES = 65536
 """Largest head of an answer that is accepted."""
+MAX_INTERIM_ANSWERS = 8
+"""Interim answers (status 1xx) that may precede an answer."""
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -167,7 +169,7 @@
         ChannelBrokenError
             If there is none.
         """
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -175,6 +177,7 @@
                 headers = list(event.headers.raw_items())
                 return AnswerHead(event.status_code, headers, _length(event.headers))
             raise ChannelBrokenError(f"no answer but {type(event).__name__}")
+        raise ChannelBrokenError(f"more than {MAX_INTERIM_ANSWERS} interim answers")
 
     async def read_body(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive.
