--- a/features/routed.feature
+++ b/features/routed.feature
@@ -170,3 +170,5 @@
       | an endpoint sends trailers without end                                      |
       | an endpoint sends an event without end                                      |
       | an endpoint sends an event without end in chunks                            |
+      | an endpoint sends a body without end                                        |
+      | an endpoint sends a failure without end                                     |
--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -39,6 +39,8 @@
 """Largest answer that is buffered until it is complete."""
 MAX_EVENT_BYTES = 1_048_576
 """Largest event of a stream. A faulty endpoint may send bytes without end."""
+MAX_UNSTATED_BYTES = 4_194_304
+"""Largest answer, other than a stream, whose length is not stated."""
 STALLED_STREAM_S = 0.5
 """Gaps of up to 0.8 s are in time; another prefill of the prompt takes 0.2 s of it."""
 RETRY_SHARE = 0.33
@@ -172,9 +174,16 @@
     if head.length is not None:
         headers.append((b"Content-Length", str(head.length).encode()))
     await request.responder.start(head.status, headers)
+    size = 0
     for part in parts:
+        size += len(part)
         await request.responder.body(part)
     async for part in channel.read_body():
+        size += len(part)
+        if head.length is None and size > MAX_UNSTATED_BYTES:
+            raise ChannelBrokenError(
+                f"more than {MAX_UNSTATED_BYTES} bytes without a stated length"
+            )
         await request.responder.body(part)
     await request.responder.end()
     request.result = ReleaseResult.COMPLETE
