Log the limits on requests that endpoints name

The incident of endpoints that got more requests than their limit has three hypotheses; whether an instance had been told of the limit could not be read from the logs. The header is decoded and logged; nothing acts on it.

--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -490,6 +490,8 @@
         if info.leaving and endpoint not in self.states.reported:
             self.states.set_reported(endpoint, True, now)
             log.info("Endpoint leaves.", extra=extra)
+        if info.limit:
+            log.info("Endpoint names a limit.", extra=extra | {"limit": info.limit})
         if not info.retry_after:
             return
         try:
--- a/src/savorydyke/platform/_headers.py
+++ b/src/savorydyke/platform/_headers.py
@@ -19,6 +19,7 @@
 EXPECT_INSTANCE = b"x-savorydyke-expect-instance"
 TENANT = b"x-savorydyke-tenant"
 LEAVING = b"server-leaving"
+LIMIT = b"server-limit"
 
 OVERRIDDEN_HEADERS = frozenset(
     {
@@ -207,6 +208,9 @@
         The endpoint's load, if given.
     leaving : bool
         Whether the endpoint states that it takes no new requests from now on.
+    limit : str
+        The requests a second that the endpoint takes from all instances together;
+        empty for no limit.
     retry_after, date : str
         When an endpoint that rejects a request takes the next one, and the time at
         which it said so; empty if not given.
@@ -218,6 +222,7 @@
     running: int | None
     waiting: int | None
     leaving: bool
+    limit: str
     retry_after: str
     date: str
 
@@ -237,6 +242,7 @@
         running=running,
         waiting=waiting,
         leaving=found.get(LEAVING, "").strip() == "1",
+        limit=found.get(LIMIT, "").strip(),
         retry_after=found.get(b"retry-after", "").strip() if status == 503 else "",
         date=found.get(b"date", "").strip(),
     )
