Add a failing case: an endpoint that names a limit gets more requests

One of four endpoints names a limit of 2 requests a second in each answer; three instances get 25 a second.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -172,3 +172,10 @@
       | an endpoint sends an event without end in chunks                            |
       | an endpoint sends a body without end                                        |
       | an endpoint sends a failure without end                                     |
+
+  Scenario Outline: Endpoints that limit the requests that they take
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                           |
+      | an endpoint that names a limit gets no more requests than that |
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -1920,3 +1920,151 @@
 
 for _what, _flood in FLOODS.items():
     CASES[f"an endpoint sends {_what}"] = partial(answer_flood, flood=_flood)
+
+
+# Endpoints that limit the requests that they take
+
+LIMIT_PER_S = 2.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_ALLOWED = 1.5 * LIMIT_WINDOW_S * LIMIT_PER_S + 5
+"""Requests that an endpoint may get in a window, from `CONTACT_S` after it named it."""
+
+
+class LimitTraffic:
+    """Endpoints that name a limit, and requests through all instances."""
+
+    def __init__(self, site):
+        self.site = site
+        self.limited = []
+        self.named_at = None
+        self.named = True
+        self.answers = []
+        self.number = 0
+
+    async def answer(self, exchange):
+        """Answer at once, and name the limit."""
+        headers = []
+        if self.named:
+            self.named_at = self.named_at or trio.current_time()
+            headers = [(b"Server-Limit", b"%.1f" % LIMIT_PER_S)]
+        await exchange.send_complete(200, b"answer", *headers)
+
+    async def start(self, limited, others, instances=3):
+        """Start endpoints with and without a limit, and instances."""
+        for number in range(limited):
+            name = f"e{number}"
+            endpoint = await self.site.endpoint(name, "desk", self.answer)
+            self.limited.append(endpoint)
+        for number in range(others):
+            await self.site.endpoint(f"f{number}", "desk", answer_slowly)
+        for number in range(instances):
+            await self.site.daemon(f"instance-{number}")
+        await trio.sleep(1.0)
+
+    async def ask(self):
+        """Send a request through the next instance, and record its answer."""
+        self.number += 1
+        daemon = self.site.daemons[self.number % len(self.site.daemons)]
+        headers = self.site.headers()
+        sent = trio.current_time()
+        try:
+            caller = await self.site.connect(daemon.callers)
+            answer = await caller.request("POST", "/lookup/1", headers, BODY)
+            await caller.stream.aclose()
+        except (OSError, trio.TooSlowError, trio.BrokenResourceError):
+            # The instance was ended by the case.
+            answer = None
+        self.answers.append((sent, answer))
+
+    async def run(self, seconds, pause_s=0.04):
+        """Send requests."""
+        with trio.move_on_after(seconds):
+            async with trio.open_nursery() as nursery:
+                while True:
+                    nursery.start_soon(self.ask)
+                    await trio.sleep(pause_s)
+
+    def check(self):
+        """Check that the limited endpoints got what they take, and not much less."""
+        since = self.named_at + CONTACT_S
+        for endpoint in self.limited:
+            arrivals = [r.at for r in endpoint.received_requests if r.at >= since]
+            worst = max(
+                sum(begin <= at < begin + LIMIT_WINDOW_S for at in arrivals)
+                for begin in [since, *arrivals]
+            )
+            assert worst <= LIMIT_ALLOWED, worst
+
+
+async def answer_slowly(exchange):
+    """Answer late, so that other endpoints are preferred."""
+    await trio.sleep(0.1)
+    await exchange.send_complete()
+
+
+@case("an endpoint that names a limit gets no more requests than that")
+async def _(site):
+    traffic = LimitTraffic(site)
+    await traffic.start(1, 3)
+    await traffic.run(11.0)
+    traffic.check()
+    # What it does not take the others answer.
+    late = [a for sent, a in traffic.answers if sent > traffic.named_at + CONTACT_S]
+    assert all(answer.status == 200 for answer in late)
+    # It gets at least half of what it takes.
+    taken = [r.at for r in traffic.limited[0].received_requests]
+    recent = [at for at in taken if at > traffic.named_at + CONTACT_S]
+    assert len(recent) >= 0.5 * LIMIT_PER_S * (11.0 - CONTACT_S), len(recent)
+
+
+@case("an endpoint that names no limit any more gets more requests again")
+async def _(site):
+    traffic = LimitTraffic(site)
+    await traffic.start(1, 3)
+    await traffic.run(6.0)
+    traffic.check()
+    traffic.named = False
+    before = count(traffic.limited[0])
+    await traffic.run(CONTACT_S + 2.0)
+    assert count(traffic.limited[0]) - before > LIMIT_ALLOWED
+
+
+@case("a pool whose endpoints all name a limit refuses what they do not take")
+async def _(site):
+    traffic = LimitTraffic(site)
+    await traffic.start(3, 0)
+    await traffic.run(9.0)
+    traffic.check()
+    refusals = [a for _, a in traffic.answers if a is not None and a.status == 503]
+    assert refusals and all(b"not run" in answer.body for answer in refusals)
+    served = [
+        sent
+        for sent, answer in traffic.answers
+        if answer is not None
+        and answer.status == 200
+        and sent > traffic.named_at + CONTACT_S
+    ]
+    assert len(served) >= 0.5 * 3 * LIMIT_PER_S * (9.0 - CONTACT_S), len(served)
+
+
+@case("a limit holds when the coordinator of the pool is killed")
+async def _(site):
+    traffic = LimitTraffic(site)
+    await traffic.start(1, 3)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(traffic.run, 13.0)
+        await trio.sleep(3.5)
+        (coordinator,) = [
+            d for d in site.daemons if "home: Granted." in d.log.read_text()
+        ]
+        await replace_daemon(site, coordinator)
+    traffic.check()
+
+
+@case("a limit holds among instances without links")
+async def _(site):
+    site.store.hidden = "savorydyke/instances/"
+    traffic = LimitTraffic(site)
+    await traffic.start(1, 3)
+    await traffic.run(11.0)
+    traffic.check()
