Keep limits on requests that endpoints name, over the whole fleet

What callers saw: an engine in need that had named a limit got up to 19 requests in 4 s where 12 were allowed, all its slots in a burst, and was slow for everyone.

Cause: the header was not read at all (no reader in the source; the coordinator alone granted 7 and 8 requests in a second to the two engines, for five and six instances). Ruled out: requests past the coordinator (fallback placement, repeats).

Change: the limit in an answer goes to all instances in heartbeats and through the store, as evidence against prompts does, the latest statement wins. A coordinator grants by a token bucket, empty at first, so that the next one adds no burst; an endpoint without a token is not usable, so that requests go elsewhere or wait. An instance that may use only a part of the pool takes that part of time slots, chosen by a hash. An answer without limit ends it if its request was sent after the limit was named. Values that are no numbers are logged and change nothing. Protocol version 4.

Why it works: all requests to an endpoint come from its coordinator's bucket, or from slots whose parts add up to half of the limit; one and a half times the limit and five requests are allowed.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -70,6 +70,14 @@
       | a report of evidence is bounded, and begins with the most suspect parts    |
       | evidence in the store keeps its age, and clocks that differ do no harm     |
       | one instance writes evidence to the store, and each that reaches no others |
+      | limits that are not numbers are refused, and very large ones are bounded   |
+      | a burst beyond an endpoint's limit waits or goes to other endpoints        |
+      | requests wait for a pool whose endpoints all have a limit                  |
+      | a new coordinator knows the limits, and gives no burst of its own          |
+      | instances that are cut off from each other stay within a limit together    |
+      | a frontend without its coordinator keeps a part of an endpoint's limit     |
+      | an endpoint's limit ends with an answer to a later request that names none |
+      | 195 instances learn of a limit in time, each at a bounded cost             |
       | request keys differ after a restart                                        |
       | a request is explained from its log lines                                  |
       | the page of log messages names all messages in the code                    |
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -177,5 +177,9 @@
     Then the routed case "<case>" holds
 
     Examples:
-      | case                                                           |
-      | an endpoint that names a limit gets no more requests than that |
+      | case                                                                  |
+      | an endpoint that names a limit gets no more requests than that        |
+      | an endpoint that names no limit any more gets more requests again     |
+      | a pool whose endpoints all name a limit refuses what they do not take |
+      | a limit holds when the coordinator of the pool is killed              |
+      | a limit holds among instances without links                           |
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -62,6 +62,12 @@
 )
 from savorydyke._quota import Quotas, Tolerance
 from savorydyke._quota_balances import CHECK_S, decode_balances, encode_balances
+from savorydyke._request_limits import (
+    BadLimitError,
+    RequestAllowance,
+    RequestLimits,
+    parse_limit,
+)
 from savorydyke._retry_after import (
     MAX_PAUSE_S,
     BadRetryAfterError,
@@ -1216,6 +1222,7 @@
             None,
             None,
             None,
+            None,
             incarnation=incarnation,
         )
         for number in range(3):
@@ -1444,41 +1451,49 @@
     trio.run(play)
 
 
-@case("195 instances hold back a part in time, each at a bounded cost")
-def _():
+def large_fleet(new_state):
+    """Return the states of 195 instances and their links to neighbours on the ring."""
     names = [f"instance-{number:03}" for number in range(195)]
     links = {name: set(ring_neighbours(name, names)) for name in names}
     for name in names:
-        for neighbour in links[name]:
+        for neighbour in list(links[name]):
             links[neighbour].add(name)
-    quarantines = {name: PromptQuarantine() for name in names}
-    announced = dict.fromkeys(names, 0)
+    return {name: new_state() for name in names}, links
+
+
+def spread(states, links, now, announced, field):
+    """Send what has changed on all links; return the bytes that each instance sent."""
+    changed = [n for n, state in states.items() if announced.get(n) != state.changes]
+    messages = [(name, states[name].rows(now)) for name in changed]
+    sent = Counter()
+    for name, rows in messages:
+        announced[name] = states[name].changes
+        heartbeat = Heartbeat(1, 1, False, 1, 0, (), (), **{field: rows})
+        for neighbour in links[name]:
+            sent[name] += len(encode([heartbeat]))
+            states[neighbour].merge(rows, now)
+    return sent
+
+
+@case("195 instances hold back a part in time, each at a bounded cost")
+def _():
+    quarantines, links = large_fleet(PromptQuarantine)
+    announced = dict.fromkeys(quarantines, 0)
     rng = random.Random(7)
-    sent_bytes = Counter()
     for number in range(5):
         # Each end is seen by another instance, in a crowd of broken sound answers.
-        quarantine = quarantines[rng.choice(names)]
+        quarantine = quarantines[rng.choice(list(quarantines))]
         lose(quarantine, number, 0.1 + 0.2 * number, (f"sound-{number}", "bad"))
-    now, last_end = 0.9, 0.9
-    held_at = {}
-    while len(held_at) < len(names):
+    now = last_end = 0.9
+    sent = Counter()
+    while any(quarantine.held != {"bad"} for quarantine in quarantines.values()):
         now += 0.25
-        assert now <= last_end + CONTACT_S, len(held_at)
-        changed = [n for n in names if announced[n] != quarantines[n].changes]
-        messages = [(n, quarantines[n].rows(now)) for n in changed]
-        for name, rows in messages:
-            announced[name] = quarantines[name].changes
-            size = len(encode([Heartbeat(1, 1, False, 1, 0, (), (), losses=rows)]))
-            for neighbour in links[name]:
-                sent_bytes[name] += size
-                quarantines[neighbour].merge(rows, now)
-        for name in names:
-            quarantines[name].review(now)
-            if quarantines[name].held:
-                assert quarantines[name].held == {"bad"}
-                held_at.setdefault(name, now)
+        assert now <= last_end + CONTACT_S
+        sent += spread(quarantines, links, now, announced, "losses")
+        for quarantine in quarantines.values():
+            quarantine.review(now)
     # The whole control traffic of an instance is to be at most 28 kB/s.
-    assert max(sent_bytes.values()) / CONTACT_S < 28_000, sent_bytes.most_common(3)
+    assert max(sent.values()) / CONTACT_S < 28_000, sent.most_common(3)
 
 
 @case("a report of evidence is bounded, and begins with the most suspect parts")
@@ -1500,10 +1515,11 @@
     quarantine = PromptQuarantine()
     for number in range(3):
         lose(quarantine, number, 1.0 + number)
-    record = encode_evidence(quarantine.rows(10.0), written_ms=1_000_000)
+    record = encode_evidence(quarantine.rows(10.0), (), written_ms=1_000_000)
     for now_ms in (1_002_000, 990_000):
         other = PromptQuarantine()
-        other.merge(decode_evidence(record, now_ms), 100.0)
+        losses, _ = decode_evidence(record, now_ms)
+        other.merge(losses, 100.0)
         assert held_after(other, 100.0) == {"bad"}
         latest = max(loss.at for loss in other.parts["bad"].losses.values())
         age_s = 7.0 + max(0, now_ms - 1_000_000) / 1000
@@ -1534,7 +1550,8 @@
                     member.acknowledged_at = now
             membership.update(now)
             quarantine = PromptQuarantine()
-            shared = SharedEvidence(writes, quarantine, membership, lambda: 7)
+            limits = RequestLimits()
+            shared = SharedEvidence(writes, quarantine, limits, membership, lambda: 7)
             await shared.write()
             # While nothing speaks against any part there is no call.
             assert not writes.keys or not writes.keys[-1].endswith(own)
@@ -1549,3 +1566,177 @@
         assert len(written) == 1, written
     written = trio.run(play, names[:5], False)
     assert len(written) == 5, written
+
+
+# Limits of endpoints
+
+LIMIT_WINDOW_S = 4.0
+
+
+def allowed_in_window(per_s):
+    """Return how many requests an endpoint may get in a window."""
+    return 1.5 * LIMIT_WINDOW_S * per_s + 5
+
+
+def worst_count(times):
+    """Return the most requests in a window."""
+    return max(
+        (sum(0 <= at - begin < LIMIT_WINDOW_S for at in times) for begin in times),
+        default=0,
+    )
+
+
+@case("limits that are not numbers are refused, and very large ones are bounded")
+def _():
+    assert parse_limit("1.3") == 1.3 and parse_limit("0") == 0.0
+    assert parse_limit("inf") == parse_limit("1e30") < 1e9
+    for text in ("", "soon", "-1", "nan", "1,5"):
+        try:
+            parse_limit(text)
+        except BadLimitError:
+            continue
+        raise AssertionError(text)
+
+
+@case("a burst beyond an endpoint's limit waits or goes to other endpoints")
+def _():
+    for per_s in (0.0, 0.4, 1.3, 20.0):
+        scheduler = scheduler_of("limited", "free", slots=8)
+        scheduler.set_limit("limited", per_s, 0.0)
+        times, ends = [], []
+        for step in range(800):
+            now = 0.025 * step
+            for key, endpoint, at in [e for e in ends if e[2] <= now]:
+                end(scheduler, key, endpoint, now)
+                ends.remove((key, endpoint, at))
+            message = acquire(str(step), objective_ms=3000)
+            for decision in scheduler.acquire(message, FRONTEND, now) + scheduler.tick(
+                now
+            ):
+                if isinstance(decision.answer, Grant):
+                    key = decision.answer.key.rpartition("/")[2]
+                    start(scheduler, key, now, 0.03)
+                    ends.append((key, decision.answer.endpoint, now + 0.3))
+                    if decision.answer.endpoint == "limited":
+                        times.append(now)
+        assert worst_count(times) <= allowed_in_window(per_s), (per_s, times)
+        # The other endpoint can not take all of this load.
+        assert len(times) >= 0.5 * min(per_s, 10.0) * 20, (per_s, len(times))
+
+
+@case("requests wait for a pool whose endpoints all have a limit")
+def _():
+    scheduler = scheduler_of("a", "b")
+    for name in ("a", "b"):
+        scheduler.set_limit(name, 2.0, 0.0)
+    assert not scheduler.acquire(acquire("1"), FRONTEND, 0.0)
+    assert not scheduler.tick(0.4)
+    assert granted(scheduler.tick(0.6)) == ["a"]
+    # A request that did not reach the endpoint does not count.
+    end(scheduler, "1", "a", 0.6, ReleaseResult.UNREACHABLE)
+    assert scheduler.endpoints["a"].allowance.allows(0.6)
+
+
+@case("a new coordinator knows the limits, and gives no burst of its own")
+def _():
+    async def play():
+        gateway = unconnected_gateway()
+        gateway.directory.manifest = build_manifest(
+            configuration(), {"a": record("a"), "b": record("b")}
+        )
+        now = trio.current_time()
+        gateway.limits.record_answer("a", 2.0, now, now)
+        gateway.pool_host.handle(FRONTEND, Register(POOL, True, ()))
+        scheduler = gateway.pool_host.hosted[POOL].scheduler
+        assert not scheduler.endpoints["a"].usable(now)
+        assert scheduler.endpoints["a"].usable(now + 0.6)
+        assert scheduler.endpoints["b"].usable(now)
+        # Another process of the endpoint has said nothing.
+        for listener in gateway.directory.restart_listeners:
+            listener("a")
+        assert scheduler.endpoints["a"].usable(now)
+
+    trio.run(play)
+
+
+@case("instances that are cut off from each other stay within a limit together")
+def _():
+    for count in (9, 195):
+        for per_s in (0.5, 1.3, 10.0):
+            times = []
+            allowances = [
+                RequestAllowance(per_s, salt, 0.0, share=1 / count)
+                for salt in range(count)
+            ]
+            for step in range(1200):
+                now = 0.05 * step
+                # After a pause all of them want to send at once.
+                if now < 20.0 or now > 40.0:
+                    for allowance in allowances:
+                        if allowance.allows(now):
+                            allowance.take(now)
+                            times.append(now)
+            assert worst_count(times) <= allowed_in_window(per_s), (count, per_s)
+            assert len(times) >= 0.5 * per_s * 40.0, (count, per_s, len(times))
+
+
+@case("a frontend without its coordinator keeps a part of an endpoint's limit")
+def _():
+    async def play():
+        gateway = unconnected_gateway()
+        gateway.directory.manifest = build_manifest(
+            configuration(), {"a": record("a", slots=1000)}
+        )
+        gateway.membership.listed = {f"i{number}" for number in range(9)}
+        now = trio.current_time()
+        gateway.limits.record_answer("a", 2.0, now, now)
+        demand = Demand("k", POOL, CREW, "", 1, 1, (), now + 9.0, False)
+        begun, placed = now, 0
+        while trio.current_time() < begun + 60.0:
+            placed += gateway.place_fallback(demand, ()) is not None
+            await trio.sleep(0.05)
+        assert 0 < placed <= 60.0 * 2.0 / 9
+
+    trio.run(play, clock=MockClock(autojump_threshold=0))
+
+
+@case("an endpoint's limit ends with an answer to a later request that names none")
+def _():
+    limits = RequestLimits()
+    limits.record_answer("a", 2.0, sent=1.0, now=2.0)
+    # This request was sent before the endpoint named its limit.
+    limits.record_answer("a", None, sent=1.5, now=2.5)
+    assert limits.limit("a") == 2.0
+    limits.record_answer("a", 2.0, sent=2.5, now=3.0)
+    assert limits.changes == 1
+    peer = RequestLimits()
+    peer.merge(limits.rows(3.0), 103.0)
+    assert peer.limit("a") == 2.0
+    limits.record_answer("a", None, sent=3.1, now=3.2)
+    peer.merge(limits.rows(3.3), 103.3)
+    assert limits.limit("a") is None and peer.limit("a") is None
+    # What is older does not come back.
+    late = RequestLimits()
+    late.record_answer("a", 2.0, sent=2.5, now=3.0)
+    limits.merge(late.rows(3.4), 3.4)
+    assert limits.limit("a") is None
+
+
+@case("195 instances learn of a limit in time, each at a bounded cost")
+def _():
+    states, links = large_fleet(RequestLimits)
+    announced = dict.fromkeys(states, 0)
+    names = list(states)
+    for number in range(30):
+        states[names[5 * number]].record_answer(f"e{number}", 1.5, 0.0, 0.1)
+    now, sent = 0.1, Counter()
+    while any(len(state.named) < 30 for state in states.values()):
+        now += 0.25
+        assert now <= CONTACT_S
+        sent += spread(states, links, now, announced, "limits")
+    assert max(sent.values()) / CONTACT_S < 28_000, sent.most_common(3)
+    # A limit that is named again and again is no news.
+    changes = [state.changes for state in states.values()]
+    for state in states.values():
+        state.record_answer("e1", 1.5, 1.0, 2.0)
+    assert changes == [state.changes for state in states.values()]
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -1626,6 +1626,8 @@
 ENGINES = 5
 SOUND_PAUSE_S = 0.06
 BAD_PAUSE_S = 0.15
+NOWHERE = "127.0.0.1:9"
+"""An address at which nothing listens."""
 
 
 def prompt(number, part):
@@ -1744,6 +1746,17 @@
     traffic.check()
 
 
+def cut_links(site):
+    """Let no instance reach another one, from their start on."""
+
+    def rewrite(key, value):
+        if not key.startswith("savorydyke/instances/"):
+            return value
+        return json.dumps(json.loads(value) | {"address": NOWHERE}).encode()
+
+    site.store.rewrite = rewrite
+
+
 async def wait_for_ends(traffic, number):
     """Wait until some endpoints have ended."""
     while len(traffic.ends()) < number:
@@ -1774,7 +1787,7 @@
 
 @case("a part that crashes endpoints is held back by instances without links")
 async def _(site):
-    site.store.hidden = "savorydyke/instances/"
+    cut_links(site)
     traffic = await start_crashing_engines(site)
     assert not any("Link opened." in d.log.read_text() for d in site.daemons)
     await traffic.run(10.0)
@@ -2063,7 +2076,7 @@
 
 @case("a limit holds among instances without links")
 async def _(site):
-    site.store.hidden = "savorydyke/instances/"
+    cut_links(site)
     traffic = LimitTraffic(site)
     await traffic.start(1, 3)
     await traffic.run(11.0)
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -11,6 +11,7 @@
 from savorydyke._ids import EndpointId, InstanceId, RequestKey, TeamId
 from savorydyke._manifest import Endpoint, PoolKind
 from savorydyke._messages import RunningRow
+from savorydyke._request_limits import RequestAllowance
 
 PREFILL_WINDOW_S = 0.3
 """Prefill time that may be queued inside an engine; beyond it the coordinator decides
@@ -110,6 +111,8 @@
         Requests in recent load reports beyond those granted here.
     paused_until : dict of InstanceId to float
         Frontends whose requests the endpoint does not want, and until when.
+    allowance : RequestAllowance or None
+        How many requests it takes, if it has named a limit.
     parallel : bool
         Whether requests are processed side by side, as plain services do, and
         not one prompt after the other.
@@ -132,6 +135,7 @@
     suspect: bool = False
     learned: float = 0.0
     paused_until: dict[InstanceId, float] = field(default_factory=dict)
+    allowance: RequestAllowance | None = None
     external: deque[int] = field(default_factory=lambda: deque(maxlen=REPORTS_KEPT))
 
     @property
@@ -149,9 +153,24 @@
             return False
         if now < self.open_until or self.is_paused(None, now):
             return False
+        if not self.takes_request(now):
+            return False
         # After the back-off, one request at a time tests the endpoint.
         return self.failures == 0 or not self.running
 
+    def takes_request(self, now: float) -> bool:
+        """Return whether the endpoint's limit allows one more request now."""
+        return self.allowance is None or self.allowance.allows(now)
+
+    def set_limit(self, per_s: float | None, salt: int, now: float) -> None:
+        """Apply the limit that the endpoint has named, None for none."""
+        if per_s is None:
+            self.allowance = None
+        elif self.allowance is None:
+            self.allowance = RequestAllowance(per_s, salt, now)
+        else:
+            self.allowance.set_limit(per_s, now)
+
     def pause(
         self, frontend: InstanceId, pause_s: float, now: float, rng: random.Random
     ) -> None:
--- a/src/savorydyke/_estimates.py
+++ b/src/savorydyke/_estimates.py
@@ -68,6 +68,7 @@
             load
             for load in self.open_endpoints(item)
             if not (load.paused_until and load.is_paused(item.frontend, now))
+            and load.takes_request(now)
         ]
         # If none is usable, an endpoint that may fail is better than a refusal.
         loads = [load for load in open_loads if load.usable(now)] or open_loads
@@ -76,6 +77,13 @@
         untried = [load for load in loads if load.id not in item.avoid]
         return untried or loads
 
+    def awaits_limit(self, item: Waiting, now: float) -> bool:
+        """Return whether only limits of endpoints keep a request waiting."""
+        return any(
+            not load.takes_request(now) and not load.is_paused(item.frontend, now)
+            for load in self.open_endpoints(item)
+        )
+
     def pause_s(self, item: Waiting, now: float) -> float:
         """Return the time until an open endpoint wants requests of a frontend again.
 
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 
@@ -46,6 +46,7 @@
 from savorydyke._prompt_quarantine import PromptQuarantine
 from savorydyke._quota import Quotas, Tolerance
 from savorydyke._quota_balances import QuotaBalances
+from savorydyke._request_limits import RequestAllowance, RequestLimits
 from savorydyke._retry_budget import RetryBudget
 from savorydyke._routes import TeamQuota
 from savorydyke._shared_evidence import SharedEvidence
@@ -64,6 +65,8 @@
 FALLBACK_QUOTA_SHARE = 0.5
 """Share of the quotas that fallback placement may use, over all instances. It is
 less than 1 since the coordinator may be working and granting at the same time."""
+FALLBACK_LIMIT_SHARE = 0.5
+"""Same for the limits that endpoints name."""
 MIN_RETRY_S = 0.1
 """Shortest retry delay in refusals: about the time in which a slot of a pool becomes
 free."""
@@ -88,16 +91,20 @@
         the coordinator does not respond.
     quarantine : PromptQuarantine
         The parts of prompts that are held back.
+    limits : RequestLimits
+        The limits on requests that endpoints have named.
+    fallback_allowances : dict of EndpointId to RequestAllowance
+        What fallback placement may use of these.
     shared_evidence : SharedEvidence
-        Keeps the evidence against parts of prompts in the store.
+        Keeps evidence and limits in the store.
     quota_balances : QuotaBalances
         Transfers quota balances when a pool's coordinator changes.
     stopping : bool
         Whether the stop signal has been received.
     announced_version : int
         Version of the configuration in the latest heartbeats.
-    announced_evidence : int
-        State of the evidence in the latest heartbeats to all peers.
+    announced_evidence : tuple of int
+        State of evidence and limits in the latest heartbeats to all peers.
     """
 
     settings: GatewaySettings
@@ -110,6 +117,7 @@
     peers: Peers
     states: EndpointStates
     quarantine: PromptQuarantine
+    limits: RequestLimits
     shared_evidence: SharedEvidence
     pool_host: PoolHost
     grant_client: GrantClient
@@ -121,7 +129,10 @@
     store_records: StoreRecords
     stopping: bool = False
     announced_version: int = 0
-    announced_evidence: int = 0
+    announced_evidence: tuple[int, int] = (0, 0)
+    fallback_allowances: dict[EndpointId, RequestAllowance] = field(
+        default_factory=dict
+    )
 
     def deliver(self, instance: InstanceId, message: Message) -> None:
         """Send a message to an instance, possibly this one."""
@@ -151,6 +162,7 @@
         self.membership.receive_heartbeat(sender, heartbeat, now)
         self.states.update_from_peer(heartbeat.leaving_endpoints, now)
         self.quarantine.merge(heartbeat.losses, now)
+        self.limits.merge(heartbeat.limits, now)
         if heartbeat.revision > self.directory.version:
             request = ConfigurationRequest(Revision(self.directory.version))
             self.peers.send(sender, request)
@@ -175,6 +187,7 @@
                 ticks_seen += 1
                 now = trio.current_time()
                 self.quarantine.review(now)
+                self.limits.drop_old(now)
                 has_evidence = self._has_new_evidence()
                 has_changed = (
                     self._update_slow(now) or self._has_new_version() or has_evidence
@@ -198,9 +211,10 @@
         return has_changed
 
     def _has_new_evidence(self) -> bool:
-        """Return whether evidence against parts of prompts is new since the latest."""
-        has_changed = self.announced_evidence != self.quarantine.changes
-        self.announced_evidence = self.quarantine.changes
+        """Return whether evidence or limits are new since the latest heartbeats."""
+        state = (self.quarantine.changes, self.limits.changes)
+        has_changed = self.announced_evidence != state
+        self.announced_evidence = state
         return has_changed
 
     def _update_slow(self, now: float) -> bool:
@@ -222,6 +236,7 @@
         """
         records = self.directory.instances.values()
         self.peers.listed_addresses = {r.id: r.address for r in records}
+        self.membership.listed = {r.id for r in records}
         self.membership.weights |= {r.id: r.cores for r in records}
 
     def _adapt_to_fleet_size(self) -> int:
@@ -261,7 +276,7 @@
     ) -> None:
         peers = self._due_peers(counter, has_changed)
         informed = self.rng.choice(peers) if peers else None
-        losses = self.quarantine.rows(now)
+        losses, limits = self.quarantine.rows(now), self.limits.rows(now)
         for peer in peers:
             member = self.membership.members.get(peer)
             rows = self.membership.rows(now) if peer == informed else ()
@@ -275,6 +290,7 @@
                 rows=rows,
                 slow=self.membership.slow,
                 losses=losses if has_evidence or peer == informed else (),
+                limits=limits if has_evidence or peer == informed else (),
             )
             self.peers.send(peer, heartbeat)
 
@@ -315,6 +331,26 @@
         manifest = self.directory.manifest
         return list(manifest.pools) if manifest else []
 
+    def _allows_fallback(self, endpoint: EndpointId, now: float) -> bool:
+        """Return whether this instance may place a request at an endpoint itself."""
+        allowance = self.fallback_allowances.get(endpoint)
+        if allowance is None:
+            return True
+        allowance.share = FALLBACK_LIMIT_SHARE / self.membership.listed_count()
+        return allowance.allows(now)
+
+    def apply_limit(self, endpoint: EndpointId, per_s: float | None) -> None:
+        """Apply the limit that an endpoint has named, or its end."""
+        log.info(
+            "Endpoint limit changed.", extra={"endpoint": endpoint, "limit": per_s}
+        )
+        self.pool_host.set_limit(endpoint, per_s)
+        if per_s is None:
+            self.fallback_allowances.pop(endpoint, None)
+            return
+        now, salt = trio.current_time(), self.rng.getrandbits(32)
+        self.fallback_allowances[endpoint] = RequestAllowance(per_s, salt, now)
+
     def place_fallback(
         self, demand: Demand, avoid: tuple[EndpointId, ...]
     ) -> EndpointId | None:
@@ -335,7 +371,10 @@
             manifest,
             demand,
             avoid,
-            lambda endpoint: self.states.is_unusable(endpoint, now),
+            lambda endpoint: (
+                self.states.is_unusable(endpoint, now)
+                or not self._allows_fallback(endpoint, now)
+            ),
             in_flight,
             self.membership.id,
             self.membership.known_count(),
@@ -349,6 +388,8 @@
             demand.team, tokens, now, draw
         ):
             return None
+        if name and name in self.fallback_allowances:
+            self.fallback_allowances[name].take(now)
         log.info(
             "Coordinator not responding.",
             extra={
@@ -383,10 +424,11 @@
         membership, "", lambda sender, message: gateway.handle(sender, message), rng
     )
     states = EndpointStates()
-    quarantine = PromptQuarantine()
+    quarantine, limits = PromptQuarantine(), RequestLimits()
     pool_host = PoolHost(
         membership=membership,
         states=states,
+        limits=limits,
         manifest=lambda: directory.manifest,
         answer=lambda frontend, answer: gateway.deliver(frontend, answer),
         cancel_orphan=lambda endpoint, item: None,
@@ -430,7 +472,10 @@
         peers,
         states,
         quarantine,
-        SharedEvidence(store, quarantine, membership, lambda: store_records.lease),
+        limits,
+        SharedEvidence(
+            store, quarantine, limits, membership, lambda: store_records.lease
+        ),
         pool_host,
         grant_client,
         metrics,
@@ -442,6 +487,8 @@
         overload,
         store_records,
     )
+    limits.listeners.append(gateway.apply_limit)
+    directory.restart_listeners.append(limits.forget)
     quarantine.listeners.append(lambda part, held: _note_held(gateway, part, held))
     directory.evidence_listeners.append(gateway.shared_evidence.receive)
     membership.listeners.append(grant_client.follow_coordinators)
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -58,6 +58,7 @@
             gateway.states,
             gateway.quarantine,
             LostAnswers(gateway.quarantine, nursery),
+            gateway.limits,
             gateway.overload,
             gateway.metrics,
             incarnation=gateway.membership.incarnation,
--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -79,6 +79,8 @@
     ----------
     heartbeat_interval_s, dead_after_s : float
         Time between heartbeats, and silence after which a member is dead.
+    listed : set of InstanceId
+        Instances whose records the store holds.
     weights : dict of InstanceId to float
         Capacity of the instances relative to each other; 1 if unknown.
     alive_count : int
@@ -102,6 +104,7 @@
     alive_count: int = 0
     members: dict[InstanceId, Member] = field(default_factory=dict)
     weights: dict[InstanceId, float] = field(default_factory=dict)
+    listed: set[InstanceId] = field(default_factory=set)
     sent_at: OrderedDict[int, float] = field(default_factory=OrderedDict)
     states: dict[InstanceId, MemberState] = field(default_factory=dict)
     listeners: list[Callable[[], None]] = field(default_factory=list)
@@ -321,12 +324,25 @@
 
     def reaches_majority(self, now: float) -> bool:
         """Return whether most known instances recently acknowledged a heartbeat."""
-        answered = 1 + sum(
+        return 2 * self._answered_count(now) > self.known_count()
+
+    def listed_count(self) -> int:
+        """Return how many instances are known or listed by the store.
+
+        One that has never reached its peers knows them from there only.
+        """
+        return max(self.known_count(), len(self.listed | {self.id}))
+
+    def reaches_most_listed(self, now: float) -> bool:
+        """Return whether most of these recently acknowledged a heartbeat."""
+        return 2 * self._answered_count(now) > self.listed_count()
+
+    def _answered_count(self, now: float) -> int:
+        return 1 + sum(
             1
             for member in self.members.values()
             if now - member.acknowledged_at <= ACKNOWLEDGEMENT_MAX_AGE_S
         )
-        return 2 * answered > self.known_count()
 
     def is_chosen(self, task: str, count: int) -> bool:
         """Return whether this instance is among the `count` chosen for a task."""
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -29,7 +29,7 @@
     TeamId,
 )
 
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 MAX_FRAME_BYTES = 2_000_000
 
 
@@ -108,6 +108,23 @@
     lost_age_ms: int
 
 
+@dataclass(frozen=True)
+class LimitRow:
+    """The limit that an endpoint has named.
+
+    Attributes
+    ----------
+    per_1000_s : int
+        Requests in 1,000 s, -1 if the limit has ended.
+    age_ms : int
+        Time since the endpoint said so.
+    """
+
+    endpoint: EndpointId
+    per_1000_s: int
+    age_ms: int
+
+
 @dataclass(frozen=True)
 class Heartbeat:
     """Shows that the sender is running, with state that must spread quickly.
@@ -130,8 +147,10 @@
     slow : bool
         Whether the sender is too slow to coordinate a pool.
     losses : tuple of LossRow
-        Evidence against parts of prompts; sent on all links when it changes and
-        otherwise like `rows`.
+        Evidence against parts of prompts; sent on all links when it or `limits`
+        changes and otherwise like `rows`.
+    limits : tuple of LimitRow
+        Limits of endpoints, sent like `losses`.
     """
 
     counter: int
@@ -143,6 +162,7 @@
     rows: tuple[MemberRow, ...]
     slow: bool = False
     losses: tuple[LossRow, ...] = ()
+    limits: tuple[LimitRow, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -372,7 +392,7 @@
     | Queued
     | QuotaPush
 )
-_NESTED = (MemberRow, RunningRow, LossRow)
+_NESTED = (MemberRow, RunningRow, LossRow, LimitRow)
 _TAGS = {kind: tag for tag, kind in enumerate(get_args(Message))}
 _KINDS = {tag: kind for kind, tag in _TAGS.items()}
 
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -31,6 +31,7 @@
     Withdraw,
 )
 from savorydyke._pool_scheduler import Decision, PoolScheduler, new_pool_scheduler
+from savorydyke._request_limits import RequestLimits
 from savorydyke._timers import TimerService
 
 TICK_S = 0.1
@@ -88,6 +89,8 @@
         Sets the quotas and the retry budget of a new scheduler.
     on_takeover : callable
         Called with a scheduler when this instance becomes the coordinator.
+    limits : RequestLimits
+        Limits that endpoints have named, for new schedulers.
     """
 
     membership: Membership
@@ -102,6 +105,7 @@
         default=lambda scheduler: None
     )
     on_takeover: Callable[[PoolScheduler], None] = field(default=lambda scheduler: None)
+    limits: RequestLimits = field(default_factory=RequestLimits)
     hosted: dict[PoolId, HostedPool] = field(default_factory=dict)
     last_tick: float = field(default_factory=trio.current_time)
 
@@ -228,6 +232,8 @@
             now,
             is_coordinator,
         )
+        for endpoint, known in self.limits.named.items():
+            scheduler.set_limit(endpoint, known.per_s, now)
         self.hosted[pool] = hosted
         log.info("Pool hosted.", extra={"pool": pool})
         return hosted
@@ -239,7 +245,7 @@
         self._send(hosted.scheduler, hosted.scheduler.grant_waiting(now))
 
     def set_share(self, scheduler: PoolScheduler) -> None:
-        """Limit the credits of a scheduler while another coordinator may exist."""
+        """Limit what a scheduler may use while another coordinator may exist."""
         is_coordinator = self.membership.is_coordinator(scheduler.pool)
         reaches_majority = self.membership.reaches_majority(trio.current_time())
         scheduler.capacity.share = (
@@ -247,6 +253,12 @@
             if is_coordinator and reaches_majority
             else 1.0 / self.membership.known_count()
         )
+        reaches_listed = self.membership.reaches_most_listed(trio.current_time())
+        scheduler.set_limit_share(
+            1.0
+            if is_coordinator and reaches_listed
+            else 1.0 / self.membership.listed_count()
+        )
 
     # Events
 
@@ -264,6 +276,13 @@
             for endpoint in self.states.leaving:
                 hosted.scheduler.set_leaving(endpoint, True)
 
+    def set_limit(self, endpoint: EndpointId, per_s: float | None) -> None:
+        """Apply in all schedulers the limit that an endpoint has named, or its end."""
+        now = trio.current_time()
+        for hosted in self.hosted.values():
+            hosted.scheduler.set_limit(endpoint, per_s, now)
+            self.set_share(hosted.scheduler)
+
     def set_leaving(self, endpoint: EndpointId, leaving: bool) -> None:
         """Record in all schedulers whether an endpoint is leaving."""
         for hosted in self.hosted.values():
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -192,6 +192,18 @@
         if leaving:
             self.estimates.prefixes.forget(endpoint)
 
+    def set_limit(self, endpoint: EndpointId, per_s: float | None, now: float) -> None:
+        """Apply the limit that an endpoint has named, None for none."""
+        load = self.endpoints.get(endpoint)
+        if load is not None:
+            load.set_limit(per_s, self.rng.getrandbits(32), now)
+
+    def set_limit_share(self, share: float) -> None:
+        """Set which part of the endpoints' limits may be used here."""
+        for load in self.endpoints.values():
+            if load.allowance is not None:
+                load.allowance.share = share
+
     def endpoint_restarted(self, endpoint: EndpointId) -> None:
         """Drop what an earlier process of an endpoint has asked for."""
         load = self.endpoints.get(endpoint)
@@ -325,6 +337,8 @@
         self.placed.pop(item.key, None)
         if result in _NOT_RUN:
             self._refund(item)
+            if load.allowance is not None and result is not ReleaseResult.REJECTED:
+                load.allowance.give_back()
             if result is ReleaseResult.UNREACHABLE:
                 load.record_connection_failure(now, self.rng)
                 self.estimates.prefixes.forget(load.id)
@@ -516,6 +530,8 @@
         load.take(item, item.frontend, uncached, now)
         self.placed[item.key] = load.id
         self.estimates.prefixes.add(load.id, item.prefix)
+        if load.allowance is not None:
+            load.allowance.take(now)
         probe = self._probe(item, now)
         first_ms = int(load.running[item.key].predicted_first_s * 1000)
         grant = Grant(item.key, item.attempt, load.id, False, probe, first_ms)
@@ -638,7 +654,8 @@
         if not item.allowed and not self.manifest.all_approved:
             detail = "the team is not approved for this pool"
             return self._refuse(item, Reason.NOT_APPROVED, detail, None, now)
-        if not self.estimates.candidates(item, now):
+        has_endpoint = self.estimates.candidates(item, now)
+        if not has_endpoint and not self.estimates.awaits_limit(item, now):
             detail = "no endpoint of the pool takes new work"
             retry_s = self.estimates.pause_s(item, now) or RETRY_RANGE_S[0]
             return self._refuse(item, Reason.NO_ENDPOINT, detail, retry_s, now)
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -41,6 +41,7 @@
 from savorydyke._overload import Overload
 from savorydyke._problems import Refusal
 from savorydyke._prompt_quarantine import HELD_BACK_DETAIL, PromptQuarantine
+from savorydyke._request_limits import BadLimitError, RequestLimits, parse_limit
 from savorydyke._retry_after import BadRetryAfterError, parse_retry_after
 from savorydyke._routed_relay import (
     MIN_RETRY_S,
@@ -123,6 +124,7 @@
     states: EndpointStates
     quarantine: PromptQuarantine
     lost_answers: LostAnswers
+    limits: RequestLimits
     overload: Overload
     metrics: Metrics
     refusing: bool = False
@@ -457,7 +459,7 @@
             await channel.send(self._outgoing(request, endpoint), self.background)
             head = await read_head(channel, lambda: self._reserve_alternative(request))
             response_info = parse_response_headers(head.status, head.headers)
-            self._observe_endpoint(request, endpoint.id, response_info)
+            self._observe_endpoint(request, endpoint.id, response_info, sent)
             result = await relay_answer(
                 request,
                 channel,
@@ -479,7 +481,11 @@
             channel.close()
 
     def _observe_endpoint(
-        self, request: RoutedRequest, endpoint: EndpointId, info: ResponseInfo
+        self,
+        request: RoutedRequest,
+        endpoint: EndpointId,
+        info: ResponseInfo,
+        sent: float,
     ) -> None:
         """Record what an endpoint states about further requests."""
         now = trio.current_time()
@@ -487,11 +493,11 @@
             "request": request.request_info.request_id,
             "endpoint": endpoint,
         }
+        if info.stamped or info.not_executed:
+            self._observe_limit(endpoint, info, sent, extra)
         if info.leaving and endpoint not in self.states.reported:
             self.states.set_reported(endpoint, True, now)
             log.info("Endpoint leaves.", extra=extra)
-        if info.limit:
-            log.info("Endpoint names a limit.", extra=extra | {"limit": info.limit})
         if not info.retry_after:
             return
         try:
@@ -502,6 +508,23 @@
         self.states.pause(endpoint, now + request.pause_s)
         log.info("Endpoint pauses.", extra=extra | {"pause_s": request.pause_s})
 
+    def _observe_limit(
+        self,
+        endpoint: EndpointId,
+        info: ResponseInfo,
+        sent: float,
+        extra: dict[str, object],
+    ) -> None:
+        """Record the limit that an endpoint names, or that it names none."""
+        per_s = None
+        if info.limit:
+            try:
+                per_s = parse_limit(info.limit)
+            except BadLimitError as error:
+                log.warning("Limit unreadable.", extra=extra | {"error": str(error)})
+                return
+        self.limits.record_answer(endpoint, per_s, sent, trio.current_time())
+
     def _read_timeout_s(self, request: RoutedRequest, first_s: float) -> float:
         """Return how long to wait for a first byte before trying another endpoint."""
         is_last = len(request.sent_to) >= request.route.max_endpoints
--- a/src/savorydyke/_shared_evidence.py
+++ b/src/savorydyke/_shared_evidence.py
@@ -1,4 +1,4 @@
-"""Keeps evidence against parts of prompts in the platform's store.
+"""Keeps evidence against parts of prompts, and limits, in the platform's store.
 
 Instances tell each other what they know in heartbeats. The store brings it to those
 that no peer reaches, and to those that start. One instance of the fleet writes, and
@@ -14,10 +14,11 @@
 import trio
 
 from savorydyke import _logs
-from savorydyke._ids import InstanceId, ProcessId, PromptPartId
+from savorydyke._ids import EndpointId, InstanceId, ProcessId, PromptPartId
 from savorydyke._membership import Membership
-from savorydyke._messages import LossRow
+from savorydyke._messages import LimitRow, LossRow
 from savorydyke._prompt_quarantine import PromptQuarantine
+from savorydyke._request_limits import RequestLimits
 from savorydyke._timers import TimerService
 from savorydyke.platform import LeaseExpired, Store, StoreError, evidence_key
 
@@ -38,16 +39,18 @@
     lease : callable
         Returns the lease of this instance's records, 0 for none.
     written : tuple of int
-        State of the evidence, generation of the store and lease at the latest write.
+        State of evidence and limits, generation of the store, and lease at the latest
+        write.
     has_record : bool
         Whether the store may hold a record of this instance that has rows.
     """
 
     store: Store
     quarantine: PromptQuarantine
+    limits: RequestLimits
     membership: Membership
     lease: Callable[[], int]
-    written: tuple[int, int, int] = (0, 0, 0)
+    written: tuple[int, int, int, int] = (0, 0, 0, 0)
     has_record: bool = False
 
     async def run(self, timers: TimerService) -> None:
@@ -69,48 +72,58 @@
         """
         now = trio.current_time()
         lease = self.lease()
-        state = (self.quarantine.changes, self.store.generation, lease)
+        learned = (self.quarantine.changes, self.limits.changes)
+        state = (*learned, self.store.generation, lease)
         if state == self.written or not lease:
             return
         is_writer = self.membership.is_chosen("evidence", 1)
-        if not is_writer and self.membership.reaches_majority(now):
+        if not is_writer and self.membership.reaches_most_listed(now):
             return
-        rows = self.quarantine.rows(now)
-        if rows or self.has_record:
-            record = encode_evidence(rows, time.time_ns() // 1_000_000)
+        losses, limits = self.quarantine.rows(now), self.limits.rows(now)
+        if losses or limits or self.has_record:
+            record = encode_evidence(losses, limits, time.time_ns() // 1_000_000)
             key = evidence_key(self.membership.id)
             if isinstance(await self.store.write({key: record}, lease), LeaseExpired):
                 return
-            self.has_record = bool(rows)
+            self.has_record = bool(losses or limits)
         self.written = state
 
     def receive(self, instance: InstanceId, record: bytes) -> None:
         """Add the evidence in a record, possibly of this instance before a restart."""
         try:
-            rows = decode_evidence(record, time.time_ns() // 1_000_000)
+            losses, limits = decode_evidence(record, time.time_ns() // 1_000_000)
         except (ValueError, TypeError, LookupError) as error:
             extra = {"peer": instance, "error": repr(error)}
             log.error("Evidence unreadable.", extra=extra)
             return
         now = trio.current_time()
-        self.quarantine.merge(rows, now)
+        self.quarantine.merge(losses, now)
+        self.limits.merge(limits, now)
         # An instance that has just started refuses from its first request on.
         self.quarantine.review(now)
 
 
-def encode_evidence(rows: tuple[LossRow, ...], written_ms: int) -> bytes:
-    """Return the stored form of evidence.
+def encode_evidence(
+    losses: tuple[LossRow, ...], limits: tuple[LimitRow, ...], written_ms: int
+) -> bytes:
+    """Return the stored form of evidence and limits.
 
     Parameters
     ----------
     written_ms : int
         Time of day in Unix milliseconds, to which the ages of the rows relate.
     """
-    values = [[r.part, r.depth, r.process, r.sent_age_ms, r.lost_age_ms] for r in rows]
-    return json.dumps({"written_ms": written_ms, "losses": values}).encode()
+    value = {
+        "written_ms": written_ms,
+        "losses": [[*row.__dict__.values()] for row in losses],
+        "limits": [[*row.__dict__.values()] for row in limits],
+    }
+    return json.dumps(value).encode()
 
 
-def decode_evidence(record: bytes, now_ms: int) -> tuple[LossRow, ...]:
+def decode_evidence(
+    record: bytes, now_ms: int
+) -> tuple[tuple[LossRow, ...], tuple[LimitRow, ...]]:
     """Return the rows of a record, with their present ages.
 
     Raises
@@ -120,7 +133,7 @@
     """
     value: dict[str, Any] = json.loads(record)
     age_ms = min(max(0, now_ms - int(value["written_ms"])), MAX_AGE_MS)
-    return tuple(
+    losses = tuple(
         LossRow(
             PromptPartId(str(part)),
             int(depth),
@@ -130,3 +143,8 @@
         )
         for part, depth, process, sent_ms, lost_ms in value["losses"]
     )
+    limits = tuple(
+        LimitRow(EndpointId(str(endpoint)), int(per_1000_s), int(named_ms) + age_ms)
+        for endpoint, per_1000_s, named_ms in value["limits"]
+    )
+    return losses, limits
--- a/src/savorydyke_standins/_store.py
+++ b/src/savorydyke_standins/_store.py
@@ -80,8 +80,8 @@
         Sent in each answer; increased by each restore. 0 sends none.
     oldest_revision : int
         Revision before which the history was compacted.
-    hidden : str
-        Keys that begin with it are not listed; empty for none.
+    rewrite : callable
+        Changes the values that instances write.
     calls : list of str
         The path of each call, in order.
     """
@@ -90,7 +90,7 @@
     era: int = 1
     revision: int = 1
     oldest_revision: int = 0
-    hidden: str = ""
+    rewrite: Callable[[str, bytes], bytes] = field(default=lambda key, value: value)
     items: dict[str, StoredItem] = field(default_factory=dict)
     history: list[dict[str, Any]] = field(default_factory=list)
     leases: dict[int, tuple[float, float]] = field(default_factory=dict)
@@ -213,9 +213,6 @@
             return await self._watch(params)
         return simple[name]() if name in simple else (404, {})
 
-    def _is_hidden(self, key: str) -> bool:
-        return bool(self.hidden) and key.startswith(self.hidden)
-
     def _read(self, key: str) -> tuple[int, Any]:
         item = self.items.get(key)
         if item is None:
@@ -226,9 +223,7 @@
         keys = sorted(
             key
             for key in self.items
-            if key.startswith(params["prefix"])
-            and key > params.get("after", "")
-            and not self._is_hidden(key)
+            if key.startswith(params["prefix"]) and key > params.get("after", "")
         )
         page = [self.items[key].to_json() for key in keys[:MAX_PAGE]]
         return 200, {
@@ -256,9 +251,7 @@
         return [
             event
             for event in self.history
-            if event["revision"] > after
-            and event["key"].startswith(prefix)
-            and not self._is_hidden(event["key"])
+            if event["revision"] > after and event["key"].startswith(prefix)
         ]
 
     def _apply_transaction(self, body: dict[str, Any]) -> tuple[int, Any]:
@@ -270,7 +263,7 @@
             if write.get("lease") and write["lease"] not in self.leases:
                 return 404, {}
         for write in body["writes"]:
-            data = base64.b64decode(write["value"])
+            data = self.rewrite(write["key"], base64.b64decode(write["value"]))
             self.put(write["key"], data, write.get("lease", 0))
         for key in body["remove"]:
             self.remove(key)
