Keep no bytes of an event while it is relayed on the product's own interface

The class of fault is that of streams whose event does not end: the bytes since the last event were kept and searched again with each chunk, until the answer's deadline. Only their number is needed, to skip them when a stream is resumed, and the last of them, with which an event's end may begin. On the code before, 50 chunks of 64 kB left 3.3 MB in memory; the case feeds 2,000 and allows less than one chunk.

--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -15,3 +15,4 @@
   Scenario: Streams split or truncated anywhere
     Then hypothesis finds no split of a stream that changes the count of its events
     And hypothesis finds no truncation after which a resumed stream is not complete
+    And an event without end is relayed with bounded memory
--- a/features/steps/decoder_steps.py
+++ b/features/steps/decoder_steps.py
@@ -50,6 +50,9 @@
     run()
 
 
+FLOOD = b"x" * 65536
+
+
 @then("hypothesis finds no response that raises anything but PlatformUnavailableError")
 def platform_responses(context):
     check(TEXTS, _decode_values, PlatformUnavailableError)
@@ -210,3 +213,18 @@
         assert progress.is_finished()
 
     check(st.tuples(WORDS, SPLITS, st.integers(0, 10**6)), same)
+
+
+@then("an event without end is relayed with bounded memory")
+def endless_event(context):
+    async def relay():
+        progress = RelayProgress()
+        for _ in range(2000):
+            assert progress.feed(FLOOD) == FLOOD
+        kept = [v for v in vars(progress).values() if isinstance(v, bytes)]
+        assert sum(map(len, kept)) < len(FLOOD), [len(value) for value in kept]
+        # A resumed answer repeats what has been relayed of the event.
+        progress.rewind(is_stream=True)
+        assert progress.feed(FLOOD) == b""
+
+    trio.run(relay)
--- a/src/savorydyke/_relay.py
+++ b/src/savorydyke/_relay.py
@@ -26,8 +26,10 @@
     ----------
     events : int
         Complete events relayed, counted from the start of the stream.
-    partial : bytes
-        Bytes relayed after the last complete event.
+    partial_bytes : int
+        Number of bytes relayed after the last complete event.
+    boundary : bytes
+        The last of these bytes, with which the end of an event may begin.
     relayed : int
         Total number of bytes relayed.
     skip : int
@@ -35,7 +37,8 @@
     """
 
     events: int = 0
-    partial: bytes = b""
+    partial_bytes: int = 0
+    boundary: bytes = b""
     tail: bytes = b""
     relayed: int = 0
     first_byte: float | None = None
@@ -60,13 +63,15 @@
         return chunk
 
     def _count(self, chunk: bytes) -> None:
-        joined = self.partial + chunk if self.partial else chunk
+        joined = self.boundary + chunk
         ends = joined.count(EVENT_END)
         if ends:
             self.events += ends
-            self.partial = joined[joined.rindex(EVENT_END) + len(EVENT_END) :]
+            joined = joined[joined.rindex(EVENT_END) + len(EVENT_END) :]
+            self.partial_bytes = len(joined)
         else:
-            self.partial = joined
+            self.partial_bytes += len(chunk)
+        self.boundary = joined[1 - len(EVENT_END) :]
         if len(chunk) >= len(STREAM_END):
             self.tail = chunk[-len(STREAM_END) :]
         else:
@@ -78,7 +83,7 @@
         A stream resumes after its last complete event, any other answer starts
         again at its first byte.
         """
-        self.skip = len(self.partial) if is_stream else self.relayed
+        self.skip = self.partial_bytes if is_stream else self.relayed
 
     def is_finished(self) -> bool:
         """Return whether the end marker of the stream has been relayed."""
