--- a/features/routed.feature
+++ b/features/routed.feature
@@ -172,6 +172,7 @@
       | an endpoint sends an event without end in chunks                            |
       | an endpoint sends a body without end                                        |
       | an endpoint sends a failure without end                                     |
+      | a report without end is not read to its end                                 |
 
   Scenario Outline: Endpoints that limit the requests that they take
     Then the routed case "<case>" holds
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -849,6 +849,13 @@
 # Failures that operators of similar systems reported
 
 
+def endpoint_at(site, address):
+    """Return an endpoint of the desk as the manifest has it."""
+    record = EndpointRecord("e1", PoolId("desk"), address, "a", 4, False, 0.0, 1)
+    configuration = read_configuration(json.dumps(site.configuration()).encode())
+    return build_manifest(configuration, {"e1": record}).endpoints["e1"]
+
+
 @case("an answer that an endpoint repeats late is not taken for the next one")
 async def _(site):
     async def repeat(stream):
@@ -861,9 +868,7 @@
                 await stream.send_all(answer)
 
     address = await site.listen(repeat, free_address())
-    record = EndpointRecord("e1", PoolId("desk"), address, "a", 4, False, 0.0, 1)
-    configuration = read_configuration(json.dumps(site.configuration()).encode())
-    endpoint = build_manifest(configuration, {"e1": record}).endpoints["e1"]
+    endpoint = endpoint_at(site, address)
     client = EndpointClient()
     bodies = []
     for number in range(3):
@@ -875,6 +880,26 @@
     assert bodies == [b"0", b"1", b"2"], bodies
 
 
+@case("a report without end is not read to its end")
+async def _(site):
+    taken = 0
+
+    async def flood(stream):
+        nonlocal taken
+        with suppress(trio.BrokenResourceError):
+            await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\n{")
+            while taken < FLOOD_BYTES:
+                await stream.send_all(FLOOD)
+                taken += len(FLOOD)
+        stream.socket.close()
+
+    endpoint = endpoint_at(site, await site.listen(flood, free_address()))
+    started = trio.current_time()
+    assert await EndpointClient().get_json(endpoint, "/load") is None
+    assert trio.current_time() - started < 1.0
+    assert taken < FLOOD_BYTES / 10, taken
+
+
 @case("a stop under load leaves no accepted request without an answer")
 async def _(site):
     async def work(exchange):
--- a/src/savorydyke/_endpoint_client.py
+++ b/src/savorydyke/_endpoint_client.py
@@ -18,6 +18,8 @@
 CONNECT_TIMEOUT_S = 1.0
 CONTROL_TIMEOUT_S = 2.0
 MAX_CLIENT_CONNECTIONS = 16
+MAX_REPORT_BYTES = 1_048_576
+"""Largest report of an endpoint that is read."""
 STREAM_IDLE_TIMEOUT_S = 60.0
 UNFORWARDED_HEADERS = frozenset(
     {
@@ -205,12 +207,28 @@
         """Return the JSON object at a path of an endpoint, or None."""
         try:
             with trio.fail_after(CONTROL_TIMEOUT_S):
-                response = await self.control.get(f"http://{endpoint.address}{target}")
-                value = json.loads(response.content)
+                value = json.loads(await self._read_report(endpoint, target))
         except (httpx.HTTPError, trio.TooSlowError, ValueError):
             return None
         return value if isinstance(value, dict) else None
 
+    async def _read_report(self, endpoint: Endpoint, target: str) -> bytes:
+        """Return a body of at most `MAX_REPORT_BYTES`.
+
+        Raises
+        ------
+        ValueError
+            If it is larger.
+        """
+        body = b""
+        url = f"http://{endpoint.address}{target}"
+        async with self.control.stream("GET", url) as response:
+            async for part in response.aiter_bytes():
+                body += part
+                if len(body) > MAX_REPORT_BYTES:
+                    raise ValueError(f"a report of over {MAX_REPORT_BYTES} bytes")
+        return body
+
 
 def _opened(response: httpx.Response, pooled: PooledClient) -> Opened:
     # The raw stream yields the body as received, without httpx's re-chunking and
