Give routed sites ports that outgoing connections do not take

Stand-in sites asked the kernel for a free port, which comes from the range of outgoing connections, and started the process later: another run's connection could have it by then. Seen once today with its log, three runs of features at once: an instance ended with "Address already in use" and was not ready within 10 s. Sites now use the pool of ports below that range that the fleets of the bench had; it moves to a module of its own. Known reds of routed.feature:114 and :133 may have the same cause; not shown.

--- a/src/savorydyke_bench/_cost_link.py
+++ b/src/savorydyke_bench/_cost_link.py
@@ -10,7 +10,8 @@
 from savorydyke._messages import Message
 from savorydyke._peers import Peers
 from savorydyke_bench._cost import Measurement, request_messages
-from savorydyke_bench._fleet import SHARED_KEY, PortPool
+from savorydyke_bench._fleet import SHARED_KEY
+from savorydyke_standins._ports import PortPool
 
 BURSTS = 150
 SIZES = (1, 4, 16, 64)
--- a/src/savorydyke_bench/_fleet.py
+++ b/src/savorydyke_bench/_fleet.py
@@ -2,9 +2,7 @@
 
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -17,8 +15,8 @@
 import httpx
 import trio
 
-HOST = "127.0.0.1"
-PORT_RANGE = (10_000, 32_000)
+from savorydyke_standins._ports import PortPool
+
 SHARED_KEY = "a shared key for trials only"
 OPERATOR_KEY = "an operator key for trials only"
 START_LIMIT_S = 20.0
@@ -28,32 +26,6 @@
 ENDPOINT_SERVICE = "savorydyke-endpoints"
 
 
-class PortPool:
-    """Allocates free ports, each at most once.
-
-    The ports lie below the range of ephemeral ports, so that no outgoing connection
-    can occupy one before it is used.
-    """
-
-    def __init__(self) -> None:
-        self.allocated: set[int] = set()
-        self.rng = random.SystemRandom()
-
-    def take(self) -> str:
-        """Return an address with a free port."""
-        while True:
-            port = self.rng.randint(*PORT_RANGE)
-            if port in self.allocated:
-                continue
-            self.allocated.add(port)
-            with socket.socket() as probe:
-                try:
-                    probe.bind((HOST, port))
-                except OSError:
-                    continue
-            return f"{HOST}:{port}"
-
-
 @dataclass
 class InstanceProcess:
     """An instance's process and addresses."""
--- a/src/savorydyke_standins/_routed_site.py
+++ b/src/savorydyke_standins/_routed_site.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,6 +15,7 @@
 import h11
 import trio
 
+from savorydyke_standins._ports import PortPool
 from savorydyke_standins._routed_endpoint import RoutedEndpoint, Script
 from savorydyke_standins._store import StandInStore, new_store_server
 
@@ -32,11 +32,12 @@
 BOUNDS = {"revocation_ms": 3000, "stop_s": 4, "repeat_slack": 50}
 
 
+PORTS = PortPool()
+
+
 def free_address() -> str:
     """Return a loopback address whose port is free."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    return PORTS.take()
 
 
 @dataclass
