Hold back a part of prompts at all pools

Evidence was kept for each pool apart, so that a part that crashes the engines of one pool ended as many of the next one when its route moved there; the users count the ends under a part, wherever. Found by reading, after a soak in which the same part was held back in two pools one after the other.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -59,6 +59,7 @@
       | an invalid record is refused with the name of the faulty field             |
       | a part is held back after three ends in a row, and its neighbours are not  |
       | a part of prompts that were answered before needs more ends                |
+      | a part that crashes endpoints of one pool is held back at all pools        |
       | endpoints that end together hold no part back                              |
       | broken answers of endpoints that are still there hold no part back         |
       | a complete answer clears the parts of its prompt, at all instances         |
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -75,6 +75,7 @@
 )
 from savorydyke._retry_budget import RetryBudget
 from savorydyke._routed_handler import RoutedHandler
+from savorydyke._routed_request import shared_parts
 from savorydyke._routes import TeamQuota
 from savorydyke._shared_evidence import (
     SharedEvidence,
@@ -1331,6 +1332,20 @@
     assert held_after(quarantine, 5.0) == {"bad"}
 
 
+@case("a part that crashes endpoints of one pool is held back at all pools")
+def _():
+    prefix = (("first", 60), ("bad", 300), ("own", 20))
+    assert shared_parts(prefix) == ("first", "bad")
+    assert shared_parts(prefix[:1]) == ()
+    quarantine = PromptQuarantine()
+    for number in range(3):
+        lose(quarantine, number, 1.0 + number, shared_parts(prefix))
+    assert held_after(quarantine, 3.0) == {"bad"}
+    scheduler = scheduler_of("a")
+    scheduler.quarantine = quarantine
+    assert refused(scheduler.acquire(acquire("1", parts=("bad",)), FRONTEND, 3.5))
+
+
 @case("endpoints that end together hold no part back")
 def _():
     quarantine = PromptQuarantine()
--- a/src/savorydyke/_ids.py
+++ b/src/savorydyke/_ids.py
@@ -15,7 +15,7 @@
 ProcessId = NewType("ProcessId", str)
 """One process of an endpoint, which a restart replaces."""
 PromptPartId = NewType("PromptPartId", str)
-"""Part of the prompts for one pool that several requests may share."""
+"""Part of prompts that several requests may share, of any pool."""
 Revision = NewType("Revision", int)
 
 
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -213,7 +213,7 @@
             config_version=configuration.version,
             config_age_s=age_s,
             tier=_tier(configuration, team, route),
-            parts=shared_parts(pool, request_info.prefix),
+            parts=shared_parts(request_info.prefix),
             last_event_id=request_info.last_event_id,
         )
 
--- a/src/savorydyke/_routed_request.py
+++ b/src/savorydyke/_routed_request.py
@@ -118,10 +118,8 @@
     reserved: ReservedGrant | None = None
 
 
-def shared_parts(
-    pool: PoolId, prefix: tuple[tuple[str, int], ...]
-) -> tuple[PromptPartId, ...]:
-    """Return the parts of a prompt that other requests of the pool may share.
+def shared_parts(prefix: tuple[tuple[str, int], ...]) -> tuple[PromptPartId, ...]:
+    """Return the parts of a prompt that other requests may share.
 
     The last part belongs to the request itself.
 
@@ -130,8 +128,7 @@
     prefix : tuple of (str, int)
         The parts in order, with their numbers of tokens.
     """
-    names = [name for name, _ in prefix[:-1]]
-    return tuple(PromptPartId(f"{pool}/{name}") for name in names[:MAX_PROMPT_PARTS])
+    return tuple(PromptPartId(name) for name, _ in prefix[:-1][:MAX_PROMPT_PARTS])
 
 
 def was_not_sent(request: RoutedRequest) -> bool:
