Let the soak end endpoints under a part of prompts, and let them name limits

Its requests carry prompts; one in twenty has the part that ends endpoints, which return under their name. An endpoint names a limit from some time on. Checked: requests with the part after the fifth end, and requests at the limited endpoint, each with one more for every interruption of an instance, which excuses it. The checks are shown to find planted faults.

--- a/features/steps/soak_cases.py
+++ b/features/steps/soak_cases.py
@@ -37,3 +37,19 @@
     revoked = make_run(key="spare-key")
     revoked.revoked_at["spare-key"] = 6.0
     assert revoked.check_revocations(3.0) and not revoked.check_revocations(5.0)
+
+    bad = make_run(executions=0, status=0)
+    bad.ends = [10.0, 10.5, 11.0, 11.5, 12.0]
+    bad.bad_arrivals = [*bad.ends, 14.9, 15.1, 15.2, 15.3]
+    assert not bad.check_shared_knowledge()
+    bad.bad_arrivals.append(16.0)
+    assert bad.check_shared_knowledge()
+    bad.interruptions.append(14.0)
+    assert not bad.check_shared_knowledge()
+
+    limited = make_run(executions=0, status=0)
+    limited.limited["desk-0"] = 10.0
+    limited.arrivals["desk-0"] = [10.1] * 30 + [14.0 + 0.2 * n for n in range(17)]
+    assert not limited.check_shared_knowledge()
+    limited.arrivals["desk-0"].append(15.0)
+    assert limited.check_shared_knowledge()
--- a/src/savorydyke_bench/_soak.py
+++ b/src/savorydyke_bench/_soak.py
@@ -3,7 +3,8 @@
 Instances run as processes, which are killed, paused, terminated and restarted.
 Proxies in front of the store and of each endpoint delay, stall or reset
 connections. The store refuses calls, loses answers, repeats them, compacts its
-history or is restored from a backup. Endpoints ask for pauses. API keys are revoked.
+history or is restored from a backup. Endpoints ask for pauses or name limits, and end
+under prompts with a certain part. API keys are revoked.
 The guarantees are checked on what callers and endpoints saw.
 """
 
@@ -22,6 +23,7 @@
     Answer,
     Daemon,
     Site,
+    free_address,
     open_site,
     start_process,
 )
@@ -39,6 +41,15 @@
 """Time after a restore until the operator and the endpoints have written again. It is
 shorter than the time for which instances wait for that."""
 PAUSE_S = 0.8
+CONTACT_S = 3.0
+"""Time within which the fleet has to act on what single instances know."""
+BAD_PART = b"bad0"
+BAD_SHARE = 0.05
+ENDS_ALLOWED = 5
+LATE_ALLOWED = 3
+LIMIT_PER_S = 2.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_ALLOWED = 1.5 * LIMIT_WINDOW_S * LIMIT_PER_S + 5
 CANCEL_LIMIT_S = 1.0
 """Time in which an endpoint learns that the caller is gone; the rule says 0.5 s."""
 NOT_EXECUTED = {408, 421, 429, 503}
@@ -53,10 +64,13 @@
     ----------
     fault : str
         ``pass``, ``silent``, ``reset`` or ``slow``.
+    listener : trio.CancelScope
+        Ends the listener and all connections when it is cancelled.
     """
 
     target: str
     fault: str = "pass"
+    listener: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Forward a connection in both directions."""
@@ -128,6 +142,15 @@
         Start and end of the last execution of each request.
     revoked_at : dict
         When the store acknowledged the revocation of each key.
+    ends, bad_arrivals : list of float
+        When endpoints ended, and when requests with the part that ends them arrived.
+    limited : dict of str to float
+        Endpoints that name a limit, and since when.
+    arrivals : dict of str to list of float
+        When endpoints with a limit got requests.
+    interruptions : list of float
+        When an instance was killed, stopped, frozen or cut from the store. Each
+        excuses the instance from acting on what others know.
     """
 
     site: Site
@@ -137,8 +160,13 @@
     work_times: dict[str, tuple[float, float]] = field(default_factory=dict)
     revoked_at: dict[str, float] = field(default_factory=dict)
     store_proxies: list[FaultProxy] = field(default_factory=list)
-    endpoint_proxies: list[FaultProxy] = field(default_factory=list)
+    endpoint_proxies: dict[str, FaultProxy] = field(default_factory=dict)
     faults: list[str] = field(default_factory=list)
+    ends: list[float] = field(default_factory=list)
+    bad_arrivals: list[float] = field(default_factory=list)
+    limited: dict[str, float] = field(default_factory=dict)
+    arrivals: dict[str, list[float]] = field(default_factory=dict)
+    interruptions: list[float] = field(default_factory=list)
     is_ending: bool = False
 
     # Endpoints
@@ -147,7 +175,11 @@
         """Answer a request, sometimes with an error or an incomplete answer."""
         headers = exchange.request.headers
         request_id = headers[b"x-savorydyke-request-id"].decode()
+        name = headers[b"x-savorydyke-expect-instance"].decode()
         draw = self.rng.random()
+        if name in self.limited:
+            self.arrivals.setdefault(name, []).append(trio.current_time())
+            exchange.more_headers = [(b"Server-Limit", str(LIMIT_PER_S).encode())]
         if draw < 0.04:
             more = [(b"X-Savorydyke-Not-Executed", b"1")]
             if draw < 0.01:
@@ -156,6 +188,11 @@
             return
         self.executions[request_id] += 1
         started_at = trio.current_time()
+        if BAD_PART in headers.get(b"x-savorydyke-prompt-prefix", b""):
+            self.bad_arrivals.append(started_at)
+            await exchange.stream_events(1, 1, end=False)
+            self.site.nursery.start_soon(self._end_endpoint, name)
+            return
         try:
             await self._answer(exchange, request_id, draw)
         finally:
@@ -176,6 +213,19 @@
             await trio.sleep(0.03)
             await exchange.send_complete(200, f"of {request_id}".encode())
 
+    async def _end_endpoint(self, name: str) -> None:
+        """End an endpoint's process, and start another one under its name."""
+        proxy = self.endpoint_proxies[name]
+        if proxy.listener.cancel_called:
+            return
+        proxy.listener.cancel()
+        self.ends.append(trio.current_time())
+        await trio.sleep(self._fault_s())
+        proxy.listener = trio.CancelScope()
+        await serve_proxy(self.site, proxy, self.site.addresses[name])
+        born = 1 + len(self.ends)
+        self.site.write_record(name, name.partition("-")[0], born=born)
+
     # Callers
 
     async def call(self) -> None:
@@ -184,7 +234,11 @@
             kind = self.rng.choice(["claim", "lookup", "digest", "question"])
             daemon = self.rng.choice(self.site.daemons)
             key = KEY if self.rng.random() < 0.8 else "spare-key"
-            headers = self.site.headers(key=key)
+            part = BAD_PART if self.rng.random() < BAD_SHARE else b"part"
+            prompt = b"first:9,%s:9,own:9" % part
+            headers = self.site.headers(
+                (b"X-Savorydyke-Prompt-Prefix", prompt), key=key
+            )
             request = SentRequest(
                 f"r{self.site.last_request_number}", kind, key, trio.current_time()
             )
@@ -217,6 +271,7 @@
             self._restore_store,
             self._disturb_endpoint_proxy,
             self._toggle_spare_key,
+            self._limit_endpoint,
         ]
         async with trio.open_nursery() as nursery:
             while not self.is_ending:
@@ -239,6 +294,7 @@
         process = daemon.process
         if process.poll() is not None:
             return
+        self.interruptions.append(trio.current_time())
         process.send_signal(signal.SIGCONT)
         process.send_signal(number)
         while process.poll() is None:
@@ -250,6 +306,7 @@
     async def _freeze(self) -> None:
         daemon = self.rng.choice(self.site.daemons)
         if daemon.process.poll() is None:
+            self.interruptions.append(trio.current_time())
             daemon.process.send_signal(signal.SIGSTOP)
             await trio.sleep(self._fault_s())
             if daemon.process.poll() is None:
@@ -275,16 +332,22 @@
             site.write_record(name, name.partition("-")[0], seq=site.store.revision)
 
     async def _disturb_store_proxy(self) -> None:
+        self.interruptions.append(trio.current_time())
         await self._disturb_proxy(self.rng.choice(self.store_proxies))
 
     async def _disturb_endpoint_proxy(self) -> None:
-        await self._disturb_proxy(self.rng.choice(self.endpoint_proxies))
+        names = sorted(self.endpoint_proxies)
+        await self._disturb_proxy(self.endpoint_proxies[self.rng.choice(names)])
 
     async def _disturb_proxy(self, proxy: FaultProxy) -> None:
         proxy.fault = self.rng.choice(["silent", "reset", "slow"])
         await trio.sleep(self._fault_s())
         proxy.fault = "pass"
 
+    async def _limit_endpoint(self) -> None:
+        """Let an endpoint name a limit until the end of the run."""
+        self.limited.setdefault("desk-0", trio.current_time())
+
     async def _toggle_spare_key(self) -> None:
         """Revoke the spare key, or grant it again."""
         if self.revoked_at.pop("spare-key", None) is None:
@@ -340,6 +403,34 @@
             expected = b"".join(event(n) for n in range(1, EVENTS + 1))
         return [] if answer.body == expected else [f"{name} got {answer.body[:80]!r}"]
 
+    def check_shared_knowledge(self) -> list[str]:
+        """Return messages about what the fleet did against what an instance knew.
+
+        Each interruption of an instance allows for one more request.
+        """
+        violations = []
+        excused = len(self.interruptions)
+        if len(self.ends) >= ENDS_ALLOWED:
+            since = sorted(self.ends)[ENDS_ALLOWED - 1] + CONTACT_S
+            late = sum(at > since for at in self.bad_arrivals)
+            if late > LATE_ALLOWED + excused:
+                violations.append(
+                    f"{late} requests reached endpoints with a part that had ended "
+                    f"{ENDS_ALLOWED}, {excused} interruptions"
+                )
+        for name, named_at in self.limited.items():
+            times = self.arrivals.get(name, [])
+            begins = [at for at in times if at >= named_at + CONTACT_S]
+            worst = max(
+                (sum(0 <= at - b < LIMIT_WINDOW_S for at in times) for b in begins),
+                default=0,
+            )
+            if worst > LIMIT_ALLOWED + excused:
+                violations.append(
+                    f"{name} got {worst} requests in a window, over its limit"
+                )
+        return violations
+
     def check_revocations(self, bound_s: float) -> list[str]:
         """Return messages about requests executed after their key was revoked.
 
@@ -378,9 +469,8 @@
             name = f"{pool}-{number}"
             await site.endpoint(name, pool, run.handle)
             proxy = FaultProxy(site.addresses[name])
-            run.endpoint_proxies.append(proxy)
-            address = "127.0.0.1:0"
-            site.addresses[name] = await serve_proxy(site, proxy, address)
+            run.endpoint_proxies[name] = proxy
+            site.addresses[name] = await serve_proxy(site, proxy, free_address())
             site.write_record(name, pool)
     for number in range(INSTANCES):
         proxy = FaultProxy(site.store_address)
@@ -393,7 +483,12 @@
     """Serve a proxy on an address, port 0 for any free port; return the address."""
     host, _, port = address.partition(":")
     listeners = await trio.open_tcp_listeners(int(port), host=host)
-    site.nursery.start_soon(trio.serve_listeners, proxy.serve, listeners)
+
+    async def listen() -> None:
+        with proxy.listener:
+            await trio.serve_listeners(proxy.serve, listeners)
+
+    site.nursery.start_soon(listen)
     return f"{host}:{listeners[0].socket.getsockname()[1]}"
 
 
@@ -411,7 +506,11 @@
         _resume_all(site.daemons)
         await trio.sleep(CANCEL_LIMIT_S)
         bound_s = BOUNDS["revocation_ms"] / 1000
-        violations = run.find_violations() + run.check_revocations(bound_s)
+        violations = (
+            run.find_violations()
+            + run.check_revocations(bound_s)
+            + run.check_shared_knowledge()
+        )
         served = sum(
             1
             for request in run.requests
