--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -1671,6 +1671,19 @@
     exchange.endpoint.crash()
 
 
+async def ask_in_turn(site, number, path, *headers):
+    """Send a request to the next instance; return its answer, None if it broke off."""
+    daemon = site.daemons[number % len(site.daemons)]
+    try:
+        caller = await site.connect(daemon.callers)
+        answer = await caller.request("POST", path, site.headers(*headers), BODY)
+        await caller.stream.aclose()
+    except (OSError, trio.TooSlowError, trio.BrokenResourceError):
+        # The instance was ended by the case.
+        return None
+    return answer
+
+
 class PromptTraffic:
     """Requests with a part that crashes endpoints, between sound ones."""
 
@@ -1695,18 +1708,10 @@
         )
 
     async def ask(self, part):
-        """Send one request to the next instance; return its answer, None if broken."""
+        """Send a request with a part in its prompt; return its answer."""
         self.number += 1
-        daemon = self.site.daemons[self.number % len(self.site.daemons)]
-        headers = self.site.headers(prompt(self.number, part))
-        try:
-            caller = await self.site.connect(daemon.callers)
-            answer = await caller.request("POST", "/question/1", headers, BODY)
-            await caller.stream.aclose()
-        except (OSError, trio.TooSlowError, trio.BrokenResourceError):
-            # The instance was ended by the case.
-            return None
-        return answer
+        header = prompt(self.number, part)
+        return await ask_in_turn(self.site, self.number, "/question/1", header)
 
     async def ask_sound(self):
         """Send a sound request, and record whether it was answered in full."""
@@ -1788,6 +1793,16 @@
         await trio.sleep(0.02)
 
 
+async def find_coordinator(site):
+    """Return the instance that grants; its log may lag behind."""
+
+    def granting():
+        return [d for d in site.daemons if "home: Granted." in d.log.read_text()]
+
+    await site.wait_until(granting)
+    return granting()[0]
+
+
 async def replace_daemon(site, daemon):
     """Kill an instance and start another one under its name."""
     daemon.process.kill()
@@ -1803,10 +1818,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(traffic.run, 10.0)
         await wait_for_ends(traffic, 2)
-        (coordinator,) = [
-            d for d in site.daemons if "home: Granted." in d.log.read_text()
-        ]
-        await replace_daemon(site, coordinator)
+        await replace_daemon(site, await find_coordinator(site))
     traffic.check()
 
 
@@ -2002,16 +2014,8 @@
     async def ask(self):
         """Send a request through the next instance, and record its answer."""
         self.number += 1
-        daemon = self.site.daemons[self.number % len(self.site.daemons)]
-        headers = self.site.headers()
         sent = trio.current_time()
-        try:
-            caller = await self.site.connect(daemon.callers)
-            answer = await caller.request("POST", "/lookup/1", headers, BODY)
-            await caller.stream.aclose()
-        except (OSError, trio.TooSlowError, trio.BrokenResourceError):
-            # The instance was ended by the case.
-            answer = None
+        answer = await ask_in_turn(self.site, self.number, "/lookup/1")
         self.answers.append((sent, answer))
 
     async def run(self, seconds, pause_s=0.04):
@@ -2092,10 +2096,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(traffic.run, 13.0)
         await trio.sleep(3.5)
-        (coordinator,) = [
-            d for d in site.daemons if "home: Granted." in d.log.read_text()
-        ]
-        await replace_daemon(site, coordinator)
+        await replace_daemon(site, await find_coordinator(site))
     traffic.check()
 
 
