Try an endpoint now and then that names a limit of nothing

An endpoint that named a limit of 0 got no request any more, so that no answer could end the limit: it was lost to the pool for ten minutes. Found by reading the code; the case failed before, with the whole limit and with a ninth of it.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -73,6 +73,7 @@
       | one instance writes evidence to the store, and each that reaches no others |
       | limits that are not numbers are refused, and very large ones are bounded   |
       | a burst beyond an endpoint's limit waits or goes to other endpoints        |
+      | an endpoint that takes no requests is tried now and then                   |
       | requests wait for a pool whose endpoints all have a limit                  |
       | a new coordinator knows the limits, and gives no burst of its own          |
       | instances that are cut off from each other stay within a limit together    |
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -1541,18 +1541,51 @@
         assert abs(latest - (100.0 - age_s)) < 0.01
 
 
-@case("one instance writes evidence to the store, and each that reaches no others")
+class EvidenceWrites:
+    """A store that takes writes of evidence."""
+
+    def __init__(self):
+        self.generation, self.keys, self.values = 1, [], []
+
+    async def write(self, values, lease):
+        """Record a write."""
+        assert lease == 7
+        self.keys += values
+        self.values += values.values()
+
+
+@case("evidence that an instance wrote while it was alone is removed later")
 def _():
-    class Writes:
-        def __init__(self):
-            self.generation, self.keys = 1, []
+    async def play():
+        writes = EvidenceWrites()
+        names = [InstanceId(f"instance-{number}") for number in range(3)]
+        chosen = max(names, key=lambda name: rendezvous_score("evidence", name))
+        own = next(name for name in names if name != chosen)
+        membership = Membership(own, "i:1", "dc", 1)
+        now = trio.current_time()
+        for name in names:
+            membership.merge_row(MemberRow(name, "i:1", "dc", 1, 1, 0, False), now)
+        membership.update(now)
+        quarantine, limits = PromptQuarantine(), RequestLimits()
+        shared = SharedEvidence(writes, quarantine, limits, membership, lambda: 7)
+        limits.record_answer("a", 2.0, now, now)
+        await shared.write()
+        assert decode_evidence(writes.values[-1], 0)[1]
+        for member in membership.members.values():
+            member.acknowledged_at = now
+        for _ in range(3):
+            limits.record_answer("a", 2.0 + len(writes.keys), now, now + 1.0)
+            await shared.write()
+        assert len(writes.values) == 2, writes.values
+        assert decode_evidence(writes.values[-1], 0) == ((), ())
+
+    trio.run(play)
 
-        async def write(self, values, lease):
-            assert lease == 7
-            self.keys += values
 
+@case("one instance writes evidence to the store, and each that reaches no others")
+def _():
     async def play(names, acknowledged):
-        writes = Writes()
+        writes = EvidenceWrites()
         for own in names:
             membership = Membership(own, "i:1", "dc", 1)
             now = trio.current_time()
@@ -1639,6 +1672,20 @@
         assert len(times) >= 0.5 * min(per_s, 10.0) * 20, (per_s, len(times))
 
 
+@case("an endpoint that takes no requests is tried now and then")
+def _():
+    for share in (1.0, 1 / 9):
+        allowance = RequestAllowance(0.0, 7, 0.0, share=share)
+        times = []
+        for step in range(12_000):
+            now = 0.1 * step
+            if allowance.allows(now):
+                allowance.take(now)
+                times.append(now)
+        # Only an answer that names no limit ends it.
+        assert times and worst_count(times) <= allowed_in_window(0.0), times
+
+
 @case("requests wait for a pool whose endpoints all have a limit")
 def _():
     scheduler = scheduler_of("a", "b")
--- a/src/savorydyke/_request_limits.py
+++ b/src/savorydyke/_request_limits.py
@@ -15,6 +15,8 @@
 from savorydyke._ids import EndpointId
 from savorydyke._messages import LimitRow
 
+MIN_PER_S = 0.1
+"""Least rate. Only an answer shows that an endpoint takes more again."""
 BURST_S = 0.2
 """Time whose requests an endpoint may get at once, at least one."""
 KEPT_S = 600.0
@@ -184,8 +186,8 @@
         if self.share >= 1:
             self._refill(now)
             return self.tokens >= 1
-        slot = int(now * self.per_s)
-        if slot == self.used_slot or self.per_s == 0:
+        slot = self._slot(now)
+        if slot == self.used_slot:
             return False
         digest = hashlib.blake2b(f"{self.salt}|{slot}".encode(), digest_size=4).digest()
         return int.from_bytes(digest) < self.share * 2**32
@@ -194,7 +196,7 @@
         """Count a request."""
         self._refill(now)
         self.tokens -= 1
-        self.used_slot = int(now * self.per_s)
+        self.used_slot = self._slot(now)
 
     def give_back(self) -> None:
         """Return a request that was not sent."""
@@ -206,10 +208,13 @@
         self.per_s = per_s
         self.tokens = min(self._most(), self.tokens)
 
+    def _slot(self, now: float) -> int:
+        return int(now * max(MIN_PER_S, self.per_s))
+
     def _most(self) -> float:
         return max(1.0, BURST_S * self.per_s)
 
     def _refill(self, now: float) -> None:
-        earned = self.per_s * max(0.0, now - self.updated)
+        earned = max(MIN_PER_S, self.per_s) * max(0.0, now - self.updated)
         self.tokens = min(self._most(), self.tokens + earned)
         self.updated = max(self.updated, now)
