Remove evidence that an instance wrote while it reached no others

Its record stayed in the store as it was then, for as long as the instance lived, since only one instance of a connected fleet writes. One that started later read evidence that had been cleared, and limits that had ended, and told them to all. Found by reading the code; the case failed before. Such an instance now writes an empty record once.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -70,6 +70,7 @@
       | 195 instances hold back a part in time, each at a bounded cost             |
       | a report of evidence is bounded, and begins with the most suspect parts    |
       | evidence in the store keeps its age, and clocks that differ do no harm     |
+      | evidence that an instance wrote while it was alone is removed later        |
       | one instance writes evidence to the store, and each that reaches no others |
       | limits that are not numbers are refused, and very large ones are bounded   |
       | a burst beyond an endpoint's limit waits or goes to other endpoints        |
--- a/src/savorydyke/_shared_evidence.py
+++ b/src/savorydyke/_shared_evidence.py
@@ -76,10 +76,11 @@
         state = (*learned, self.store.generation, lease)
         if state == self.written or not lease:
             return
-        is_writer = self.membership.is_chosen("evidence", 1)
-        if not is_writer and self.membership.reaches_most_listed(now):
-            return
         losses, limits = self.quarantine.rows(now), self.limits.rows(now)
+        is_chosen = self.membership.is_chosen("evidence", 1)
+        if not is_chosen and self.membership.reaches_most_listed(now):
+            # What it wrote earlier is outdated.
+            losses, limits = (), ()
         if losses or limits or self.has_record:
             record = encode_evidence(losses, limits, time.time_ns() // 1_000_000)
             key = evidence_key(self.membership.id)
