Let one instance of a large fleet write evidence to the store

An instance wrote if most others had not acknowledged its heartbeats. In a large fleet only neighbours do, so that all 195 wrote each change: a cost that grows with the fleet. The case had let all of them acknowledge; with neighbours only it counted 195 writers. Now the chosen instance writes, and one that nobody acknowledges; both are one write a change at any size. Found by reading the code.

--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -337,6 +337,10 @@
         """Return whether most of these recently acknowledged a heartbeat."""
         return 2 * self._answered_count(now) > self.listed_count()
 
+    def is_cut_off(self, now: float) -> bool:
+        """Return whether no other instance recently acknowledged a heartbeat."""
+        return self._answered_count(now) == 1
+
     def _answered_count(self, now: float) -> int:
         return 1 + sum(
             1
--- a/src/savorydyke/_shared_evidence.py
+++ b/src/savorydyke/_shared_evidence.py
@@ -2,7 +2,7 @@
 
 Instances tell each other what they know in heartbeats. The store brings it to those
 that no peer reaches, and to those that start. One instance of the fleet writes, and
-each that does not reach most others; all read with the watch that they have anyway.
+each that reaches no other one; all read with the watch that they have anyway.
 """
 
 import json
@@ -78,7 +78,7 @@
             return
         losses, limits = self.quarantine.rows(now), self.limits.rows(now)
         is_chosen = self.membership.is_chosen("evidence", 1)
-        if not is_chosen and self.membership.reaches_most_listed(now):
+        if not is_chosen and not self.membership.is_cut_off(now):
             # What it wrote earlier is outdated.
             losses, limits = (), ()
         if losses or limits or self.has_record:
