Wait until a stop has been noticed before the second signal is sent

Cause, shown: signals of one kind do not queue. A process that does not run for the 0.3 s between the two gets one signal and stops in peace, exit status 0. The case now waits for the log line of the first signal, at most 4 s, and then checks the same.

--- a/features/steps/service_steps.py
+++ b/features/steps/service_steps.py
@@ -689,6 +689,9 @@
     assert is_complete(context.small.chat("at the third", 3, 2))
 
 
+STOP_NOTICED_S = 4.0
+
+
 def act_while_streaming(context, action, count=4, tokens=200):
     """Run streams at all instances and call `action` while they run."""
     small = context.small
@@ -742,10 +745,16 @@
 
     def action():
         instance.signal(signal.SIGTERM)
-        time.sleep(0.3)
+        # Signals of one kind do not queue: a second one before the first has been
+        # handled would be lost.
+        log = context.small.fleet.folder / f"{instance.name}.log"
+        until = time.monotonic() + STOP_NOTICED_S
+        while "Stopping." not in log.read_text():
+            assert time.monotonic() < until
+            time.sleep(0.02)
         instance.signal(signal.SIGTERM)
 
-    act_while_streaming(context, action, count=1, tokens=300)
+    act_while_streaming(context, action, count=1, tokens=600)
 
 
 @then("it exits with 1 and its log names the aborted stream")
