--- a/src/savorydyke/_ids.py
+++ b/src/savorydyke/_ids.py
@@ -16,6 +16,8 @@
 """One process of an endpoint, which a restart replaces."""
 PromptPartId = NewType("PromptPartId", str)
 """Part of prompts that several requests may share, of any pool."""
+RequestDigest = NewType("RequestDigest", str)
+"""The same for all requests of one team with the same path and body."""
 Revision = NewType("Revision", int)
 
 
--- a/src/savorydyke/_lost_answers.py
+++ b/src/savorydyke/_lost_answers.py
@@ -51,8 +51,6 @@
         sent : float
             When the request was sent, on the monotonic clock.
         """
-        if not parts:
-            return
         process = process_id(endpoint.id, endpoint.started_ms)
         self.quarantine.record_loss(process, parts, sent, trio.current_time())
         if process not in self.checking:
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -60,6 +60,7 @@
     RoutedRequest,
     SendResult,
     describe,
+    request_digest,
     shared_parts,
     was_not_sent,
 )
@@ -214,6 +215,7 @@
             config_age_s=age_s,
             tier=_tier(configuration, team, route),
             parts=shared_parts(request_info.prefix),
+            digest=request_digest(team, request_info.host, incoming),
             last_event_id=request_info.last_event_id,
         )
 
@@ -585,6 +587,7 @@
                 "why": describe(result),
                 "events": request.events,
                 "parts": request.parts,
+                "digest": request.digest,
             },
         )
 
@@ -627,6 +630,7 @@
                 "total_ms": int((now - arrived) * 1000),
                 "events": request.events,
                 "parts": request.parts,
+                "digest": request.digest,
             },
         )
 
--- a/src/savorydyke/_routed_request.py
+++ b/src/savorydyke/_routed_request.py
@@ -1,5 +1,6 @@
 """State of a routed request and results of its attempts."""
 
+import hashlib
 from dataclasses import dataclass, field
 
 from savorydyke._grant_client import Granted, Refused
@@ -9,6 +10,7 @@
     PoolId,
     PromptPartId,
     ReleaseResult,
+    RequestDigest,
     RequestKey,
     TeamId,
     TierId,
@@ -18,6 +20,9 @@
 from savorydyke._routes import Route
 from savorydyke.platform import RequestInfo
 
+DIGEST_BYTES = 8
+DIGEST_PREFIX = "request:"
+"""Names of prompt parts contain no colon."""
 MAX_PROMPT_PARTS = 16
 """Leading parts of a prompt that are told apart."""
 
@@ -83,6 +88,8 @@
         For how long the endpoint of the latest attempt wants no other request.
     parts : tuple of PromptPartId
         The parts of its prompt that other requests may share.
+    digest : RequestDigest
+        Same for requests of the same team with the same host, path and body.
     reserved : ReservedGrant or None
         Grant for the next attempt, if one has been reserved.
     """
@@ -98,6 +105,7 @@
     config_version: int
     config_age_s: float
     tier: TierId
+    digest: RequestDigest
     parts: tuple[PromptPartId, ...] = ()
     avoid: list[EndpointId] = field(default_factory=list)
     sent_to: list[EndpointId] = field(default_factory=list)
@@ -131,6 +139,18 @@
     return tuple(PromptPartId(name) for name, _ in prefix[:-1][:MAX_PROMPT_PARTS])
 
 
+def request_digest(team: TeamId, host: str, incoming: IncomingRequest) -> RequestDigest:
+    """Return the digest that a request shares with its repetitions.
+
+    Ids, deadlines and other headers differ between these and do not count.
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for field_ in (team.encode(), host.encode(), incoming.target, incoming.body):
+        digest.update(b"%d:" % len(field_))
+        digest.update(field_)
+    return RequestDigest(f"{DIGEST_PREFIX}{digest.hexdigest()}")
+
+
 def was_not_sent(request: RoutedRequest) -> bool:
     """Return whether the latest attempt sent nothing."""
     return request.result in {ReleaseResult.NOT_SENT, ReleaseResult.UNREACHABLE}
