--- a/features/routed.feature
+++ b/features/routed.feature
@@ -184,3 +184,14 @@
       | a pool whose endpoints all name a limit refuses what they do not take |
       | a limit holds when the coordinator of the pool is killed              |
       | a limit holds among instances without links                           |
+
+  Scenario Outline: Requests that crash endpoints
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                               |
+      | a request that crashes endpoints of a plain service is not sent any more           |
+      | a request that crashes engines is not sent any more                                |
+      | a request that crashes endpoints is held back when its coordinator is killed       |
+      | a request that crashes endpoints is held back by instances without links           |
+      | a request that crashes endpoints is held back after a restart of all instances     |
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -1671,12 +1671,12 @@
     exchange.endpoint.crash()
 
 
-async def ask_in_turn(site, number, path, *headers):
+async def ask_in_turn(site, number, path, *headers, body=BODY):
     """Send a request to the next instance; return its answer, None if it broke off."""
     daemon = site.daemons[number % len(site.daemons)]
     try:
         caller = await site.connect(daemon.callers)
-        answer = await caller.request("POST", path, site.headers(*headers), BODY)
+        answer = await caller.request("POST", path, site.headers(*headers), body)
         await caller.stream.aclose()
     except (OSError, trio.TooSlowError, trio.BrokenResourceError):
         # The instance was ended by the case.
@@ -1687,6 +1687,8 @@
 class PromptTraffic:
     """Requests with a part that crashes endpoints, between sound ones."""
 
+    ends_allowed = ENDS_ALLOWED
+
     def __init__(self, site):
         self.site = site
         self.sound = []
@@ -1713,11 +1715,15 @@
         header = prompt(self.number, part)
         return await ask_in_turn(self.site, self.number, "/question/1", header)
 
+    def is_whole(self, answer):
+        """Return whether a sound request was answered in full."""
+        return is_whole_stream(answer)
+
     async def ask_sound(self):
         """Send a sound request, and record whether it was answered in full."""
         sent = trio.current_time()
         answer = await self.ask(b"other%d" % (self.number % 7))
-        self.sound.append((sent, answer is not None and is_whole_stream(answer)))
+        self.sound.append((sent, answer is not None and self.is_whole(answer)))
 
     async def ask_bad(self):
         """Send a request with the part, and record its answer."""
@@ -1740,7 +1746,7 @@
         """Check that the part was not sent any more, and that sound requests were."""
         ends = self.ends()
         assert len(ends) >= 2, ends
-        last = ends[min(ENDS_ALLOWED, len(ends)) - 1]
+        last = ends[min(self.ends_allowed, len(ends)) - 1]
         late = [at for at in self.bad_arrivals() if at > last + CONTACT_S]
         assert len(late) <= 3, [round(at - last, 2) for at in late]
         whole = [is_whole for at, is_whole in self.sound if at > last + 2 * CONTACT_S]
@@ -1848,6 +1854,118 @@
     traffic.check()
 
 
+# Requests that crash endpoints
+
+CRASHES_ALLOWED = 3
+BAD_BODY = b"a request that crashes endpoints"
+WORK_S = 0.03
+
+
+async def crash_on_bad_body(exchange):
+    """Answer, as a stream where one is due; crash if the request has the body."""
+    request = exchange.request
+    if request.body == BAD_BODY:
+        await trio.sleep(WORK_S)
+        exchange.endpoint.crash()
+    elif request.target.startswith(b"/lookup/"):
+        await trio.sleep(WORK_S)
+        await exchange.send_complete()
+    else:
+        await exchange.stream_events(1, EVENTS)
+
+
+class RepeatedRequestTraffic(PromptTraffic):
+    """One request that crashes endpoints, repeated between sound ones.
+
+    All are of the same team and path; those to engines share no part of a prompt.
+    """
+
+    ends_allowed = CRASHES_ALLOWED
+
+    def __init__(self, site, path):
+        super().__init__(site)
+        self.path = path
+
+    def bad_arrivals(self):
+        return sorted(
+            request.at
+            for endpoint in self.site.endpoints.values()
+            for request in endpoint.received_requests
+            if request.body == BAD_BODY
+        )
+
+    def is_whole(self, answer):
+        if self.path == "/lookup/1":
+            return (answer.status, answer.body) == (200, b"answer")
+        return is_whole_stream(answer)
+
+    async def ask(self, part):
+        self.number += 1
+        body = BAD_BODY if part == BAD_PART else b"sound %d" % self.number
+        header = prompt(self.number, b"shared%d" % self.number)
+        return await ask_in_turn(self.site, self.number, self.path, header, body=body)
+
+
+async def start_crashing_endpoints(site, path="/lookup/1", instances=3):
+    """Start endpoints that crash on the request and are replaced, and instances."""
+    service = "desk" if path == "/lookup/1" else "engines"
+    for number in range(3):
+        site.nursery.start_soon(
+            site.replace_when_crashed, f"e{number}", service, 1.0, crash_on_bad_body
+        )
+    for number in range(instances):
+        await site.daemon(f"instance-{number}")
+    await trio.sleep(1.0)
+    return RepeatedRequestTraffic(site, path)
+
+
+@case("a request that crashes endpoints of a plain service is not sent any more")
+async def _(site):
+    traffic = await start_crashing_endpoints(site)
+    await traffic.run(12.0)
+    traffic.check()
+
+
+@case("a request that crashes engines is not sent any more")
+async def _(site):
+    traffic = await start_crashing_endpoints(site, "/digest/1")
+    await traffic.run(12.0)
+    traffic.check()
+
+
+@case("a request that crashes endpoints is held back when its coordinator is killed")
+async def _(site):
+    traffic = await start_crashing_endpoints(site)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(traffic.run, 14.0)
+        await wait_for_ends(traffic, 2)
+        await replace_daemon(site, await find_coordinator(site))
+    traffic.check()
+
+
+@case("a request that crashes endpoints is held back by instances without links")
+async def _(site):
+    cut_links(site)
+    traffic = await start_crashing_endpoints(site)
+    assert not any("Link opened." in d.log.read_text() for d in site.daemons)
+    await traffic.run(12.0)
+    traffic.check()
+
+
+@case("a request that crashes endpoints is held back after a restart of all instances")
+async def _(site):
+    traffic = await start_crashing_endpoints(site)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(traffic.run, 16.0)
+        await wait_for_ends(traffic, 3)
+        await trio.sleep(2.0)
+        for daemon in list(site.daemons):
+            daemon.process.kill()
+        for daemon in list(site.daemons):
+            await replace_daemon(site, daemon)
+    traffic.check()
+
+
 # Answers without length, and bytes without end
 
 EVENT_STREAM = (b"Content-Type", b"text/event-stream")
