Rename the quarantine's parts of prompts to suspects

Whole requests are to be held back by the same rules as parts of prompts. Only names change: module _quarantine, class Quarantine, type SuspectId, the fields suspects and LossRow.suspect. decisions, membership and pool_scheduler features: 104 passed.

--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -54,11 +54,11 @@
 from savorydyke._overload import SLOW_DELAY_S, SLOW_HOLD_S, Overload
 from savorydyke._peers import UNUSED_LINK_S, Link, Peers
 from savorydyke._pool_scheduler import new_pool_scheduler
-from savorydyke._prompt_quarantine import (
+from savorydyke._quarantine import (
     MAX_ROWS,
     SETTLE_S,
     TRIAL_DELAYS_S,
-    PromptQuarantine,
+    Quarantine,
     process_id,
 )
 from savorydyke._quota import Quotas, Tolerance
@@ -1307,7 +1307,7 @@
 
 @case("a part is held back after three ends in a row, and its neighbours are not")
 def _():
-    quarantine = PromptQuarantine()
+    quarantine = Quarantine()
     quarantine.record_answer(["first", "second"], 0.0)
     for number in range(2):
         lose(quarantine, number, 1.0 + number, ("first", "second", "bad"))
@@ -1316,13 +1316,13 @@
     quarantine.review(3.0 + SETTLE_S / 2)
     assert not quarantine.held
     assert held_after(quarantine, 3.0) == {"bad"}
-    assert quarantine.held_part(("first", "bad"), 4.0) is not None
-    assert quarantine.held_part(("first", "second"), 4.0) is None
+    assert quarantine.held_suspect(("first", "bad"), 4.0) is not None
+    assert quarantine.held_suspect(("first", "second"), 4.0) is None
 
 
 @case("a part of prompts that were answered before needs more ends")
 def _():
-    quarantine = PromptQuarantine()
+    quarantine = Quarantine()
     quarantine.record_answer(["first", "bad"], 0.0)
     quarantine.record_answer(["first"], 0.5)
     for number in range(4):
@@ -1338,18 +1338,18 @@
     prefix = (("first", 60), ("bad", 300), ("own", 20))
     assert shared_parts(prefix) == ("first", "bad")
     assert shared_parts(prefix[:1]) == ()
-    quarantine = PromptQuarantine()
+    quarantine = Quarantine()
     for number in range(3):
         lose(quarantine, number, 1.0 + number, shared_parts(prefix))
     assert held_after(quarantine, 3.0) == {"bad"}
     scheduler = scheduler_of("a")
     scheduler.quarantine = quarantine
-    assert refused(scheduler.acquire(acquire("1", parts=("bad",)), FRONTEND, 3.5))
+    assert refused(scheduler.acquire(acquire("1", suspects=("bad",)), FRONTEND, 3.5))
 
 
 @case("endpoints that end together hold no part back")
 def _():
-    quarantine = PromptQuarantine()
+    quarantine = Quarantine()
     for number in range(9):
         lose(quarantine, number, 1.0 + 0.01 * number)
     assert not held_after(quarantine, 1.1)
@@ -1357,7 +1357,7 @@
 
 @case("broken answers of endpoints that are still there hold no part back")
 def _():
-    quarantine = PromptQuarantine()
+    quarantine = Quarantine()
     for number in range(9):
         process = process_id(f"e{number}", 1)
         quarantine.record_loss(process, ("first", "bad"), number, number + 0.1)
@@ -1370,7 +1370,7 @@
 
 @case("a complete answer clears the parts of its prompt, at all instances")
 def _():
-    quarantine, peer = PromptQuarantine(), PromptQuarantine()
+    quarantine, peer = Quarantine(), Quarantine()
     for number in range(3):
         lose(quarantine, number, 1.0 + number, ("first",))
     peer.merge(quarantine.rows(3.5), 3.5)
@@ -1380,7 +1380,7 @@
     quarantine.merge(peer.rows(4.1), 4.1)
     assert not quarantine.held
     # The evidence of before, told again, does not count any more.
-    other = PromptQuarantine()
+    other = Quarantine()
     for number in range(3):
         lose(other, number, 1.0 + number, ("first",))
     quarantine.merge(other.rows(4.2), 4.2)
@@ -1389,7 +1389,7 @@
 
 @case("a second part that crashes endpoints is found beside the first one")
 def _():
-    quarantine = PromptQuarantine()
+    quarantine = Quarantine()
     quarantine.record_answer(["first"], 0.5)
     for number in range(3):
         lose(quarantine, number, 1.0 + number, ("first", "bad"))
@@ -1407,14 +1407,18 @@
         lose(quarantine, number, 1.0 + number)
     now = 3.0 + SETTLED_S
     quarantine.review(now)
-    (refusal,) = refused(scheduler.acquire(acquire("1", parts=("bad",)), FRONTEND, now))
+    (refusal,) = refused(
+        scheduler.acquire(acquire("1", suspects=("bad",)), FRONTEND, now)
+    )
     assert refusal.reason is Reason.HELD_BACK and not refusal.may_have_run
     delay_s = TRIAL_DELAYS_S[1]
     assert 0 < refusal.retry_ms <= 1500 * delay_s
     now = 3.0 + delay_s
-    assert granted(scheduler.acquire(acquire("2", parts=("bad",)), FRONTEND, now))
-    assert refused(scheduler.acquire(acquire("3", parts=("bad",)), FRONTEND, now + 0.1))
-    assert granted(scheduler.acquire(acquire("4", parts=("first",)), FRONTEND, now))
+    assert granted(scheduler.acquire(acquire("2", suspects=("bad",)), FRONTEND, now))
+    assert refused(
+        scheduler.acquire(acquire("3", suspects=("bad",)), FRONTEND, now + 0.1)
+    )
+    assert granted(scheduler.acquire(acquire("4", suspects=("first",)), FRONTEND, now))
     lose(quarantine, 3, now + 0.2)
     assert quarantine.trial_at("bad") == now + 0.2 + TRIAL_DELAYS_S[2]
 
@@ -1424,7 +1428,7 @@
     scheduler = scheduler_of("a", slots=1)
     scheduler.acquire(acquire("0"), FRONTEND, 3.0)
     for key, parts in (("1", ("bad",)), ("2", ("first",))):
-        message = acquire(key, parts=parts, objective_ms=9000)
+        message = acquire(key, suspects=parts, objective_ms=9000)
         assert not scheduler.acquire(message, FRONTEND, 3.0)
     for number in range(3):
         lose(scheduler.quarantine, number, 1.0 + number)
@@ -1451,7 +1455,7 @@
             "deadline": 9.0,
             "has_caller_id": False,
         }
-        bad = Demand(**demand, parts=("first", "bad"))
+        bad = Demand(**demand, suspects=("first", "bad"))
         gateway.fallback_quotas.limits = {}
         assert gateway.place_fallback(bad, ()) == "a"
         now = trio.current_time()
@@ -1459,9 +1463,9 @@
             lose(gateway.quarantine, number, now - 9.0 + number)
         gateway.quarantine.review(now)
         # Not as a trial either, which only the coordinator may start.
-        assert gateway.quarantine.held_part(("bad",), now + 60.0) is None
+        assert gateway.quarantine.held_suspect(("bad",), now + 60.0) is None
         assert gateway.place_fallback(bad, ()) is None
-        sound = Demand(**demand, parts=("first",))
+        sound = Demand(**demand, suspects=("first",))
         assert gateway.place_fallback(sound, ()) == "a"
 
     trio.run(play)
@@ -1493,7 +1497,7 @@
 
 @case("195 instances hold back a part in time, each at a bounded cost")
 def _():
-    quarantines, links = large_fleet(PromptQuarantine)
+    quarantines, links = large_fleet(Quarantine)
     announced = dict.fromkeys(quarantines, 0)
     rng = random.Random(7)
     for number in range(5):
@@ -1514,30 +1518,30 @@
 
 @case("a report of evidence is bounded, and begins with the most suspect parts")
 def _():
-    quarantine = PromptQuarantine()
+    quarantine = Quarantine()
     for number in range(300):
         lose(quarantine, number, 1.0, (f"sound-{number}",))
     for number in range(3):
         lose(quarantine, number, 2.0 + number, ("bad",))
     rows = quarantine.rows(4.5)
     assert len(rows) == MAX_ROWS
-    assert [row.part for row in rows[:3]] == ["bad"] * 3
+    assert [row.suspect for row in rows[:3]] == ["bad"] * 3
     # Later only what several ends speak against is told again.
-    assert {row.part for row in quarantine.rows(60.0)} == {"bad"}
+    assert {row.suspect for row in quarantine.rows(60.0)} == {"bad"}
 
 
 @case("evidence in the store keeps its age, and clocks that differ do no harm")
 def _():
-    quarantine = PromptQuarantine()
+    quarantine = Quarantine()
     for number in range(3):
         lose(quarantine, number, 1.0 + number)
     record = encode_evidence(quarantine.rows(10.0), (), written_ms=1_000_000)
     for now_ms in (1_002_000, 990_000):
-        other = PromptQuarantine()
+        other = Quarantine()
         losses, _ = decode_evidence(record, now_ms)
         other.merge(losses, 100.0)
         assert held_after(other, 100.0) == {"bad"}
-        latest = max(loss.at for loss in other.parts["bad"].losses.values())
+        latest = max(loss.at for loss in other.suspects["bad"].losses.values())
         age_s = 7.0 + max(0, now_ms - 1_000_000) / 1000
         assert abs(latest - (100.0 - age_s)) < 0.01
 
@@ -1567,7 +1571,7 @@
         for name in names:
             membership.merge_row(MemberRow(name, "i:1", "dc", 1, 1, 0, False), now)
         membership.update(now)
-        quarantine, limits = PromptQuarantine(), RequestLimits()
+        quarantine, limits = Quarantine(), RequestLimits()
         shared = SharedEvidence(writes, quarantine, limits, membership, lambda: 7)
         limits.record_answer("a", 2.0, now, now)
         await shared.write()
@@ -1599,7 +1603,7 @@
             for peer in set() if is_cut else peers:
                 membership.members[peer].acknowledged_at = now
             membership.update(now)
-            quarantine = PromptQuarantine()
+            quarantine = Quarantine()
             limits = RequestLimits()
             shared = SharedEvidence(writes, quarantine, limits, membership, lambda: 7)
             await shared.write()
--- a/src/savorydyke/_fair_queue.py
+++ b/src/savorydyke/_fair_queue.py
@@ -14,8 +14,8 @@
 from savorydyke._ids import (
     EndpointId,
     InstanceId,
-    PromptPartId,
     RequestKey,
+    SuspectId,
     TeamId,
 )
 
@@ -65,8 +65,8 @@
         Tokens that are charged to its team's quota.
     forecast : Forecast
         Predicted times at idle endpoints, made when it arrived.
-    parts : tuple of PromptPartId
-        The parts of its prompt that other requests may share.
+    suspects : tuple of SuspectId
+        What in the request may crash endpoints.
     """
 
     key: RequestKey
@@ -88,7 +88,7 @@
     quota_tokens: int = 0
     forecast: Forecast = Forecast(0.0, 0.0, 0.0)
     abandon_at: float = math.inf
-    parts: tuple[PromptPartId, ...] = ()
+    suspects: tuple[SuspectId, ...] = ()
 
     def is_late(self) -> bool:
         """Return whether the objective is missed or expected to be missed."""
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -17,8 +17,8 @@
     EndpointId,
     InstanceId,
     PoolId,
-    PromptPartId,
     Revision,
+    SuspectId,
     TeamId,
 )
 from savorydyke._log_writer import LogBuffer
@@ -43,7 +43,7 @@
 from savorydyke._peers import Peers
 from savorydyke._pool_host import PoolHost
 from savorydyke._pool_scheduler import PoolScheduler
-from savorydyke._prompt_quarantine import PromptQuarantine
+from savorydyke._quarantine import Quarantine
 from savorydyke._quota import Quotas, Tolerance
 from savorydyke._quota_balances import QuotaBalances
 from savorydyke._request_limits import RequestAllowance, RequestLimits
@@ -89,7 +89,7 @@
     fallback_quotas : Quotas
         This instance's share of the quotas, for requests that it places because
         the coordinator does not respond.
-    quarantine : PromptQuarantine
+    quarantine : Quarantine
         The parts of prompts that are held back.
     limits : RequestLimits
         The limits on requests that endpoints have named.
@@ -116,7 +116,7 @@
     membership: Membership
     peers: Peers
     states: EndpointStates
-    quarantine: PromptQuarantine
+    quarantine: Quarantine
     limits: RequestLimits
     shared_evidence: SharedEvidence
     pool_host: PoolHost
@@ -363,7 +363,7 @@
             the team's quota is used up.
         """
         manifest = self.directory.manifest
-        if manifest is None or self.quarantine.held.intersection(demand.parts):
+        if manifest is None or self.quarantine.held.intersection(demand.suspects):
             return None
         now = trio.current_time()
         in_flight = [i.granted.endpoint for i in self.grant_client.in_flight.values()]
@@ -424,7 +424,7 @@
         membership, "", lambda sender, message: gateway.handle(sender, message), rng
     )
     states = EndpointStates()
-    quarantine, limits = PromptQuarantine(), RequestLimits()
+    quarantine, limits = Quarantine(), RequestLimits()
     pool_host = PoolHost(
         membership=membership,
         states=states,
@@ -520,13 +520,13 @@
     gateway.quota_balances.hosted.set()
 
 
-def _note_held(gateway: Gateway, part: PromptPartId, held: bool) -> None:
+def _note_held(gateway: Gateway, part: SuspectId, held: bool) -> None:
     """Log that a part of prompts is held back or released, and apply it."""
     extra: dict[str, object] = {"prompt_part": part}
     if not held:
         log.info("Prompt part released.", extra=extra)
         return
-    processes = gateway.quarantine.parts[part].losses
+    processes = gateway.quarantine.suspects[part].losses
     log.warning("Prompt part held back.", extra=extra | {"ended": list(processes)})
     gateway.pool_host.refuse_held()
 
--- a/src/savorydyke/_grant_client.py
+++ b/src/savorydyke/_grant_client.py
@@ -17,10 +17,10 @@
     EndpointId,
     InstanceId,
     PoolId,
-    PromptPartId,
     Reason,
     ReleaseResult,
     RequestKey,
+    SuspectId,
     TeamId,
 )
 from savorydyke._membership import Membership
@@ -74,8 +74,8 @@
         Whether the request was sent before.
     quota_tokens : int
         Tokens that are charged to its team's quota.
-    parts : tuple of PromptPartId
-        The parts of its prompt that other requests may share.
+    suspects : tuple of SuspectId
+        What in the request may crash endpoints.
     """
 
     key: RequestKey
@@ -94,7 +94,7 @@
     abandon_at: float = math.inf
     is_retry: bool = False
     quota_tokens: int = 0
-    parts: tuple[PromptPartId, ...] = ()
+    suspects: tuple[SuspectId, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -297,7 +297,7 @@
             urgency=demand.urgency,
             is_retry=demand.is_retry,
             quota_tokens=demand.quota_tokens,
-            parts=demand.parts,
+            suspects=demand.suspects,
         )
 
     def _with_time_left(self, pending: Pending) -> Acquire:
--- a/src/savorydyke/_ids.py
+++ b/src/savorydyke/_ids.py
@@ -14,10 +14,9 @@
 """Team and request id together, since request ids are unique only within a team."""
 ProcessId = NewType("ProcessId", str)
 """One process of an endpoint, which a restart replaces."""
-PromptPartId = NewType("PromptPartId", str)
-"""Part of prompts that several requests may share, of any pool."""
-RequestDigest = NewType("RequestDigest", str)
-"""The same for all requests of one team with the same path and body."""
+SuspectId = NewType("SuspectId", str)
+"""What may crash endpoints: a part of prompts, or the digest that a request shares
+with its repetitions."""
 Revision = NewType("Revision", int)
 
 
--- a/src/savorydyke/_lost_answers.py
+++ b/src/savorydyke/_lost_answers.py
@@ -14,9 +14,9 @@
     ChannelRefusedError,
     open_channel,
 )
-from savorydyke._ids import ProcessId, PromptPartId
+from savorydyke._ids import ProcessId, SuspectId
 from savorydyke._manifest import Endpoint
-from savorydyke._prompt_quarantine import PromptQuarantine, process_id
+from savorydyke._quarantine import Quarantine, process_id
 
 CHECK_DELAY_S = 0.03
 """Time for a process that ends to close its listener after its connections."""
@@ -37,12 +37,12 @@
         Processes that are being checked.
     """
 
-    quarantine: PromptQuarantine
+    quarantine: Quarantine
     background: trio.Nursery
     checking: set[ProcessId] = field(default_factory=set)
 
     def record_lost(
-        self, endpoint: Endpoint, parts: tuple[PromptPartId, ...], sent: float
+        self, endpoint: Endpoint, parts: tuple[SuspectId, ...], sent: float
     ) -> None:
         """Record that an endpoint's answer to a request broke off.
 
@@ -63,7 +63,7 @@
         self.quarantine.record_end(process)
 
     def record_complete(
-        self, endpoint: Endpoint, parts: tuple[PromptPartId, ...], is_delimited: bool
+        self, endpoint: Endpoint, parts: tuple[SuspectId, ...], is_delimited: bool
     ) -> None:
         """Record a complete answer.
 
@@ -82,7 +82,7 @@
             self.checking.discard(process)
 
     async def _clear_if_there(
-        self, endpoint: Endpoint, parts: tuple[PromptPartId, ...]
+        self, endpoint: Endpoint, parts: tuple[SuspectId, ...]
     ) -> None:
         answered = trio.current_time()
         await trio.sleep(CHECK_DELAY_S)
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -21,11 +21,11 @@
     InstanceId,
     PoolId,
     ProcessId,
-    PromptPartId,
     Reason,
     ReleaseResult,
     RequestKey,
     Revision,
+    SuspectId,
     TeamId,
 )
 
@@ -88,20 +88,20 @@
 
 @dataclass(frozen=True)
 class LossRow:
-    """A part of prompts under which a process of an endpoint has ended.
+    """A suspect under which a process of an endpoint has ended.
 
     Attributes
     ----------
     depth : int
-        Place of the part in prompts, 0 for the first.
+        Place of a part in prompts, 0 for the first.
     process : ProcessId
-        Empty if an answer to a prompt with the part was complete.
+        Empty if an answer to a request with the suspect was complete.
     sent_age_ms, lost_age_ms : int
         Time since the request was sent and since its answer broke off or, without
         a process, was complete.
     """
 
-    part: PromptPartId
+    suspect: SuspectId
     depth: int
     process: ProcessId
     sent_age_ms: int
@@ -147,7 +147,7 @@
     slow : bool
         Whether the sender is too slow to coordinate a pool.
     losses : tuple of LossRow
-        Evidence against parts of prompts; sent on all links when it or `limits`
+        Evidence against suspects; sent on all links when it or `limits`
         changes and otherwise like `rows`.
     limits : tuple of LimitRow
         Limits of endpoints, sent like `losses`.
@@ -231,8 +231,8 @@
         the retry budget.
     quota_tokens : int
         What the request counts against its team's quota.
-    parts : tuple of PromptPartId
-        The parts of its prompt that other requests may share.
+    suspects : tuple of SuspectId
+        What in the request may crash endpoints.
     """
 
     key: RequestKey
@@ -253,7 +253,7 @@
     is_retry: bool = False
     quota_tokens: int = 0
     abandon_after_ms: int = -1
-    parts: tuple[PromptPartId, ...] = ()
+    suspects: tuple[SuspectId, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -27,10 +27,10 @@
 )
 from savorydyke._manifest import Manifest, PoolKind
 from savorydyke._messages import Acquire, Grant, Refuse, Register, Release, Started
-from savorydyke._prompt_quarantine import (
+from savorydyke._quarantine import (
     HELD_BACK_DETAIL,
     TRIAL_S,
-    PromptQuarantine,
+    Quarantine,
 )
 from savorydyke._quota import Quotas
 from savorydyke._retry_budget import RetryBudget
@@ -114,7 +114,7 @@
         Tokens that the calling teams may use.
     retry_budget : RetryBudget or None
         Limits retries of requests; None for no limit.
-    quarantine : PromptQuarantine
+    quarantine : Quarantine
         Parts of prompts that are held back.
     placed : dict of RequestKey to EndpointId
         The endpoint of each request in flight.
@@ -133,7 +133,7 @@
     grants_enabled: bool = True
     quotas: Quotas = field(default_factory=Quotas)
     retry_budget: RetryBudget | None = None
-    quarantine: PromptQuarantine = field(default_factory=PromptQuarantine)
+    quarantine: Quarantine = field(default_factory=Quarantine)
     placed: dict[RequestKey, EndpointId] = field(default_factory=dict)
     recent: OrderedDict[RequestKey, Recent] = field(default_factory=OrderedDict)
     expiry: list[tuple[float, RequestKey, int]] = field(default_factory=list)
@@ -242,8 +242,8 @@
 
     def _hold_back(self, item: Waiting, now: float) -> Decision | None:
         """Refuse a request with a part that is held back, unless it is a trial."""
-        held = self.quarantine.held_part(item.parts, now)
-        if held is None and self.quarantine.start_trial(item.parts, now):
+        held = self.quarantine.held_suspect(item.suspects, now)
+        if held is None and self.quarantine.start_trial(item.suspects, now):
             return None
         wait_s = held[1] if held else TRIAL_S
         return self._refuse(item, Reason.HELD_BACK, HELD_BACK_DETAIL, wait_s, now)
@@ -252,7 +252,7 @@
         """Refuse the waiting requests with a part that is now held back."""
         decisions = []
         for item in list(self.queue.by_key.values()):
-            held = self.quarantine.held_part(item.parts, now)
+            held = self.quarantine.held_suspect(item.suspects, now)
             if held is not None:
                 self.queue.remove(item.key)
                 self._refund(item)
@@ -643,7 +643,7 @@
             )
             / 1000,
             quota_tokens=message.quota_tokens,
-            parts=message.parts,
+            suspects=message.suspects,
         )
         item.forecast = self.estimates.forecast(item)
         item.cost_s = item.forecast.cost_s
--- a/src/savorydyke/_prompt_quarantine.py
+++ b/src/savorydyke/_quarantine.py
@@ -1,14 +1,14 @@
 """Holds back parts of prompts that crash endpoints.
 
 A request may end the process of each endpoint that answers it, and so may all other
-requests whose prompts share the part that does it. Instances collect evidence: the
-parts in the prompts of answers that broke off, and the processes of endpoints that
-have ended. The end of a process counts against all parts whose answers broke off there.
-A complete answer clears the parts of its prompt.
+requests whose prompts share the part that does it. Such parts are suspects. Instances
+collect evidence: the suspects in requests whose answers broke off, and the processes
+of endpoints that have ended. The end of a process counts against all suspects whose
+answers broke off there. A complete answer clears the suspects of its request.
 
 Answers to sound requests break off with the others, so that one end proves nothing.
-A part is held back once several processes have ended under it in a row; requests that
-share only its other parts are still sent. After a time one request is sent as a trial.
+A suspect is held back once several processes have ended under it in a row; requests
+that share only other parts are still sent. After a time one is sent as a trial.
 
 Times are seconds on the local monotonic clock and are passed in.
 """
@@ -18,40 +18,40 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from savorydyke._ids import EndpointId, ProcessId, PromptPartId
+from savorydyke._ids import EndpointId, ProcessId, SuspectId
 from savorydyke._messages import LossRow
 
 ENDS_TO_HOLD = 3
-"""Ends of processes under a part after which it is held back."""
+"""Ends of processes under a suspect after which it is held back."""
 MIN_ROUNDS = 2
 """Rounds in which these ends must have come. A round begins with a request that was
 sent after the previous one had ended; processes that end together have another
 cause."""
 ENDS_TO_HOLD_ANSWERED = 5
-"""The same for a part of prompts that were answered before."""
+"""The same for a suspect in requests that were answered before."""
 SETTLE_S = 0.4
 """Age from which an end counts. By then other instances have told what they know of it,
-and complete answers have cleared the parts that most requests share."""
+and complete answers have cleared the suspects that most requests share."""
 TRIAL_DELAYS_S = (2.0, 10.0, 60.0, 300.0)
 """Time from the latest end to a trial, by the number of rounds beyond the first."""
 TRIAL_S = 5.0
 """Time for which the result of a trial is awaited."""
 EVIDENCE_S = 300.0
-"""Time for which evidence against a part is kept that is not held back."""
+"""Time for which evidence against a suspect is kept that is not held back."""
 HELD_EVIDENCE_S = 1800.0
-"""Time for which evidence against a part is kept that is held back."""
+"""Time for which evidence against a suspect is kept that is held back."""
 SPREAD_S = 10.0
-"""Time for which others are told of a single end, or that a part is cleared."""
+"""Time for which others are told of a single end, or that a suspect is cleared."""
 HELD_BACK_DETAIL = "endpoints ended when they answered prompts that share a part"
-MAX_PARTS = 1000
+MAX_SUSPECTS = 1000
 MAX_ANSWERED = 4000
 MAX_ROWS = 64
-"""Most rows in one report; those of the most suspect parts go first."""
+"""Most rows in one report; those of the suspects with most ends go first."""
 
 
 @dataclass(frozen=True)
 class Loss:
-    """A broken answer to a prompt with a certain part.
+    """A broken answer to a request with a certain suspect.
 
     Attributes
     ----------
@@ -64,8 +64,8 @@
 
 
 @dataclass
-class PartEvidence:
-    """What is known about one part.
+class Evidence:
+    """What is known about one suspect.
 
     Attributes
     ----------
@@ -86,45 +86,45 @@
 
 
 @dataclass
-class PromptQuarantine:
-    """The evidence, and the parts that are held back.
+class Quarantine:
+    """The evidence, and the suspects that are held back.
 
     Attributes
     ----------
-    parts : OrderedDict of PromptPartId to PartEvidence
+    suspects : OrderedDict of SuspectId to Evidence
         Parts with evidence, the latest last.
-    answered : OrderedDict of PromptPartId to float
-        When the latest complete answer to a prompt with a part was received, the
+    answered : OrderedDict of SuspectId to float
+        When the latest complete answer to a request with a suspect was received, the
         latest last.
     ended : set of ProcessId
         Processes that are known to have ended, of those with losses.
-    held : set of PromptPartId
-        The parts that are held back.
+    held : set of SuspectId
+        The suspects that are held back.
     changes : int
         Increased when something is learned that other instances may not know.
     listeners : list of callable
-        Called with a part and whether it is held back, when that changes.
+        Called with a suspect and whether it is held back, when that changes.
     """
 
-    parts: OrderedDict[PromptPartId, PartEvidence] = field(default_factory=OrderedDict)
-    answered: OrderedDict[PromptPartId, float] = field(default_factory=OrderedDict)
+    suspects: OrderedDict[SuspectId, Evidence] = field(default_factory=OrderedDict)
+    answered: OrderedDict[SuspectId, float] = field(default_factory=OrderedDict)
     ended: set[ProcessId] = field(default_factory=set)
-    held: set[PromptPartId] = field(default_factory=set)
+    held: set[SuspectId] = field(default_factory=set)
     changes: int = 0
-    listeners: list[Callable[[PromptPartId, bool], None]] = field(default_factory=list)
+    listeners: list[Callable[[SuspectId, bool], None]] = field(default_factory=list)
 
     # Evidence
 
     def record_loss(
         self,
         process: ProcessId,
-        parts: Iterable[PromptPartId],
+        suspects: Iterable[SuspectId],
         sent: float,
         now: float,
     ) -> None:
         """Record that an answer broke off at a process of an endpoint."""
-        for depth, part in enumerate(parts):
-            self._add_loss(part, depth, process, Loss(sent, now))
+        for depth, suspect in enumerate(suspects):
+            self._add_loss(suspect, depth, process, Loss(sent, now))
 
     def record_end(self, process: ProcessId) -> None:
         """Record that a process has ended."""
@@ -132,148 +132,156 @@
             self.ended.add(process)
             self.changes += 1
 
-    def record_answer(self, parts: Iterable[PromptPartId], now: float) -> None:
-        """Record a complete answer, which clears the parts of its prompt."""
-        for part in parts:
-            self._clear(part, now)
+    def record_answer(self, suspects: Iterable[SuspectId], now: float) -> None:
+        """Record a complete answer, which clears the suspects of its request."""
+        for suspect in suspects:
+            self._clear(suspect, now)
 
-    def has_evidence(self, parts: Iterable[PromptPartId]) -> bool:
-        """Return whether there is evidence against any of the parts."""
-        return any(part in self.parts and self.parts[part].losses for part in parts)
+    def has_evidence(self, suspects: Iterable[SuspectId]) -> bool:
+        """Return whether there is evidence against any of the suspects."""
+        return any(
+            suspect in self.suspects and self.suspects[suspect].losses
+            for suspect in suspects
+        )
 
     def _has_losses(self, process: ProcessId) -> bool:
-        return any(process in evidence.losses for evidence in self.parts.values())
+        return any(process in evidence.losses for evidence in self.suspects.values())
 
-    def _answered_at(self, part: PromptPartId) -> float:
-        return self.answered.get(part, -math.inf)
+    def _answered_at(self, suspect: SuspectId) -> float:
+        return self.answered.get(suspect, -math.inf)
 
     def _add_loss(
-        self, part: PromptPartId, depth: int, process: ProcessId, loss: Loss
+        self, suspect: SuspectId, depth: int, process: ProcessId, loss: Loss
     ) -> None:
-        if loss.at <= self._answered_at(part):
+        if loss.at <= self._answered_at(suspect):
             return
-        evidence = self.parts.setdefault(part, PartEvidence(depth))
+        evidence = self.suspects.setdefault(suspect, Evidence(depth))
         if process in evidence.losses:
             return
         evidence.losses[process] = loss
-        self.parts.move_to_end(part)
+        self.suspects.move_to_end(suspect)
         self.changes += process in self.ended
         self._drop_excess()
 
     def _drop_excess(self) -> None:
-        while len(self.parts) > MAX_PARTS:
-            oldest = next((p for p in self.parts if p not in self.held), None)
+        while len(self.suspects) > MAX_SUSPECTS:
+            oldest = next((p for p in self.suspects if p not in self.held), None)
             if oldest is None:
                 return
-            del self.parts[oldest]
+            del self.suspects[oldest]
 
-    def _clear(self, part: PromptPartId, at: float) -> None:
-        if at <= self._answered_at(part):
+    def _clear(self, suspect: SuspectId, at: float) -> None:
+        if at <= self._answered_at(suspect):
             return
-        self.answered[part] = at
-        self.answered.move_to_end(part)
+        self.answered[suspect] = at
+        self.answered.move_to_end(suspect)
         if len(self.answered) > MAX_ANSWERED:
             self.answered.popitem(last=False)
-        evidence = self.parts.get(part)
+        evidence = self.suspects.get(suspect)
         if evidence is None:
             return
         cleared = {p for p, loss in evidence.losses.items() if loss.at <= at}
         for process in cleared:
             del evidence.losses[process]
         self.changes += bool(cleared & self.ended)
-        if part in self.held and len(evidence.losses) < ENDS_TO_HOLD:
-            self._release(part)
+        if suspect in self.held and len(evidence.losses) < ENDS_TO_HOLD:
+            self._release(suspect)
 
-    # Which parts are held back
+    # Which suspects are held back
 
     def review(self, now: float) -> None:
-        """Decide again which parts are held back; to be called several times a second.
+        """Decide again what is held back; to be called several times a second.
 
-        Parts whose latest answer is the oldest come first, and of these the deepest
-        ones, which the fewest requests share. A part that is held back explains the
+        Suspects whose latest answer is the oldest come first, and of these the deepest
+        ones, which the fewest requests share. A suspect that is held back explains the
         evidence against the others.
         """
-        if not self.parts:
+        if not self.suspects:
             return
         self._drop_old(now)
         by_suspicion = sorted(
-            self.parts,
-            key=lambda part: (self._answered_at(part), -self.parts[part].depth),
+            self.suspects,
+            key=lambda suspect: (
+                self._answered_at(suspect),
+                -self.suspects[suspect].depth,
+            ),
         )
-        for part in by_suspicion:
-            if part in self.held or not self._is_suspect(part, now):
+        for suspect in by_suspicion:
+            if suspect in self.held or not self._is_suspect(suspect, now):
                 continue
-            self.held.add(part)
-            self._notify(part, True)
-            for other in list(self.held - {part}):
+            self.held.add(suspect)
+            self._notify(suspect, True)
+            for other in list(self.held - {suspect}):
                 if not self._is_suspect(other, now):
                     self._release(other)
 
-    def _is_suspect(self, part: PromptPartId, now: float) -> bool:
-        """Return whether the ends that no other held part explains suffice."""
+    def _is_suspect(self, suspect: SuspectId, now: float) -> bool:
+        """Return whether the ends that no other held suspect explains suffice."""
         explained: set[ProcessId] = set()
-        for other in self.held - {part}:
-            explained.update(self.parts[other].losses)
+        for other in self.held - {suspect}:
+            explained.update(self.suspects[other].losses)
         counted = [
             loss
-            for process, loss in self.parts[part].losses.items()
+            for process, loss in self.suspects[suspect].losses.items()
             if process in self.ended
             and process not in explained
             and now - loss.at >= SETTLE_S
         ]
-        is_new = part not in self.answered
+        is_new = suspect not in self.answered
         least = ENDS_TO_HOLD if is_new else ENDS_TO_HOLD_ANSWERED
         return len(counted) >= least and _count_rounds(counted) >= MIN_ROUNDS
 
-    def _release(self, part: PromptPartId) -> None:
-        self.held.discard(part)
-        self.parts[part].trial_until = -math.inf
-        self._notify(part, False)
+    def _release(self, suspect: SuspectId) -> None:
+        self.held.discard(suspect)
+        self.suspects[suspect].trial_until = -math.inf
+        self._notify(suspect, False)
 
-    def _notify(self, part: PromptPartId, held: bool) -> None:
+    def _notify(self, suspect: SuspectId, held: bool) -> None:
         for listener in self.listeners:
-            listener(part, held)
+            listener(suspect, held)
 
     def _drop_old(self, now: float) -> None:
-        for part, evidence in list(self.parts.items()):
-            kept_s = HELD_EVIDENCE_S if part in self.held else EVIDENCE_S
+        for suspect, evidence in list(self.suspects.items()):
+            kept_s = HELD_EVIDENCE_S if suspect in self.held else EVIDENCE_S
             if any(now - loss.at <= kept_s for loss in evidence.losses.values()):
                 continue
-            if part in self.held:
-                self._release(part)
+            if suspect in self.held:
+                self._release(suspect)
             evidence.losses.clear()
-            if now - self._answered_at(part) > SPREAD_S:
-                del self.parts[part]
-        self.ended &= {p for e in self.parts.values() for p in e.losses}
+            if now - self._answered_at(suspect) > SPREAD_S:
+                del self.suspects[suspect]
+        self.ended &= {p for e in self.suspects.values() for p in e.losses}
 
     # Decisions
 
-    def held_part(
-        self, parts: Iterable[PromptPartId], now: float
-    ) -> tuple[PromptPartId, float] | None:
-        """Return a part that is held back and the seconds until its next trial.
+    def held_suspect(
+        self, suspects: Iterable[SuspectId], now: float
+    ) -> tuple[SuspectId, float] | None:
+        """Return a suspect that is held back and the seconds until its next trial.
 
         None means that the request may be sent, or that a trial is due.
         """
         waits = [
-            (self.trial_at(part) - now, part) for part in parts if part in self.held
+            (self.trial_at(suspect) - now, suspect)
+            for suspect in suspects
+            if suspect in self.held
         ]
-        wait_s, part = max(waits, default=(0.0, PromptPartId("")))
-        return (part, wait_s) if wait_s > 0 else None
+        wait_s, suspect = max(waits, default=(0.0, SuspectId("")))
+        return (suspect, wait_s) if wait_s > 0 else None
 
-    def trial_at(self, part: PromptPartId) -> float:
-        """Return when a request with a held part may be sent as a trial."""
-        losses = self.parts[part].losses.values()
+    def trial_at(self, suspect: SuspectId) -> float:
+        """Return when a request with a held suspect may be sent as a trial."""
+        losses = self.suspects[suspect].losses.values()
         further = max(0, _count_rounds(losses) - MIN_ROUNDS)
         delay_s = TRIAL_DELAYS_S[min(further, len(TRIAL_DELAYS_S) - 1)]
         return max(loss.at for loss in losses) + delay_s
 
-    def start_trial(self, parts: Iterable[PromptPartId], now: float) -> bool:
+    def start_trial(self, suspects: Iterable[SuspectId], now: float) -> bool:
         """Return whether a request may be sent, which makes it the trial if one is due.
 
         Only the coordinator of a pool may start trials, so that there is one at a time.
         """
-        held = [self.parts[part] for part in parts if part in self.held]
+        held = [self.suspects[suspect] for suspect in suspects if suspect in self.held]
         if any(now < evidence.trial_until for evidence in held):
             return False
         for evidence in held:
@@ -285,11 +293,11 @@
     def rows(self, now: float) -> tuple[LossRow, ...]:
         """Return the evidence of processes that have ended, for other instances.
 
-        A row without a process says that the part has been cleared.
+        A row without a process says that the suspect has been cleared.
         """
         rows: list[LossRow] = []
-        ranked = sorted(self.parts.items(), key=lambda item: -len(item[1].losses))
-        for part, evidence in ranked:
+        ranked = sorted(self.suspects.items(), key=lambda item: -len(item[1].losses))
+        for suspect, evidence in ranked:
             ended = [p for p in evidence.losses if p in self.ended]
             evidence.is_shared = evidence.is_shared or bool(ended)
             if len(ended) == 1 and now - evidence.losses[ended[0]].at > SPREAD_S:
@@ -297,12 +305,12 @@
             for process in ended:
                 loss = evidence.losses[process]
                 sent_ms, lost_ms = _age_ms(loss.sent, now), _age_ms(loss.at, now)
-                rows.append(LossRow(part, evidence.depth, process, sent_ms, lost_ms))
-            is_cleared = not ended and now - self._answered_at(part) <= SPREAD_S
+                rows.append(LossRow(suspect, evidence.depth, process, sent_ms, lost_ms))
+            is_cleared = not ended and now - self._answered_at(suspect) <= SPREAD_S
             if evidence.is_shared and is_cleared:
-                age_ms = _age_ms(self._answered_at(part), now)
+                age_ms = _age_ms(self._answered_at(suspect), now)
                 none = ProcessId("")
-                rows.append(LossRow(part, evidence.depth, none, age_ms, age_ms))
+                rows.append(LossRow(suspect, evidence.depth, none, age_ms, age_ms))
         return tuple(rows[:MAX_ROWS])
 
     def merge(self, rows: Iterable[LossRow], now: float) -> None:
@@ -310,12 +318,12 @@
         for row in rows:
             at = now - row.lost_age_ms / 1000
             if not row.process:
-                self._clear(row.part, at)
+                self._clear(row.suspect, at)
                 continue
             loss = Loss(now - row.sent_age_ms / 1000, at)
-            self._add_loss(row.part, row.depth, row.process, loss)
-            if row.part in self.parts:
-                self.parts[row.part].is_shared = True
+            self._add_loss(row.suspect, row.depth, row.process, loss)
+            if row.suspect in self.suspects:
+                self.suspects[row.suspect].is_shared = True
             self.record_end(row.process)
 
 
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -40,7 +40,7 @@
 from savorydyke._metrics import Metrics
 from savorydyke._overload import Overload
 from savorydyke._problems import Refusal
-from savorydyke._prompt_quarantine import HELD_BACK_DETAIL, PromptQuarantine
+from savorydyke._quarantine import HELD_BACK_DETAIL, Quarantine
 from savorydyke._request_limits import BadLimitError, RequestLimits, parse_limit
 from savorydyke._retry_after import BadRetryAfterError, parse_retry_after
 from savorydyke._routed_relay import (
@@ -123,7 +123,7 @@
     rng: random.Random
     revocation_s: float
     states: EndpointStates
-    quarantine: PromptQuarantine
+    quarantine: Quarantine
     lost_answers: LostAnswers
     limits: RequestLimits
     overload: Overload
@@ -283,7 +283,7 @@
 
     def _held_back(self, request: RoutedRequest) -> Refused | None:
         """Return a refusal if a part of the request's prompt is held back."""
-        held = self.quarantine.held_part(request.parts, trio.current_time())
+        held = self.quarantine.held_suspect(request.parts, trio.current_time())
         if held is None:
             return None
         return Refused(Reason.HELD_BACK, HELD_BACK_DETAIL, held[1])
@@ -381,7 +381,7 @@
             else min(abandon_at, request.expires),
             is_retry=is_retry,
             quota_tokens=request.quota_tokens,
-            parts=request.parts,
+            suspects=request.parts,
         )
 
     def new_key(self, request_id: str) -> RequestKey:
--- a/src/savorydyke/_routed_request.py
+++ b/src/savorydyke/_routed_request.py
@@ -8,10 +8,9 @@
 from savorydyke._ids import (
     EndpointId,
     PoolId,
-    PromptPartId,
     ReleaseResult,
-    RequestDigest,
     RequestKey,
+    SuspectId,
     TeamId,
     TierId,
 )
@@ -86,9 +85,9 @@
         Number of attempts that sent nothing.
     pause_s : float
         For how long the endpoint of the latest attempt wants no other request.
-    parts : tuple of PromptPartId
+    parts : tuple of SuspectId
         The parts of its prompt that other requests may share.
-    digest : RequestDigest
+    digest : SuspectId
         Same for requests of the same team with the same host, path and body.
     reserved : ReservedGrant or None
         Grant for the next attempt, if one has been reserved.
@@ -105,8 +104,8 @@
     config_version: int
     config_age_s: float
     tier: TierId
-    digest: RequestDigest
-    parts: tuple[PromptPartId, ...] = ()
+    digest: SuspectId
+    parts: tuple[SuspectId, ...] = ()
     avoid: list[EndpointId] = field(default_factory=list)
     sent_to: list[EndpointId] = field(default_factory=list)
     unsent: int = 0
@@ -126,7 +125,7 @@
     reserved: ReservedGrant | None = None
 
 
-def shared_parts(prefix: tuple[tuple[str, int], ...]) -> tuple[PromptPartId, ...]:
+def shared_parts(prefix: tuple[tuple[str, int], ...]) -> tuple[SuspectId, ...]:
     """Return the parts of a prompt that other requests may share.
 
     The last part belongs to the request itself.
@@ -136,10 +135,10 @@
     prefix : tuple of (str, int)
         The parts in order, with their numbers of tokens.
     """
-    return tuple(PromptPartId(name) for name, _ in prefix[:-1][:MAX_PROMPT_PARTS])
+    return tuple(SuspectId(name) for name, _ in prefix[:-1][:MAX_PROMPT_PARTS])
 
 
-def request_digest(team: TeamId, host: str, incoming: IncomingRequest) -> RequestDigest:
+def request_digest(team: TeamId, host: str, incoming: IncomingRequest) -> SuspectId:
     """Return the digest that a request shares with its repetitions.
 
     Ids, deadlines and other headers differ between these and do not count.
@@ -148,7 +147,7 @@
     for field_ in (team.encode(), host.encode(), incoming.target, incoming.body):
         digest.update(b"%d:" % len(field_))
         digest.update(field_)
-    return RequestDigest(f"{DIGEST_PREFIX}{digest.hexdigest()}")
+    return SuspectId(f"{DIGEST_PREFIX}{digest.hexdigest()}")
 
 
 def was_not_sent(request: RoutedRequest) -> bool:
--- a/src/savorydyke/_shared_evidence.py
+++ b/src/savorydyke/_shared_evidence.py
@@ -1,4 +1,4 @@
-"""Keeps evidence against parts of prompts, and limits, in the platform's store.
+"""Keeps evidence against suspects, and limits, in the platform's store.
 
 Instances tell each other what they know in heartbeats. The store brings it to those
 that no peer reaches, and to those that start. One instance of the fleet writes, and
@@ -14,10 +14,10 @@
 import trio
 
 from savorydyke import _logs
-from savorydyke._ids import EndpointId, InstanceId, ProcessId, PromptPartId
+from savorydyke._ids import EndpointId, InstanceId, ProcessId, SuspectId
 from savorydyke._membership import Membership
 from savorydyke._messages import LimitRow, LossRow
-from savorydyke._prompt_quarantine import PromptQuarantine
+from savorydyke._quarantine import Quarantine
 from savorydyke._request_limits import RequestLimits
 from savorydyke._timers import TimerService
 from savorydyke.platform import LeaseExpired, Store, StoreError, evidence_key
@@ -46,7 +46,7 @@
     """
 
     store: Store
-    quarantine: PromptQuarantine
+    quarantine: Quarantine
     limits: RequestLimits
     membership: Membership
     lease: Callable[[], int]
@@ -136,13 +136,13 @@
     age_ms = min(max(0, now_ms - int(value["written_ms"])), MAX_AGE_MS)
     losses = tuple(
         LossRow(
-            PromptPartId(str(part)),
+            SuspectId(str(suspect)),
             int(depth),
             ProcessId(str(process)),
             int(sent_ms) + age_ms,
             int(lost_ms) + age_ms,
         )
-        for part, depth, process, sent_ms, lost_ms in value["losses"]
+        for suspect, depth, process, sent_ms, lost_ms in value["losses"]
     )
     limits = tuple(
         LimitRow(EndpointId(str(endpoint)), int(per_1000_s), int(named_ms) + age_ms)
