Hold back requests that crash endpoints

Callers saw the endpoints of a plain service end one after the other: one request, repeated with the same path, caller and body, ended 11 and 15 of them.

Cause: evidence was kept about parts of prompts only. A request without parts left none, and of other requests the last part, which is their own, was left out, so that whoever repeated a request found it unknown. By the new digests in the logs a repetition is the same request at each instance; ends by load or by themselves are ruled out, as the cases crash endpoints with one body only.

Now the digest of team, host, path and body is a suspect like a part, in the same evidence. Three ends hold it back; two trials, counted by their sender before they are sent and told with the evidence; no trial by a coordinator that does not reach most of the listed instances, which now holds for parts as well. Complete answers with a status below 500 clear evidence, not only 2xx.

Seven decision cases in memory are new. Looked for elsewhere: the product's own interface holds back nothing, as before.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -64,6 +64,13 @@
       | broken answers of endpoints that are still there hold no part back         |
       | a complete answer clears the parts of its prompt, at all instances         |
       | a second part that crashes endpoints is found beside the first one         |
+      | a request is held back after three ends, also if they come at once         |
+      | repeated requests with a part that crashes endpoints do not explain it     |
+      | a request that crashes endpoints is sent three times more at most, in a day |
+      | trials of a request are counted by an instance that starts later           |
+      | a coordinator that does not reach most instances starts no trial           |
+      | a sound request that was lost three times is released by its trial         |
+      | evidence against requests is bounded in memory and in reports              |
       | one request at a time is the trial of a part, and rarer after each end     |
       | waiting requests with a part that is then held back are refused            |
       | a frontend without its coordinator does not place a part that is held back |
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -56,6 +56,8 @@
 from savorydyke._pool_scheduler import new_pool_scheduler
 from savorydyke._quarantine import (
     MAX_ROWS,
+    MAX_SUSPECTS,
+    REQUEST_TRIAL_DELAYS_S,
     SETTLE_S,
     TRIAL_DELAYS_S,
     Quarantine,
@@ -1420,7 +1422,7 @@
     )
     assert granted(scheduler.acquire(acquire("4", suspects=("first",)), FRONTEND, now))
     lose(quarantine, 3, now + 0.2)
-    assert quarantine.trial_at("bad") == now + 0.2 + TRIAL_DELAYS_S[2]
+    assert quarantine.trial_at("bad", 99.0) == now + 0.2 + TRIAL_DELAYS_S[2]
 
 
 @case("waiting requests with a part that is then held back are refused")
@@ -1471,6 +1473,112 @@
     trio.run(play)
 
 
+REQUEST = "request:0123456789abcdef"
+
+
+@case("a request is held back after three ends, also if they come at once")
+def _():
+    quarantine = Quarantine()
+    quarantine.record_answer(["first", REQUEST], 0.0)
+    for number in range(3):
+        lose(quarantine, number, 1.0, ("first", f"own{number}", REQUEST))
+    assert held_after(quarantine, 1.0) == {REQUEST}
+    sound = ("first", "own3", "request:another")
+    assert quarantine.held_suspect(sound, 1.5) is None
+
+
+@case("repeated requests with a part that crashes endpoints do not explain it")
+def _():
+    quarantine = Quarantine()
+    for number in range(6):
+        at = 1.0 + number
+        digest = f"request:{number // 3}"
+        lose(quarantine, number, at, ("first", "bad", digest))
+        quarantine.record_answer(["first"], at + 0.1)
+    assert held_after(quarantine, 7.0) == {"bad", "request:0", "request:1"}
+
+
+def try_until(quarantine, start, end, crash):
+    """Send a held request whenever a trial is due; return the times of the trials."""
+    scheduler = scheduler_of("a", "b")
+    scheduler.quarantine = quarantine
+    trials, now = [], start
+    while now < end:
+        message = acquire(f"trial-{now}", suspects=(REQUEST,))
+        if granted(scheduler.acquire(message, FRONTEND, now)):
+            quarantine.record_sent((REQUEST,), now)
+            trials.append(now)
+            crash(len(trials), now)
+        now += 0.5 if now < start + 60 else 60.0
+        quarantine.review(now)
+    return trials
+
+
+@case("a request that crashes endpoints is sent three times more at most, in a day")
+def _():
+    quarantine = Quarantine()
+    for number in range(3):
+        lose(quarantine, number, 1.0 + number, (REQUEST,))
+    assert held_after(quarantine, 3.0) == {REQUEST}
+
+    def crash(trial, now):
+        lose(quarantine, 10 + trial, now + 0.1, (REQUEST,))
+
+    trials = try_until(quarantine, 4.0, 80_000.0, crash)
+    assert len(trials) == len(REQUEST_TRIAL_DELAYS_S) <= 3
+
+
+@case("trials of a request are counted by an instance that starts later")
+def _():
+    quarantine, started = Quarantine(), Quarantine()
+    for number in range(3):
+        lose(quarantine, number, 1.0 + number, (REQUEST,))
+    assert held_after(quarantine, 3.0)
+    # The trial is told before it ends, also if its answer never comes.
+    assert len(try_until(quarantine, 5.0, 6.0, lambda trial, now: None)) == 1
+    started.merge(quarantine.rows(6.0), 6.0)
+    assert held_after(started, 6.0) == {REQUEST}
+    assert len(try_until(started, 6.5, 4000.0, lambda trial, now: None)) == 1
+
+
+@case("a coordinator that does not reach most instances starts no trial")
+def _():
+    scheduler = scheduler_of("a")
+    for number in range(3):
+        lose(scheduler.quarantine, number, 1.0 + number, ("first", REQUEST))
+    scheduler.quarantine.review(4.0)
+    scheduler.trials_enabled = False
+    message = acquire("1", suspects=("first", REQUEST))
+    assert refused(scheduler.acquire(message, FRONTEND, 30.0))
+    sound = acquire("2", suspects=("other", "request:another"))
+    assert granted(scheduler.acquire(sound, FRONTEND, 30.0))
+
+
+@case("a sound request that was lost three times is released by its trial")
+def _():
+    quarantine = Quarantine()
+    for number in range(3):
+        lose(quarantine, number, 1.0 + number, (REQUEST,))
+    assert held_after(quarantine, 3.0) == {REQUEST}
+
+    def answer(trial, now):
+        quarantine.record_answer((REQUEST,), now + 0.1)
+
+    assert len(try_until(quarantine, 5.0, 20.0, answer)) > 5
+    assert not quarantine.held
+
+
+@case("evidence against requests is bounded in memory and in reports")
+def _():
+    quarantine = Quarantine()
+    for number in range(3 * MAX_SUSPECTS):
+        quarantine.record_answer((f"request:sound{number}",), 0.5)
+        lose(quarantine, number, 1.0, (f"request:{number}", f"part{number}"))
+    assert len(quarantine.suspects) <= MAX_SUSPECTS
+    assert not quarantine.answered
+    assert len(quarantine.rows(1.5)) <= 2 * MAX_ROWS
+
+
 def large_fleet(new_state):
     """Return the states of 195 instances and their links to neighbours on the ring."""
     names = [f"instance-{number:03}" for number in range(195)]
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -20,6 +20,7 @@
     Revision,
     SuspectId,
     TeamId,
+    is_digest,
 )
 from savorydyke._log_writer import LogBuffer
 from savorydyke._membership import Membership
@@ -90,7 +91,7 @@
         This instance's share of the quotas, for requests that it places because
         the coordinator does not respond.
     quarantine : Quarantine
-        The parts of prompts that are held back.
+        The requests and parts of prompts that are held back.
     limits : RequestLimits
         The limits on requests that endpoints have named.
     fallback_allowances : dict of EndpointId to RequestAllowance
@@ -306,11 +307,13 @@
     def update_gauges(self) -> None:
         """Set the gauges to the current values."""
         schedulers = [hosted.scheduler for hosted in self.pool_host.hosted.values()]
+        requests_held = sum(map(is_digest, self.quarantine.held))
         values = {
             "version": self.directory.version,
             "config_age_ms": self.configuration_age.age_ms(boot_time()),
             "ready": int(self.is_ready()),
-            "prompt_parts_held": len(self.quarantine.held),
+            "prompt_parts_held": len(self.quarantine.held) - requests_held,
+            "requests_held": requests_held,
             "endpoints": len(self.directory.endpoints),
             "links": len(self.peers.links),
             "pending": len(self.grant_client.pending),
@@ -520,14 +523,17 @@
     gateway.quota_balances.hosted.set()
 
 
-def _note_held(gateway: Gateway, part: SuspectId, held: bool) -> None:
-    """Log that a part of prompts is held back or released, and apply it."""
-    extra: dict[str, object] = {"prompt_part": part}
+def _note_held(gateway: Gateway, suspect: SuspectId, held: bool) -> None:
+    """Log that a suspect is held back or released, and apply it."""
+    kind, name = "Prompt part", "prompt_part"
+    if is_digest(suspect):
+        kind, name = "Request", "digest"
+    extra: dict[str, object] = {name: suspect}
     if not held:
-        log.info("Prompt part released.", extra=extra)
+        log.info(f"{kind} released.", extra=extra)
         return
-    processes = gateway.quarantine.suspects[part].losses
-    log.warning("Prompt part held back.", extra=extra | {"ended": list(processes)})
+    processes = gateway.quarantine.suspects[suspect].losses
+    log.warning(f"{kind} held back.", extra=extra | {"ended": list(processes)})
     gateway.pool_host.refuse_held()
 
 
--- a/src/savorydyke/_ids.py
+++ b/src/savorydyke/_ids.py
@@ -17,9 +17,16 @@
 SuspectId = NewType("SuspectId", str)
 """What may crash endpoints: a part of prompts, or the digest that a request shares
 with its repetitions."""
+DIGEST_PREFIX = "request:"
+"""Start of the digests of requests. Names of prompt parts contain no colon."""
 Revision = NewType("Revision", int)
 
 
+def is_digest(suspect: SuspectId) -> bool:
+    """Return whether a suspect is a whole request and not a part of prompts."""
+    return suspect.startswith(DIGEST_PREFIX)
+
+
 def request_key(team: TeamId, request: RequestId) -> RequestKey:
     """Return the fleet-wide key of one team's request.
 
--- a/src/savorydyke/_lost_answers.py
+++ b/src/savorydyke/_lost_answers.py
@@ -42,7 +42,7 @@
     checking: set[ProcessId] = field(default_factory=set)
 
     def record_lost(
-        self, endpoint: Endpoint, parts: tuple[SuspectId, ...], sent: float
+        self, endpoint: Endpoint, suspects: tuple[SuspectId, ...], sent: float
     ) -> None:
         """Record that an endpoint's answer to a request broke off.
 
@@ -52,7 +52,7 @@
             When the request was sent, on the monotonic clock.
         """
         process = process_id(endpoint.id, endpoint.started_ms)
-        self.quarantine.record_loss(process, parts, sent, trio.current_time())
+        self.quarantine.record_loss(process, suspects, sent, trio.current_time())
         if process not in self.checking:
             self.checking.add(process)
             self.background.start_soon(self._check, endpoint, process)
@@ -63,16 +63,16 @@
         self.quarantine.record_end(process)
 
     def record_complete(
-        self, endpoint: Endpoint, parts: tuple[SuspectId, ...], is_delimited: bool
+        self, endpoint: Endpoint, suspects: tuple[SuspectId, ...], is_delimited: bool
     ) -> None:
         """Record a complete answer.
 
         One whose end is only marked by a close counts if the endpoint is still there.
         """
         if is_delimited:
-            self.quarantine.record_answer(parts, trio.current_time())
-        elif self.quarantine.has_evidence(parts):
-            self.background.start_soon(self._clear_if_there, endpoint, parts)
+            self.quarantine.record_answer(suspects, trio.current_time())
+        elif self.quarantine.has_evidence(suspects):
+            self.background.start_soon(self._clear_if_there, endpoint, suspects)
 
     async def _check(self, endpoint: Endpoint, process: ProcessId) -> None:
         try:
@@ -82,12 +82,12 @@
             self.checking.discard(process)
 
     async def _clear_if_there(
-        self, endpoint: Endpoint, parts: tuple[SuspectId, ...]
+        self, endpoint: Endpoint, suspects: tuple[SuspectId, ...]
     ) -> None:
         answered = trio.current_time()
         await trio.sleep(CHECK_DELAY_S)
         if await self._is_there(endpoint):
-            self.quarantine.record_answer(parts, answered)
+            self.quarantine.record_answer(suspects, answered)
 
     async def _is_there(self, endpoint: Endpoint) -> bool:
         """Return whether a connection can be opened; record it if it is refused."""
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -29,7 +29,7 @@
     TeamId,
 )
 
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 MAX_FRAME_BYTES = 2_000_000
 
 
@@ -99,6 +99,8 @@
     sent_age_ms, lost_age_ms : int
         Time since the request was sent and since its answer broke off or, without
         a process, was complete.
+    trials : int
+        How often a request with the suspect was sent since it is held back.
     """
 
     suspect: SuspectId
@@ -106,6 +108,7 @@
     process: ProcessId
     sent_age_ms: int
     lost_age_ms: int
+    trials: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -254,10 +254,10 @@
             else 1.0 / self.membership.known_count()
         )
         reaches_listed = self.membership.reaches_most_listed(trio.current_time())
+        is_only_coordinator = is_coordinator and reaches_listed
+        scheduler.trials_enabled = is_only_coordinator
         scheduler.set_limit_share(
-            1.0
-            if is_coordinator and reaches_listed
-            else 1.0 / self.membership.listed_count()
+            1.0 if is_only_coordinator else 1.0 / self.membership.listed_count()
         )
 
     # Events
@@ -294,7 +294,7 @@
             hosted.scheduler.endpoint_restarted(endpoint)
 
     def refuse_held(self) -> None:
-        """Refuse waiting requests with parts of prompts that are now held back."""
+        """Refuse waiting requests with suspects that are now held back."""
         now = trio.current_time()
         for hosted in self.hosted.values():
             self._send(hosted.scheduler, hosted.scheduler.refuse_held(now))
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -110,12 +110,15 @@
     grants_enabled : bool
         Whether grants may be given; false until the frontends have registered
         their requests in flight.
+    trials_enabled : bool
+        Whether requests with a held suspect may be sent as trials; false while
+        other coordinators may do the same.
     quotas : Quotas
         Tokens that the calling teams may use.
     retry_budget : RetryBudget or None
         Limits retries of requests; None for no limit.
     quarantine : Quarantine
-        Parts of prompts that are held back.
+        Requests and parts of prompts that are held back.
     placed : dict of RequestKey to EndpointId
         The endpoint of each request in flight.
     recent : OrderedDict of RequestKey to Recent
@@ -131,6 +134,7 @@
     rng: random.Random
     capacity: Capacity = field(default_factory=Capacity)
     grants_enabled: bool = True
+    trials_enabled: bool = True
     quotas: Quotas = field(default_factory=Quotas)
     retry_budget: RetryBudget | None = None
     quarantine: Quarantine = field(default_factory=Quarantine)
@@ -243,11 +247,17 @@
     def _hold_back(self, item: Waiting, now: float) -> Decision | None:
         """Refuse a request with a part that is held back, unless it is a trial."""
         held = self.quarantine.held_suspect(item.suspects, now)
-        if held is None and self.quarantine.start_trial(item.suspects, now):
+        if held is None and self._may_send(item, now):
             return None
         wait_s = held[1] if held else TRIAL_S
         return self._refuse(item, Reason.HELD_BACK, HELD_BACK_DETAIL, wait_s, now)
 
+    def _may_send(self, item: Waiting, now: float) -> bool:
+        """Return whether a request has no held suspect, or may be its trial."""
+        if not self.trials_enabled and self.quarantine.held.intersection(item.suspects):
+            return False
+        return self.quarantine.start_trial(item.suspects, now)
+
     def refuse_held(self, now: float) -> list[Decision]:
         """Refuse the waiting requests with a part that is now held back."""
         decisions = []
--- a/src/savorydyke/_quarantine.py
+++ b/src/savorydyke/_quarantine.py
@@ -1,14 +1,16 @@
-"""Holds back parts of prompts that crash endpoints.
+"""Holds back requests, and parts of prompts, that crash endpoints.
 
 A request may end the process of each endpoint that answers it, and so may all other
-requests whose prompts share the part that does it. Such parts are suspects. Instances
-collect evidence: the suspects in requests whose answers broke off, and the processes
-of endpoints that have ended. The end of a process counts against all suspects whose
-answers broke off there. A complete answer clears the suspects of its request.
+requests whose prompts share the part that does it. Both are suspects, the request by
+a digest that it shares with its repetitions. Instances collect evidence: the suspects
+in requests whose answers broke off, and the processes of endpoints that have ended.
+The end of a process counts against all suspects whose answers broke off there. A
+complete answer clears the suspects of its request.
 
 Answers to sound requests break off with the others, so that one end proves nothing.
 A suspect is held back once several processes have ended under it in a row; requests
-that share only other parts are still sent. After a time one is sent as a trial.
+that share only other parts are still sent. After a time one is sent as a trial; a
+whole request has few of them, which are counted over the whole fleet.
 
 Times are seconds on the local monotonic clock and are passed in.
 """
@@ -18,35 +20,43 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from savorydyke._ids import EndpointId, ProcessId, SuspectId
+from savorydyke._ids import EndpointId, ProcessId, SuspectId, is_digest
 from savorydyke._messages import LossRow
 
 ENDS_TO_HOLD = 3
 """Ends of processes under a suspect after which it is held back."""
 MIN_ROUNDS = 2
-"""Rounds in which these ends must have come. A round begins with a request that was
-sent after the previous one had ended; processes that end together have another
-cause."""
+"""Rounds in which the ends under a part must have come. A round begins with a request
+that was sent after the previous one had ended; processes that end together have
+another cause."""
 ENDS_TO_HOLD_ANSWERED = 5
-"""The same for a suspect in requests that were answered before."""
+"""Ends under a part of prompts that were answered before."""
 SETTLE_S = 0.4
 """Age from which an end counts. By then other instances have told what they know of it,
 and complete answers have cleared the suspects that most requests share."""
 TRIAL_DELAYS_S = (2.0, 10.0, 60.0, 300.0)
 """Time from the latest end to a trial, by the number of rounds beyond the first."""
+REQUEST_TRIAL_DELAYS_S = (2.0, 30.0)
+"""Time from the latest end or trial to the next trial of a whole request, by the number
+of its trials. There are no more than these."""
 TRIAL_S = 5.0
 """Time for which the result of a trial is awaited."""
 EVIDENCE_S = 300.0
 """Time for which evidence against a suspect is kept that is not held back."""
 HELD_EVIDENCE_S = 1800.0
-"""Time for which evidence against a suspect is kept that is held back."""
+"""Time for which evidence against a part is kept that is held back."""
+HELD_REQUEST_S = 86_400.0
+"""Same for a whole request."""
 SPREAD_S = 10.0
 """Time for which others are told of a single end, or that a suspect is cleared."""
-HELD_BACK_DETAIL = "endpoints ended when they answered prompts that share a part"
-MAX_SUSPECTS = 1000
+HELD_BACK_DETAIL = "endpoints ended when they answered this or a similar request"
+MAX_SUSPECTS = 2000
 MAX_ANSWERED = 4000
 MAX_ROWS = 64
-"""Most rows in one report; those of the suspects with most ends go first."""
+"""Most rows of either kind in one report; those of the suspects with most ends go
+first."""
+REQUEST_DEPTH = 1000
+"""Depth of whole requests, below all parts of prompts."""
 
 
 @dataclass(frozen=True)
@@ -71,6 +81,8 @@
     ----------
     depth : int
         Its place in prompts, 0 for the first part.
+    trials : int
+        How often a request with it was sent since it is held back.
     losses : dict of ProcessId to Loss
         The first loss at each process since the latest complete answer.
     is_shared : bool
@@ -82,6 +94,7 @@
     depth: int
     losses: dict[ProcessId, Loss] = field(default_factory=dict)
     is_shared: bool = False
+    trials: int = 0
     trial_until: float = -math.inf
 
 
@@ -98,6 +111,9 @@
         latest last.
     ended : set of ProcessId
         Processes that are known to have ended, of those with losses.
+    lost_at : dict of ProcessId to set of SuspectId
+        The processes with losses, and the requests that were lost there, as of the
+        latest review.
     held : set of SuspectId
         The suspects that are held back.
     changes : int
@@ -109,6 +125,7 @@
     suspects: OrderedDict[SuspectId, Evidence] = field(default_factory=OrderedDict)
     answered: OrderedDict[SuspectId, float] = field(default_factory=OrderedDict)
     ended: set[ProcessId] = field(default_factory=set)
+    lost_at: dict[ProcessId, set[SuspectId]] = field(default_factory=dict)
     held: set[SuspectId] = field(default_factory=set)
     changes: int = 0
     listeners: list[Callable[[SuspectId, bool], None]] = field(default_factory=list)
@@ -123,7 +140,8 @@
         now: float,
     ) -> None:
         """Record that an answer broke off at a process of an endpoint."""
-        for depth, suspect in enumerate(suspects):
+        for place, suspect in enumerate(suspects):
+            depth = REQUEST_DEPTH if is_digest(suspect) else place
             self._add_loss(suspect, depth, process, Loss(sent, now))
 
     def record_end(self, process: ProcessId) -> None:
@@ -173,6 +191,9 @@
     def _clear(self, suspect: SuspectId, at: float) -> None:
         if at <= self._answered_at(suspect):
             return
+        if is_digest(suspect) and suspect not in self.suspects:
+            # Most requests never come again.
+            return
         self.answered[suspect] = at
         self.answered.move_to_end(suspect)
         if len(self.answered) > MAX_ANSWERED:
@@ -194,13 +215,13 @@
 
         Suspects whose latest answer is the oldest come first, and of these the deepest
         ones, which the fewest requests share. A suspect that is held back explains the
-        evidence against the others.
+        evidence against parts.
         """
         if not self.suspects:
             return
         self._drop_old(now)
         by_suspicion = sorted(
-            self.suspects,
+            (s for s, e in self.suspects.items() if len(e.losses) >= ENDS_TO_HOLD),
             key=lambda suspect: (
                 self._answered_at(suspect),
                 -self.suspects[suspect].depth,
@@ -211,28 +232,43 @@
                 continue
             self.held.add(suspect)
             self._notify(suspect, True)
-            for other in list(self.held - {suspect}):
+            for other in self._held_parts() - {suspect}:
                 if not self._is_suspect(other, now):
                     self._release(other)
 
+    def _held_parts(self) -> set[SuspectId]:
+        return {suspect for suspect in self.held if not is_digest(suspect)}
+
+    def _is_one_request(self, processes: Iterable[ProcessId]) -> bool:
+        """Return whether one held request was lost at all of these processes."""
+        lost_at = [self.lost_at.get(process, set()) for process in processes]
+        return bool(lost_at and self.held.intersection(*lost_at))
+
     def _is_suspect(self, suspect: SuspectId, now: float) -> bool:
-        """Return whether the ends that no other held suspect explains suffice."""
-        explained: set[ProcessId] = set()
-        for other in self.held - {suspect}:
-            explained.update(self.suspects[other].losses)
-        counted = [
-            loss
+        """Return whether the ends that nothing else explains suffice."""
+        counted = {
+            process: loss
             for process, loss in self.suspects[suspect].losses.items()
-            if process in self.ended
-            and process not in explained
-            and now - loss.at >= SETTLE_S
-        ]
+            if process in self.ended and now - loss.at >= SETTLE_S
+        }
+        if is_digest(suspect):
+            # A sound request that was lost each time as well is cleared by its trial.
+            return len(counted) >= ENDS_TO_HOLD
+        # One request that was lost each time explains all ends. Otherwise the part is
+        # what the requests have in common.
+        if self._is_one_request(counted):
+            return False
+        for other in self._held_parts() - {suspect}:
+            ends = self.suspects[other].losses
+            counted = {p: loss for p, loss in counted.items() if p not in ends}
         is_new = suspect not in self.answered
         least = ENDS_TO_HOLD if is_new else ENDS_TO_HOLD_ANSWERED
-        return len(counted) >= least and _count_rounds(counted) >= MIN_ROUNDS
+        rounds = _count_rounds(counted.values())
+        return len(counted) >= least and rounds >= MIN_ROUNDS
 
     def _release(self, suspect: SuspectId) -> None:
         self.held.discard(suspect)
+        self.suspects[suspect].trials = 0
         self.suspects[suspect].trial_until = -math.inf
         self._notify(suspect, False)
 
@@ -242,7 +278,7 @@
 
     def _drop_old(self, now: float) -> None:
         for suspect, evidence in list(self.suspects.items()):
-            kept_s = HELD_EVIDENCE_S if suspect in self.held else EVIDENCE_S
+            kept_s = _kept_s(suspect) if suspect in self.held else EVIDENCE_S
             if any(now - loss.at <= kept_s for loss in evidence.losses.values()):
                 continue
             if suspect in self.held:
@@ -250,7 +286,13 @@
             evidence.losses.clear()
             if now - self._answered_at(suspect) > SPREAD_S:
                 del self.suspects[suspect]
-        self.ended &= {p for e in self.suspects.values() for p in e.losses}
+        self.lost_at = {}
+        for suspect, evidence in self.suspects.items():
+            for process in evidence.losses:
+                requests = self.lost_at.setdefault(process, set())
+                if is_digest(suspect):
+                    requests.add(suspect)
+        self.ended &= self.lost_at.keys()
 
     # Decisions
 
@@ -262,19 +304,29 @@
         None means that the request may be sent, or that a trial is due.
         """
         waits = [
-            (self.trial_at(suspect) - now, suspect)
+            (self.trial_at(suspect, now) - now, suspect)
             for suspect in suspects
             if suspect in self.held
         ]
         wait_s, suspect = max(waits, default=(0.0, SuspectId("")))
         return (suspect, wait_s) if wait_s > 0 else None
 
-    def trial_at(self, suspect: SuspectId) -> float:
+    def trial_at(self, suspect: SuspectId, now: float) -> float:
         """Return when a request with a held suspect may be sent as a trial."""
-        losses = self.suspects[suspect].losses.values()
+        evidence = self.suspects[suspect]
+        if now < evidence.trial_until:
+            # The coordinator refuses all requests but the trial.
+            return now
+        losses = evidence.losses.values()
+        latest = max(loss.at for loss in losses)
+        if is_digest(suspect):
+            if evidence.trials >= len(REQUEST_TRIAL_DELAYS_S):
+                return latest + HELD_REQUEST_S
+            latest = max(latest, evidence.trial_until - TRIAL_S)
+            return latest + REQUEST_TRIAL_DELAYS_S[evidence.trials]
         further = max(0, _count_rounds(losses) - MIN_ROUNDS)
         delay_s = TRIAL_DELAYS_S[min(further, len(TRIAL_DELAYS_S) - 1)]
-        return max(loss.at for loss in losses) + delay_s
+        return latest + delay_s
 
     def start_trial(self, suspects: Iterable[SuspectId], now: float) -> bool:
         """Return whether a request may be sent, which makes it the trial if one is due.
@@ -288,6 +340,14 @@
             evidence.trial_until = now + TRIAL_S
         return True
 
+    def record_sent(self, suspects: Iterable[SuspectId], now: float) -> None:
+        """Count a trial if a request that is about to be sent has a held suspect."""
+        for suspect in suspects:
+            if suspect in self.held:
+                self.suspects[suspect].trials += 1
+                self.suspects[suspect].trial_until = now + TRIAL_S
+                self.changes += 1
+
     # Exchange with other instances
 
     def rows(self, now: float) -> tuple[LossRow, ...]:
@@ -295,7 +355,7 @@
 
         A row without a process says that the suspect has been cleared.
         """
-        rows: list[LossRow] = []
+        rows: dict[bool, list[LossRow]] = {False: [], True: []}
         ranked = sorted(self.suspects.items(), key=lambda item: -len(item[1].losses))
         for suspect, evidence in ranked:
             ended = [p for p in evidence.losses if p in self.ended]
@@ -305,13 +365,15 @@
             for process in ended:
                 loss = evidence.losses[process]
                 sent_ms, lost_ms = _age_ms(loss.sent, now), _age_ms(loss.at, now)
-                rows.append(LossRow(suspect, evidence.depth, process, sent_ms, lost_ms))
+                row = (suspect, evidence.depth, process, sent_ms, lost_ms)
+                rows[is_digest(suspect)].append(LossRow(*row, evidence.trials))
             is_cleared = not ended and now - self._answered_at(suspect) <= SPREAD_S
             if evidence.is_shared and is_cleared:
                 age_ms = _age_ms(self._answered_at(suspect), now)
                 none = ProcessId("")
-                rows.append(LossRow(suspect, evidence.depth, none, age_ms, age_ms))
-        return tuple(rows[:MAX_ROWS])
+                row = (suspect, evidence.depth, none, age_ms, age_ms)
+                rows[is_digest(suspect)].append(LossRow(*row))
+        return (*rows[False][:MAX_ROWS], *rows[True][:MAX_ROWS])
 
     def merge(self, rows: Iterable[LossRow], now: float) -> None:
         """Add the evidence of another instance."""
@@ -322,8 +384,13 @@
                 continue
             loss = Loss(now - row.sent_age_ms / 1000, at)
             self._add_loss(row.suspect, row.depth, row.process, loss)
-            if row.suspect in self.suspects:
-                self.suspects[row.suspect].is_shared = True
+            evidence = self.suspects.get(row.suspect)
+            if evidence is not None:
+                evidence.is_shared = True
+            if evidence is not None and row.trials > evidence.trials:
+                evidence.trials = row.trials
+                evidence.trial_until = max(evidence.trial_until, now + TRIAL_S)
+                self.changes += 1
             self.record_end(row.process)
 
 
@@ -337,6 +404,11 @@
     return rounds
 
 
+def _kept_s(suspect: SuspectId) -> float:
+    """Return for how long evidence against a held suspect is kept."""
+    return HELD_REQUEST_S if is_digest(suspect) else HELD_EVIDENCE_S
+
+
 def _age_ms(time: float, now: float) -> int:
     return max(0, int(1000 * (now - time)))
 
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -282,8 +282,8 @@
                 return await self._final_answer(request, result)
 
     def _held_back(self, request: RoutedRequest) -> Refused | None:
-        """Return a refusal if a part of the request's prompt is held back."""
-        held = self.quarantine.held_suspect(request.parts, trio.current_time())
+        """Return a refusal if the request or a part of its prompt is held back."""
+        held = self.quarantine.held_suspect(request.suspects(), trio.current_time())
         if held is None:
             return None
         return Refused(Reason.HELD_BACK, HELD_BACK_DETAIL, held[1])
@@ -381,7 +381,7 @@
             else min(abandon_at, request.expires),
             is_retry=is_retry,
             quota_tokens=request.quota_tokens,
-            suspects=request.parts,
+            suspects=request.suspects(),
         )
 
     def new_key(self, request_id: str) -> RequestKey:
@@ -452,6 +452,7 @@
             if self._held_back(request) is not None:
                 request.unsent += 1
                 return NotRun(HELD_BACK_DETAIL)
+            self.quarantine.record_sent(request.suspects(), sent)
             request.sent_to.append(endpoint.id)
             request.may_have_run_before = request.may_have_run
             request.may_have_run = True
@@ -470,13 +471,15 @@
                 lambda: self._note_first_byte(request, key),
                 lambda: self._reserve_alternative(request),
             )
-            if isinstance(result, Done) and 200 <= result.status < 300:
+            if isinstance(result, Done) and result.status < 500:
                 is_delimited = head.is_delimited()
-                self.lost_answers.record_complete(endpoint, request.parts, is_delimited)
+                self.lost_answers.record_complete(
+                    endpoint, request.suspects(), is_delimited
+                )
             return result
         except ChannelBrokenError as error:
             if not isinstance(error, ChannelTimeoutError):
-                self.lost_answers.record_lost(endpoint, request.parts, sent)
+                self.lost_answers.record_lost(endpoint, request.suspects(), sent)
             request.result = ReleaseResult.TRUNCATED
             return Lost(str(error))
         finally:
--- a/src/savorydyke/_routed_request.py
+++ b/src/savorydyke/_routed_request.py
@@ -6,6 +6,7 @@
 from savorydyke._grant_client import Granted, Refused
 from savorydyke._http1 import AnswerHead
 from savorydyke._ids import (
+    DIGEST_PREFIX,
     EndpointId,
     PoolId,
     ReleaseResult,
@@ -20,8 +21,6 @@
 from savorydyke.platform import RequestInfo
 
 DIGEST_BYTES = 8
-DIGEST_PREFIX = "request:"
-"""Names of prompt parts contain no colon."""
 MAX_PROMPT_PARTS = 16
 """Leading parts of a prompt that are told apart."""
 
@@ -124,6 +123,10 @@
     failure: Failed | None = None
     reserved: ReservedGrant | None = None
 
+    def suspects(self) -> tuple[SuspectId, ...]:
+        """Return what in the request may crash endpoints."""
+        return (*self.parts, self.digest)
+
 
 def shared_parts(prefix: tuple[tuple[str, int], ...]) -> tuple[SuspectId, ...]:
     """Return the parts of a prompt that other requests may share.
--- a/src/savorydyke/_shared_evidence.py
+++ b/src/savorydyke/_shared_evidence.py
@@ -141,8 +141,9 @@
             ProcessId(str(process)),
             int(sent_ms) + age_ms,
             int(lost_ms) + age_ms,
+            int(trials),
         )
-        for suspect, depth, process, sent_ms, lost_ms in value["losses"]
+        for suspect, depth, process, sent_ms, lost_ms, trials in value["losses"]
     )
     limits = tuple(
         LimitRow(EndpointId(str(endpoint)), int(per_1000_s), int(named_ms) + age_ms)
