Log the software versions of endpoints and which attempt a stream resumes

The logs of the ORDER incident name the endpoints of an answer without versions and do not tell a caller's next try from a new stream, so that its hypotheses 1 and 2 can not be told apart. The version is read from the endpoint's record.

--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -516,4 +516,5 @@
         decode_tokens_per_s=ENGINE_DECODE_TOKENS_PER_S if is_engine else 1e9,
         first_s=ENGINE_FIRST_S if is_engine else 0.0,
         started_ms=record.started_ms,
+        version=record.version,
     )
--- a/src/savorydyke/_ids.py
+++ b/src/savorydyke/_ids.py
@@ -19,6 +19,8 @@
 with its repetitions."""
 DIGEST_PREFIX = "request:"
 """Start of the digests of requests. Names of prompt parts contain no colon."""
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of the software of an endpoint, empty if unknown."""
 Revision = NewType("Revision", int)
 
 
--- a/src/savorydyke/_manifest.py
+++ b/src/savorydyke/_manifest.py
@@ -105,6 +105,8 @@
         Time to the first token of an empty prompt, assumed until it is learned.
     started_ms : int
         Start of its process in Unix milliseconds, 0 if unknown.
+    version : SoftwareVersion
+        Version of its software. Streams go on only at the one that began them.
     """
 
     id: EndpointId
@@ -121,6 +123,7 @@
     decode_tokens_per_s: float
     first_s: float = 0.0
     started_ms: int = 0
+    version: SoftwareVersion = SoftwareVersion("")
 
 
 @dataclass(frozen=True)
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -454,6 +454,7 @@
                 return NotRun(HELD_BACK_DETAIL)
             self.quarantine.record_sent(request.suspects(), sent)
             request.sent_to.append(endpoint.id)
+            request.versions.append(endpoint.version)
             request.may_have_run_before = request.may_have_run
             request.may_have_run = True
             request.result = ReleaseResult.CANCELLED
@@ -622,6 +623,9 @@
                 "version": request.config_version,
                 "age_ms": int(request.config_age_s * 1000),
                 "endpoints": request.sent_to,
+                "versions": request.versions,
+                "resumes": request.request_info.resumes,
+                "last_event": request.request_info.last_event_id,
                 "tokens": [
                     request.request_info.prompt_tokens,
                     request.request_info.max_output_tokens,
--- a/src/savorydyke/_routed_request.py
+++ b/src/savorydyke/_routed_request.py
@@ -11,6 +11,7 @@
     PoolId,
     ReleaseResult,
     RequestKey,
+    SoftwareVersion,
     SuspectId,
     TeamId,
     TierId,
@@ -80,6 +81,8 @@
         Whether it may have run in any attempt, and in one before the latest.
     last_event_id : str
         Id of the last event that the caller has received.
+    versions : list of SoftwareVersion
+        The versions of these endpoints.
     unsent : int
         Number of attempts that sent nothing.
     pause_s : float
@@ -107,6 +110,7 @@
     parts: tuple[SuspectId, ...] = ()
     avoid: list[EndpointId] = field(default_factory=list)
     sent_to: list[EndpointId] = field(default_factory=list)
+    versions: list[SoftwareVersion] = field(default_factory=list)
     unsent: int = 0
     pause_s: float = 0.0
     may_have_run: bool = False
--- a/src/savorydyke/platform/_headers.py
+++ b/src/savorydyke/platform/_headers.py
@@ -11,6 +11,7 @@
 PREFIX = b"x-savorydyke-prompt-prefix"
 LENGTH_HINT = b"x-savorydyke-length-hint"
 LAST_EVENT = b"last-event-id"
+RESUMES = b"resumes"
 AUTHORIZATION = b"authorization"
 STAMP = b"x-savorydyke-response-stamp"
 NOT_EXECUTED = b"x-savorydyke-not-executed"
@@ -46,6 +47,7 @@
     TOKENS,
     PREFIX,
     LAST_EVENT,
+    RESUMES,
     AUTHORIZATION,
     MODEL,
 )
@@ -78,6 +80,9 @@
         Parts of the prompt in order, with their numbers of tokens.
     last_event_id : str
         The last event that the caller has received, empty for none.
+    resumes : str
+        Id of the caller's attempt that brought the first event of the stream that
+        this one takes up, empty for none.
     has_tokens : bool
         Whether the header with the numbers of tokens is present.
     """
@@ -91,6 +96,7 @@
     expected_output_tokens: int
     prefix: tuple[tuple[str, int], ...]
     last_event_id: str
+    resumes: str
     model: str
     has_tokens: bool
 
@@ -123,6 +129,7 @@
         expected_output_tokens=_count(found.get(LENGTH_HINT)),
         prefix=_prefix(found.get(PREFIX, "")),
         last_event_id=found.get(LAST_EVENT, ""),
+        resumes=found.get(RESUMES, ""),
         model=found.get(MODEL, ""),
         has_tokens=TOKENS in found,
     )
--- a/src/savorydyke/platform/_records.py
+++ b/src/savorydyke/platform/_records.py
@@ -4,7 +4,14 @@
 from dataclasses import dataclass
 from typing import Any
 
-from savorydyke._ids import DataCentreId, EndpointId, InstanceId, PoolId, TeamId
+from savorydyke._ids import (
+    DataCentreId,
+    EndpointId,
+    InstanceId,
+    PoolId,
+    SoftwareVersion,
+    TeamId,
+)
 from savorydyke._ingress import IngressLimits
 from savorydyke._manifest import PoolKind
 from savorydyke._routes import (
@@ -47,6 +54,8 @@
         under the same name.
     heartbeat : int
         Number of the heartbeat with which it was written, 0 if not given.
+    version : SoftwareVersion
+        Version of its software, not of the model's weights.
     warm_up_s : float
         For how much longer it is slow because it has only just started.
     """
@@ -60,6 +69,7 @@
     warm_up_s: float
     started_ms: int
     heartbeat: int = 0
+    version: SoftwareVersion = SoftwareVersion("")
 
 
 @dataclass(frozen=True)
@@ -170,6 +180,7 @@
         warm_up_s=_number(value, "cold_left_ms", 0.0) / 1000,
         started_ms=_integer(value, "born", 0),
         heartbeat=_integer(value, "seq", 0),
+        version=SoftwareVersion(str(value.get("version") or "")),
     )
 
 
