--- a/src/savorydyke/_ids.py
+++ b/src/savorydyke/_ids.py
@@ -20,7 +20,8 @@
 DIGEST_PREFIX = "request:"
 """Start of the digests of requests. Names of prompt parts contain no colon."""
 SoftwareVersion = NewType("SoftwareVersion", str)
-"""Version of the software of an endpoint, empty if unknown."""
+"""Version of the software of an endpoint."""
+UNKNOWN_VERSION = SoftwareVersion("")
 Revision = NewType("Revision", int)
 
 
--- a/src/savorydyke/_manifest.py
+++ b/src/savorydyke/_manifest.py
@@ -11,7 +11,15 @@
 from savorydyke import _keys
 from savorydyke._exceptions import FindingsError
 from savorydyke._findings import Fields, Findings, check_unique, read_document
-from savorydyke._ids import DataCentreId, EndpointId, PoolId, TeamId, TierId
+from savorydyke._ids import (
+    UNKNOWN_VERSION,
+    DataCentreId,
+    EndpointId,
+    PoolId,
+    SoftwareVersion,
+    TeamId,
+    TierId,
+)
 
 MAX_BYTES = 1_000_000
 """Largest manifest, in bytes; the platform's store holds values of up to 1 MB."""
@@ -123,7 +131,7 @@
     decode_tokens_per_s: float
     first_s: float = 0.0
     started_ms: int = 0
-    version: SoftwareVersion = SoftwareVersion("")
+    version: SoftwareVersion = UNKNOWN_VERSION
 
 
 @dataclass(frozen=True)
--- a/src/savorydyke/platform/_records.py
+++ b/src/savorydyke/platform/_records.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from savorydyke._ids import (
+    UNKNOWN_VERSION,
     DataCentreId,
     EndpointId,
     InstanceId,
@@ -69,7 +70,7 @@
     warm_up_s: float
     started_ms: int
     heartbeat: int = 0
-    version: SoftwareVersion = SoftwareVersion("")
+    version: SoftwareVersion = UNKNOWN_VERSION
 
 
 @dataclass(frozen=True)
