--- a/features/routed.feature
+++ b/features/routed.feature
@@ -195,3 +195,14 @@
       | a request that crashes endpoints is held back when its coordinator is killed       |
       | a request that crashes endpoints is held back by instances without links           |
       | a request that crashes endpoints is held back after a restart of all instances     |
+
+  Scenario Outline: Endpoints of several software versions
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                     |
+      | a stream goes on at its software version when its endpoint crashes       |
+      | a stream that a caller takes up at another instance keeps its version    |
+      | a stream keeps its version when the coordinator of its pool is killed    |
+      | a stream whose version is not known after a restart of all does not go on |
+      | streams of two versions are not mixed by instances without links         |
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -1,6 +1,7 @@
 """Test cases for routed requests, each against a fresh deployment."""
 
 import json
+import re
 import signal
 import subprocess
 import sys
@@ -1969,6 +1970,192 @@
     traffic.check()
 
 
+# Endpoints of several software versions
+
+LONG_EVENTS = 30
+EVENT_PAUSE_S = 0.05
+
+
+def versioned(version):
+    """Return a script that streams events with their version, from where asked."""
+
+    async def script(exchange):
+        last = int(exchange.request.headers.get(b"last-event-id", b"0"))
+        kind = (b"Content-Type", b"text/event-stream")
+        head = exchange.response_head(200, kind, (b"Transfer-Encoding", b"chunked"))
+        await exchange.send(head)
+        for number in range(last + 1, LONG_EVENTS + 1):
+            text = b"id: %d\ndata: %s\n\n" % (number, version.encode())
+            await exchange.send(chunk(text))
+            await trio.sleep(EVENT_PAUSE_S)
+        await exchange.send(b"0\r\n\r\n")
+
+    return script
+
+
+async def start_version(site, version, number):
+    """Start engines of a software version."""
+    for index in range(number):
+        name = f"{version}-{index}"
+        await site.endpoint(name, "engines", versioned(version))
+        site.write_record(name, "engines", version=version)
+
+
+class StreamTraffic:
+    """Callers of streams that take up what breaks off, as often as it takes.
+
+    Attributes
+    ----------
+    streams : list of tuple
+        The versions of the events, whether the stream is complete, and whether it
+        was taken up, of each stream.
+    """
+
+    def __init__(self, site):
+        self.site = site
+        self.streams = []
+        self.begun = 0
+
+    async def call(self, tries=4, deadline_ms=9000):
+        """Send a request, and take its stream up until it is complete."""
+        self.begun += 1
+        events, root, is_taken_up = [], b"", False
+        for attempt in range(tries):
+            more = []
+            if events:
+                is_taken_up = True
+                last = b"%d" % events[-1][0]
+                more = [(b"Last-Event-Id", last), (b"Resumes", root)]
+            headers = self.site.headers(*more, deadline_ms=deadline_ms)
+            body, complete = await self._ask(self.begun + attempt, headers)
+            found = EVENT_OF_VERSION.findall(body)
+            if found and not events:
+                root = dict(headers)[b"X-Savorydyke-Request-Id"]
+            events += [(int(number), version) for number, version in found]
+            if complete and events and events[-1][0] == LONG_EVENTS:
+                break
+            await trio.sleep(0.1)
+        versions = {version for _, version in events}
+        numbers = [number for number, _ in events]
+        is_whole = numbers == list(range(1, LONG_EVENTS + 1))
+        self.streams.append((versions, is_whole, is_taken_up))
+
+    async def _ask(self, number, headers):
+        """Return the body as far as it was received, and whether it was complete."""
+        daemon = self.site.daemons[number % len(self.site.daemons)]
+        try:
+            caller = await self.site.connect(daemon.callers)
+            answer = await caller.request("POST", "/digest/1", headers, BODY)
+            await caller.stream.aclose()
+        except (OSError, trio.BrokenResourceError):
+            return b"", False
+        return answer.body, answer.complete and answer.status == 200
+
+    async def run(self, number, pause_s=0.1):
+        """Begin streams one after the other, and wait until all have ended."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(number):
+                nursery.start_soon(self.call)
+                await trio.sleep(pause_s)
+
+    def check(self, least_taken_up):
+        """Check that no stream is mixed, and that streams that broke off went on."""
+        mixed = [versions for versions, *_ in self.streams if len(versions) > 1]
+        assert not mixed, (len(mixed), len(self.streams))
+        taken_up = [whole for _, whole, is_taken_up in self.streams if is_taken_up]
+        assert len(taken_up) >= least_taken_up, taken_up
+        assert sum(taken_up) > len(taken_up) / 2, (sum(taken_up), len(taken_up))
+
+
+EVENT_OF_VERSION = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
+
+
+async def start_versions(site, instances=3):
+    """Start two engines of each of two versions, and instances."""
+    for version in ("v1", "v2"):
+        await start_version(site, version, 2)
+    for number in range(instances):
+        await site.daemon(f"instance-{number}")
+    await trio.sleep(1.0)
+    return StreamTraffic(site)
+
+
+@case("a stream goes on at its software version when its endpoint crashes")
+async def _(site):
+    traffic = await start_versions(site)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(traffic.run, 16)
+        await trio.sleep(1.2)
+        site.endpoints["v1-0"].crash()
+        await trio.sleep(0.4)
+        site.endpoints["v2-0"].crash()
+    mixed = [versions for versions, *_ in traffic.streams if len(versions) > 1]
+    assert not mixed, (len(mixed), len(traffic.streams))
+    assert sum(whole for _, whole, _ in traffic.streams) == 16, traffic.streams
+
+
+async def stop_one(site, daemon):
+    """Kill an instance for good."""
+    daemon.process.kill()
+    daemon.process.wait()
+    site.daemons.remove(daemon)
+
+
+@case("a stream that a caller takes up at another instance keeps its version")
+async def _(site):
+    traffic = await start_versions(site)
+    coordinator = await find_stream_coordinator(site, traffic)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(traffic.run, 18)
+        await trio.sleep(1.2)
+        await stop_one(site, next(d for d in site.daemons if d is not coordinator))
+    traffic.check(least_taken_up=3)
+
+
+@case("a stream keeps its version when the coordinator of its pool is killed")
+async def _(site):
+    traffic = await start_versions(site)
+    coordinator = await find_stream_coordinator(site, traffic)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(traffic.run, 18)
+        await trio.sleep(1.2)
+        await stop_one(site, coordinator)
+    traffic.check(least_taken_up=3)
+
+
+async def find_stream_coordinator(site, traffic):
+    """Return the instance that grants streams."""
+    await traffic.call()
+    return await find_coordinator(site)
+
+
+@case("a stream whose version is not known after a restart of all does not go on")
+async def _(site):
+    traffic = await start_versions(site)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(traffic.run, 16)
+        await trio.sleep(1.2)
+        for daemon in list(site.daemons):
+            daemon.process.kill()
+        for daemon in list(site.daemons):
+            await replace_daemon(site, daemon)
+    mixed = [versions for versions, *_ in traffic.streams if len(versions) > 1]
+    assert not mixed, (len(mixed), len(traffic.streams))
+
+
+@case("streams of two versions are not mixed by instances without links")
+async def _(site):
+    cut_links(site)
+    traffic = await start_versions(site)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(traffic.run, 16)
+        await trio.sleep(1.2)
+        site.endpoints["v1-0"].crash()
+        await stop_one(site, site.daemons[0])
+    mixed = [versions for versions, *_ in traffic.streams if len(versions) > 1]
+    assert not mixed, (len(mixed), len(traffic.streams))
+
+
 # Answers without length, and bytes without end
 
 EVENT_STREAM = (b"Content-Type", b"text/event-stream")
