Let streams go on only at the software version that began them

Cause: the next endpoint of a broken stream was chosen like a first one. The version of an endpoint was not read, the attempt that a caller names in Resumes was not read, and nobody kept which version a stream began at.

Now the version is part of the request for a grant once an event has been passed on. The coordinator keeps the version of each stream of its pool, from the report of the first byte, and tells the instance that would follow it; frontends keep those of their own streams.

Eight decision cases in memory are new.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -91,3 +91,17 @@
       | request keys differ after a restart                                        |
       | a request is explained from its log lines                                  |
       | the page of log messages names all messages in the code                    |
+
+  Scenario Outline: Software versions of streams
+    Then the decision case "<case>" holds
+
+    Examples:
+      | case |
+      | a stream that nobody knows goes on if its pool has had one version only |
+      | a stream that nobody knows does not go on soon after a start |
+      | a version whose endpoints have left counts as long as a stream may be taken up |
+      | versions that came and went while the store was away are not ruled out |
+      | what an instance keeps about streams is bounded in number and in time |
+      | a request for one version is granted endpoints of that version only |
+      | a frontend without its coordinator lets no stream go on at another version |
+      | telling 195 instances' streams costs their coordinators a bounded part |
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -11,6 +11,7 @@
 import tempfile
 import time
 from collections import Counter
+from dataclasses import replace
 from itertools import pairwise
 from pathlib import Path
 
@@ -18,13 +19,14 @@
 from trio.testing import MockClock
 
 from savorydyke import _logs
-from savorydyke._configuration_age import ConfigurationAge
+from savorydyke._configuration_age import ConfigurationAge, boot_time
 from savorydyke._directory import Directory, build_manifest
 from savorydyke._fallback_placement import place_fallback
-from savorydyke._gateway import new_gateway
+from savorydyke._gateway import STREAM_TELL_S, new_gateway
 from savorydyke._gateway_settings import check_gateway_settings
 from savorydyke._grant_client import Demand
 from savorydyke._ids import (
+    UNKNOWN_VERSION,
     EndpointId,
     InstanceId,
     PoolId,
@@ -49,6 +51,7 @@
     Release,
     RunningRow,
     Started,
+    StreamPush,
     encode,
 )
 from savorydyke._overload import SLOW_DELAY_S, SLOW_HOLD_S, Overload
@@ -86,6 +89,13 @@
     encode_evidence,
 )
 from savorydyke._store_restores import new_store_restores
+from savorydyke._stream_versions import (
+    KEPT_S,
+    MAX_GAP_S,
+    MAX_STREAMS,
+    MAX_VIEW_AGE_S,
+    StreamVersions,
+)
 from savorydyke._tier_shares import TierShares
 from savorydyke._timers import TimerService
 from savorydyke._timing import (
@@ -1917,3 +1927,120 @@
     for state in states.values():
         state.record_answer("e1", 1.5, 1.0, 2.0)
     assert changes == [state.changes for state in states.values()]
+
+
+# Software versions of streams
+
+
+def manifest_of(**versions):
+    """Return a manifest with an endpoint of each name, and its version."""
+    records = {n: replace(record(n), version=v) for n, v in versions.items()}
+    return build_manifest(configuration(), records)
+
+
+def versions_known_since(manifest, start, now):
+    """Return what an instance knows that has listed these endpoints since `start`."""
+    versions = StreamVersions()
+    asked = start
+    while asked <= now:
+        versions.observe_view(asked)
+        if asked == start:
+            versions.observe_endpoints(manifest, asked)
+        asked += 1.0
+    return versions
+
+
+@case("a stream that nobody knows goes on if its pool has had one version only")
+def _():
+    manifest = manifest_of(a="v1", b="v1")
+    now = KEPT_S + 1.0
+    versions = versions_known_since(manifest, 0.0, now)
+    assert versions.version_of("crew/r1", POOL, now) == "v1"
+    # The list of endpoints is too old, as at an instance that is cut off.
+    late = now + MAX_VIEW_AGE_S + 0.1
+    assert versions.version_of("crew/r1", POOL, late) == UNKNOWN_VERSION
+
+
+@case("a stream that nobody knows does not go on soon after a start")
+def _():
+    versions = versions_known_since(manifest_of(a="v1"), 0.0, KEPT_S - 1.0)
+    assert versions.version_of("crew/r1", POOL, KEPT_S - 1.0) == UNKNOWN_VERSION
+
+
+@case("a version whose endpoints have left counts as long as a stream may be taken up")
+def _():
+    now = KEPT_S + 1.0
+    versions = versions_known_since(manifest_of(a="v1", b="v2"), 0.0, now)
+    versions.observe_endpoints(manifest_of(b="v2"), now)
+    assert versions.version_of("crew/r1", POOL, now) == UNKNOWN_VERSION
+    asked = now
+    while asked < now + KEPT_S + 1.0:
+        asked += 1.0
+        versions.observe_view(asked)
+    assert versions.version_of("crew/r1", POOL, asked) == "v2"
+
+
+@case("versions that came and went while the store was away are not ruled out")
+def _():
+    now = KEPT_S + 1.0
+    versions = versions_known_since(manifest_of(a="v1"), 0.0, now)
+    versions.observe_view(now + MAX_GAP_S + 1.0)
+    after = now + MAX_GAP_S + 1.1
+    assert versions.version_of("crew/r1", POOL, after) == UNKNOWN_VERSION
+
+
+@case("what an instance keeps about streams is bounded in number and in time")
+def _():
+    versions = StreamVersions()
+    for number in range(MAX_STREAMS + 100):
+        versions.record(f"crew/r{number}", "v1", 1.0)
+    assert len(versions.streams) == MAX_STREAMS
+    versions.drop_old(1.0 + KEPT_S + 0.1)
+    assert not versions.streams
+
+
+@case("a request for one version is granted endpoints of that version only")
+def _():
+    scheduler = scheduler_of("a", "b")
+    scheduler.reconfigure(manifest_of(a="v1", b="v2"), 0.0)
+    for number in range(3):
+        message = acquire(str(number), version="v2", prompt_tokens=1)
+        assert granted(scheduler.acquire(message, FRONTEND, 1.0)) == ["b"]
+    (refusal,) = refused(scheduler.acquire(acquire("9", version="v3"), FRONTEND, 1.0))
+    assert refusal.reason is Reason.NO_ENDPOINT and not refusal.may_have_run
+
+
+@case("a frontend without its coordinator lets no stream go on at another version")
+def _():
+    async def play():
+        gateway = unconnected_gateway()
+        gateway.fallback_quotas.limits = {}
+        gateway.directory.manifest = manifest_of(a="v1", b="v2")
+        demand = Demand(
+            key="k",
+            pool=POOL,
+            team=CREW,
+            model="",
+            prompt_tokens=1,
+            output_tokens=1,
+            prefix=(),
+            deadline=9.0,
+            has_caller_id=False,
+            stream="crew/r1",
+            has_begun=True,
+        )
+        assert gateway.place_fallback(demand, ()) is None
+        gateway.pool_host.versions.record("crew/r1", "v2", boot_time())
+        assert gateway.place_fallback(demand, ()) == "b"
+
+    trio.run(play)
+
+
+@case("telling 195 instances' streams costs their coordinators a bounded part")
+def _():
+    # 10,000 streams a second in 36 pools, each told to one other instance.
+    per_tell = round(10_000 / 36 * STREAM_TELL_S)
+    streams = tuple(f"customer-{n:03}/{n:016x}" for n in range(per_tell))
+    frame_bytes = len(encode([StreamPush("v1.12", streams)]))
+    # The whole control traffic of an instance is to be at most 28 kB/s.
+    assert frame_bytes / STREAM_TELL_S < 28_000 / 2, frame_bytes / STREAM_TELL_S
--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -125,6 +125,9 @@
         Called with each new manifest.
     restart_listeners : list of callable
         Called with an endpoint whose record is from a new process.
+    view_listeners : list of callable
+        Called with the time at which the store was asked, on a clock that counts
+        suspension, when all changes up to then have been applied.
     evidence_listeners : list of callable
         Called with an instance and the evidence that it has written.
     """
@@ -149,6 +152,7 @@
     reconnected_at: float = float("-inf")
     listeners: list[Callable[[Manifest], None]] = field(default_factory=list)
     restart_listeners: list[Callable[[EndpointId], None]] = field(default_factory=list)
+    view_listeners: list[Callable[[float], None]] = field(default_factory=list)
     evidence_listeners: list[Callable[[InstanceId, bytes], None]] = field(
         default_factory=list
     )
@@ -209,6 +213,7 @@
         self._confirm(sent)
         self.loaded = True
         self._publish()
+        self._notify_viewed(sent)
         log.info(
             "Store read.",
             extra={"version": self.version, "endpoints": len(self.endpoints)},
@@ -269,8 +274,13 @@
         self._confirm(sent)
         if self.is_manifest_outdated:
             self._publish()
+        self._notify_viewed(sent)
         return max(revision, changes.revision)
 
+    def _notify_viewed(self, sent: float) -> None:
+        for listener in self.view_listeners:
+            listener(sent)
+
     def _record_response(self) -> None:
         """Record that the store has responded, possibly after an outage."""
         if not self.connected:
--- a/src/savorydyke/_estimates.py
+++ b/src/savorydyke/_estimates.py
@@ -43,7 +43,11 @@
 
     def open_endpoints(self, item: Waiting) -> list[EndpointLoad]:
         """Return the open endpoints that a request may use, now or later."""
-        return [load for load in self._reachable(item) if not load.is_closed()]
+        return [
+            load
+            for load in self._reachable(item)
+            if not load.is_closed() and item.version in {"", load.spec.version}
+        ]
 
     def _reachable(self, item: Waiting) -> list[EndpointLoad]:
         """Return the endpoints that a request's team may use, in order of name.
--- a/src/savorydyke/_fair_queue.py
+++ b/src/savorydyke/_fair_queue.py
@@ -12,9 +12,11 @@
 from itertools import islice
 
 from savorydyke._ids import (
+    UNKNOWN_VERSION,
     EndpointId,
     InstanceId,
     RequestKey,
+    SoftwareVersion,
     SuspectId,
     TeamId,
 )
@@ -67,6 +69,8 @@
         Predicted times at idle endpoints, made when it arrived.
     suspects : tuple of SuspectId
         What in the request may crash endpoints.
+    version : SoftwareVersion
+        The version that the endpoint must have, empty for any one.
     """
 
     key: RequestKey
@@ -89,6 +93,7 @@
     forecast: Forecast = Forecast(0.0, 0.0, 0.0)
     abandon_at: float = math.inf
     suspects: tuple[SuspectId, ...] = ()
+    version: SoftwareVersion = UNKNOWN_VERSION
 
     def is_late(self) -> bool:
         """Return whether the objective is missed or expected to be missed."""
--- a/src/savorydyke/_fallback_placement.py
+++ b/src/savorydyke/_fallback_placement.py
@@ -40,6 +40,7 @@
         if not (spec := manifest.endpoints[name]).drained
         and name not in avoid
         and not is_unusable(name)
+        and demand.version in {"", spec.version}
         and used[name] < max(1, spec.max_concurrency // max(1, instances))
     ]
     if not free:
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 
@@ -37,6 +37,7 @@
     Register,
     Release,
     Started,
+    StreamPush,
     Withdraw,
 )
 from savorydyke._metrics import Metrics
@@ -71,6 +72,8 @@
 MIN_RETRY_S = 0.1
 """Shortest retry delay in refusals: about the time in which a slot of a pool becomes
 free."""
+STREAM_TELL_S = 0.1
+"""Streams that began later than this before their coordinator ended do not go on."""
 READY_AGE_SHARE = 0.8
 """Age of the configuration, as a share of the bound on revoked keys, above which
 the instance reports that it is not ready."""
@@ -157,6 +160,8 @@
                 self.directory.receive_push(message.record)
             case QuotaPush():
                 self.quota_balances.receive(message, trio.current_time())
+            case StreamPush():
+                self.pool_host.versions.receive(message, boot_time())
 
     def _receive_heartbeat(self, sender: InstanceId, heartbeat: Heartbeat) -> None:
         now = trio.current_time()
@@ -202,6 +207,22 @@
                 self.membership.update(now)
                 self.apply_instance_records()
 
+    async def tell_next_coordinators(self) -> None:
+        """Tell the next coordinators which streams began, until cancelled."""
+        async with self.timers.every(STREAM_TELL_S) as ticks:
+            async for _ in ticks:
+                self._tell_streams()
+
+    def _tell_streams(self) -> None:
+        versions = self.pool_host.versions
+        versions.drop_old(boot_time())
+        for pool in list(versions.untold):
+            messages = versions.take_untold(pool)
+            follower = self.membership.next_coordinator(pool)
+            if follower is not None and self.membership.is_coordinator(pool):
+                for message in messages:
+                    self.peers.send(follower, message)
+
     def _has_new_version(self) -> bool:
         """Return whether the version has changed since the latest heartbeat.
 
@@ -368,6 +389,12 @@
         manifest = self.directory.manifest
         if manifest is None or self.quarantine.held.intersection(demand.suspects):
             return None
+        if demand.has_begun and not demand.version:
+            versions = self.pool_host.versions
+            version = versions.version_of(demand.stream, demand.pool, boot_time())
+            if not version:
+                return None
+            demand = replace(demand, version=version)
         now = trio.current_time()
         in_flight = [i.granted.endpoint for i in self.grant_client.in_flight.values()]
         name = place_fallback(
@@ -502,6 +529,10 @@
     )
     directory.restart_listeners.append(pool_host.endpoint_restarted)
     directory.listeners.append(pool_host.reconfigure)
+    directory.listeners.append(
+        lambda manifest: pool_host.versions.observe_endpoints(manifest, boot_time())
+    )
+    directory.view_listeners.append(pool_host.versions.observe_view)
     directory.listeners.append(lambda manifest: _update_quota_limits(gateway))
     directory.listeners.append(lambda manifest: grant_client.follow_coordinators())
     return gateway
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -60,6 +60,7 @@
             LostAnswers(gateway.quarantine, nursery),
             gateway.limits,
             gateway.overload,
+            gateway.pool_host.versions,
             gateway.metrics,
             incarnation=gateway.membership.incarnation,
         )
@@ -105,6 +106,7 @@
         nursery.start_soon(gateway.quota_balances.run)
         nursery.start_soon(gateway.shared_evidence.run, gateway.timers)
         nursery.start_soon(gateway.run_heartbeats)
+        nursery.start_soon(gateway.tell_next_coordinators)
         nursery.start_soon(gateway.peers.maintain_links)
         nursery.start_soon(gateway.pool_host.run, gateway.timers)
         nursery.start_soon(gateway.grant_client.reconcile, gateway.timers)
--- a/src/savorydyke/_grant_client.py
+++ b/src/savorydyke/_grant_client.py
@@ -14,12 +14,15 @@
 
 from savorydyke import _logs
 from savorydyke._ids import (
+    NO_STREAM,
+    UNKNOWN_VERSION,
     EndpointId,
     InstanceId,
     PoolId,
     Reason,
     ReleaseResult,
     RequestKey,
+    SoftwareVersion,
     SuspectId,
     TeamId,
 )
@@ -76,6 +79,13 @@
         Tokens that are charged to its team's quota.
     suspects : tuple of SuspectId
         What in the request may crash endpoints.
+    stream : RequestKey
+        The caller's attempt with which its stream began; empty if it is for none.
+    has_begun : bool
+        Whether the caller has received events of the stream.
+    version : SoftwareVersion
+        The version that the endpoint must have, empty for any one or, if the stream
+        has begun, for the one that the coordinator knows.
     """
 
     key: RequestKey
@@ -95,6 +105,9 @@
     is_retry: bool = False
     quota_tokens: int = 0
     suspects: tuple[SuspectId, ...] = ()
+    stream: RequestKey = NO_STREAM
+    has_begun: bool = False
+    version: SoftwareVersion = UNKNOWN_VERSION
 
 
 @dataclass(frozen=True)
@@ -163,6 +176,7 @@
     demand: Demand
     granted: Granted
     started: bool = False
+    version: SoftwareVersion = UNKNOWN_VERSION
 
 
 @dataclass(frozen=True)
@@ -298,6 +312,8 @@
             is_retry=demand.is_retry,
             quota_tokens=demand.quota_tokens,
             suspects=demand.suspects,
+            stream=demand.stream if demand.has_begun else NO_STREAM,
+            version=demand.version,
         )
 
     def _with_time_left(self, pending: Pending) -> Acquire:
@@ -380,16 +396,27 @@
 
     # Grants in use
 
-    def started(self, key: RequestKey, first_byte_s: float) -> None:
-        """Report to the coordinator that the first byte of an answer has arrived."""
+    def started(
+        self,
+        key: RequestKey,
+        first_byte_s: float,
+        version: SoftwareVersion = UNKNOWN_VERSION,
+    ) -> None:
+        """Report to the coordinator that the first byte of an answer has arrived.
+
+        Parameters
+        ----------
+        version : SoftwareVersion
+            The version of the endpoint that sent it.
+        """
         item = self.in_flight.get(key)
         if item is None or item.started:
             return
-        item.started = True
+        item.started, item.version = True, version
         milliseconds = math.ceil(first_byte_s * 1000)
-        self._send_to_coordinator(
-            item.demand.pool, Started(key, item.demand.pool, milliseconds)
-        )
+        demand = item.demand
+        message = Started(key, demand.pool, milliseconds, demand.stream, version)
+        self._send_to_coordinator(demand.pool, message)
 
     def release(
         self,
@@ -495,6 +522,8 @@
         item.demand.prompt_tokens,
         item.demand.output_tokens,
         item.started,
+        item.demand.stream,
+        item.version,
     )
 
 
--- a/src/savorydyke/_ids.py
+++ b/src/savorydyke/_ids.py
@@ -25,6 +25,9 @@
 Revision = NewType("Revision", int)
 
 
+NO_STREAM = RequestKey("")
+
+
 def is_digest(suspect: SuspectId) -> bool:
     """Return whether a suspect is a whole request and not a part of prompts."""
     return suspect.startswith(DIGEST_PREFIX)
@@ -72,6 +75,7 @@
     CLAIMS_UNAVAILABLE = "claims-unavailable"
     STOPPING = "stopping"
     HELD_BACK = "prompt-held-back"
+    UNKNOWN_STREAM = "stream-version-unknown"
     ENDPOINT_FAILED = "endpoint-failed"
     TIMEOUT = "timeout"
     NOT_FOUND = "not-found"
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -17,6 +17,8 @@
 
 from savorydyke._exceptions import ProtocolError
 from savorydyke._ids import (
+    NO_STREAM,
+    UNKNOWN_VERSION,
     EndpointId,
     InstanceId,
     PoolId,
@@ -25,11 +27,12 @@
     ReleaseResult,
     RequestKey,
     Revision,
+    SoftwareVersion,
     SuspectId,
     TeamId,
 )
 
-PROTOCOL_VERSION = 5
+PROTOCOL_VERSION = 6
 MAX_FRAME_BYTES = 2_000_000
 
 
@@ -236,6 +239,11 @@
         What the request counts against its team's quota.
     suspects : tuple of SuspectId
         What in the request may crash endpoints.
+    stream : RequestKey
+        The stream that the request takes up, empty for a new one.
+    version : SoftwareVersion
+        The version that the endpoint must have, empty for any one or, with `stream`,
+        for the one that the coordinator knows.
     """
 
     key: RequestKey
@@ -257,6 +265,8 @@
     quota_tokens: int = 0
     abandon_after_ms: int = -1
     suspects: tuple[SuspectId, ...] = ()
+    stream: RequestKey = NO_STREAM
+    version: SoftwareVersion = UNKNOWN_VERSION
 
 
 @dataclass(frozen=True)
@@ -312,11 +322,21 @@
 
 @dataclass(frozen=True)
 class Started:
-    """Reports the first byte of the answer, which means that prefill is done."""
+    """Reports the first byte of the answer, which means that prefill is done.
+
+    Attributes
+    ----------
+    stream : RequestKey
+        The caller's attempt with which the stream began; empty if the answer is none.
+    version : SoftwareVersion
+        The version of the endpoint.
+    """
 
     key: RequestKey
     pool: PoolId
     first_byte_ms: int
+    stream: RequestKey = NO_STREAM
+    version: SoftwareVersion = UNKNOWN_VERSION
 
 
 @dataclass(frozen=True)
@@ -351,7 +371,13 @@
 
 @dataclass(frozen=True)
 class RunningRow:
-    """One request in flight, as its frontend reports it to a new coordinator."""
+    """One request in flight, as its frontend reports it to a new coordinator.
+
+    Attributes
+    ----------
+    stream, version : RequestKey and SoftwareVersion
+        As in `Started`, if it has started.
+    """
 
     key: RequestKey
     attempt: int
@@ -360,6 +386,8 @@
     prompt_tokens: int
     output_tokens: int
     started: bool
+    stream: RequestKey = NO_STREAM
+    version: SoftwareVersion = UNKNOWN_VERSION
 
 
 @dataclass(frozen=True)
@@ -378,6 +406,14 @@
     running: tuple[RunningRow, ...]
 
 
+@dataclass(frozen=True)
+class StreamPush:
+    """Tells the next coordinator of a pool at which version streams began."""
+
+    version: SoftwareVersion
+    streams: tuple[RequestKey, ...]
+
+
 Message = (
     Challenge
     | Hello
@@ -394,6 +430,7 @@
     | Register
     | Queued
     | QuotaPush
+    | StreamPush
 )
 _NESTED = (MemberRow, RunningRow, LossRow, LimitRow)
 _TAGS = {kind: tag for tag, kind in enumerate(get_args(Message))}
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -8,12 +8,13 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 
 from savorydyke import _logs
 from savorydyke._capacity import Capacity
+from savorydyke._configuration_age import boot_time
 from savorydyke._endpoint_load import Running
 from savorydyke._endpoint_states import EndpointStates
 from savorydyke._ids import EndpointId, InstanceId, PoolId, Reason
@@ -32,12 +33,14 @@
 )
 from savorydyke._pool_scheduler import Decision, PoolScheduler, new_pool_scheduler
 from savorydyke._request_limits import RequestLimits
+from savorydyke._stream_versions import UNKNOWN_DETAIL, StreamVersions
 from savorydyke._timers import TimerService
 
 TICK_S = 0.1
 REGISTRATION_TIMEOUT_S = 1.5
 IDLE_S = 10.0
 STALL_S = 1.0
+UNKNOWN_STREAM_RETRY_MS = 500
 
 log = _logs.component_logger("home")
 
@@ -58,6 +61,9 @@
     is_coordinator : bool
         Whether this instance was the coordinator at the latest tick. Frontends
         that learn of the change sooner send requests here before that.
+    unresolved : list of tuple
+        Requests, with their frontends, whose streams are not known before all
+        frontends have registered.
     """
 
     scheduler: PoolScheduler
@@ -66,6 +72,7 @@
     unreported: set[EndpointId]
     used: float
     is_coordinator: bool = False
+    unresolved: list[tuple[InstanceId, Acquire]] = field(default_factory=list)
 
     def is_complete(self) -> bool:
         """Return whether all frontends have registered and all endpoints reported."""
@@ -91,6 +98,8 @@
         Called with a scheduler when this instance becomes the coordinator.
     limits : RequestLimits
         Limits that endpoints have named, for new schedulers.
+    versions : StreamVersions
+        At which software versions streams began.
     """
 
     membership: Membership
@@ -106,6 +115,7 @@
     )
     on_takeover: Callable[[PoolScheduler], None] = field(default=lambda scheduler: None)
     limits: RequestLimits = field(default_factory=RequestLimits)
+    versions: StreamVersions = field(default_factory=StreamVersions)
     hosted: dict[PoolId, HostedPool] = field(default_factory=dict)
     last_tick: float = field(default_factory=trio.current_time)
 
@@ -115,6 +125,8 @@
         """Process a message of a frontend."""
         now = trio.current_time()
         self._check_stall(now)
+        if isinstance(message, Started | Register):
+            self._record_streams(message, boot_time())
         match message:
             case Acquire():
                 self._acquire(sender, message, now)
@@ -154,6 +166,14 @@
             self.answer(sender, refusal)
             return
         hosted.used = now
+        if message.stream and not message.version:
+            version = self.versions.version_of(
+                message.stream, message.pool, boot_time()
+            )
+            if not version:
+                self._defer_unknown(hosted, sender, message)
+                return
+            message = replace(message, version=version)
         self._send(hosted.scheduler, hosted.scheduler.acquire(message, sender, now))
         if (
             hosted.scheduler.grants_enabled
@@ -161,6 +181,33 @@
         ):
             self.answer(sender, Queued(message.key, message.attempt))
 
+    def _defer_unknown(
+        self, hosted: HostedPool, sender: InstanceId, message: Acquire
+    ) -> None:
+        """Refuse a stream that is not known, once all frontends have registered."""
+        if not hosted.scheduler.grants_enabled:
+            hosted.unresolved.append((sender, message))
+            self.answer(sender, Queued(message.key, message.attempt))
+            return
+        reason, retry_ms = Reason.UNKNOWN_STREAM, UNKNOWN_STREAM_RETRY_MS
+        refusal = Refuse(
+            message.key, message.attempt, reason, UNKNOWN_DETAIL, retry_ms, False
+        )
+        extra = {"request": message.key, "stream": message.stream, "entry": sender}
+        log.info("Stream unknown.", extra=extra)
+        self.answer(sender, refusal)
+
+    def _record_streams(
+        self, message: Started | Register, now_with_suspension: float
+    ) -> None:
+        """Record at which versions streams of a pool began."""
+        rows = message.running if isinstance(message, Register) else (message,)
+        for row in rows:
+            if row.stream and row.version:
+                self.versions.record_coordinated(
+                    message.pool, row.stream, row.version, now_with_suspension
+                )
+
     def _register(self, sender: InstanceId, message: Register, now: float) -> None:
         hosted = self._host(message.pool, now)
         if hosted is None:
@@ -242,6 +289,9 @@
         if hosted.scheduler.grants_enabled:
             return
         hosted.scheduler.grants_enabled = True
+        unresolved, hosted.unresolved = hosted.unresolved, []
+        for sender, message in unresolved:
+            self._acquire(sender, message, now)
         self._send(hosted.scheduler, hosted.scheduler.grant_waiting(now))
 
     def set_share(self, scheduler: PoolScheduler) -> None:
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -656,6 +656,7 @@
             / 1000,
             quota_tokens=message.quota_tokens,
             suspects=message.suspects,
+            version=message.version,
         )
         item.forecast = self.estimates.forecast(item)
         item.cost_s = item.forecast.cost_s
--- a/src/savorydyke/_problems.py
+++ b/src/savorydyke/_problems.py
@@ -33,6 +33,7 @@
     Reason.CLAIMS_UNAVAILABLE: 503,
     Reason.STOPPING: 503,
     Reason.HELD_BACK: 503,
+    Reason.UNKNOWN_STREAM: 503,
     Reason.ENDPOINT_FAILED: 502,
     Reason.TIMEOUT: 504,
     Reason.INTERNAL: 500,
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -24,15 +24,20 @@
     open_channel,
 )
 from savorydyke._ids import (
+    NO_STREAM,
+    UNKNOWN_VERSION,
     EndpointId,
     InstanceId,
     Outcome,
     PoolId,
     Reason,
     ReleaseResult,
+    RequestId,
     RequestKey,
+    SoftwareVersion,
     TeamId,
     TierId,
+    request_key,
 )
 from savorydyke._ingress import IncomingRequest, Rejected, Responder
 from savorydyke._lost_answers import LostAnswers
@@ -65,6 +70,7 @@
     was_not_sent,
 )
 from savorydyke._routes import PUBLIC_TEAM, Route, RoutedConfiguration
+from savorydyke._stream_versions import StreamVersions
 from savorydyke._timing import REVOKE_MARGIN_S
 from savorydyke.platform import (
     BadRequestHeadError,
@@ -127,6 +133,7 @@
     lost_answers: LostAnswers
     limits: RequestLimits
     overload: Overload
+    versions: StreamVersions
     metrics: Metrics
     refusing: bool = False
     incarnation: int = 0
@@ -217,6 +224,7 @@
             parts=shared_parts(request_info.prefix),
             digest=request_digest(team, request_info.host, incoming),
             last_event_id=request_info.last_event_id,
+            stream=_stream(team, route, request_info),
         )
 
     def _team(
@@ -382,6 +390,9 @@
             is_retry=is_retry,
             quota_tokens=request.quota_tokens,
             suspects=request.suspects(),
+            stream=request.stream,
+            has_begun=request.has_begun(),
+            version=self._required_version(request),
         )
 
     def new_key(self, request_id: str) -> RequestKey:
@@ -390,6 +401,17 @@
         attempt = f"{self.incarnation}.{self.serial}"
         return RequestKey(f"{self.instance}/{attempt}/{request_id}")
 
+    def _required_version(self, request: RoutedRequest) -> SoftwareVersion:
+        """Return the version that the next endpoint must have, empty for any one.
+
+        It is also empty if the stream is taken up and not known here.
+        """
+        if not request.has_begun():
+            return UNKNOWN_VERSION
+        if request.version:
+            return request.version
+        return self.versions.version_of(request.stream, request.pool, boot_time())
+
     # Sending
 
     async def _use_grant(
@@ -406,6 +428,9 @@
             if endpoint is None:
                 request.unsent += 1
                 return NotRun("the endpoint takes no new requests")
+            if self._required_version(request) not in {"", endpoint.version}:
+                request.unsent += 1
+                return NotRun("the endpoint has another software version")
             return await self._send(request, endpoint, key, granted.first_s)
         finally:
             tokens = (request.events - events) * self._tokens_per_event(request.pool)
@@ -469,7 +494,7 @@
                 channel,
                 head,
                 response_info,
-                lambda: self._note_first_byte(request, key),
+                lambda: self._note_first_byte(request, key, endpoint.version),
                 lambda: self._reserve_alternative(request),
             )
             if isinstance(result, Done) and result.status < 500:
@@ -552,10 +577,17 @@
         incoming = request.incoming
         return OutgoingRequest(incoming.method, incoming.target, headers, incoming.body)
 
-    def _note_first_byte(self, request: RoutedRequest, key: RequestKey) -> None:
-        if request.first_byte is None:
-            request.first_byte = request.last_byte = trio.current_time()
-            self.grant_client.started(key, request.first_byte - request.granted_at)
+    def _note_first_byte(
+        self, request: RoutedRequest, key: RequestKey, version: SoftwareVersion
+    ) -> None:
+        if request.first_byte is not None:
+            return
+        request.first_byte = request.last_byte = trio.current_time()
+        request.version = version
+        if request.stream and version:
+            self.versions.record(request.stream, version, boot_time())
+        first_s = request.first_byte - request.granted_at
+        self.grant_client.started(key, first_s, version)
 
     # Logs and metrics
 
@@ -642,6 +674,14 @@
         )
 
 
+def _stream(team: TeamId, route: Route, request_info: RequestInfo) -> RequestKey:
+    """Return the caller's attempt with which the stream of a request began."""
+    if not route.streaming:
+        return NO_STREAM
+    root = request_info.resumes if request_info.last_event_id else ""
+    return request_key(team, RequestId(root or request_info.request_id))
+
+
 def _tier(configuration: RoutedConfiguration, team: TeamId, route: Route) -> TierId:
     routed = configuration.teams.get(team)
     return TierId(f"{routed.rank if routed else 0}.{route.urgency}")
--- a/src/savorydyke/_routed_request.py
+++ b/src/savorydyke/_routed_request.py
@@ -7,6 +7,8 @@
 from savorydyke._http1 import AnswerHead
 from savorydyke._ids import (
     DIGEST_PREFIX,
+    NO_STREAM,
+    UNKNOWN_VERSION,
     EndpointId,
     PoolId,
     ReleaseResult,
@@ -81,6 +83,10 @@
         Whether it may have run in any attempt, and in one before the latest.
     last_event_id : str
         Id of the last event that the caller has received.
+    stream : RequestKey
+        The caller's attempt with which its stream began; empty if the route has none.
+    version : SoftwareVersion
+        The version that began the stream, empty if none has or if it is not known.
     versions : list of SoftwareVersion
         The versions of these endpoints.
     unsent : int
@@ -116,6 +122,8 @@
     may_have_run: bool = False
     may_have_run_before: bool = False
     last_event_id: str = ""
+    stream: RequestKey = NO_STREAM
+    version: SoftwareVersion = UNKNOWN_VERSION
     events: int = 0
     granted_at: float = 0.0
     waited_s: float = 0.0
@@ -127,6 +135,10 @@
     failure: Failed | None = None
     reserved: ReservedGrant | None = None
 
+    def has_begun(self) -> bool:
+        """Return whether the caller has events of the stream, of any attempt."""
+        return bool(self.stream and (self.events or self.request_info.last_event_id))
+
     def suspects(self) -> tuple[SuspectId, ...]:
         """Return what in the request may crash endpoints."""
         return (*self.parts, self.digest)
