Let evidence outlive an outage of all instances

Cause: the record of evidence in the store had the lease of its writer, 10 s, so that all instances forgot what they held back when they were away together for longer.

The record now has a lease of its own of ten minutes, opened with the first evidence and renewed every 200 s while there is any: no call while there is none. Longer was ruled out: the store grants no more, and a record without lease would stay for instances that are replaced.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -195,6 +195,7 @@
       | a request that crashes endpoints is held back when its coordinator is killed       |
       | a request that crashes endpoints is held back by instances without links           |
       | a request that crashes endpoints is held back after a restart of all instances     |
+      | a request stays held back if all instances are away longer than their leases       |
 
   Scenario Outline: Endpoints of several software versions
     Then the routed case "<case>" holds
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -1670,6 +1670,11 @@
     def __init__(self):
         self.generation, self.keys, self.values = 1, [], []
 
+    async def open_lease(self, ttl_s):
+        """Return a lease that outlives a power loss of the fleet."""
+        assert ttl_s >= 60
+        return 7
+
     async def write(self, values, lease):
         """Record a write."""
         assert lease == 7
@@ -1690,7 +1695,7 @@
             membership.merge_row(MemberRow(name, "i:1", "dc", 1, 1, 0, False), now)
         membership.update(now)
         quarantine, limits = Quarantine(), RequestLimits()
-        shared = SharedEvidence(writes, quarantine, limits, membership, lambda: 7)
+        shared = SharedEvidence(writes, quarantine, limits, membership)
         limits.record_answer("a", 2.0, now, now)
         await shared.write()
         assert decode_evidence(writes.values[-1], 0)[1]
@@ -1723,7 +1728,7 @@
             membership.update(now)
             quarantine = Quarantine()
             limits = RequestLimits()
-            shared = SharedEvidence(writes, quarantine, limits, membership, lambda: 7)
+            shared = SharedEvidence(writes, quarantine, limits, membership)
             await shared.write()
             # While nothing speaks against any part there is no call.
             assert not writes.keys or not writes.keys[-1].endswith(own)
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -1970,6 +1970,24 @@
     traffic.check()
 
 
+LONGER_THAN_LEASES_S = 12.0
+
+
+@case("a request stays held back if all instances are away longer than their leases")
+async def _(site):
+    traffic = await start_crashing_endpoints(site)
+    await traffic.run(5.0)
+    for daemon in list(site.daemons):
+        daemon.process.kill()
+    await trio.sleep(LONGER_THAN_LEASES_S)
+    for daemon in list(site.daemons):
+        await replace_daemon(site, daemon)
+    await traffic.run(3.0)
+    last = traffic.ends()[CRASHES_ALLOWED - 1]
+    late = [at for at in traffic.bad_arrivals() if at > last + CONTACT_S]
+    assert len(late) <= 3, [round(at - last, 2) for at in late]
+
+
 # Endpoints of several software versions
 
 LONG_EVENTS = 30
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -503,9 +503,7 @@
         states,
         quarantine,
         limits,
-        SharedEvidence(
-            store, quarantine, limits, membership, lambda: store_records.lease
-        ),
+        SharedEvidence(store, quarantine, limits, membership),
         pool_host,
         grant_client,
         metrics,
--- a/src/savorydyke/_shared_evidence.py
+++ b/src/savorydyke/_shared_evidence.py
@@ -6,8 +6,8 @@
 """
 
 import json
+import math
 import time
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -24,6 +24,9 @@
 
 WRITE_INTERVAL_S = 0.5
 """Shortest time between two writes of an instance."""
+LEASE_S = 600.0
+"""Evidence outlives the instances that gave it, which may all be away together."""
+LEASE_RENEWAL_S = 200.0
 MAX_AGE_MS = 600_000
 """Largest age of a record that is believed; clocks of instances may differ."""
 
@@ -36,11 +39,12 @@
 
     Attributes
     ----------
-    lease : callable
-        Returns the lease of this instance's records, 0 for none.
     written : tuple of int
-        State of evidence and limits, generation of the store, and lease at the latest
-        write.
+        State of evidence and limits, and generation of the store, at the latest write.
+    lease : int
+        The lease of the record, 0 for none.
+    renewed : float
+        When the lease was opened or last renewed.
     has_record : bool
         Whether the store may hold a record of this instance that has rows.
     """
@@ -49,8 +53,9 @@
     quarantine: Quarantine
     limits: RequestLimits
     membership: Membership
-    lease: Callable[[], int]
-    written: tuple[int, int, int, int] = (0, 0, 0, 0)
+    written: tuple[int, int, int] = (0, 0, 0)
+    lease: int = 0
+    renewed: float = -math.inf
     has_record: bool = False
 
     async def run(self, timers: TimerService) -> None:
@@ -71,10 +76,11 @@
             If the store does not take it.
         """
         now = trio.current_time()
-        lease = self.lease()
-        learned = (self.quarantine.changes, self.limits.changes)
-        state = (*learned, self.store.generation, lease)
-        if state == self.written or not lease:
+        generation = self.store.generation
+        state = (self.quarantine.changes, self.limits.changes, generation)
+        if state == self.written:
+            if self.has_record and now - self.renewed > LEASE_RENEWAL_S:
+                await self._renew_lease(now)
             return
         losses, limits = self.quarantine.rows(now), self.limits.rows(now)
         is_chosen = self.membership.is_chosen("evidence", 1)
@@ -83,12 +89,23 @@
             losses, limits = (), ()
         if losses or limits or self.has_record:
             record = encode_evidence(losses, limits, time.time_ns() // 1_000_000)
-            key = evidence_key(self.membership.id)
-            if isinstance(await self.store.write({key: record}, lease), LeaseExpired):
+            if not self.lease or generation != self.written[-1]:
+                self.lease = await self.store.open_lease(LEASE_S)
+                self.renewed = now
+            values = {evidence_key(self.membership.id): record}
+            if isinstance(await self.store.write(values, self.lease), LeaseExpired):
+                self.lease = 0
                 return
             self.has_record = bool(losses or limits)
         self.written = state
 
+    async def _renew_lease(self, now: float) -> None:
+        """Renew the lease; write the record again if it has expired."""
+        if await self.store.renew_lease(self.lease):
+            self.renewed = now
+            return
+        self.lease, self.written = 0, (0, 0, 0)
+
     def receive(self, instance: InstanceId, record: bytes) -> None:
         """Add the evidence in a record, possibly of this instance before a restart."""
         try:
--- a/src/savorydyke/_store_records.py
+++ b/src/savorydyke/_store_records.py
@@ -47,8 +47,6 @@
     ----------
     record : InstanceRecord
         The record of this instance.
-    lease : int
-        The lease under which this instance's records are kept, 0 for none.
     """
 
     store: Store
@@ -58,7 +56,6 @@
     peers: Peers
     timers: TimerService
     rng: random.Random
-    lease: int = 0
 
     async def keep_instance_record(self) -> None:
         """Write this instance's record and renew its lease until cancelled.
@@ -76,7 +73,6 @@
                 if lease == 0 or not await self.store.renew_lease(lease):
                     lease = await self._write_instance_record()
                     generation = self.store.generation
-                self.lease = lease
                 failures = 0
                 with trio.move_on_after(LEASE_RENEWAL_S):
                     await restored.wait()
