Act on streams once their callers have the first event

service.feature, a second signal: the case waited 0.8 s and not for the stream, while the first grant after a start can come later, so that the caller had no answer yet that could be truncated. What is checked is unchanged: exit 1, truncated, the request named in the log.

--- a/features/steps/service_steps.py
+++ b/features/steps/service_steps.py
@@ -690,28 +690,31 @@
 
 
 STOP_NOTICED_S = 4.0
+STREAMS_BEGUN_S = 8.0
 
 
 def act_while_streaming(context, action, count=4, tokens=200):
-    """Run streams at all instances and call `action` while they run."""
+    """Run streams at all instances and call `action` once all have begun."""
     small = context.small
-    context.records = []
+    context.records = [
+        CallerRecord(new_id(), "crews", prompt=f"while {number}", output_tokens=tokens)
+        for number in range(count)
+    ]
 
     async def both():
         async def one(number):
-            record = CallerRecord(
-                new_id(), "crews", prompt=f"while {number}", output_tokens=tokens
-            )
+            record = context.records[number]
             instances = small.instances()
             address = instances[number % len(instances)].callers
             client = small.fleet.client
             await chat(client, address, "key-of-crews", record, MODEL)
-            context.records.append(record)
 
         async with trio.open_nursery() as nursery:
             for number in range(count):
                 nursery.start_soon(one, number)
-            await trio.sleep(0.8)
+            with trio.fail_after(STREAMS_BEGUN_S):
+                while not all(record.events for record in context.records):
+                    await trio.sleep(0.02)
             action()
 
     small.run(both)
