--- a/Makefile
+++ b/Makefile
@@ -11,8 +11,10 @@
 demo: $(INSTALLED)
 	$(BIN)/savorydyke-bench demo
 
+# Further options of behave, for reports.
+REPORT ?=
 test: $(INSTALLED) lint
-	$(BIN)/behave --no-capture --format progress --tags "not @large" features
+	$(BIN)/behave --no-capture $(REPORT) --format progress --tags "not @large" features
 
 test-large: $(INSTALLED)
 	$(BIN)/behave --no-capture --format progress --tags @large features
