Give each request of the soak a body of its own

All requests of one kind had the same path and body, so that by the rule for requests that crash endpoints they are one: when endpoints ended, sound requests of that kind were held back, and the soak saw less.

--- a/src/savorydyke_bench/_soak.py
+++ b/src/savorydyke_bench/_soak.py
@@ -239,16 +239,17 @@
             headers = self.site.headers(
                 (b"X-Savorydyke-Prompt-Prefix", prompt), key=key
             )
-            request = SentRequest(
-                f"r{self.site.last_request_number}", kind, key, trio.current_time()
-            )
+            number = self.site.last_request_number
+            request = SentRequest(f"r{number}", kind, key, trio.current_time())
             self.requests.append(request)
+            # Requests of one team with one path and body are repetitions.
+            body = b"body %d" % number
             timeout_s = 0.1 if self.rng.random() < 0.1 else 6.0
             try:
                 with trio.move_on_after(timeout_s):
                     caller = await self.site.connect(daemon.callers)
                     request.answer = await caller.request(
-                        "POST", f"/{kind}/1", headers, b"body"
+                        "POST", f"/{kind}/1", headers, body
                     )
                 if request.answer is None:
                     request.left_at = trio.current_time()
