--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -12,23 +12,30 @@
 from pathlib import Path
 
 PREFIX = "ci passes over: "
+FAILURES = {"failed", "error"}
 MESSAGE_LINES = 40
 LOG_LINES = 20
+NEXT_SCENARIO = re.compile(r"^(?:  Scenario|Feature)", re.MULTILINE)
 ROUTED_CASE = re.compile('the routed case "(.*)" holds')
 
 
 def scenarios(report):
-    """Yield the name, the status and the errors of each scenario of a JSON report."""
+    """Yield the name in the list, the title and the status of each scenario."""
     for feature in report:
         for element in feature.get("elements", ()):
             if element["type"] == "background":
                 continue
             outline, _, is_row = element["name"].partition(" -- @")
-            steps = element["steps"]
-            name = f"{outline}: {steps[0]['name']}" if is_row else outline
-            results = [step.get("result", {}) for step in steps]
-            messages = [r["error_message"] for r in results if "error_message" in r]
-            yield name, element["status"], messages
+            first_step = element["steps"][0]["name"]
+            name = f"{outline}: {first_step}" if is_row else outline
+            yield name, element["name"], element["status"]
+
+
+def print_output(title, output):
+    """Print the end of what a scenario has printed, with its assertion."""
+    _, _, found = output.partition(f": {title}\n")
+    found = NEXT_SCENARIO.split(found, maxsplit=1)[0]
+    print("\n".join(found.splitlines()[-MESSAGE_LINES:]))
 
 
 def print_logs(name):
@@ -43,11 +50,14 @@
         print("\n".join(log.read_text().splitlines()[-LOG_LINES:]))
 
 
-def main(report_path, list_path, status):
+def main(report_path, output_path, list_path, status):
     """Print the failures; return 0 if all of them are known reds, which exist.
 
     Parameters
     ----------
+    report_path, output_path : str
+        Reports of behave, as JSON and as plain text. The first has no messages of
+        errors that are no failed assertions, such as groups of exceptions.
     status : str
         Exit status of the test run.
     """
@@ -57,12 +67,11 @@
     missing = known - {name for name, *_ in found}
     for name in sorted(missing):
         print(f"KNOWN-RED.txt names a scenario that does not exist: {name}")
-    failed = [(n, m) for n, status, m in found if status in {"failed", "error"}]
-    for name, messages in failed:
+    output = Path(output_path).read_text()
+    failed = [(n, title) for n, title, result in found if result in FAILURES]
+    for name, title in failed:
         print(f"{'known red, passed over' if name in known else 'failed'}: {name}")
-        for message in messages:
-            text = message if isinstance(message, str) else "\n".join(message)
-            print("\n".join(text.splitlines()[-MESSAGE_LINES:]))
+        print_output(title, output)
         print_logs(name)
     if int(status) and not failed:
         print(f"the test run ended with status {status} and no failed scenario")
@@ -71,4 +80,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(*sys.argv[1:4]))
+    sys.exit(main(*sys.argv[1:5]))
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -1237,6 +1237,7 @@
             None,
             None,
             None,
+            None,
             incarnation=incarnation,
         )
         for number in range(3):
