Log which endpoints an instance does not reach itself

An instance now logs when several endpoints in a row were not reached and none in between, and when one is reached again; the coordinator logs the reports by which it avoids an endpoint. Gauges endpoints_not_reached and cut_off. No decision depends on it yet.

--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -1238,6 +1238,7 @@
             None,
             None,
             None,
+            None,
             incarnation=incarnation,
         )
         for number in range(3):
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -9,6 +9,7 @@
 from savorydyke import _logs
 from savorydyke._configuration_age import ConfigurationAge, boot_time
 from savorydyke._directory import Directory
+from savorydyke._endpoint_links import EndpointLinks
 from savorydyke._endpoint_states import EndpointStates
 from savorydyke._fallback_placement import place_fallback
 from savorydyke._gateway_settings import GatewaySettings
@@ -93,6 +94,8 @@
     fallback_quotas : Quotas
         This instance's share of the quotas, for requests that it places because
         the coordinator does not respond.
+    links : EndpointLinks
+        The endpoints that this instance reaches itself.
     quarantine : Quarantine
         The requests and parts of prompts that are held back.
     limits : RequestLimits
@@ -120,6 +123,7 @@
     membership: Membership
     peers: Peers
     states: EndpointStates
+    links: EndpointLinks
     quarantine: Quarantine
     limits: RequestLimits
     shared_evidence: SharedEvidence
@@ -337,6 +341,8 @@
             "requests_held": requests_held,
             "endpoints": len(self.directory.endpoints),
             "links": len(self.peers.links),
+            "endpoints_not_reached": len(self.links.failed_at),
+            "cut_off": int(self.links.is_cut_off),
             "pending": len(self.grant_client.pending),
             "in_flight": len(self.grant_client.in_flight),
             "homes": len(schedulers),
@@ -453,7 +459,7 @@
     peers = Peers(
         membership, "", lambda sender, message: gateway.handle(sender, message), rng
     )
-    states = EndpointStates()
+    states, links = EndpointStates(), EndpointLinks()
     quarantine, limits = Quarantine(), RequestLimits()
     pool_host = PoolHost(
         membership=membership,
@@ -501,6 +507,7 @@
         membership,
         peers,
         states,
+        links,
         quarantine,
         limits,
         SharedEvidence(store, quarantine, limits, membership),
@@ -515,6 +522,7 @@
         overload,
         store_records,
     )
+    links.listeners.append(lambda is_cut_off: _note_cut_off(gateway, is_cut_off))
     limits.listeners.append(gateway.apply_limit)
     directory.restart_listeners.append(limits.forget)
     quarantine.listeners.append(lambda part, held: _note_held(gateway, part, held))
@@ -525,7 +533,9 @@
     directory.restart_listeners.append(
         lambda endpoint: states.forget(endpoint, trio.current_time())
     )
+    directory.restart_listeners.append(links.forget)
     directory.restart_listeners.append(pool_host.endpoint_restarted)
+    directory.listeners.append(lambda manifest: links.keep(set(manifest.endpoints)))
     directory.listeners.append(pool_host.reconfigure)
     directory.listeners.append(
         lambda manifest: pool_host.versions.observe_endpoints(manifest, boot_time())
@@ -552,6 +562,15 @@
     gateway.quota_balances.hosted.set()
 
 
+def _note_cut_off(gateway: Gateway, is_cut_off: bool) -> None:
+    """Log that this instance is cut off from all endpoints or reaches them again."""
+    if is_cut_off:
+        failed = sorted(gateway.links.failed_at)
+        log.warning("Endpoints not reached.", extra={"failed": failed})
+        return
+    log.info("Endpoints reached again.")
+
+
 def _note_held(gateway: Gateway, suspect: SuspectId, held: bool) -> None:
     """Log that a suspect is held back or released, and apply it."""
     kind, name = "Prompt part", "prompt_part"
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -56,6 +56,7 @@
             gateway.rng,
             settings.bounds.apply.revocation_s,
             gateway.states,
+            gateway.links,
             gateway.quarantine,
             LostAnswers(gateway.quarantine, nursery),
             gateway.limits,
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -17,7 +17,7 @@
 from savorydyke._configuration_age import boot_time
 from savorydyke._endpoint_load import Running
 from savorydyke._endpoint_states import EndpointStates
-from savorydyke._ids import EndpointId, InstanceId, PoolId, Reason
+from savorydyke._ids import EndpointId, InstanceId, PoolId, Reason, ReleaseResult
 from savorydyke._manifest import Manifest
 from savorydyke._membership import Membership
 from savorydyke._messages import (
@@ -150,6 +150,9 @@
     ) -> list[Decision]:
         match message:
             case Release():
+                if message.result is ReleaseResult.UNREACHABLE:
+                    extra = {"endpoint": message.endpoint, "entry": sender}
+                    log.info("Endpoint not reached.", extra=extra)
                 return scheduler.release(message, sender, now)
             case Started():
                 return scheduler.started(message, now)
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -14,6 +14,7 @@
 from savorydyke import _logs
 from savorydyke._configuration_age import boot_time
 from savorydyke._directory import Directory
+from savorydyke._endpoint_links import EndpointLinks
 from savorydyke._endpoint_states import EndpointStates
 from savorydyke._grant_client import Demand, GrantClient, Granted, Refused
 from savorydyke._http1 import (
@@ -129,6 +130,7 @@
     rng: random.Random
     revocation_s: float
     states: EndpointStates
+    links: EndpointLinks
     quarantine: Quarantine
     lost_answers: LostAnswers
     limits: RequestLimits
@@ -465,10 +467,12 @@
         except ChannelBrokenError as error:
             if isinstance(error, ChannelRefusedError):
                 self.lost_answers.record_refused(endpoint)
+            self.links.record_failed(endpoint.id, trio.current_time())
             request.result = ReleaseResult.UNREACHABLE
             request.unsent += 1
             return NotRun(str(error))
         sent = trio.current_time()
+        self.links.record_opened(endpoint.id, sent)
         try:
             if self.states.is_unusable(endpoint.id, trio.current_time()):
                 # It has said so in another answer meanwhile.
