Show that instances cut off from all endpoints serve none of their callers

The stand-in gives an instance links of its own by a view of the store with other addresses of endpoints.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -207,3 +207,21 @@
       | a stream keeps its version when the coordinator of its pool is killed    |
       | a stream whose version is not known after a restart of all does not go on |
       | streams of two versions are not mixed by instances without links         |
+
+  Scenario Outline: Instances cut off from all endpoints
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                               |
+      | an instance whose links are refused and whose open ones reset serves its callers   |
+      | an instance whose links are refused and whose open ones hanging serves its callers |
+      | an instance whose links are refused and whose open ones alive serves its callers   |
+      | an instance whose links are hanging and whose open ones reset serves its callers   |
+      | an instance whose links are hanging and whose open ones hanging serves its callers |
+      | an instance whose links are hanging and whose open ones alive serves its callers   |
+      | an instance whose links are reset and whose open ones reset serves its callers     |
+      | an instance whose links are reset and whose open ones hanging serves its callers   |
+      | an instance whose links are reset and whose open ones alive serves its callers     |
+      | most instances of a data centre that are cut off serve their callers               |
+      | all instances of a data centre that are cut off serve their callers                |
+      | an instance that is cut off reports no endpoint as ended or unreachable            |
--- a/src/savorydyke_standins/_ports.py
+++ b/src/savorydyke_standins/_ports.py
@@ -18,16 +18,22 @@
         self.allocated: set[int] = set()
         self.rng = random.SystemRandom()
 
-    def take(self) -> str:
-        """Return an address with a free port."""
+    def take(self, count: int = 1) -> str:
+        """Return an address with a free port, the first of `count` successive ones."""
         while True:
-            port = self.rng.randint(*PORT_RANGE)
-            if port in self.allocated:
+            first = self.rng.randint(*PORT_RANGE)
+            ports = range(first, first + count)
+            if self.allocated.intersection(ports):
                 continue
-            self.allocated.add(port)
-            with socket.socket() as probe:
-                try:
-                    probe.bind((HOST, port))
-                except OSError:
-                    continue
-            return f"{HOST}:{port}"
+            self.allocated.update(ports)
+            if all(map(_is_free, ports)):
+                return f"{HOST}:{first}"
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
--- a/src/savorydyke_standins/_routed_site.py
+++ b/src/savorydyke_standins/_routed_site.py
@@ -15,9 +15,15 @@
 import h11
 import trio
 
+from savorydyke._ingress import Ingress, IngressLimits
+from savorydyke_standins._faulty_links import InstanceLinks, StoreView
 from savorydyke_standins._ports import PortPool
 from savorydyke_standins._routed_endpoint import RoutedEndpoint, Script
-from savorydyke_standins._store import StandInStore, new_store_server
+from savorydyke_standins._store import (
+    StandInStore,
+    new_store_server,
+    refuse_unreadable,
+)
 
 Header = tuple[bytes, bytes]
 Headers = list[Header]
@@ -251,17 +257,31 @@
 
     # Daemons
 
+    async def cuttable_daemon(self, name: str, data_centre: str = "a") -> InstanceLinks:
+        """Start an instance with links to endpoints that can be cut; return these."""
+        links = InstanceLinks(self.nursery, free_address)
+        view = StoreView(self.store, links)
+        limits = IngressLimits(max_body_bytes=2_000_000, idle_timeout_s=60.0)
+        server = Ingress(view.handle, refuse_unreadable, lambda: limits)
+        address = await self.listen(server.serve, free_address())
+        await self.daemon(name, store=address, data_centre=data_centre)
+        return links
+
     async def daemon(
-        self, name: str = "instance-1", wait: bool = True, store: str = ""
+        self,
+        name: str = "instance-1",
+        wait: bool = True,
+        store: str = "",
+        data_centre: str = "a",
     ) -> Daemon:
         """Start an instance and, unless `wait` is false, wait until it is ready."""
         settings = {
             "edges": "routed",
             "instance": name,
-            "data_centre": "a",
+            "data_centre": data_centre,
             "callers": free_address(),
             "readiness": free_address(),
-            "peers": free_address(),
+            "peers": PORTS.take(2),
             "store": store or self.store_address,
             "bounds": BOUNDS,
             "processor": {"share": 0.55, "speed": 2},
--- a/src/savorydyke_standins/_store.py
+++ b/src/savorydyke_standins/_store.py
@@ -301,11 +301,12 @@
                     self.end_lease(lease)
 
 
-async def _refuse(responder: Responder, rejected: Rejected) -> None:
+async def refuse_unreadable(responder: Responder, rejected: Rejected) -> None:
+    """Answer a call that could not be read."""
     await responder.send_answer(rejected.status, [], b"")
 
 
 def new_store_server(store: StandInStore) -> Ingress:
     """Return an HTTP server for a store."""
     limits = IngressLimits(max_body_bytes=2_000_000, idle_timeout_s=60.0)
-    return Ingress(store.handle, _refuse, lambda: limits)
+    return Ingress(store.handle, refuse_unreadable, lambda: limits)
