--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -105,3 +105,14 @@
       | a request for one version is granted endpoints of that version only |
       | a frontend without its coordinator lets no stream go on at another version |
       | telling 195 instances' streams costs their coordinators a bounded part |
+
+  Scenario Outline: Instances cut off from all endpoints
+    Then the decision case "<case>" holds
+
+    Examples:
+      | case                                                                          |
+      | an order is valid only as it was signed and at the process that it names      |
+      | an order that comes again is not carried out                                  |
+      | an instance counts as cut off when several endpoints in a row are not reached |
+      | requests of cut off instances are spread over all that reach endpoints        |
+      | an instance that could not send a request is not asked again for a moment     |
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -225,3 +225,15 @@
       | most instances of a data centre that are cut off serve their callers               |
       | all instances of a data centre that are cut off serve their callers                |
       | an instance that is cut off reports no endpoint as ended or unreachable            |
+      | an instance that reaches endpoints again sends to them itself                      |
+      | an instance whose links live on but new ones fail keeps its streams                |
+      | a fleet that is cut off from all endpoints refuses truthfully and at once          |
+      | a claim whose forwarding instance is killed is not sent again                      |
+      | a claim whose forwarding instance freezes is not sent again                        |
+      | a stream whose forwarding instance is killed does not look complete                |
+      | a retryable request whose forwarding instance is killed is retried elsewhere       |
+      | a caller that disconnects ends its request through another instance                |
+      | an endpoint that asks an instance for a pause gets none of others through it       |
+      | an endpoint that leaves gets no requests through other instances                   |
+      | an order without a valid signature is not carried out                              |
+      | several instances that are cut off share the load of the others                    |
--- a/features/steps/cut_off_cases.py
+++ b/features/steps/cut_off_cases.py
@@ -1,13 +1,17 @@
 """Test cases for instances that reach their callers and peers, but no endpoint."""
 
+import signal
 from collections import Counter
 from functools import partial
 
 import trio
-from routed_cases import case, is_whole_stream
+from routed_cases import DISCONNECT_S, case, hang, is_whole_stream
+from routed_cases import count as count_requests
 
 from savorydyke_standins._faulty_links import NewLinks, OpenLinks
 
+HEALED_S = 2.0
+"""Time after which an instance uses its own links again."""
 NOTICED_S = 1.5
 """Time after a cut from which callers must be served as elsewhere."""
 SERVED_SHARE = 0.95
@@ -189,3 +193,239 @@
     for daemon in site.daemons:
         assert not logged(daemon, "request: Endpoint ended.")
         assert not logged(daemon, "home: Endpoint not reached.")
+
+
+@case("an instance that reaches endpoints again sends to them itself")
+async def _(site):
+    (links,) = await start_fleet(site, 1, 2)
+    traffic = CutTraffic(site)
+    await links.cut(NewLinks.REFUSED, OpenLinks.RESET)
+    await traffic.run(2.0)
+    await links.heal()
+    await trio.sleep(HEALED_S)
+    since, opened = trio.current_time(), links.opened()
+    await traffic.run(1.5)
+    served, sent = traffic.served(["instance-0"], since)
+    assert served == sent > 10, (served, sent)
+    # One connection for each request, and none through another instance.
+    assert links.opened() - opened >= sent
+    await trio.sleep(0.3)
+    ended = logged(site.daemons[0], "request: Ended.")[-sent:]
+    assert not any(record["forwarders"] for record in ended)
+
+
+@case("an instance whose links live on but new ones fail keeps its streams")
+async def _(site):
+    (links,) = await start_fleet(site, 1, 1)
+
+    async def stream_on(exchange):
+        await exchange.stream_events(1, 5, pause_s=0.3)
+
+    for name, endpoint in site.endpoints.items():
+        if name.startswith("e"):
+            endpoint.scripts[:] = [stream_on]
+    traffic = CutTraffic(site)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(traffic.ask, site.daemons[0], "/question/1")
+        await trio.sleep(0.5)
+        await links.cut(NewLinks.REFUSED, OpenLinks.ALIVE)
+    assert traffic.served(["instance-0"], 0.0) == (1, 1)
+
+
+@case("a fleet that is cut off from all endpoints refuses truthfully and at once")
+async def _(site):
+    links = await start_fleet(site, 2, 0)
+    for one in links:
+        await one.cut(NewLinks.HANGING, OpenLinks.HANGING)
+    traffic = CutTraffic(site)
+    await traffic.run(2.0)
+    traffic.check_refusals()
+    assert not traffic.arrivals()
+    answers = [answer for *_, answer in traffic.tries]
+    assert all(a is not None and a.status == 503 for a in answers), answers
+    assert all(b"not run" in a.body for a in answers)
+    assert all(float(a.headers[b"retry-after"]) > 0 for a in answers)
+
+
+async def ask_through_other(site, path, script, during):
+    """Send a request through an instance that is cut off; return its answer.
+
+    Parameters
+    ----------
+    script : callable
+        How endpoints answer.
+    during : callable
+        Awaited once an endpoint has received the request.
+    """
+    links = await start_fleet(site, 1, 1)
+    for endpoint in site.endpoints.values():
+        endpoint.scripts[:] = [script]
+    await links[0].cut(NewLinks.REFUSED, OpenLinks.RESET)
+    traffic = CutTraffic(site)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(traffic.ask, site.daemons[0], path)
+        await site.wait_until(traffic.arrivals)
+        await during()
+    ((*_, answer),) = traffic.tries
+    return traffic, answer
+
+
+@case("a claim whose forwarding instance is killed is not sent again")
+async def _(site):
+    async def kill():
+        site.daemons[1].process.kill()
+
+    traffic, answer = await ask_through_other(site, "/claim/1", hang, kill)
+    assert answer.status == 502 and b"may have run" in answer.body, answer
+    await trio.sleep(1.0)
+    assert sum(traffic.arrivals().values()) == 1
+
+
+@case("a claim whose forwarding instance freezes is not sent again")
+async def _(site):
+    async def freeze():
+        site.daemons[1].process.send_signal(signal.SIGSTOP)
+
+    traffic, answer = await ask_through_other(site, "/claim/1", hang, freeze)
+    assert answer.status == 504 and b"may have run" in answer.body, answer
+    assert sum(traffic.arrivals().values()) == 1
+
+
+@case("a stream whose forwarding instance is killed does not look complete")
+async def _(site):
+    async def stream_on(exchange):
+        await exchange.stream_events(1, 2, end=False)
+        await trio.sleep_forever()
+
+    async def kill():
+        await trio.sleep(0.3)
+        site.daemons[1].process.kill()
+
+    _, answer = await ask_through_other(site, "/question/1", stream_on, kill)
+    assert answer.status == 200 and not answer.complete, answer
+
+
+@case("a retryable request whose forwarding instance is killed is retried elsewhere")
+async def _(site):
+    (links,) = await start_fleet(site, 1, 3)
+
+    async def answer_late(exchange):
+        await trio.sleep(0.5)
+        await exchange.send_complete()
+
+    for endpoint in site.endpoints.values():
+        endpoint.scripts[:] = [answer_late, answer_after_work]
+    await links.cut(NewLinks.REFUSED, OpenLinks.RESET)
+    traffic = CutTraffic(site)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(traffic.ask, site.daemons[0], "/lookup/1")
+        await site.wait_until(traffic.arrivals)
+        await trio.sleep(0.1)
+        forwarder = await find_forwarder(site)
+        forwarder.process.kill()
+    assert traffic.served(["instance-0"], 0.0) == (1, 1), traffic.tries
+
+
+async def find_forwarder(site):
+    """Return the instance that has a connection for another one open."""
+    for daemon in site.daemons[1:]:
+        answer = await fetch_metrics(site, daemon)
+        if b'kind="forwarding"} 1' in answer:
+            return daemon
+    raise AssertionError("no instance forwards")
+
+
+async def fetch_metrics(site, daemon):
+    """Return the metrics page of an instance."""
+    caller = await site.connect(daemon.metrics)
+    answer = await caller.request("GET", "/metrics", [(b"Host", b"x")])
+    await caller.stream.aclose()
+    return answer.body
+
+
+@case("a caller that disconnects ends its request through another instance")
+async def _(site):
+    (links,) = await start_fleet(site, 1, 1)
+    for one in site.endpoints.values():
+        one.scripts[:] = [hang]
+    await links.cut(NewLinks.REFUSED, OpenLinks.RESET)
+    caller = await site.connect(site.daemons[0].callers)
+    with trio.move_on_after(0.8):
+        await caller.request("POST", "/claim/1", site.headers(), b"body")
+    left = trio.current_time()
+    await caller.stream.aclose()
+    received = [r for e in site.endpoints.values() for r in e.received_requests]
+    assert len(received) == 1
+    await site.wait_until(lambda: received[0].closed_at is not None)
+    assert received[0].closed_at - left < DISCONNECT_S
+
+
+async def ask_twice(site, script):
+    """Let one endpoint answer a forwarded request, then ask the forwarding instance.
+
+    Returns
+    -------
+    int
+        How many requests reach the endpoint in two seconds after that.
+    """
+    (links,) = await start_fleet(site, 1, 1)
+    await links.cut(NewLinks.REFUSED, OpenLinks.RESET)
+    desks = [site.endpoints[f"s{number}"] for number in range(3)]
+    for desk in desks:
+        desk.scripts[:] = [script, answer_after_work]
+    traffic = CutTraffic(site)
+    await traffic.ask(site.daemons[0], "/claim/1")
+    asked = [desk for desk in desks if count_requests(desk)]
+    for desk in desks:
+        desk.scripts[:] = [answer_after_work]
+    before = [count_requests(desk) for desk in asked]
+    for number in range(40):
+        await traffic.ask(site.daemons[number % 2], "/claim/1")
+    assert traffic.served(["instance-0", "instance-1"], 0.0)[0] >= 40
+    return sum(map(count_requests, asked)) - sum(before)
+
+
+@case("an endpoint that asks an instance for a pause gets none of others through it")
+async def _(site):
+    async def reject(exchange):
+        headers = [(b"X-Savorydyke-Not-Executed", b"1"), (b"Retry-After", b"10")]
+        await exchange.send_complete(503, b"", *headers)
+
+    # The attempt at the second of three endpoints is the last one.
+    assert await ask_twice(site, reject) == 0
+
+
+@case("an endpoint that leaves gets no requests through other instances")
+async def _(site):
+    async def leave(exchange):
+        await exchange.send_complete(200, b"answer", (b"Server-Leaving", b"1"))
+
+    assert await ask_twice(site, leave) == 0
+
+
+@case("an order without a valid signature is not carried out")
+async def _(site):
+    await start_fleet(site, 0, 1)
+    host, _, port = site.daemons[0].peers.rpartition(":")
+    address = f"{host}:{int(port) + 1}"
+    order = [
+        (b"Savorydyke-Forward-Endpoint", b"s0"),
+        (b"Savorydyke-Forward-Sender", b"instance-9"),
+        (b"Savorydyke-Forward-Attempt", b"instance-9/1/1"),
+        (b"Savorydyke-Forward-Signature", b"0" * 64),
+    ]
+    for headers in (order, order[:3], []):
+        caller = await site.connect(address)
+        answer = await caller.request(
+            "POST", "/claim/1", [*site.headers(), *headers], b"body"
+        )
+        assert answer.headers[b"savorydyke-forward-result"] == b"rejected", answer
+    assert count_requests(site.endpoints["s0"]) == 0
+
+
+@case("several instances that are cut off share the load of the others")
+async def _(site):
+    await play_cut(site, 3, 4, NewLinks.REFUSED, OpenLinks.RESET)
+    await trio.sleep(0.3)
+    shares = [len(logged(d, "forward: Forwarded.")) for d in site.daemons[3:]]
+    assert min(shares) >= 0.3 * max(shares) > 0, shares
--- /dev/null
+++ b/features/steps/cut_off_decisions.py
@@ -0,0 +1,138 @@
+"""Decision cases for instances that are cut off from endpoints."""
+
+import random
+from collections import Counter
+
+import trio
+from decision_cases import case
+from trio.testing import MockClock
+
+from savorydyke._endpoint_links import EndpointLinks
+from savorydyke._endpoint_ways import EndpointWays
+from savorydyke._forward_headers import (
+    SIGNATURE,
+    ForwardOrder,
+    is_signed,
+    order_headers,
+    process_name,
+    read_order,
+    signature,
+)
+from savorydyke._forwarded_requests import ForwardedRequests
+from savorydyke._ids import EndpointId, InstanceId, RequestKey
+from savorydyke._membership import Membership
+from savorydyke._messages import MemberRow
+
+
+def signed_request(**changes):
+    """Return the arguments of a signed request, some changed after signing."""
+    order = ForwardOrder(EndpointId("e1"), InstanceId("i1"), RequestKey("i1/7/1"))
+    headers = [(b"Host", b"x"), (b"X-Deadline", b"100"), *order_headers(order)]
+    parts = {
+        "secret": b"secret",
+        "recipient": process_name(InstanceId("i2"), 9),
+        "method": b"POST",
+        "target": b"/claim/1",
+        "headers": headers,
+        "body": b"body",
+    }
+    signed = (SIGNATURE, signature(**parts))
+    parts = parts | changes
+    return parts | {"headers": [*parts["headers"], signed]}
+
+
+@case("an order is valid only as it was signed and at the process that it names")
+def _():
+    assert is_signed(**signed_request())
+    order = read_order(signed_request()["headers"])
+    assert (order.endpoint, order.sender) == ("e1", "i1") and not order.is_probe
+    headers = signed_request()["headers"][:-1]
+    for changes in (
+        {"secret": b"other"},
+        {"recipient": process_name(InstanceId("i2"), 10)},
+        {"recipient": process_name(InstanceId("i3"), 9)},
+        {"method": b"GET"},
+        {"target": b"/claim/2"},
+        {"body": b"bod"},
+        {"headers": headers[:-1]},
+        {"headers": [*headers, (b"X-More", b"1")]},
+        {"headers": [(b"Host", b"y"), *headers[1:]]},
+    ):
+        assert not is_signed(**signed_request(**changes)), changes
+    twice = signed_request()
+    twice["headers"].append(twice["headers"][-1])
+    assert not is_signed(**twice)
+
+
+@case("an order that comes again is not carried out")
+def _():
+    orders = ForwardedRequests(*[None] * 9)
+    assert orders.is_first(RequestKey("i1/7/1"))
+    assert not orders.is_first(RequestKey("i1/7/1"))
+    for number in range(2, 30_000):
+        assert orders.is_first(RequestKey(f"i1/7/{number}"))
+    assert len(orders.attempts) <= 20_000
+
+
+def links_after(*seen):
+    """Return the links after connections that failed or were opened."""
+    links = EndpointLinks()
+    for number, (endpoint, is_open) in enumerate(seen):
+        record = links.record_opened if is_open else links.record_failed
+        record(EndpointId(endpoint), 10.0 + number)
+    return links
+
+
+@case("an instance counts as cut off when several endpoints in a row are not reached")
+def _():
+    assert not links_after(("a", False)).is_cut_off
+    assert not links_after(("a", False), ("a", False)).is_cut_off
+    assert links_after(("a", False), ("b", False)).is_cut_off
+    assert not links_after(("a", False), ("c", True), ("b", False)).is_cut_off
+    again = links_after(("a", False), ("b", False), ("c", True))
+    assert not again.is_cut_off
+    assert again.is_failed("a") and not again.is_failed("c")
+    away = links_after(("a", False), ("b", False))
+    assert away.is_failed("c")
+    away.keep({EndpointId("b")})
+    assert not away.is_cut_off and away.is_failed("b")
+
+
+def ways_among(members, cut_off=()):
+    """Return the ways of an instance that knows some others."""
+    membership = Membership(InstanceId("me"), "127.0.0.1:1", "a", 1)
+    for number, name in enumerate(members):
+        address = f"10.0.0.{number}:7600"
+        row = MemberRow(name, address, "a", 1, 1, 0, False, False, name in cut_off)
+        membership.merge_row(row, 0.0)
+        membership.members[name].linked = True
+    membership.update(0.0)
+    return EndpointWays(membership, EndpointLinks(), lambda: b"s", random.Random(7))
+
+
+def chosen_of(ways, orders, skipped=()):
+    """Return which instances are asked first to send a number of requests."""
+
+    async def choose():
+        for name in skipped:
+            ways.skip(name, "busy")
+        return Counter(ways.choose(set()).id for _ in range(orders))
+
+    return trio.run(choose, clock=MockClock())
+
+
+@case("requests of cut off instances are spread over all that reach endpoints")
+def _():
+    for size in (9, 195):
+        members = [InstanceId(f"i{number}") for number in range(size)]
+        cut_off = set(members[: size // 3])
+        counts = chosen_of(ways_among(members, cut_off), 100 * size)
+        assert not cut_off & counts.keys()
+        mean = 100 * size / (size - size // 3)
+        assert max(counts.values()) < 1.5 * mean, max(counts.values()) / mean
+
+
+@case("an instance that could not send a request is not asked again for a moment")
+def _():
+    ways = ways_among([InstanceId("i1"), InstanceId("i2")])
+    assert set(chosen_of(ways, 50, [InstanceId("i1")])) == {"i2"}
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -1290,6 +1290,10 @@
         "_pool_host",
         "_peers",
         "_quota_balances",
+        "_endpoint_ways",
+        "_endpoint_observer",
+        "_forwarded_requests",
+        "_lost_answers",
     )
     pattern = re.compile(r'log\.(?:info|warning|error|exception)\(\s*"([^"]+)"')
     for name in routed:
--- a/features/steps/routed_steps.py
+++ b/features/steps/routed_steps.py
@@ -1,6 +1,7 @@
 """Steps of the routed feature."""
 
 import cut_off_cases  # noqa: F401  Registers its cases.
+import cut_off_decisions  # noqa: F401  Registers its cases.
 import trio
 from behave import then
 from decision_cases import CASES as DECISIONS
--- /dev/null
+++ b/src/savorydyke/_endpoint_observer.py
@@ -0,0 +1,72 @@
+"""Records what endpoints state in their answers about further requests."""
+
+from dataclasses import dataclass
+
+import trio
+
+from savorydyke import _logs
+from savorydyke._endpoint_states import EndpointStates
+from savorydyke._ids import EndpointId
+from savorydyke._request_limits import BadLimitError, RequestLimits, parse_limit
+from savorydyke._retry_after import BadRetryAfterError, parse_retry_after
+from savorydyke.platform import ResponseInfo
+
+log = _logs.component_logger("request")
+
+
+@dataclass
+class EndpointObserver:
+    """Applies what endpoints state to this instance's knowledge."""
+
+    states: EndpointStates
+    limits: RequestLimits
+
+    def observe(
+        self, endpoint: EndpointId, info: ResponseInfo, sent: float, request_id: str
+    ) -> float:
+        """Record what an answer states.
+
+        Parameters
+        ----------
+        sent : float
+            When the request was sent, on the monotonic clock.
+
+        Returns
+        -------
+        float
+            Seconds for which the endpoint wants no other request of this instance.
+        """
+        now = trio.current_time()
+        extra: dict[str, object] = {"request": request_id, "endpoint": endpoint}
+        if info.stamped or info.not_executed:
+            self._observe_limit(endpoint, info, sent, extra)
+        if info.leaving and endpoint not in self.states.reported:
+            self.states.set_reported(endpoint, True, now)
+            log.info("Endpoint leaves.", extra=extra)
+        if not info.retry_after:
+            return 0.0
+        try:
+            pause_s = parse_retry_after(info.retry_after, info.date)
+        except BadRetryAfterError as error:
+            log.warning("Pause unreadable.", extra=extra | {"error": str(error)})
+            return 0.0
+        self.states.pause(endpoint, now + pause_s)
+        log.info("Endpoint pauses.", extra=extra | {"pause_s": pause_s})
+        return pause_s
+
+    def _observe_limit(
+        self,
+        endpoint: EndpointId,
+        info: ResponseInfo,
+        sent: float,
+        extra: dict[str, object],
+    ) -> None:
+        """Record the limit that an endpoint names, or that it names none."""
+        per_s = None
+        if info.limit:
+            try:
+                per_s = parse_limit(info.limit)
+            except BadLimitError as error:
+                log.warning("Limit unreadable.", extra=extra | {"error": str(error)})
+                return
+        self.limits.record_answer(endpoint, per_s, sent, trio.current_time())
--- /dev/null
+++ b/src/savorydyke/_endpoint_probes.py
@@ -0,0 +1,41 @@
+"""Finds out when endpoints that were not reached are reached again.
+
+Connections are opened for that, so that no caller's request is sent to find out.
+"""
+
+import trio
+
+from savorydyke._directory import Directory
+from savorydyke._endpoint_ways import EndpointWays
+
+PROBE_INTERVAL_S = 0.5
+MAX_PROBES = 3
+"""Connections that are opened at an interval while no endpoint is reached."""
+MAX_PROBES_REACHED = 16
+"""Same once an endpoint has been reached again."""
+
+
+async def probe_failed_links(ways: EndpointWays, directory: Directory) -> None:
+    """Try endpoints that were not reached again and again, until cancelled."""
+    while True:
+        await trio.sleep(PROBE_INTERVAL_S * (0.75 + 0.5 * ways.rng.random()))
+        was_cut_off = ways.links.is_cut_off
+        if not ways.links.failed_at:
+            continue
+        await _probe(ways, directory, MAX_PROBES)
+        if was_cut_off and not ways.links.is_cut_off:
+            await _probe(ways, directory, MAX_PROBES_REACHED)
+
+
+async def _probe(ways: EndpointWays, directory: Directory, most: int) -> None:
+    manifest = directory.manifest
+    failed = ways.links.failed_at
+    # The one that was tried longest ago comes first.
+    names = sorted(failed, key=lambda name: failed[name])[:most]
+    async with trio.open_nursery() as nursery:
+        for name in names:
+            endpoint = manifest.endpoints.get(name) if manifest else None
+            if endpoint is None:
+                ways.links.forget(name)
+                continue
+            nursery.start_soon(ways.probe_own_link, endpoint)
--- /dev/null
+++ b/src/savorydyke/_forwarded_requests.py
@@ -0,0 +1,248 @@
+"""Sends requests to endpoints for instances that do not reach them.
+
+The instance that has the caller has placed the request and decides what becomes of it.
+This one sends it once, to the endpoint that is named, and returns the answer. What the
+endpoint states about further requests concerns this instance, which the endpoint
+knows as the sender.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from savorydyke import _logs
+from savorydyke._directory import Directory
+from savorydyke._endpoint_observer import EndpointObserver
+from savorydyke._endpoint_ways import EndpointWays
+from savorydyke._forward_headers import (
+    RESULT,
+    UNDELIMITED,
+    ForwardOrder,
+    ForwardResult,
+    is_signed,
+    process_name,
+    read_order,
+    without_forward_headers,
+)
+from savorydyke._http1 import (
+    AnswerHead,
+    Channel,
+    ChannelBrokenError,
+    ChannelRefusedError,
+    OutgoingRequest,
+    without_hop_headers,
+)
+from savorydyke._ids import EndpointId, RequestKey
+from savorydyke._ingress import IncomingRequest, Rejected, Responder
+from savorydyke._manifest import Endpoint
+from savorydyke._membership import Membership
+from savorydyke._overload import Overload
+from savorydyke.platform import (
+    BadRequestHeadError,
+    parse_request_headers,
+    parse_response_headers,
+)
+
+MAX_FORWARDED = 128
+"""Requests of other instances at a time; each may hold a whole body."""
+MAX_ATTEMPTS_KEPT = 20_000
+"""Latest orders that are remembered, so that none is carried out twice."""
+MORE_HEAD_BYTES = 4096
+"""What an order adds to the largest head of a request."""
+REACHED_RECENTLY_S = 1.0
+NOT_SENT_STATUS = 503
+LOST_STATUS = 502
+
+log = _logs.component_logger("forward")
+
+
+@dataclass
+class ForwardedRequests:
+    """Handles the requests of other instances.
+
+    Attributes
+    ----------
+    background : trio.Nursery
+        Runs the tasks that send the rest of a long body while its answer is read.
+    is_usable : callable
+        Whether an endpoint may get a request of this instance now.
+    stopping : callable
+        Whether this instance takes no more requests of others.
+    attempts : OrderedDict of RequestKey to None
+        The latest orders.
+    """
+
+    membership: Membership
+    secret: Callable[[], bytes]
+    directory: Directory
+    ways: EndpointWays
+    observer: EndpointObserver
+    overload: Overload
+    is_usable: Callable[[EndpointId], bool]
+    stopping: Callable[[], bool]
+    background: trio.Nursery
+    attempts: OrderedDict[RequestKey, None] = field(default_factory=OrderedDict)
+
+    async def handle(self, incoming: IncomingRequest, responder: Responder) -> None:
+        """Carry out one order."""
+        order = read_order(incoming.headers)
+        if order is None or not self._is_genuine(incoming):
+            log.warning("Order rejected.", extra={"why": "no valid signature"})
+            await _answer(responder, ForwardResult.REJECTED)
+            return
+        if not self.is_first(order.attempt):
+            log.warning("Order rejected.", extra={"why": "not the first of its kind"})
+            # The first one may have been sent.
+            await _answer(responder, ForwardResult.LOST)
+            return
+        self.ways.forwarding += 1
+        try:
+            result = await self._carry_out(order, incoming, responder)
+        finally:
+            self.ways.forwarding -= 1
+        if result is not None:
+            extra = {"endpoint": order.endpoint, "sender": order.sender}
+            log.info("Not forwarded.", extra=extra | {"result": result.value})
+            await _answer(responder, result)
+
+    async def refuse_unreadable(self, responder: Responder, rejected: Rejected) -> None:
+        """Answer an order that could not be read."""
+        log.warning("Order rejected.", extra={"why": rejected.detail})
+        await _answer(responder, ForwardResult.REJECTED)
+
+    def _is_genuine(self, incoming: IncomingRequest) -> bool:
+        me = process_name(self.membership.id, self.membership.incarnation)
+        return bool(self.secret()) and is_signed(
+            self.secret(),
+            me,
+            incoming.method,
+            incoming.target,
+            incoming.headers,
+            incoming.body,
+        )
+
+    def is_first(self, attempt: RequestKey) -> bool:
+        """Return whether an order has not come before, and remember it."""
+        if attempt in self.attempts:
+            return False
+        self.attempts[attempt] = None
+        if len(self.attempts) > MAX_ATTEMPTS_KEPT:
+            self.attempts.popitem(last=False)
+        return True
+
+    async def _carry_out(
+        self, order: ForwardOrder, incoming: IncomingRequest, responder: Responder
+    ) -> ForwardResult | None:
+        """Return why the request was not answered, None if it was."""
+        manifest = self.directory.manifest
+        endpoint = manifest.endpoints.get(order.endpoint) if manifest else None
+        if endpoint is None:
+            return ForwardResult.UNUSABLE
+        if self._is_busy():
+            return ForwardResult.BUSY
+        if self.ways.links.is_cut_off:
+            return ForwardResult.CUT_OFF
+        try:
+            channel = await self.ways.open_own_link(endpoint)
+        except ChannelBrokenError as error:
+            return await self._why_not_reached(endpoint, error)
+        try:
+            if order.is_probe:
+                return ForwardResult.REACHED
+            return await self._send(endpoint, channel, order, incoming, responder)
+        finally:
+            channel.close()
+
+    def _is_busy(self) -> bool:
+        return (
+            self.stopping()
+            or self.ways.forwarding > MAX_FORWARDED
+            or self.overload.is_overloaded(trio.current_time())
+        )
+
+    async def _why_not_reached(
+        self, endpoint: Endpoint, error: ChannelBrokenError
+    ) -> ForwardResult:
+        """Return whether an endpoint is at fault or this instance's links are.
+
+        If no endpoint was reached lately, another one shows that.
+        """
+        links = self.ways.links
+        if trio.current_time() - links.opened_at > REACHED_RECENTLY_S:
+            other = self._other_endpoint(endpoint)
+            if other is not None:
+                await self.ways.probe_own_link(other)
+        if links.is_cut_off:
+            return ForwardResult.CUT_OFF
+        links.forget(endpoint.id)
+        if isinstance(error, ChannelRefusedError):
+            return ForwardResult.REFUSED
+        return ForwardResult.UNREACHABLE
+
+    def _other_endpoint(self, endpoint: Endpoint) -> Endpoint | None:
+        manifest = self.directory.manifest
+        known = manifest.endpoints.values() if manifest else ()
+        others = [other for other in known if other.id != endpoint.id]
+        return self.ways.rng.choice(others) if others else None
+
+    async def _send(
+        self,
+        endpoint: Endpoint,
+        channel: Channel,
+        order: ForwardOrder,
+        incoming: IncomingRequest,
+        responder: Responder,
+    ) -> ForwardResult | None:
+        headers = without_forward_headers(without_hop_headers(incoming.headers))
+        try:
+            info = parse_request_headers(headers)
+        except BadRequestHeadError:
+            return ForwardResult.REJECTED
+        if endpoint.drained or not self.is_usable(endpoint.id):
+            return ForwardResult.UNUSABLE
+        sent = trio.current_time()
+        request = OutgoingRequest(
+            incoming.method, incoming.target, headers, incoming.body
+        )
+        extra = {
+            "request": info.request_id,
+            "endpoint": endpoint.id,
+            "sender": order.sender,
+        }
+        status = None
+        try:
+            with trio.move_on_after(info.deadline_s or float("inf")):
+                await channel.send(request, self.background)
+                head = await channel.read_head()
+                status = head.status
+                response = parse_response_headers(head.status, head.headers)
+                self.observer.observe(endpoint.id, response, sent, info.request_id)
+                await _relay(channel, head, responder)
+        except ChannelBrokenError as error:
+            extra["error"] = str(error)
+        log.info("Forwarded.", extra=extra | {"status": status or 0})
+        # An answer that has begun is broken off by the end of the connection.
+        return None if responder.started else ForwardResult.LOST
+
+
+async def _relay(channel: Channel, head: AnswerHead, responder: Responder) -> None:
+    """Return an endpoint's answer part by part."""
+    headers = without_forward_headers(without_hop_headers(head.headers))
+    headers = [(n, v) for n, v in headers if n.lower() != b"content-length"]
+    if head.length is not None:
+        headers.append((b"Content-Length", str(head.length).encode()))
+    if not head.is_delimited():
+        headers.append((UNDELIMITED, b"1"))
+    headers.append((RESULT, ForwardResult.ANSWERED.value.encode()))
+    await responder.start(head.status, headers)
+    async for part in channel.read_body():
+        await responder.body(part)
+    await responder.end()
+
+
+async def _answer(responder: Responder, result: ForwardResult) -> None:
+    is_lost = result is ForwardResult.LOST
+    status = LOST_STATUS if is_lost else NOT_SENT_STATUS
+    await responder.send_answer(status, [(RESULT, result.value.encode())], b"")
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -11,6 +11,7 @@
 from savorydyke._directory import Directory
 from savorydyke._endpoint_links import EndpointLinks
 from savorydyke._endpoint_states import EndpointStates
+from savorydyke._endpoint_ways import EndpointWays
 from savorydyke._fallback_placement import place_fallback
 from savorydyke._gateway_settings import GatewaySettings
 from savorydyke._grant_client import COORDINATOR_STALLED_S, Demand, GrantClient
@@ -96,6 +97,8 @@
         the coordinator does not respond.
     links : EndpointLinks
         The endpoints that this instance reaches itself.
+    ways : EndpointWays
+        The ways to endpoints, also those through other instances.
     quarantine : Quarantine
         The requests and parts of prompts that are held back.
     limits : RequestLimits
@@ -124,6 +127,7 @@
     peers: Peers
     states: EndpointStates
     links: EndpointLinks
+    ways: EndpointWays
     quarantine: Quarantine
     limits: RequestLimits
     shared_evidence: SharedEvidence
@@ -199,8 +203,13 @@
                 self.quarantine.review(now)
                 self.limits.drop_old(now)
                 has_evidence = self._has_new_evidence()
-                has_changed = (
-                    self._update_slow(now) or self._has_new_version() or has_evidence
+                has_changed = any(
+                    (
+                        self._update_slow(now),
+                        self._update_cut_off(),
+                        self._has_new_version(),
+                        has_evidence,
+                    )
                 )
                 if ticks_seen % self._adapt_to_fleet_size() and not has_changed:
                     continue
@@ -254,6 +263,15 @@
         log.info("Speed changed.", extra={"slow": slow, "delay_ms": delay_ms})
         return True
 
+    def _update_cut_off(self) -> bool:
+        """Announce whether this instance is cut off from all endpoints.
+
+        Return whether that has changed.
+        """
+        has_changed = self.membership.cut_off != self.links.is_cut_off
+        self.membership.cut_off = self.links.is_cut_off
+        return has_changed
+
     def apply_instance_records(self) -> None:
         """Apply the addresses and weights of the instances' records in the store.
 
@@ -317,6 +335,7 @@
                 slow=self.membership.slow,
                 losses=losses if has_evidence or peer == informed else (),
                 limits=limits if has_evidence or peer == informed else (),
+                cut_off=self.membership.cut_off,
             )
             self.peers.send(peer, heartbeat)
 
@@ -343,6 +362,7 @@
             "links": len(self.peers.links),
             "endpoints_not_reached": len(self.links.failed_at),
             "cut_off": int(self.links.is_cut_off),
+            "forwarding": self.ways.forwarding,
             "pending": len(self.grant_client.pending),
             "in_flight": len(self.grant_client.in_flight),
             "homes": len(schedulers),
@@ -508,6 +528,7 @@
         peers,
         states,
         links,
+        EndpointWays(membership, links, lambda: peers.shared_key, rng),
         quarantine,
         limits,
         SharedEvidence(store, quarantine, limits, membership),
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -4,11 +4,16 @@
 import json
 import signal
 import sys
+from dataclasses import replace
 
 import trio
 
 from savorydyke import _logs
 from savorydyke._directory import Directory
+from savorydyke._endpoint_observer import EndpointObserver
+from savorydyke._endpoint_probes import probe_failed_links
+from savorydyke._endpoint_ways import forwarding_address
+from savorydyke._forwarded_requests import MORE_HEAD_BYTES, ForwardedRequests
 from savorydyke._gateway import Gateway, new_gateway
 from savorydyke._gateway_settings import GatewaySettings, read_gateway_settings
 from savorydyke._ingress import (
@@ -48,6 +53,7 @@
     store = open_store(settings.store)
     gateway = new_gateway(settings, store, log_buffer)
     async with trio.open_nursery() as nursery:
+        observer = EndpointObserver(gateway.states, gateway.limits)
         handler = RoutedHandler(
             settings.instance,
             gateway.directory,
@@ -56,10 +62,10 @@
             gateway.rng,
             settings.bounds.apply.revocation_s,
             gateway.states,
-            gateway.links,
+            gateway.ways,
+            observer,
             gateway.quarantine,
-            LostAnswers(gateway.quarantine, nursery),
-            gateway.limits,
+            LostAnswers(gateway.quarantine, gateway.ways, nursery),
             gateway.overload,
             gateway.pool_host.versions,
             gateway.metrics,
@@ -75,6 +81,7 @@
             handler.refuse_unreadable,
             IngressLimits,
         )
+        forwarded = _new_forwarded_requests(gateway, observer, nursery)
         nursery.start_soon(write_lines, log_buffer, sys.stdout.fileno())
         nursery.start_soon(_listen, settings.readiness, readiness)
         if settings.metrics:
@@ -87,7 +94,7 @@
         nursery.start_soon(_listen, settings.callers, ingress)
         nursery.start_soon(gateway.timers.run)
         nursery.start_soon(gateway.directory.watch_store)
-        nursery.start_soon(_join, gateway)
+        nursery.start_soon(_join, gateway, forwarded)
         log.info("Started.", extra={"callers": settings.callers})
         gc.freeze()
         await _wait_for_stop(gateway, handler, ingress, path)
@@ -96,12 +103,14 @@
     return 0
 
 
-async def _join(gateway: Gateway) -> None:
+async def _join(gateway: Gateway, forwarded: ForwardedRequests) -> None:
     """Join the fleet and run the tasks that need peers until cancelled."""
     secret = await read_or_create_fleet_key(gateway.store, gateway.rng)
     gateway.peers.shared_key = secret.encode()
     async with trio.open_nursery() as nursery:
         await nursery.start(gateway.peers.listen, gateway.settings.peers)
+        nursery.start_soon(_listen_for_forwarded, gateway, forwarded)
+        nursery.start_soon(probe_failed_links, gateway.ways, gateway.directory)
         nursery.start_soon(gateway.store_records.keep_instance_record)
         nursery.start_soon(gateway.store_records.rewrite_fleet_records)
         nursery.start_soon(gateway.quota_balances.run)
@@ -113,6 +122,34 @@
         nursery.start_soon(gateway.grant_client.reconcile, gateway.timers)
 
 
+def _new_forwarded_requests(
+    gateway: Gateway, observer: EndpointObserver, nursery: trio.Nursery
+) -> ForwardedRequests:
+    return ForwardedRequests(
+        gateway.membership,
+        lambda: gateway.peers.shared_key,
+        gateway.directory,
+        gateway.ways,
+        observer,
+        gateway.overload,
+        lambda endpoint: not gateway.states.is_unusable(endpoint, trio.current_time()),
+        lambda: gateway.stopping,
+        nursery,
+    )
+
+
+async def _listen_for_forwarded(gateway: Gateway, forwarded: ForwardedRequests) -> None:
+    """Take requests of instances that do not reach their endpoints."""
+
+    def limits() -> IngressLimits:
+        found = _limits(gateway.directory)
+        head_bytes = found.max_head_bytes + MORE_HEAD_BYTES
+        return replace(found, max_head_bytes=head_bytes)
+
+    ingress = Ingress(forwarded.handle, forwarded.refuse_unreadable, limits)
+    await _listen(forwarding_address(gateway.settings.peers), ingress)
+
+
 async def _listen(address: str, ingress: Ingress) -> None:
     await trio.serve_listeners(ingress.serve, [open_listener(address)])
 
@@ -151,7 +188,10 @@
 
 
 async def _wait_for_stop(
-    gateway: Gateway, handler: RoutedHandler, ingress: Ingress, path: str
+    gateway: Gateway,
+    handler: RoutedHandler,
+    ingress: Ingress,
+    path: str,
 ) -> None:
     """Wait for a stop signal, then until the requests in progress have ended.
 
@@ -176,7 +216,7 @@
             await trio.sleep(min(DRAIN_NOTICE_S, stop_s / 3))
             handler.refusing = True
             ingress.close_idle()
-            while ingress.active:
+            while ingress.active or gateway.ways.forwarding:
                 await trio.sleep(STOP_CHECK_S)
                 ingress.close_idle()
 
--- a/src/savorydyke/_lost_answers.py
+++ b/src/savorydyke/_lost_answers.py
@@ -9,18 +9,13 @@
 import trio
 
 from savorydyke import _logs
-from savorydyke._http1 import (
-    ChannelBrokenError,
-    ChannelRefusedError,
-    open_channel,
-)
+from savorydyke._endpoint_ways import EndpointWays
 from savorydyke._ids import ProcessId, SuspectId
 from savorydyke._manifest import Endpoint
 from savorydyke._quarantine import Quarantine, process_id
 
 CHECK_DELAY_S = 0.03
 """Time for a process that ends to close its listener after its connections."""
-CONNECT_TIMEOUT_S = 0.3
 
 log = _logs.component_logger("request")
 
@@ -31,6 +26,8 @@
 
     Attributes
     ----------
+    ways : EndpointWays
+        By which endpoints are checked.
     background : trio.Nursery
         Runs the checks.
     checking : set of ProcessId
@@ -38,6 +35,7 @@
     """
 
     quarantine: Quarantine
+    ways: EndpointWays
     background: trio.Nursery
     checking: set[ProcessId] = field(default_factory=set)
 
@@ -90,20 +88,9 @@
             self.quarantine.record_answer(suspects, answered)
 
     async def _is_there(self, endpoint: Endpoint) -> bool:
-        """Return whether a connection can be opened; record it if it is refused."""
-        try:
-            channel = await open_channel(endpoint.address, CONNECT_TIMEOUT_S)
-        except ChannelRefusedError as error:
-            log.info(
-                "Endpoint ended.", extra={"endpoint": endpoint.id, "error": str(error)}
-            )
-            self.record_refused(endpoint)
-            return False
-        except ChannelBrokenError as error:
-            log.info(
-                "Endpoint not reached.",
-                extra={"endpoint": endpoint.id, "error": str(error)},
-            )
-            return False
-        channel.close()
-        return True
+        """Return whether an endpoint's process is there; record it if it has ended."""
+        if not await self.ways.is_ended(endpoint):
+            return True
+        log.info("Endpoint ended.", extra={"endpoint": endpoint.id})
+        self.record_refused(endpoint)
+        return False
--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -54,6 +54,8 @@
         When the latest heartbeat that it has acknowledged was sent.
     slow : bool
         Whether it is too slow to coordinate a pool.
+    cut_off : bool
+        Whether it reaches no endpoint itself.
     """
 
     id: InstanceId
@@ -69,6 +71,7 @@
     last_direct_counter: int = 0
     dial_failed_at: float = float("-inf")
     slow: bool = False
+    cut_off: bool = False
 
 
 @dataclass
@@ -100,6 +103,7 @@
     counter: int = 0
     leaving: bool = False
     slow: bool = False
+    cut_off: bool = False
     next_row: int = 0
     alive_count: int = 0
     members: dict[InstanceId, Member] = field(default_factory=dict)
@@ -125,6 +129,7 @@
         member.counter = row.counter
         member.leaving = member.leaving or row.leaving
         self._set_slow(member, row.slow)
+        member.cut_off = row.cut_off
         member.last_seen = max(member.last_seen, now - row.age_ms / 1000)
 
     def _set_slow(self, member: Member, slow: bool) -> None:
@@ -145,6 +150,7 @@
             last_seen=now - row.age_ms / 1000,
             linked=earlier.linked if earlier else False,
             slow=row.slow,
+            cut_off=row.cut_off,
         )
 
     def receive_heartbeat(
@@ -160,6 +166,7 @@
             member.counter = heartbeat.counter
             member.last_seen = now
             self._set_slow(member, heartbeat.slow)
+            member.cut_off = heartbeat.cut_off
         member.leaving = member.leaving or heartbeat.leaving
         sent_at = self.sent_at.get(heartbeat.echo)
         if sent_at is not None:
@@ -263,13 +270,13 @@
         Only instances that this one can send to are candidates.
         """
         candidates = [
-            name for name in self.live() if name == self.id or self._is_reachable(name)
+            name for name in self.live() if name == self.id or self.is_reachable(name)
         ]
         return self._highest_score(pool, candidates) if candidates else self.id
 
     def next_coordinator(self, pool: PoolId) -> InstanceId | None:
         """Return which other instance would coordinate `pool`, None if none can."""
-        others = [n for n in self.live() if n != self.id and self._is_reachable(n)]
+        others = [n for n in self.live() if n != self.id and self.is_reachable(n)]
         return self._highest_score(pool, others) if others else None
 
     def _highest_score(self, pool: PoolId, candidates: list[InstanceId]) -> InstanceId:
@@ -286,7 +293,8 @@
         ]
         return max(candidates, key=lambda name: rendezvous_score(pool, name))
 
-    def _is_reachable(self, name: InstanceId) -> bool:
+    def is_reachable(self, name: InstanceId) -> bool:
+        """Return whether messages can be sent to a member."""
         member = self.members[name]
         if member.linked or not self.is_large_fleet():
             return member.linked
@@ -390,6 +398,7 @@
                 max(0, int((now - m.last_seen) * 1000)),
                 m.leaving,
                 m.slow,
+                m.cut_off,
             )
             for m in alive
         )
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -32,7 +32,7 @@
     TeamId,
 )
 
-PROTOCOL_VERSION = 6
+PROTOCOL_VERSION = 7
 MAX_FRAME_BYTES = 2_000_000
 
 
@@ -87,6 +87,7 @@
     age_ms: int
     leaving: bool
     slow: bool = False
+    cut_off: bool = False
 
 
 @dataclass(frozen=True)
@@ -152,6 +153,8 @@
         The sender's view of the fleet; sent on only one link at each interval.
     slow : bool
         Whether the sender is too slow to coordinate a pool.
+    cut_off : bool
+        Whether the sender reaches no endpoint itself.
     losses : tuple of LossRow
         Evidence against suspects; sent on all links when it or `limits`
         changes and otherwise like `rows`.
@@ -169,6 +172,7 @@
     slow: bool = False
     losses: tuple[LossRow, ...] = ()
     limits: tuple[LimitRow, ...] = ()
+    cut_off: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -14,15 +14,24 @@
 from savorydyke import _logs
 from savorydyke._configuration_age import boot_time
 from savorydyke._directory import Directory
-from savorydyke._endpoint_links import EndpointLinks
+from savorydyke._endpoint_observer import EndpointObserver
 from savorydyke._endpoint_states import EndpointStates
+from savorydyke._endpoint_ways import (
+    EndpointWays,
+    NoWayError,
+    Way,
+    endpoint_head,
+    forward_result,
+)
+from savorydyke._forward_headers import ForwardResult
 from savorydyke._grant_client import Demand, GrantClient, Granted, Refused
 from savorydyke._http1 import (
+    AnswerHead,
+    Channel,
     ChannelBrokenError,
     ChannelRefusedError,
     ChannelTimeoutError,
     OutgoingRequest,
-    open_channel,
 )
 from savorydyke._ids import (
     NO_STREAM,
@@ -47,8 +56,6 @@
 from savorydyke._overload import Overload
 from savorydyke._problems import Refusal
 from savorydyke._quarantine import HELD_BACK_DETAIL, Quarantine
-from savorydyke._request_limits import BadLimitError, RequestLimits, parse_limit
-from savorydyke._retry_after import BadRetryAfterError, parse_retry_after
 from savorydyke._routed_relay import (
     MIN_RETRY_S,
     NO_CAPACITY_RETRY_S,
@@ -76,15 +83,12 @@
 from savorydyke.platform import (
     BadRequestHeadError,
     RequestInfo,
-    ResponseInfo,
     endpoint_headers,
     parse_request_headers,
     parse_response_headers,
     refusal_headers,
 )
 
-CONNECT_TIMEOUT_S = 0.3
-"""Endpoints are a few ms away; one that takes longer counts as unreachable."""
 MAX_UNSENT = 3
 """Number of endpoints after which a request that could not be sent is refused."""
 REJECT_MAX_AGE_S = 1.5
@@ -130,10 +134,10 @@
     rng: random.Random
     revocation_s: float
     states: EndpointStates
-    links: EndpointLinks
+    ways: EndpointWays
+    observer: EndpointObserver
     quarantine: Quarantine
     lost_answers: LostAnswers
-    limits: RequestLimits
     overload: Overload
     versions: StreamVersions
     metrics: Metrics
@@ -462,103 +466,133 @@
         key: RequestKey,
         first_s: float,
     ) -> SendResult:
-        try:
-            channel = await open_channel(endpoint.address, CONNECT_TIMEOUT_S)
-        except ChannelBrokenError as error:
+        """Send a request by this instance's own link or through another instance."""
+        tried: set[InstanceId] = set()
+        while True:
+            try:
+                way = await self.ways.open(endpoint, tried)
+            except ChannelBrokenError as error:
+                return self._not_reached(request, endpoint, error)
+            try:
+                result = await self._send_by(request, endpoint, key, first_s, way)
+            finally:
+                way.channel.close()
+            if not isinstance(result, ForwardResult):
+                return result
+            assert way.forwarder is not None
+            if result in {ForwardResult.REFUSED, ForwardResult.UNREACHABLE}:
+                return self._endpoint_at_fault(request, endpoint, result)
+            if result is ForwardResult.UNUSABLE:
+                request.unsent += 1
+                return NotRun("the endpoint takes no new requests")
+            self.ways.skip(way.forwarder.id, result.value)
+
+    def _not_reached(
+        self, request: RoutedRequest, endpoint: Endpoint, error: ChannelBrokenError
+    ) -> NotRun:
+        """Record that there is no way to an endpoint.
+
+        It counts as the endpoint's fault only if others are reached.
+        """
+        request.unsent += 1
+        if not self.ways.links.is_cut_off and not isinstance(error, NoWayError):
+            request.result = ReleaseResult.UNREACHABLE
             if isinstance(error, ChannelRefusedError):
                 self.lost_answers.record_refused(endpoint)
-            self.links.record_failed(endpoint.id, trio.current_time())
-            request.result = ReleaseResult.UNREACHABLE
-            request.unsent += 1
-            return NotRun(str(error))
+        return NotRun(str(error))
+
+    def _endpoint_at_fault(
+        self, request: RoutedRequest, endpoint: Endpoint, result: ForwardResult
+    ) -> NotRun:
+        """Record that another instance, which reaches others, found no endpoint."""
+        self.ways.links.forget(endpoint.id)
+        request.unsent += 1
+        request.result = ReleaseResult.UNREACHABLE
+        if result is ForwardResult.REFUSED:
+            self.lost_answers.record_refused(endpoint)
+        return NotRun(f"{result.value} for another instance too")
+
+    async def _send_by(
+        self,
+        request: RoutedRequest,
+        endpoint: Endpoint,
+        key: RequestKey,
+        first_s: float,
+        way: Way,
+    ) -> SendResult | ForwardResult:
+        """Send a request; return why another instance did not, if it was to."""
         sent = trio.current_time()
-        self.links.record_opened(endpoint.id, sent)
+        channel = way.channel
+        if self.states.is_unusable(endpoint.id, trio.current_time()):
+            # It has said so in another answer meanwhile.
+            request.unsent += 1
+            return NotRun("the endpoint takes no new requests")
+        if self._held_back(request) is not None:
+            request.unsent += 1
+            return NotRun(HELD_BACK_DETAIL)
+        self.quarantine.record_sent(request.suspects(), sent)
+        request.sent_to.append(endpoint.id)
+        request.versions.append(endpoint.version)
+        request.may_have_run_before = request.may_have_run
+        request.may_have_run = True
+        request.result = ReleaseResult.CANCELLED
         try:
-            if self.states.is_unusable(endpoint.id, trio.current_time()):
-                # It has said so in another answer meanwhile.
-                request.unsent += 1
-                return NotRun("the endpoint takes no new requests")
-            if self._held_back(request) is not None:
-                request.unsent += 1
-                return NotRun(HELD_BACK_DETAIL)
-            self.quarantine.record_sent(request.suspects(), sent)
-            request.sent_to.append(endpoint.id)
-            request.versions.append(endpoint.version)
-            request.may_have_run_before = request.may_have_run
-            request.may_have_run = True
-            request.result = ReleaseResult.CANCELLED
-            timeout_s = self._read_timeout_s(request, first_s)
-            channel.read_until = trio.current_time() + timeout_s
-            await channel.send(self._outgoing(request, endpoint), self.background)
+            channel.read_until = sent + self._read_timeout_s(request, first_s)
+            await channel.send(self._outgoing(request, endpoint, way), self.background)
             head = await read_head(channel, lambda: self._reserve_alternative(request))
-            response_info = parse_response_headers(head.status, head.headers)
-            self._observe_endpoint(request, endpoint.id, response_info, sent)
-            result = await relay_answer(
-                request,
-                channel,
-                head,
-                response_info,
-                lambda: self._note_first_byte(request, key, endpoint.version),
-                lambda: self._reserve_alternative(request),
-            )
-            if isinstance(result, Done) and result.status < 500:
-                is_delimited = head.is_delimited()
-                self.lost_answers.record_complete(
-                    endpoint, request.suspects(), is_delimited
-                )
-            return result
+            if way.forwarder is not None:
+                result = forward_result(head)
+                if result is not ForwardResult.ANSWERED:
+                    return self._not_forwarded(request, result)
+                request.forwarders.append(way.forwarder.id)
+                head = endpoint_head(head)
+            return await self._relay(request, endpoint, key, channel, head, sent)
         except ChannelBrokenError as error:
             if not isinstance(error, ChannelTimeoutError):
                 self.lost_answers.record_lost(endpoint, request.suspects(), sent)
             request.result = ReleaseResult.TRUNCATED
             return Lost(str(error))
-        finally:
-            channel.close()
 
-    def _observe_endpoint(
-        self,
-        request: RoutedRequest,
-        endpoint: EndpointId,
-        info: ResponseInfo,
-        sent: float,
-    ) -> None:
-        """Record what an endpoint states about further requests."""
-        now = trio.current_time()
-        extra: dict[str, object] = {
-            "request": request.request_info.request_id,
-            "endpoint": endpoint,
-        }
-        if info.stamped or info.not_executed:
-            self._observe_limit(endpoint, info, sent, extra)
-        if info.leaving and endpoint not in self.states.reported:
-            self.states.set_reported(endpoint, True, now)
-            log.info("Endpoint leaves.", extra=extra)
-        if not info.retry_after:
-            return
-        try:
-            request.pause_s = parse_retry_after(info.retry_after, info.date)
-        except BadRetryAfterError as error:
-            log.warning("Pause unreadable.", extra=extra | {"error": str(error)})
-            return
-        self.states.pause(endpoint, now + request.pause_s)
-        log.info("Endpoint pauses.", extra=extra | {"pause_s": request.pause_s})
+    def _not_forwarded(
+        self, request: RoutedRequest, result: ForwardResult
+    ) -> ForwardResult | Lost:
+        """Record that another instance did not send a request, or lost its answer."""
+        if result is ForwardResult.LOST:
+            request.result = ReleaseResult.TRUNCATED
+            return Lost("the answer to another instance was lost")
+        request.sent_to.pop()
+        request.versions.pop()
+        request.may_have_run = request.may_have_run_before
+        request.result = ReleaseResult.NOT_SENT
+        return result
 
-    def _observe_limit(
+    async def _relay(
         self,
-        endpoint: EndpointId,
-        info: ResponseInfo,
+        request: RoutedRequest,
+        endpoint: Endpoint,
+        key: RequestKey,
+        channel: Channel,
+        head: AnswerHead,
         sent: float,
-        extra: dict[str, object],
-    ) -> None:
-        """Record the limit that an endpoint names, or that it names none."""
-        per_s = None
-        if info.limit:
-            try:
-                per_s = parse_limit(info.limit)
-            except BadLimitError as error:
-                log.warning("Limit unreadable.", extra=extra | {"error": str(error)})
-                return
-        self.limits.record_answer(endpoint, per_s, sent, trio.current_time())
+    ) -> SendResult:
+        """Relay the answer of an endpoint, and record what it shows."""
+        info = parse_response_headers(head.status, head.headers)
+        request_id = request.request_info.request_id
+        request.pause_s = self.observer.observe(endpoint.id, info, sent, request_id)
+        result = await relay_answer(
+            request,
+            channel,
+            head,
+            info,
+            lambda: self._note_first_byte(request, key, endpoint.version),
+            lambda: self._reserve_alternative(request),
+        )
+        if isinstance(result, Done) and result.status < 500:
+            is_delimited = head.is_delimited()
+            self.lost_answers.record_complete(
+                endpoint, request.suspects(), is_delimited
+            )
+        return result
 
     def _read_timeout_s(self, request: RoutedRequest, first_s: float) -> float:
         """Return how long to wait for a first byte before trying another endpoint."""
@@ -569,7 +603,9 @@
             STALL_SHARE * request.route.objective_s, STALL_FACTOR * first_s, MIN_STALL_S
         )
 
-    def _outgoing(self, request: RoutedRequest, endpoint: Endpoint) -> OutgoingRequest:
+    def _outgoing(
+        self, request: RoutedRequest, endpoint: Endpoint, way: Way
+    ) -> OutgoingRequest:
         team = "" if request.team == PUBLIC_TEAM else request.team
         headers = endpoint_headers(
             request.incoming.headers,
@@ -579,7 +615,12 @@
             last_event_id=request.last_event_id,
         )
         incoming = request.incoming
-        return OutgoingRequest(incoming.method, incoming.target, headers, incoming.body)
+        outgoing = OutgoingRequest(
+            incoming.method, incoming.target, headers, incoming.body
+        )
+        if way.forwarder is None:
+            return outgoing
+        return self.ways.forwarded(outgoing, endpoint.id, way.forwarder)
 
     def _note_first_byte(
         self, request: RoutedRequest, key: RequestKey, version: SoftwareVersion
@@ -660,6 +701,7 @@
                 "age_ms": int(request.config_age_s * 1000),
                 "endpoints": request.sent_to,
                 "versions": request.versions,
+                "forwarders": request.forwarders,
                 "resumes": request.request_info.resumes,
                 "last_event": request.request_info.last_event_id,
                 "tokens": [
--- a/src/savorydyke/_routed_request.py
+++ b/src/savorydyke/_routed_request.py
@@ -10,6 +10,7 @@
     NO_STREAM,
     UNKNOWN_VERSION,
     EndpointId,
+    InstanceId,
     PoolId,
     ReleaseResult,
     RequestKey,
@@ -89,6 +90,8 @@
         The version that began the stream, empty if none has or if it is not known.
     versions : list of SoftwareVersion
         The versions of these endpoints.
+    forwarders : list of InstanceId
+        Other instances that sent it there.
     unsent : int
         Number of attempts that sent nothing.
     pause_s : float
@@ -117,6 +120,7 @@
     avoid: list[EndpointId] = field(default_factory=list)
     sent_to: list[EndpointId] = field(default_factory=list)
     versions: list[SoftwareVersion] = field(default_factory=list)
+    forwarders: list[InstanceId] = field(default_factory=list)
     unsent: int = 0
     pause_s: float = 0.0
     may_have_run: bool = False
--- a/src/savorydyke_standins/_routed_site.py
+++ b/src/savorydyke_standins/_routed_site.py
@@ -118,6 +118,8 @@
     name: str
     callers: str
     readiness: str
+    peers: str
+    metrics: str
     process: subprocess.Popen
     log: Path
     settings: Path
@@ -282,6 +284,7 @@
             "callers": free_address(),
             "readiness": free_address(),
             "peers": PORTS.take(2),
+            "metrics": free_address(),
             "store": store or self.store_address,
             "bounds": BOUNDS,
             "processor": {"share": 0.55, "speed": 2},
@@ -290,8 +293,16 @@
         path.write_text(json.dumps(settings))
         log = self.folder / f"{name}.log"
         process = start_process(path, log)
-        callers, readiness = str(settings["callers"]), str(settings["readiness"])
-        daemon = Daemon(name, callers, readiness, process, log, path)
+        daemon = Daemon(
+            name=name,
+            callers=str(settings["callers"]),
+            readiness=str(settings["readiness"]),
+            peers=str(settings["peers"]),
+            metrics=str(settings["metrics"]),
+            process=process,
+            log=log,
+            settings=path,
+        )
         self.daemons.append(daemon)
         if wait:
             await self.wait_until_ready(daemon)
