Break connections to endpoints that hang

A link that carries no data any more was noticed only by the route's time-out: a stream that may not be retried waited 12 s. Keep-alive probes, which the kernel of a silent process answers, and TCP_USER_TIMEOUT, which also decides when probes give up, break it within 5 to 6 s. Ruled out: a shorter time, since an endpoint may answer before it reads a long body, and may be silent for a second. The case fails on the code before (the send never ends).

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -237,3 +237,4 @@
       | an endpoint that leaves gets no requests through other instances                   |
       | an order without a valid signature is not carried out                              |
       | several instances that are cut off share the load of the others                    |
+      | a connection whose other end hangs breaks, and one that is silent does not |
--- a/features/steps/cut_off_cases.py
+++ b/features/steps/cut_off_cases.py
@@ -8,8 +8,12 @@
 from routed_cases import DISCONNECT_S, case, hang, is_whole_stream
 from routed_cases import count as count_requests
 
+from savorydyke._http1 import ChannelBrokenError, OutgoingRequest, open_channel
 from savorydyke_standins._faulty_links import NewLinks, OpenLinks
+from savorydyke_standins._routed_site import free_address
 
+HANG_NOTICED_S = 8.0
+"""Time within which a connection breaks that carries no data any more."""
 HEALED_S = 2.0
 """Time after which an instance uses its own links again."""
 NOTICED_S = 1.5
@@ -429,3 +433,29 @@
     await trio.sleep(0.3)
     shares = [len(logged(d, "forward: Forwarded.")) for d in site.daemons[3:]]
     assert min(shares) >= 0.3 * max(shares) > 0, shares
+
+
+@case("a connection whose other end hangs breaks, and one that is silent does not")
+async def _(site):
+    async def accept(stream):
+        await trio.sleep_forever()
+
+    address = await site.listen(accept, free_address())
+    silent = await open_channel(address, 1.0)
+    hanging = await open_channel(address, 1.0)
+    request = OutgoingRequest(b"POST", b"/", [(b"Host", b"x")], bytes(32_000_000))
+    started = trio.current_time()
+    # The buffers fill up, and nothing more is taken.
+    with trio.move_on_after(HANG_NOTICED_S) as scope:
+        try:
+            await hanging.send(request, None)
+        except ChannelBrokenError:
+            scope.cancel()
+    assert trio.current_time() - started < HANG_NOTICED_S
+    with trio.move_on_after(1.0) as scope:
+        await silent.read_head()
+    assert scope.cancelled_caught
+    read = silent.stream.socket.getsockopt
+    assert read(trio.socket.SOL_SOCKET, trio.socket.SO_KEEPALIVE) == 1
+    probes_s = read(trio.socket.IPPROTO_TCP, trio.socket.TCP_KEEPIDLE)
+    assert probes_s < read(trio.socket.IPPROTO_TCP, trio.socket.TCP_USER_TIMEOUT) / 1000
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -18,6 +18,12 @@
 READ_BYTES = 65536
 INLINE_BODY_BYTES = 8192
 """Largest body sent before the answer is read; fits an empty socket buffer."""
+KEEPALIVE_S = 1
+"""Time without data after which, and interval at which, keep-alive probes are sent. The
+kernel of a machine whose process is silent answers them."""
+LINK_SILENT_MS = 5000
+"""Time without an acknowledgement after which a connection is broken. It also decides
+how many keep-alive probes are sent, whatever their count is set to."""
 MAX_HEAD_BYTES = 65536
 """Largest head of an answer that is accepted."""
 MAX_INTERIM_ANSWERS = 8
@@ -240,6 +246,7 @@
     try:
         with trio.fail_after(timeout_s):
             sock = trio.socket.socket()
+            _detect_silent_link(sock)
             try:
                 await sock.connect((host, int(port)))
             except BaseException:
@@ -252,6 +259,15 @@
     return Channel(trio.SocketStream(sock))
 
 
+def _detect_silent_link(sock: trio.socket.SocketType) -> None:
+    """Let a connection break whose other end can not be reached any more."""
+    tcp = trio.socket.IPPROTO_TCP
+    sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, trio.socket.TCP_KEEPIDLE, KEEPALIVE_S)
+    sock.setsockopt(tcp, trio.socket.TCP_KEEPINTVL, KEEPALIVE_S)
+    sock.setsockopt(tcp, trio.socket.TCP_USER_TIMEOUT, LINK_SILENT_MS)
+
+
 def without_hop_headers(headers: Headers) -> Headers:
     """Return the headers that are not hop-by-hop."""
     return [(n, v) for n, v in headers if n.lower() not in HOP_BY_HOP]
