Let endpoints that bear few rejections not fall over

Cause: nothing read it; after a rejection a coordinator paused an endpoint for 0.1 s, so that it could reject ten times a second, and each instance without a coordinator went on by itself.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -238,3 +238,12 @@
       | an order without a valid signature is not carried out                              |
       | several instances that are cut off share the load of the others                    |
       | a connection whose other end hangs breaks, and one that is silent does not |
+
+  Scenario Outline: Endpoints that bear few rejections
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                  |
+      | endpoints that bear few rejections do not fall over in an overload    |
+      | endpoints that bear few rejections outlive a restart of all instances |
+      | endpoints that bear few rejections outlive instances without links    |
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -84,6 +84,7 @@
 from savorydyke._routed_request import shared_parts
 from savorydyke._routes import TeamQuota
 from savorydyke._shared_evidence import (
+    Evidence,
     SharedEvidence,
     decode_evidence,
     encode_evidence,
@@ -1659,10 +1660,10 @@
     quarantine = Quarantine()
     for number in range(3):
         lose(quarantine, number, 1.0 + number)
-    record = encode_evidence(quarantine.rows(10.0), (), written_ms=1_000_000)
+    record = encode_evidence(Evidence(quarantine.rows(10.0)), written_ms=1_000_000)
     for now_ms in (1_002_000, 990_000):
         other = Quarantine()
-        losses, _ = decode_evidence(record, now_ms)
+        losses = decode_evidence(record, now_ms).losses
         other.merge(losses, 100.0)
         assert held_after(other, 100.0) == {"bad"}
         latest = max(loss.at for loss in other.suspects["bad"].losses.values())
@@ -1701,17 +1702,17 @@
             membership.merge_row(MemberRow(name, "i:1", "dc", 1, 1, 0, False), now)
         membership.update(now)
         quarantine, limits = Quarantine(), RequestLimits()
-        shared = SharedEvidence(writes, quarantine, limits, membership)
+        shared = SharedEvidence(writes, quarantine, limits, RequestLimits(), membership)
         limits.record_answer("a", 2.0, now, now)
         await shared.write()
-        assert decode_evidence(writes.values[-1], 0)[1]
+        assert decode_evidence(writes.values[-1], 0).limits
         for member in membership.members.values():
             member.acknowledged_at = now
         for _ in range(3):
             limits.record_answer("a", 2.0 + len(writes.keys), now, now + 1.0)
             await shared.write()
         assert len(writes.values) == 2, writes.values
-        assert decode_evidence(writes.values[-1], 0) == ((), ())
+        assert decode_evidence(writes.values[-1], 0) == Evidence()
 
     trio.run(play)
 
@@ -1734,7 +1735,9 @@
             membership.update(now)
             quarantine = Quarantine()
             limits = RequestLimits()
-            shared = SharedEvidence(writes, quarantine, limits, membership)
+            shared = SharedEvidence(
+                writes, quarantine, limits, RequestLimits(), membership
+            )
             await shared.write()
             # While nothing speaks against any part there is no call.
             assert not writes.keys or not writes.keys[-1].endswith(own)
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -11,6 +11,7 @@
 from savorydyke._ids import EndpointId, InstanceId, RequestKey, TeamId
 from savorydyke._manifest import Endpoint, PoolKind
 from savorydyke._messages import RunningRow
+from savorydyke._rejections import FRESH_S, RejectionGuard
 from savorydyke._request_limits import RequestAllowance
 
 PREFILL_WINDOW_S = 0.3
@@ -113,6 +114,8 @@
         Frontends whose requests the endpoint does not want, and until when.
     allowance : RequestAllowance or None
         How many requests it takes, if it has named a limit.
+    rejections : RejectionGuard or None
+        How many requests may be sent, if it bears few rejections only.
     parallel : bool
         Whether requests are processed side by side, as plain services do, and
         not one prompt after the other.
@@ -136,6 +139,7 @@
     learned: float = 0.0
     paused_until: dict[InstanceId, float] = field(default_factory=dict)
     allowance: RequestAllowance | None = None
+    rejections: RejectionGuard | None = None
     external: deque[int] = field(default_factory=lambda: deque(maxlen=REPORTS_KEPT))
 
     @property
@@ -159,8 +163,22 @@
         return self.failures == 0 or not self.running
 
     def takes_request(self, now: float) -> bool:
-        """Return whether the endpoint's limit allows one more request now."""
-        return self.allowance is None or self.allowance.allows(now)
+        """Return whether the endpoint's limits allow one more request now."""
+        if self.allowance is not None and not self.allowance.allows(now):
+            return False
+        if self.rejections is None:
+            return True
+        fresh = sum(now - item.granted < FRESH_S for item in self.running.values())
+        return self.rejections.allows(len(self.running), fresh, now)
+
+    def set_rejection_limit(self, per_s: float | None) -> None:
+        """Apply how many rejections a second the endpoint bears, None for any."""
+        if per_s is None:
+            self.rejections = None
+        elif self.rejections is None:
+            self.rejections = RejectionGuard(per_s)
+        else:
+            self.rejections.per_s = per_s
 
     def set_limit(self, per_s: float | None, salt: int, now: float) -> None:
         """Apply the limit that the endpoint has named, None for none."""
@@ -357,6 +375,8 @@
     def record_rejection(self, now: float) -> None:
         """Pause a full endpoint for a moment."""
         self.open_until = max(self.open_until, now + REJECTED_PAUSE_S)
+        if self.rejections is not None:
+            self.rejections.record_rejection(len(self.running), now)
 
     def record_success(self) -> None:
         """Record a complete answer and close the circuit."""
--- a/src/savorydyke/_endpoint_observer.py
+++ b/src/savorydyke/_endpoint_observer.py
@@ -20,6 +20,7 @@
 
     states: EndpointStates
     limits: RequestLimits
+    rejections: RequestLimits
 
     def observe(
         self, endpoint: EndpointId, info: ResponseInfo, sent: float, request_id: str
@@ -39,7 +40,13 @@
         now = trio.current_time()
         extra: dict[str, object] = {"request": request_id, "endpoint": endpoint}
         if info.stamped or info.not_executed:
-            self._observe_limit(endpoint, info, sent, extra)
+            for limits, text in (
+                (self.limits, info.limit),
+                (self.rejections, info.rejection_limit),
+            ):
+                _observe_limit(limits, endpoint, text, sent, extra)
+        if info.rejected and self.rejections.limit(endpoint) is not None:
+            self.states.record_rejected(endpoint, now)
         if info.leaving and endpoint not in self.states.reported:
             self.states.set_reported(endpoint, True, now)
             log.info("Endpoint leaves.", extra=extra)
@@ -54,19 +61,20 @@
         log.info("Endpoint pauses.", extra=extra | {"pause_s": pause_s})
         return pause_s
 
-    def _observe_limit(
-        self,
-        endpoint: EndpointId,
-        info: ResponseInfo,
-        sent: float,
-        extra: dict[str, object],
-    ) -> None:
-        """Record the limit that an endpoint names, or that it names none."""
-        per_s = None
-        if info.limit:
-            try:
-                per_s = parse_limit(info.limit)
-            except BadLimitError as error:
-                log.warning("Limit unreadable.", extra=extra | {"error": str(error)})
-                return
-        self.limits.record_answer(endpoint, per_s, sent, trio.current_time())
+
+def _observe_limit(
+    limits: RequestLimits,
+    endpoint: EndpointId,
+    text: str,
+    sent: float,
+    extra: dict[str, object],
+) -> None:
+    """Record the limit that an endpoint names, or that it names none."""
+    per_s = None
+    if text:
+        try:
+            per_s = parse_limit(text)
+        except BadLimitError as error:
+            log.warning("Limit unreadable.", extra=extra | {"error": str(error)})
+            return
+    limits.record_answer(endpoint, per_s, sent, trio.current_time())
--- a/src/savorydyke/_endpoint_states.py
+++ b/src/savorydyke/_endpoint_states.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from savorydyke._ids import EndpointId
+from savorydyke._rejections import PAUSE_S
 
 PEER_REPORT_TTL_S = 3.0
 """Time after which a report of a peer expires unless it is repeated."""
@@ -29,6 +30,9 @@
         Endpoints that peers report as leaving, with the time of the last report.
     paused_until : dict of EndpointId to float
         Endpoints that want no request from this instance, and until when.
+    rejected_at : dict of EndpointId to float
+        When endpoints that bear few rejections last rejected a request of this
+        instance.
     """
 
     listed: set[EndpointId] = field(default_factory=set)
@@ -36,6 +40,7 @@
     from_peers: dict[EndpointId, float] = field(default_factory=dict)
     leaving: set[EndpointId] = field(default_factory=set)
     paused_until: dict[EndpointId, float] = field(default_factory=dict)
+    rejected_at: dict[EndpointId, float] = field(default_factory=dict)
     listeners: list[Callable[[EndpointId, bool], None]] = field(default_factory=list)
 
     def set_listed(self, endpoints: set[EndpointId], now: float) -> None:
@@ -62,6 +67,11 @@
         """Record that an endpoint wants no request from this instance for a while."""
         self.paused_until[endpoint] = max(until, self.paused_until.get(endpoint, 0.0))
 
+    def record_rejected(self, endpoint: EndpointId, now: float) -> None:
+        """Record that an endpoint that bears few rejections rejected a request."""
+        self.rejected_at[endpoint] = now
+        self.pause(endpoint, now + PAUSE_S)
+
     def is_unusable(self, endpoint: EndpointId, now: float) -> bool:
         """Return whether an endpoint is leaving or has asked for a pause."""
         return endpoint in self.leaving or now < self.paused_until.get(endpoint, 0.0)
@@ -71,6 +81,7 @@
         self.reported.discard(endpoint)
         self.from_peers.pop(endpoint, None)
         self.paused_until.pop(endpoint, None)
+        self.rejected_at.pop(endpoint, None)
         self.update(now)
 
     def observed_leaving(self) -> tuple[EndpointId, ...]:
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -1,5 +1,6 @@
 """An instance that serves routed callers on the users' platform."""
 
+import math
 import random
 import time
 from dataclasses import dataclass, field, replace
@@ -50,6 +51,7 @@
 from savorydyke._quarantine import Quarantine
 from savorydyke._quota import Quotas, Tolerance
 from savorydyke._quota_balances import QuotaBalances
+from savorydyke._rejections import uncoordinated_pause_s
 from savorydyke._request_limits import RequestAllowance, RequestLimits
 from savorydyke._retry_budget import RetryBudget
 from savorydyke._routes import TeamQuota
@@ -101,8 +103,9 @@
         The ways to endpoints, also those through other instances.
     quarantine : Quarantine
         The requests and parts of prompts that are held back.
-    limits : RequestLimits
-        The limits on requests that endpoints have named.
+    limits, rejections : RequestLimits
+        The limits on requests that endpoints have named, and the rejections a second
+        that they bear.
     fallback_allowances : dict of EndpointId to RequestAllowance
         What fallback placement may use of these.
     shared_evidence : SharedEvidence
@@ -130,6 +133,7 @@
     ways: EndpointWays
     quarantine: Quarantine
     limits: RequestLimits
+    rejections: RequestLimits
     shared_evidence: SharedEvidence
     pool_host: PoolHost
     grant_client: GrantClient
@@ -141,7 +145,7 @@
     store_records: StoreRecords
     stopping: bool = False
     announced_version: int = 0
-    announced_evidence: tuple[int, int] = (0, 0)
+    announced_evidence: tuple[int, ...] = ()
     fallback_allowances: dict[EndpointId, RequestAllowance] = field(
         default_factory=dict
     )
@@ -177,6 +181,7 @@
         self.states.update_from_peer(heartbeat.leaving_endpoints, now)
         self.quarantine.merge(heartbeat.losses, now)
         self.limits.merge(heartbeat.limits, now)
+        self.rejections.merge(heartbeat.rejections, now)
         if heartbeat.revision > self.directory.version:
             request = ConfigurationRequest(Revision(self.directory.version))
             self.peers.send(sender, request)
@@ -202,6 +207,7 @@
                 now = trio.current_time()
                 self.quarantine.review(now)
                 self.limits.drop_old(now)
+                self.rejections.drop_old(now)
                 has_evidence = self._has_new_evidence()
                 has_changed = any(
                     (
@@ -247,7 +253,8 @@
 
     def _has_new_evidence(self) -> bool:
         """Return whether evidence or limits are new since the latest heartbeats."""
-        state = (self.quarantine.changes, self.limits.changes)
+        changes = (self.limits.changes, self.rejections.changes)
+        state = (self.quarantine.changes, *changes)
         has_changed = self.announced_evidence != state
         self.announced_evidence = state
         return has_changed
@@ -321,6 +328,7 @@
         peers = self._due_peers(counter, has_changed)
         informed = self.rng.choice(peers) if peers else None
         losses, limits = self.quarantine.rows(now), self.limits.rows(now)
+        rejections = self.rejections.rows(now)
         for peer in peers:
             member = self.membership.members.get(peer)
             rows = self.membership.rows(now) if peer == informed else ()
@@ -336,6 +344,7 @@
                 losses=losses if has_evidence or peer == informed else (),
                 limits=limits if has_evidence or peer == informed else (),
                 cut_off=self.membership.cut_off,
+                rejections=rejections if has_evidence or peer == informed else (),
             )
             self.peers.send(peer, heartbeat)
 
@@ -383,6 +392,12 @@
 
     def _allows_fallback(self, endpoint: EndpointId, now: float) -> bool:
         """Return whether this instance may place a request at an endpoint itself."""
+        per_s = self.rejections.limit(endpoint)
+        if per_s is not None:
+            instances = self.membership.listed_count()
+            rejected_at = self.states.rejected_at.get(endpoint, -math.inf)
+            if now - rejected_at < uncoordinated_pause_s(per_s, instances):
+                return False
         allowance = self.fallback_allowances.get(endpoint)
         if allowance is None:
             return True
@@ -401,6 +416,12 @@
         now, salt = trio.current_time(), self.rng.getrandbits(32)
         self.fallback_allowances[endpoint] = RequestAllowance(per_s, salt, now)
 
+    def apply_rejection_limit(self, endpoint: EndpointId, per_s: float | None) -> None:
+        """Apply how many rejections a second an endpoint bears, None for any."""
+        extra = {"endpoint": endpoint, "rejections": per_s}
+        log.info("Rejections of endpoint changed.", extra=extra)
+        self.pool_host.set_rejection_limit(endpoint, per_s)
+
     def place_fallback(
         self, demand: Demand, avoid: tuple[EndpointId, ...]
     ) -> EndpointId | None:
@@ -480,11 +501,13 @@
         membership, "", lambda sender, message: gateway.handle(sender, message), rng
     )
     states, links = EndpointStates(), EndpointLinks()
-    quarantine, limits = Quarantine(), RequestLimits()
+    quarantine = Quarantine()
+    limits, rejections = RequestLimits(), RequestLimits()
     pool_host = PoolHost(
         membership=membership,
         states=states,
         limits=limits,
+        rejections=rejections,
         manifest=lambda: directory.manifest,
         answer=lambda frontend, answer: gateway.deliver(frontend, answer),
         cancel_orphan=lambda endpoint, item: None,
@@ -531,7 +554,8 @@
         EndpointWays(membership, links, lambda: peers.shared_key, rng),
         quarantine,
         limits,
-        SharedEvidence(store, quarantine, limits, membership),
+        rejections,
+        SharedEvidence(store, quarantine, limits, rejections, membership),
         pool_host,
         grant_client,
         metrics,
@@ -545,7 +569,9 @@
     )
     links.listeners.append(lambda is_cut_off: _note_cut_off(gateway, is_cut_off))
     limits.listeners.append(gateway.apply_limit)
+    rejections.listeners.append(gateway.apply_rejection_limit)
     directory.restart_listeners.append(limits.forget)
+    directory.restart_listeners.append(rejections.forget)
     quarantine.listeners.append(lambda part, held: _note_held(gateway, part, held))
     directory.evidence_listeners.append(gateway.shared_evidence.receive)
     membership.listeners.append(grant_client.follow_coordinators)
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -53,7 +53,7 @@
     store = open_store(settings.store)
     gateway = new_gateway(settings, store, log_buffer)
     async with trio.open_nursery() as nursery:
-        observer = EndpointObserver(gateway.states, gateway.limits)
+        observer = EndpointObserver(gateway.states, gateway.limits, gateway.rejections)
         handler = RoutedHandler(
             settings.instance,
             gateway.directory,
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -117,7 +117,7 @@
 
 @dataclass(frozen=True)
 class LimitRow:
-    """The limit that an endpoint has named.
+    """The limit, or the number of rejections, that an endpoint has named.
 
     Attributes
     ----------
@@ -158,8 +158,8 @@
     losses : tuple of LossRow
         Evidence against suspects; sent on all links when it or `limits`
         changes and otherwise like `rows`.
-    limits : tuple of LimitRow
-        Limits of endpoints, sent like `losses`.
+    limits, rejections : tuple of LimitRow
+        Limits of endpoints, and the rejections that they bear, sent like `losses`.
     """
 
     counter: int
@@ -173,6 +173,7 @@
     losses: tuple[LossRow, ...] = ()
     limits: tuple[LimitRow, ...] = ()
     cut_off: bool = False
+    rejections: tuple[LimitRow, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -98,6 +98,8 @@
         Called with a scheduler when this instance becomes the coordinator.
     limits : RequestLimits
         Limits that endpoints have named, for new schedulers.
+    rejections : RequestLimits
+        Numbers of rejections that endpoints bear, for new schedulers.
     versions : StreamVersions
         At which software versions streams began.
     """
@@ -115,6 +117,7 @@
     )
     on_takeover: Callable[[PoolScheduler], None] = field(default=lambda scheduler: None)
     limits: RequestLimits = field(default_factory=RequestLimits)
+    rejections: RequestLimits = field(default_factory=RequestLimits)
     versions: StreamVersions = field(default_factory=StreamVersions)
     hosted: dict[PoolId, HostedPool] = field(default_factory=dict)
     last_tick: float = field(default_factory=trio.current_time)
@@ -284,6 +287,8 @@
         )
         for endpoint, known in self.limits.named.items():
             scheduler.set_limit(endpoint, known.per_s, now)
+        for endpoint, known in self.rejections.named.items():
+            scheduler.set_rejection_limit(endpoint, known.per_s)
         self.hosted[pool] = hosted
         log.info("Pool hosted.", extra={"pool": pool})
         return hosted
@@ -336,6 +341,11 @@
             hosted.scheduler.set_limit(endpoint, per_s, now)
             self.set_share(hosted.scheduler)
 
+    def set_rejection_limit(self, endpoint: EndpointId, per_s: float | None) -> None:
+        """Apply in all schedulers how many rejections a second an endpoint bears."""
+        for hosted in self.hosted.values():
+            hosted.scheduler.set_rejection_limit(endpoint, per_s)
+
     def set_leaving(self, endpoint: EndpointId, leaving: bool) -> None:
         """Record in all schedulers whether an endpoint is leaving."""
         for hosted in self.hosted.values():
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -203,6 +203,12 @@
         if load is not None:
             load.set_limit(per_s, self.rng.getrandbits(32), now)
 
+    def set_rejection_limit(self, endpoint: EndpointId, per_s: float | None) -> None:
+        """Apply how many rejections a second an endpoint bears, None for any."""
+        load = self.endpoints.get(endpoint)
+        if load is not None:
+            load.set_rejection_limit(per_s)
+
     def set_limit_share(self, share: float) -> None:
         """Set which part of the endpoints' limits may be used here."""
         for load in self.endpoints.values():
--- a/src/savorydyke/_shared_evidence.py
+++ b/src/savorydyke/_shared_evidence.py
@@ -33,6 +33,15 @@
 log = _logs.component_logger("evidence")
 
 
+@dataclass(frozen=True)
+class Evidence:
+    """What an instance knows that outlives it."""
+
+    losses: tuple[LossRow, ...] = ()
+    limits: tuple[LimitRow, ...] = ()
+    rejections: tuple[LimitRow, ...] = ()
+
+
 @dataclass
 class SharedEvidence:
     """Writes and reads the records.
@@ -52,8 +61,9 @@
     store: Store
     quarantine: Quarantine
     limits: RequestLimits
+    rejections: RequestLimits
     membership: Membership
-    written: tuple[int, int, int] = (0, 0, 0)
+    written: tuple[int, ...] = ()
     lease: int = 0
     renewed: float = -math.inf
     has_record: bool = False
@@ -77,26 +87,30 @@
         """
         now = trio.current_time()
         generation = self.store.generation
-        state = (self.quarantine.changes, self.limits.changes, generation)
+        changes = (self.limits.changes, self.rejections.changes)
+        state = (self.quarantine.changes, *changes, generation)
         if state == self.written:
             if self.has_record and now - self.renewed > LEASE_RENEWAL_S:
                 await self._renew_lease(now)
             return
         losses, limits = self.quarantine.rows(now), self.limits.rows(now)
+        rejections = self.rejections.rows(now)
         is_chosen = self.membership.is_chosen("evidence", 1)
         if not is_chosen and not self.membership.is_cut_off(now):
             # What it wrote earlier is outdated.
-            losses, limits = (), ()
-        if losses or limits or self.has_record:
-            record = encode_evidence(losses, limits, time.time_ns() // 1_000_000)
-            if not self.lease or generation != self.written[-1]:
+            losses, limits, rejections = (), (), ()
+        has_rows = bool(losses or limits or rejections)
+        if has_rows or self.has_record:
+            evidence = Evidence(losses, limits, rejections)
+            record = encode_evidence(evidence, time.time_ns() // 1_000_000)
+            if not self.lease or (generation,) != self.written[-1:]:
                 self.lease = await self.store.open_lease(LEASE_S)
                 self.renewed = now
             values = {evidence_key(self.membership.id): record}
             if isinstance(await self.store.write(values, self.lease), LeaseExpired):
                 self.lease = 0
                 return
-            self.has_record = bool(losses or limits)
+            self.has_record = has_rows
         self.written = state
 
     async def _renew_lease(self, now: float) -> None:
@@ -104,26 +118,25 @@
         if await self.store.renew_lease(self.lease):
             self.renewed = now
             return
-        self.lease, self.written = 0, (0, 0, 0)
+        self.lease, self.written = 0, ()
 
     def receive(self, instance: InstanceId, record: bytes) -> None:
         """Add the evidence in a record, possibly of this instance before a restart."""
         try:
-            losses, limits = decode_evidence(record, time.time_ns() // 1_000_000)
+            evidence = decode_evidence(record, time.time_ns() // 1_000_000)
         except (ValueError, TypeError, LookupError) as error:
             extra = {"peer": instance, "error": repr(error)}
             log.error("Evidence unreadable.", extra=extra)
             return
         now = trio.current_time()
-        self.quarantine.merge(losses, now)
-        self.limits.merge(limits, now)
+        self.quarantine.merge(evidence.losses, now)
+        self.limits.merge(evidence.limits, now)
+        self.rejections.merge(evidence.rejections, now)
         # An instance that has just started refuses from its first request on.
         self.quarantine.review(now)
 
 
-def encode_evidence(
-    losses: tuple[LossRow, ...], limits: tuple[LimitRow, ...], written_ms: int
-) -> bytes:
+def encode_evidence(evidence: Evidence, written_ms: int) -> bytes:
     """Return the stored form of evidence and limits.
 
     Parameters
@@ -133,15 +146,14 @@
     """
     value = {
         "written_ms": written_ms,
-        "losses": [[*row.__dict__.values()] for row in losses],
-        "limits": [[*row.__dict__.values()] for row in limits],
+        "losses": [[*row.__dict__.values()] for row in evidence.losses],
+        "limits": [[*row.__dict__.values()] for row in evidence.limits],
+        "rejections": [[*row.__dict__.values()] for row in evidence.rejections],
     }
     return json.dumps(value).encode()
 
 
-def decode_evidence(
-    record: bytes, now_ms: int
-) -> tuple[tuple[LossRow, ...], tuple[LimitRow, ...]]:
+def decode_evidence(record: bytes, now_ms: int) -> Evidence:
     """Return the rows of a record, with their present ages.
 
     Raises
@@ -162,8 +174,14 @@
         )
         for suspect, depth, process, sent_ms, lost_ms, trials in value["losses"]
     )
-    limits = tuple(
+    limits = _decode_limits(value["limits"], age_ms)
+    # Records of earlier versions have none.
+    rejections = _decode_limits(value.get("rejections", []), age_ms)
+    return Evidence(losses, limits, rejections)
+
+
+def _decode_limits(rows: list[Any], age_ms: int) -> tuple[LimitRow, ...]:
+    return tuple(
         LimitRow(EndpointId(str(endpoint)), int(per_1000_s), int(named_ms) + age_ms)
-        for endpoint, per_1000_s, named_ms in value["limits"]
+        for endpoint, per_1000_s, named_ms in rows
     )
-    return losses, limits
--- a/src/savorydyke/platform/_headers.py
+++ b/src/savorydyke/platform/_headers.py
@@ -21,6 +21,7 @@
 TENANT = b"x-savorydyke-tenant"
 LEAVING = b"server-leaving"
 LIMIT = b"server-limit"
+REJECTION_LIMIT = b"server-brittle"
 
 OVERRIDDEN_HEADERS = frozenset(
     {
@@ -218,6 +219,11 @@
     limit : str
         The requests a second that the endpoint takes from all instances together;
         empty for no limit.
+    rejection_limit : str
+        How many requests a second the endpoint may have to reject before it falls
+        over; empty if it does not say so.
+    rejected : bool
+        Whether it had no room for the request, which did not run.
     retry_after, date : str
         When an endpoint that rejects a request takes the next one, and the time at
         which it said so; empty if not given.
@@ -230,6 +236,8 @@
     waiting: int | None
     leaving: bool
     limit: str
+    rejection_limit: str
+    rejected: bool
     retry_after: str
     date: str
 
@@ -250,6 +258,8 @@
         waiting=waiting,
         leaving=found.get(LEAVING, "").strip() == "1",
         limit=found.get(LIMIT, "").strip(),
+        rejection_limit=found.get(REJECTION_LIMIT, "").strip(),
+        rejected=status == 503 and NOT_EXECUTED in found,
         retry_after=found.get(b"retry-after", "").strip() if status == 503 else "",
         date=found.get(b"date", "").strip(),
     )
