--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -547,11 +547,27 @@
                 request.forwarders.append(way.forwarder.id)
                 head = endpoint_head(head)
             return await self._relay(request, endpoint, key, channel, head, sent)
+        except ChannelTimeoutError as error:
+            self._give_up(request, endpoint, "silent")
+            request.result = ReleaseResult.TRUNCATED
+            return Lost(str(error))
         except ChannelBrokenError as error:
-            if not isinstance(error, ChannelTimeoutError):
-                self.lost_answers.record_lost(endpoint, request.suspects(), sent)
+            self.lost_answers.record_lost(endpoint, request.suspects(), sent)
             request.result = ReleaseResult.TRUNCATED
             return Lost(str(error))
+        except trio.Cancelled:
+            self._give_up(request, endpoint, "time-out or caller gone")
+            raise
+
+    def _give_up(self, request: RoutedRequest, endpoint: Endpoint, why: str) -> None:
+        """Log that an answer is not awaited any more."""
+        extra = {
+            "request": request.request_info.request_id,
+            "endpoint": endpoint.id,
+            "why": why,
+            "events": request.events,
+        }
+        log.info("Answer given up.", extra=extra)
 
     def _not_forwarded(
         self, request: RoutedRequest, result: ForwardResult
