Show that pauses in answers that were given up are not kept

Three fail and are listed: the answer comes at the time-out of its request, after the endpoint was given up for silence, or when the caller has left; over 50 requests then arrive in the pause, two allowed. Five pass: a long body that is not read, granted before, tried again, no links, coordinator killed.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -247,3 +247,17 @@
       | endpoints that bear few rejections do not fall over in an overload    |
       | endpoints that bear few rejections outlive a restart of all instances |
       | endpoints that bear few rejections outlive instances without links    |
+
+  Scenario Outline: Ways to an endpoint that asks for a pause
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                   |
+      | a pause that an endpoint asks for at the time-out of a request is kept |
+      | a pause that a silent endpoint asks for after it was given up is kept  |
+      | a pause that an endpoint asks for when the caller has left is kept     |
+      | a pause that an endpoint asks for before it reads a long body is kept  |
+      | a pause is kept by requests that were granted before it                |
+      | a pause is kept by requests that are tried again                       |
+      | a pause is kept by instances without links                             |
+      | a pause is kept when the coordinator of the pool is killed             |
