Keep pauses of answers that were given up, and check once before each send

Cause shown by own cases: the answer with the pause was not read, since the attempt had been given up at its time-out, for silence, or because its caller had left, and its connection was closed. The head of an answer is now awaited for 0.25 s more, within the half second in which the end of a caller must reach its endpoint. Ruled out: closing one direction only (endpoints may go on working), a longer wait.

What decides whether a request may be sent (removed, replaced, leaving, paused) stood in three places with different parts; it is one function now, asked with the connection open, right before the first byte, by the instance that writes it, for its own requests and those of others.

--- a/features/steps/cut_off_decisions.py
+++ b/features/steps/cut_off_decisions.py
@@ -66,7 +66,7 @@
 
 @case("an order that comes again is not carried out")
 def _():
-    orders = ForwardedRequests(*[None] * 9)
+    orders = ForwardedRequests(*[None] * 10)
     assert orders.is_first(RequestKey("i1/7/1"))
     assert not orders.is_first(RequestKey("i1/7/1"))
     for number in range(2, 30_000):
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -1240,6 +1240,7 @@
             None,
             None,
             None,
+            None,
             incarnation=incarnation,
         )
         for number in range(3):
@@ -1295,6 +1296,7 @@
         "_endpoint_observer",
         "_forwarded_requests",
         "_lost_answers",
+        "_late_answers",
     )
     pattern = re.compile(r'log\.(?:info|warning|error|exception)\(\s*"([^"]+)"')
     for name in routed:
--- a/src/savorydyke/_endpoint_states.py
+++ b/src/savorydyke/_endpoint_states.py
@@ -74,7 +74,11 @@
 
     def is_unusable(self, endpoint: EndpointId, now: float) -> bool:
         """Return whether an endpoint is leaving or has asked for a pause."""
-        return endpoint in self.leaving or now < self.paused_until.get(endpoint, 0.0)
+        return endpoint in self.leaving or self.is_paused(endpoint, now)
+
+    def is_paused(self, endpoint: EndpointId, now: float) -> bool:
+        """Return whether an endpoint has asked this instance for a pause."""
+        return now < self.paused_until.get(endpoint, 0.0)
 
     def forget(self, endpoint: EndpointId, now: float) -> None:
         """Drop the reports of an endpoint, whose process has been replaced."""
--- a/src/savorydyke/_forwarded_requests.py
+++ b/src/savorydyke/_forwarded_requests.py
@@ -34,11 +34,13 @@
     OutgoingRequest,
     without_hop_headers,
 )
-from savorydyke._ids import EndpointId, RequestKey
+from savorydyke._ids import RequestKey
 from savorydyke._ingress import IncomingRequest, Rejected, Responder
+from savorydyke._late_answers import LateAnswers
 from savorydyke._manifest import Endpoint
 from savorydyke._membership import Membership
 from savorydyke._overload import Overload
+from savorydyke._send_check import SendCheck
 from savorydyke.platform import (
     BadRequestHeadError,
     parse_request_headers,
@@ -66,8 +68,6 @@
     ----------
     background : trio.Nursery
         Runs the tasks that send the rest of a long body while its answer is read.
-    is_usable : callable
-        Whether an endpoint may get a request of this instance now.
     stopping : callable
         Whether this instance takes no more requests of others.
     attempts : OrderedDict of RequestKey to None
@@ -79,8 +79,9 @@
     directory: Directory
     ways: EndpointWays
     observer: EndpointObserver
+    late_answers: LateAnswers
+    check: SendCheck
     overload: Overload
-    is_usable: Callable[[EndpointId], bool]
     stopping: Callable[[], bool]
     background: trio.Nursery
     attempts: OrderedDict[RequestKey, None] = field(default_factory=OrderedDict)
@@ -148,12 +149,10 @@
             channel = await self.ways.open_own_link(endpoint)
         except ChannelBrokenError as error:
             return await self._why_not_reached(endpoint, error)
-        try:
-            if order.is_probe:
-                return ForwardResult.REACHED
-            return await self._send(endpoint, channel, order, incoming, responder)
-        finally:
+        if order.is_probe:
             channel.close()
+            return ForwardResult.REACHED
+        return await self._send(endpoint, channel, order, incoming, responder)
 
     def _is_busy(self) -> bool:
         return (
@@ -195,12 +194,16 @@
         incoming: IncomingRequest,
         responder: Responder,
     ) -> ForwardResult | None:
+        """Send a request and return its answer; close the connection at the end."""
         headers = without_forward_headers(without_hop_headers(incoming.headers))
         try:
             info = parse_request_headers(headers)
         except BadRequestHeadError:
+            channel.close()
             return ForwardResult.REJECTED
-        if endpoint.drained or not self.is_usable(endpoint.id):
+        if why := self.check.why_not(endpoint):
+            channel.close()
+            log.info("Not sent.", extra={"endpoint": endpoint.id, "why": why})
             return ForwardResult.UNUSABLE
         sent = trio.current_time()
         request = OutgoingRequest(
@@ -211,7 +214,7 @@
             "endpoint": endpoint.id,
             "sender": order.sender,
         }
-        status = None
+        status, is_awaited = None, True
         try:
             with trio.move_on_after(info.deadline_s or float("inf")):
                 await channel.send(request, self.background)
@@ -222,6 +225,15 @@
                 await _relay(channel, head, responder)
         except ChannelBrokenError as error:
             extra["error"] = str(error)
+        except trio.Cancelled:
+            if status is None:
+                is_awaited = False
+                request_id = info.request_id
+                self.late_answers.take_over(channel, endpoint.id, sent, request_id)
+            raise
+        finally:
+            if is_awaited:
+                channel.close()
         log.info("Forwarded.", extra=extra | {"status": status or 0})
         # An answer that has begun is broken off by the end of the connection.
         return None if responder.started else ForwardResult.LOST
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -23,9 +23,11 @@
     Responder,
     open_listener,
 )
+from savorydyke._late_answers import LateAnswers
 from savorydyke._log_writer import LogBuffer, flush, write_lines
 from savorydyke._lost_answers import LostAnswers
 from savorydyke._routed_handler import RoutedHandler
+from savorydyke._send_check import SendCheck
 from savorydyke._store_records import read_or_create_fleet_key
 from savorydyke.platform import READINESS_PATH, open_store
 
@@ -54,6 +56,8 @@
     gateway = new_gateway(settings, store, log_buffer)
     async with trio.open_nursery() as nursery:
         observer = EndpointObserver(gateway.states, gateway.limits, gateway.rejections)
+        check = SendCheck(gateway.states, gateway.directory)
+        late_answers = LateAnswers(observer, nursery)
         handler = RoutedHandler(
             settings.instance,
             gateway.directory,
@@ -61,9 +65,10 @@
             nursery,
             gateway.rng,
             settings.bounds.apply.revocation_s,
-            gateway.states,
             gateway.ways,
+            check,
             observer,
+            late_answers,
             gateway.quarantine,
             LostAnswers(gateway.quarantine, gateway.ways, nursery),
             gateway.overload,
@@ -81,7 +86,9 @@
             handler.refuse_unreadable,
             IngressLimits,
         )
-        forwarded = _new_forwarded_requests(gateway, observer, nursery)
+        forwarded = _new_forwarded_requests(
+            gateway, observer, late_answers, check, nursery
+        )
         nursery.start_soon(write_lines, log_buffer, sys.stdout.fileno())
         nursery.start_soon(_listen, settings.readiness, readiness)
         if settings.metrics:
@@ -123,7 +130,11 @@
 
 
 def _new_forwarded_requests(
-    gateway: Gateway, observer: EndpointObserver, nursery: trio.Nursery
+    gateway: Gateway,
+    observer: EndpointObserver,
+    late_answers: LateAnswers,
+    check: SendCheck,
+    nursery: trio.Nursery,
 ) -> ForwardedRequests:
     return ForwardedRequests(
         gateway.membership,
@@ -131,8 +142,9 @@
         gateway.directory,
         gateway.ways,
         observer,
+        late_answers,
+        check,
         gateway.overload,
-        lambda endpoint: not gateway.states.is_unusable(endpoint, trio.current_time()),
         lambda: gateway.stopping,
         nursery,
     )
--- /dev/null
+++ b/src/savorydyke/_late_answers.py
@@ -0,0 +1,72 @@
+"""Reads the beginnings of answers that are not awaited any more.
+
+An endpoint that is overloaded answers late, when its request has been given up, and
+asks for a pause just then. The connection is kept for a moment to learn of it.
+"""
+
+from dataclasses import dataclass
+
+import trio
+
+from savorydyke import _logs
+from savorydyke._endpoint_observer import EndpointObserver
+from savorydyke._http1 import Channel, ChannelBrokenError
+from savorydyke._ids import EndpointId
+from savorydyke.platform import parse_response_headers
+
+LATE_S = 0.25
+"""Half of the time within which the end of a caller must reach its endpoint."""
+MAX_WAITING = 256
+"""Connections that are kept at a time."""
+
+log = _logs.component_logger("request")
+
+
+@dataclass
+class LateAnswers:
+    """Waits for the heads of late answers.
+
+    Attributes
+    ----------
+    background : trio.Nursery
+        Runs the tasks that wait.
+    waiting : int
+        Connections that are kept.
+    """
+
+    observer: EndpointObserver
+    background: trio.Nursery
+    waiting: int = 0
+
+    def take_over(
+        self, channel: Channel, endpoint: EndpointId, sent: float, request_id: str
+    ) -> None:
+        """Wait for an answer's head, and close its connection in any case.
+
+        Parameters
+        ----------
+        sent : float
+            When the request was sent, on the monotonic clock.
+        """
+        if self.waiting >= MAX_WAITING:
+            channel.close()
+            return
+        self.waiting += 1
+        self.background.start_soon(self._read, channel, endpoint, sent, request_id)
+
+    async def _read(
+        self, channel: Channel, endpoint: EndpointId, sent: float, request_id: str
+    ) -> None:
+        try:
+            channel.read_until = trio.current_time() + LATE_S
+            head = await channel.read_head()
+            info = parse_response_headers(head.status, head.headers)
+            self.observer.observe(endpoint, info, sent, request_id)
+            extra = {"request": request_id, "endpoint": endpoint, "status": head.status}
+            log.info("Late answer.", extra=extra)
+        except ChannelBrokenError as error:
+            extra = {"request": request_id, "endpoint": endpoint, "error": str(error)}
+            log.debug("No late answer.", extra=extra)
+        finally:
+            self.waiting -= 1
+            channel.close()
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -15,7 +15,6 @@
 from savorydyke._configuration_age import boot_time
 from savorydyke._directory import Directory
 from savorydyke._endpoint_observer import EndpointObserver
-from savorydyke._endpoint_states import EndpointStates
 from savorydyke._endpoint_ways import (
     EndpointWays,
     NoWayError,
@@ -50,6 +49,7 @@
     request_key,
 )
 from savorydyke._ingress import IncomingRequest, Rejected, Responder
+from savorydyke._late_answers import LateAnswers
 from savorydyke._lost_answers import LostAnswers
 from savorydyke._manifest import SERVICE_CALL_TOKENS, Endpoint
 from savorydyke._metrics import Metrics
@@ -78,6 +78,7 @@
     was_not_sent,
 )
 from savorydyke._routes import PUBLIC_TEAM, Route, RoutedConfiguration
+from savorydyke._send_check import SendCheck
 from savorydyke._stream_versions import StreamVersions
 from savorydyke._timing import REVOKE_MARGIN_S
 from savorydyke.platform import (
@@ -133,9 +134,10 @@
     background: trio.Nursery
     rng: random.Random
     revocation_s: float
-    states: EndpointStates
     ways: EndpointWays
+    check: SendCheck
     observer: EndpointObserver
+    late_answers: LateAnswers
     quarantine: Quarantine
     lost_answers: LostAnswers
     overload: Overload
@@ -433,7 +435,7 @@
             endpoint = self._endpoint(granted.endpoint)
             if endpoint is None:
                 request.unsent += 1
-                return NotRun("the endpoint takes no new requests")
+                return NotRun("the endpoint has been removed")
             if self._required_version(request) not in {"", endpoint.version}:
                 request.unsent += 1
                 return NotRun("the endpoint has another software version")
@@ -449,10 +451,7 @@
 
     def _endpoint(self, name: EndpointId) -> Endpoint | None:
         manifest = self.directory.manifest
-        spec = manifest.endpoints.get(name) if manifest else None
-        if spec is None or spec.drained:
-            return None
-        return None if self.states.is_unusable(name, trio.current_time()) else spec
+        return manifest.endpoints.get(name) if manifest else None
 
     def _tokens_per_event(self, pool: PoolId) -> int:
         configuration = self.directory.configuration
@@ -469,14 +468,15 @@
         """Send a request by this instance's own link or through another instance."""
         tried: set[InstanceId] = set()
         while True:
+            # Saves a connection; the check that counts is made when it is open.
+            if why := self.check.why_not(endpoint):
+                request.unsent += 1
+                return NotRun(why)
             try:
                 way = await self.ways.open(endpoint, tried)
             except ChannelBrokenError as error:
                 return self._not_reached(request, endpoint, error)
-            try:
-                result = await self._send_by(request, endpoint, key, first_s, way)
-            finally:
-                way.channel.close()
+            result = await self._send_by(request, endpoint, key, first_s, way)
             if not isinstance(result, ForwardResult):
                 return result
             assert way.forwarder is not None
@@ -520,16 +520,19 @@
         first_s: float,
         way: Way,
     ) -> SendResult | ForwardResult:
-        """Send a request; return why another instance did not, if it was to."""
+        """Send a request; return why another instance did not, if it was to.
+
+        The connection is closed at the end.
+        """
         sent = trio.current_time()
         channel = way.channel
-        if self.states.is_unusable(endpoint.id, trio.current_time()):
-            # It has said so in another answer meanwhile.
+        why = self.check.why_not(endpoint)
+        if not why and self._held_back(request) is not None:
+            why = HELD_BACK_DETAIL
+        if why:
+            channel.close()
             request.unsent += 1
-            return NotRun("the endpoint takes no new requests")
-        if self._held_back(request) is not None:
-            request.unsent += 1
-            return NotRun(HELD_BACK_DETAIL)
+            return NotRun(why)
         self.quarantine.record_sent(request.suspects(), sent)
         request.sent_to.append(endpoint.id)
         request.versions.append(endpoint.version)
@@ -548,7 +551,7 @@
                 head = endpoint_head(head)
             return await self._relay(request, endpoint, key, channel, head, sent)
         except ChannelTimeoutError as error:
-            self._give_up(request, endpoint, "silent")
+            self._give_up(request, endpoint, way, sent, "silent")
             request.result = ReleaseResult.TRUNCATED
             return Lost(str(error))
         except ChannelBrokenError as error:
@@ -556,11 +559,24 @@
             request.result = ReleaseResult.TRUNCATED
             return Lost(str(error))
         except trio.Cancelled:
-            self._give_up(request, endpoint, "time-out or caller gone")
+            self._give_up(request, endpoint, way, sent, "time-out or caller gone")
             raise
+        finally:
+            if request.late_answer is not channel:
+                channel.close()
 
-    def _give_up(self, request: RoutedRequest, endpoint: Endpoint, why: str) -> None:
-        """Log that an answer is not awaited any more."""
+    def _give_up(
+        self,
+        request: RoutedRequest,
+        endpoint: Endpoint,
+        way: Way,
+        sent: float,
+        why: str,
+    ) -> None:
+        """Await an answer no more, but for what it states about further requests.
+
+        Another instance learns that itself, and sees the end of the connection at once.
+        """
         extra = {
             "request": request.request_info.request_id,
             "endpoint": endpoint.id,
@@ -568,6 +584,10 @@
             "events": request.events,
         }
         log.info("Answer given up.", extra=extra)
+        if request.first_byte is None and way.forwarder is None:
+            request.late_answer = way.channel
+            request_id = request.request_info.request_id
+            self.late_answers.take_over(way.channel, endpoint.id, sent, request_id)
 
     def _not_forwarded(
         self, request: RoutedRequest, result: ForwardResult
--- a/src/savorydyke/_routed_request.py
+++ b/src/savorydyke/_routed_request.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from savorydyke._grant_client import Granted, Refused
-from savorydyke._http1 import AnswerHead
+from savorydyke._http1 import AnswerHead, Channel
 from savorydyke._ids import (
     DIGEST_PREFIX,
     NO_STREAM,
@@ -100,6 +100,8 @@
         The parts of its prompt that other requests may share.
     digest : SuspectId
         Same for requests of the same team with the same host, path and body.
+    late_answer : Channel or None
+        The connection that another task waits on, since its attempt was given up.
     reserved : ReservedGrant or None
         Grant for the next attempt, if one has been reserved.
     """
@@ -137,6 +139,7 @@
     last_byte: float = 0.0
     result: ReleaseResult = ReleaseResult.NOT_SENT
     failure: Failed | None = None
+    late_answer: Channel | None = None
     reserved: ReservedGrant | None = None
 
     def has_begun(self) -> bool:
