Let streams go on after a restart of all instances

Cause: what version began a stream was known to instances only, and for 30 s after a start not even that a pool has one version.

Coordinators now keep the versions of a pool in the store, and while there are several the streams that begin, every 0.25 s. Ruled out: all streams to the store at all times (four writes a second and pool without need), trusting the list of endpoints alone after a start.

A third case, the old version's endpoints just gone, is not mixed before or after.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -207,6 +207,9 @@
       | a stream keeps its version when the coordinator of its pool is killed    |
       | a stream whose version is not known after a restart of all does not go on |
       | streams of two versions are not mixed by instances without links         |
+      | streams of two versions go on after a restart of all instances           |
+      | streams of the only version go on after a restart of all instances       |
+      | streams of a version that has just left do not go on after a restart of all |
 
   Scenario Outline: Instances cut off from all endpoints
     Then the routed case "<case>" holds
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -1297,6 +1297,7 @@
         "_forwarded_requests",
         "_lost_answers",
         "_late_answers",
+        "_stream_records",
     )
     pattern = re.compile(r'log\.(?:info|warning|error|exception)\(\s*"([^"]+)"')
     for name in routed:
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -2161,6 +2161,68 @@
     assert not mixed, (len(mixed), len(traffic.streams))
 
 
+async def kill_all(site, away_s=0.0):
+    """Kill all instances at once, and start them again under their names."""
+    killed = list(site.daemons)
+    for daemon in killed:
+        daemon.process.kill()
+    for daemon in killed:
+        daemon.process.wait()
+    await trio.sleep(away_s)
+    async with trio.open_nursery() as nursery:
+        for daemon in killed:
+            nursery.start_soon(replace_daemon, site, daemon)
+
+
+async def take_up_after_kill(site, traffic, before_kill, away_s=0.0):
+    """Kill all instances while streams run, and let their callers take them up."""
+    async with trio.open_nursery() as nursery:
+        for _ in range(12):
+            nursery.start_soon(partial(traffic.call, tries=40, deadline_ms=3000))
+            await trio.sleep(0.05)
+        await before_kill()
+        await kill_all(site, away_s)
+
+
+@case("streams of two versions go on after a restart of all instances")
+async def _(site):
+    traffic = await start_versions(site)
+    await take_up_after_kill(site, traffic, partial(trio.sleep, 0.5))
+    traffic.check(8)
+
+
+@case("streams of the only version go on after a restart of all instances")
+async def _(site):
+    await start_version(site, "v1", 3)
+    for number in range(3):
+        await site.daemon(f"instance-{number}")
+    traffic = StreamTraffic(site)
+    await trio.sleep(1.0)
+    await take_up_after_kill(site, traffic, partial(trio.sleep, 0.5))
+    traffic.check(8)
+
+
+@case("streams of a version that has just left do not go on after a restart of all")
+async def _(site):
+    await start_version(site, "v1", 2)
+    for number in range(3):
+        await site.daemon(f"instance-{number}")
+    traffic = StreamTraffic(site)
+    await trio.sleep(1.0)
+
+    async def replace_version():
+        await start_version(site, "v2", 2)
+        await trio.sleep(0.3)
+        for number in range(2):
+            site.endpoints[f"v1-{number}"].crash()
+            site.store.remove(f"servers/v1-{number}")
+
+    await take_up_after_kill(site, traffic, replace_version)
+    mixed = [versions for versions, *_ in traffic.streams if len(versions) > 1]
+    assert not mixed, (len(mixed), len(traffic.streams))
+    assert any(is_taken_up for *_, is_taken_up in traffic.streams)
+
+
 @case("streams of two versions are not mixed by instances without links")
 async def _(site):
     cut_links(site)
--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -48,6 +48,8 @@
     read_configuration,
     read_endpoint,
     read_instance,
+    streams_of_key,
+    versions_of_key,
 )
 
 RETRY_BASE_S = 0.1
@@ -130,6 +132,8 @@
         suspension, when all changes up to then have been applied.
     evidence_listeners : list of callable
         Called with an instance and the evidence that it has written.
+    version_listeners, stream_listeners : list of callable
+        Called with a pool and a record of its software versions, or of streams.
     """
 
     store: Store
@@ -156,6 +160,12 @@
     evidence_listeners: list[Callable[[InstanceId, bytes], None]] = field(
         default_factory=list
     )
+    version_listeners: list[Callable[[PoolId, bytes], None]] = field(
+        default_factory=list
+    )
+    stream_listeners: list[Callable[[PoolId, bytes], None]] = field(
+        default_factory=list
+    )
 
     @property
     def version(self) -> int:
@@ -331,10 +341,23 @@
         if instance is not None:
             self._apply_instance(instance, change.value)
             return
-        writer = evidence_of_key(change.key)
-        if writer is not None and change.value is not None:
+        if change.value is not None:
+            self._apply_shared_record(change.key, change.value)
+
+    def _apply_shared_record(self, key: str, value: bytes) -> None:
+        """Pass on what an instance has written for all others."""
+        writer = evidence_of_key(key)
+        if writer is not None:
             for listener in self.evidence_listeners:
-                listener(writer, change.value)
+                listener(writer, value)
+        pool = versions_of_key(key)
+        if pool is not None:
+            for pool_listener in self.version_listeners:
+                pool_listener(pool, value)
+        pool = streams_of_key(key)
+        if pool is not None:
+            for pool_listener in self.stream_listeners:
+                pool_listener(pool, value)
 
     def _apply_endpoint(self, endpoint: EndpointId, data: bytes | None) -> None:
         if data is None:
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -58,6 +58,7 @@
 from savorydyke._shared_evidence import SharedEvidence
 from savorydyke._store_records import StoreRecords
 from savorydyke._store_restores import new_store_restores
+from savorydyke._stream_records import StreamRecords
 from savorydyke._timers import TimerService
 from savorydyke._timing import watch_pause_s
 from savorydyke.platform import InstanceRecord, Store
@@ -94,6 +95,8 @@
     ----------
     store_records : StoreRecords
         Writes the records of this instance and of the fleet.
+    stream_records : StreamRecords
+        Keeps the software versions of streams in the store.
     fallback_quotas : Quotas
         This instance's share of the quotas, for requests that it places because
         the coordinator does not respond.
@@ -143,6 +146,7 @@
     quota_balances: QuotaBalances
     overload: Overload
     store_records: StoreRecords
+    stream_records: StreamRecords
     stopping: bool = False
     announced_version: int = 0
     announced_evidence: tuple[int, ...] = ()
@@ -566,6 +570,7 @@
         quota_balances,
         overload,
         store_records,
+        StreamRecords(store, pool_host.versions, membership),
     )
     links.listeners.append(lambda is_cut_off: _note_cut_off(gateway, is_cut_off))
     limits.listeners.append(gateway.apply_limit)
@@ -574,6 +579,8 @@
     directory.restart_listeners.append(rejections.forget)
     quarantine.listeners.append(lambda part, held: _note_held(gateway, part, held))
     directory.evidence_listeners.append(gateway.shared_evidence.receive)
+    directory.version_listeners.append(gateway.stream_records.receive_versions)
+    directory.stream_listeners.append(gateway.stream_records.receive_streams)
     membership.listeners.append(grant_client.follow_coordinators)
     membership.loss_listeners.append(pool_host.frontend_lost)
     states.listeners.append(pool_host.set_leaving)
--- a/src/savorydyke/_stream_versions.py
+++ b/src/savorydyke/_stream_versions.py
@@ -9,7 +9,8 @@
 """
 
 import math
-from collections import OrderedDict, defaultdict
+from collections import OrderedDict, defaultdict, deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from savorydyke._ids import UNKNOWN_VERSION, PoolId, RequestKey, SoftwareVersion
@@ -59,6 +60,12 @@
         When the latest list of endpoints was asked for.
     complete_since : float
         Since when no version of a pool can have been missed.
+    coordinated : dict of PoolId to deque
+        The streams of the pools coordinated here with the times at which they were
+        heard of, the latest last.
+    stored : dict of PoolId to frozenset of SoftwareVersion
+        The versions that may have begun streams that callers may still take up, as
+        coordinators have stored them.
     """
 
     streams: OrderedDict[RequestKey, Begun] = field(default_factory=OrderedDict)
@@ -71,6 +78,10 @@
     listed: dict[PoolId, set[SoftwareVersion]] = field(default_factory=dict)
     viewed: float = -math.inf
     complete_since: float = math.inf
+    coordinated: dict[PoolId, deque[tuple[float, RequestKey, SoftwareVersion]]] = field(
+        default_factory=dict
+    )
+    stored: dict[PoolId, frozenset[SoftwareVersion]] = field(default_factory=dict)
 
     # Streams
 
@@ -88,6 +99,8 @@
         self.record(stream, version, now)
         by_version = self.untold.setdefault(pool, {})
         by_version.setdefault(version, []).append(stream)
+        kept = self.coordinated.setdefault(pool, deque(maxlen=MAX_STREAMS))
+        kept.append((now, stream, version))
 
     def take_untold(self, pool: PoolId) -> list[StreamPush]:
         """Return what to tell the next coordinator of a pool, and forget it."""
@@ -101,6 +114,9 @@
 
     def drop_old(self, now: float) -> None:
         """Forget the streams that no caller takes up any more."""
+        for kept in self.coordinated.values():
+            while kept and now - kept[0][0] > KEPT_S:
+                kept.popleft()
         while self.streams:
             stream, begun = next(iter(self.streams.items()))
             if now - begun.at <= KEPT_S:
@@ -139,16 +155,41 @@
         `UNKNOWN_VERSION` is returned if there may have been several, also if the list
         of endpoints is too old or has not been known for long enough.
         """
-        is_recent = now - self.viewed <= MAX_VIEW_AGE_S
-        if not is_recent or now - self.complete_since < KEPT_S:
+        if now - self.viewed > MAX_VIEW_AGE_S:
             return UNKNOWN_VERSION
+        if now - self.complete_since < KEPT_S and pool not in self.stored:
+            return UNKNOWN_VERSION
+        versions = self.recent_versions(pool, now)
+        return min(versions) if len(versions) == 1 else UNKNOWN_VERSION
+
+    def recent_versions(self, pool: PoolId, now: float) -> frozenset[SoftwareVersion]:
+        """Return the versions that may have begun streams of a pool lately.
+
+        Those before the start of this instance are as stored.
+        """
         listed = self.listed.get(pool, set())
         recent = {
             version
             for version, seen in self.last_seen[pool].items()
             if version in listed or now - seen <= KEPT_S
         }
-        return recent.pop() if len(recent) == 1 else UNKNOWN_VERSION
+        if now - self.complete_since < KEPT_S:
+            recent |= self.stored.get(pool, frozenset())
+        return frozenset(recent)
+
+    def coordinated_since(
+        self, pool: PoolId, since: float
+    ) -> list[tuple[float, RequestKey, SoftwareVersion]]:
+        """Return the streams of a pool that were heard of after a time."""
+        return [row for row in self.coordinated.get(pool, ()) if row[0] > since]
+
+    def receive_stored(
+        self, streams: Iterable[RequestKey], version: SoftwareVersion, now: float
+    ) -> None:
+        """Record streams that a coordinator has stored, unless they are known."""
+        for stream in streams:
+            if stream not in self.streams:
+                self.record(stream, version, now)
 
 
 def _versions(manifest: Manifest) -> dict[PoolId, set[SoftwareVersion]]:
--- a/src/savorydyke/platform/__init__.py
+++ b/src/savorydyke/platform/__init__.py
@@ -29,6 +29,10 @@
     read_configuration,
     read_endpoint,
     read_instance,
+    streams_key,
+    streams_of_key,
+    versions_key,
+    versions_of_key,
     write_instance,
 )
 from savorydyke.platform._store import (
@@ -79,5 +83,9 @@
     "read_instance",
     "refusal_headers",
     "response_headers",
+    "streams_key",
+    "streams_of_key",
+    "versions_key",
+    "versions_of_key",
     "write_instance",
 ]
--- a/src/savorydyke/platform/_records.py
+++ b/src/savorydyke/platform/_records.py
@@ -29,6 +29,8 @@
 ENDPOINT_PREFIX = "servers/"
 INSTANCE_PREFIX = "savorydyke/instances/"
 EVIDENCE_PREFIX = "savorydyke/evidence/"
+STREAMS_PREFIX = "savorydyke/streams/"
+VERSIONS_PREFIX = "savorydyke/versions/"
 FLEET_KEY = "savorydyke/fleet-key"
 READINESS_PATH = b"/savorydyke/readyz"
 DEFAULT_TOKENS_PER_EVENT = 1
@@ -123,6 +125,30 @@
     return EVIDENCE_PREFIX + instance
 
 
+def streams_key(pool: PoolId, name: str) -> str:
+    """Return the key of a record of streams of a pool."""
+    return f"{STREAMS_PREFIX}{pool}/{name}"
+
+
+def streams_of_key(key: str) -> PoolId | None:
+    """Return the pool whose streams a key holds, or None."""
+    if not key.startswith(STREAMS_PREFIX):
+        return None
+    return PoolId(key[len(STREAMS_PREFIX) :].partition("/")[0])
+
+
+def versions_key(pool: PoolId) -> str:
+    """Return the key of the software versions of a pool."""
+    return VERSIONS_PREFIX + pool
+
+
+def versions_of_key(key: str) -> PoolId | None:
+    """Return the pool whose software versions a key holds, or None."""
+    if not key.startswith(VERSIONS_PREFIX):
+        return None
+    return PoolId(key[len(VERSIONS_PREFIX) :])
+
+
 def instance_key(instance: InstanceId) -> str:
     """Return the key of an instance's record."""
     return INSTANCE_PREFIX + instance
