Ask as soon as a restarted instance has read the store

The case that a revoked key is not accepted after a restart asked up to 2 s after the start, while a restored store counts as incomplete for 1.5 s from its listing (half of the case's bound on revoked keys): an instance that started within 0.5 s rightly answered 200.

--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -1288,11 +1288,8 @@
     site.configure(tenants=OTHER_KEY)
     await trio.sleep(1.0)
     site.store.restore(backup)
-    await restart_alone(site)
-    for _ in range(20):
-        if await site.is_ready(site.daemons[0]):
-            break
-        await trio.sleep(0.1)
+    started = await restart_alone(site)
+    await site.wait_until(lambda: "Store read." in started.log.read_text())
     # The backup still has the key.
     assert (await site.ask("/claim/1")).status == 503
     site.store.put("op/config", site.configuration(tenants=OTHER_KEY))
