Let streams that are taken up go on later than new ones may begin

Of 29 in the log 10 were refused as late: a stream that a caller takes up had to begin within the objective of a new one, 0.3 s there, while the coordinator that had just started gave no grants yet. A caller with half of an answer is better served by the rest, even late: such requests now have until their time-out, like retries.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -104,6 +104,7 @@
       | what an instance keeps about streams is bounded in number and in time |
       | a request for one version is granted endpoints of that version only |
       | a frontend without its coordinator lets no stream go on at another version |
+      | a stream that is taken up may go on later than a new one may begin |
       | telling 195 instances' streams costs their coordinators a bounded part |
 
   Scenario Outline: Instances cut off from all endpoints
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -14,6 +14,7 @@
 from dataclasses import replace
 from itertools import pairwise
 from pathlib import Path
+from types import SimpleNamespace
 
 import trio
 from trio.testing import MockClock
@@ -32,6 +33,7 @@
     PoolId,
     Reason,
     ReleaseResult,
+    RequestKey,
     TeamId,
 )
 from savorydyke._log_writer import MAX_BUFFERED_BYTES, LogBuffer, write_lines
@@ -81,7 +83,7 @@
 )
 from savorydyke._retry_budget import RetryBudget
 from savorydyke._routed_handler import RoutedHandler
-from savorydyke._routed_request import shared_parts
+from savorydyke._routed_request import RoutedRequest, shared_parts
 from savorydyke._routes import TeamQuota
 from savorydyke._shared_evidence import (
     Evidence,
@@ -2061,3 +2063,31 @@
     frame_bytes = len(encode([StreamPush("v1.12", streams)]))
     # The whole control traffic of an instance is to be at most 28 kB/s.
     assert frame_bytes / STREAM_TELL_S < 28_000 / 2, frame_bytes / STREAM_TELL_S
+
+
+def streaming_request(last_event_id="", sent_to=()):
+    """Return a request for a stream that arrived at 10 s and expires at 18 s."""
+    route = SimpleNamespace(objective_s=0.3, abandon_after_s=2.4)
+    return RoutedRequest(
+        incoming=SimpleNamespace(arrived=10.0),
+        responder=None,
+        request_info=SimpleNamespace(last_event_id=last_event_id),
+        route=route,
+        team=TeamId("crew"),
+        pool=PoolId("engines"),
+        expires=18.0,
+        quota_tokens=0,
+        config_version=1,
+        config_age_s=0.0,
+        tier=None,
+        digest=None,
+        sent_to=list(sent_to),
+        stream=RequestKey("crew/r1"),
+    )
+
+
+@case("a stream that is taken up may go on later than a new one may begin")
+def _():
+    assert streaming_request().due_times() == (10.3, 12.4)
+    assert streaming_request(last_event_id="7").due_times() == (18.0, 18.0)
+    assert streaming_request(sent_to=["e1"]).due_times() == (18.0, 18.0)
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -380,9 +380,7 @@
 
     def _demand(self, request: RoutedRequest) -> Demand:
         request_info = request.request_info
-        is_retry = bool(request.sent_to)
-        objective = request.incoming.arrived + request.route.objective_s
-        abandon_at = request.incoming.arrived + request.route.abandon_after_s
+        objective, abandon_at = request.due_times()
         return Demand(
             key=self.new_key(request_info.request_id),
             pool=request.pool,
@@ -395,12 +393,9 @@
             deadline=request.expires,
             has_caller_id=False,
             urgency=request.route.urgency,
-            # A request that has been sent is retried even if it is late by now.
-            objective=request.expires if is_retry else min(objective, request.expires),
-            abandon_at=request.expires
-            if is_retry
-            else min(abandon_at, request.expires),
-            is_retry=is_retry,
+            objective=objective,
+            abandon_at=abandon_at,
+            is_retry=bool(request.sent_to),
             quota_tokens=request.quota_tokens,
             suspects=request.suspects(),
             stream=request.stream,
--- a/src/savorydyke/_routed_request.py
+++ b/src/savorydyke/_routed_request.py
@@ -146,6 +146,20 @@
         """Return whether the caller has events of the stream, of any attempt."""
         return bool(self.stream and (self.events or self.request_info.last_event_id))
 
+    def due_times(self) -> tuple[float, float]:
+        """Return when the first byte is due and when the caller abandons the request.
+
+        A request that has been sent before, or whose caller has a part of its answer,
+        is worth sending when it is late too.
+        """
+        if self.sent_to or self.has_begun():
+            return self.expires, self.expires
+        arrived, route = self.incoming.arrived, self.route
+        return (
+            min(arrived + route.objective_s, self.expires),
+            min(arrived + route.abandon_after_s, self.expires),
+        )
+
     def suspects(self) -> tuple[SuspectId, ...]:
         """Return what in the request may crash endpoints."""
         return (*self.parts, self.digest)
