--- a/features/steps/cut_off_cases.py
+++ b/features/steps/cut_off_cases.py
@@ -10,6 +10,7 @@
 
 from savorydyke._http1 import ChannelBrokenError, OutgoingRequest, open_channel
 from savorydyke_standins._faulty_links import NewLinks, OpenLinks
+from savorydyke_standins._routed_endpoint import chunk, event
 from savorydyke_standins._routed_site import free_address
 
 HANG_NOTICED_S = 8.0
@@ -459,3 +460,34 @@
     assert read(trio.socket.SOL_SOCKET, trio.socket.SO_KEEPALIVE) == 1
     probes_s = read(trio.socket.IPPROTO_TCP, trio.socket.TCP_KEEPIDLE)
     assert probes_s < read(trio.socket.IPPROTO_TCP, trio.socket.TCP_USER_TIMEOUT) / 1000
+
+
+@case("endpoints that are silent for a second are not taken for gone")
+async def _(site):
+    await start_fleet(site, 0, 2)
+
+    async def answer_late(exchange):
+        await trio.sleep(1.2)
+        await exchange.send_complete()
+
+    async def stream_with_gap(exchange):
+        kind = (b"Content-Type", b"text/event-stream")
+        head = exchange.response_head(200, kind, (b"Transfer-Encoding", b"chunked"))
+        await exchange.send(head + chunk(event(1)))
+        await trio.sleep(1.2)
+        await exchange.send(b"".join(chunk(event(n)) for n in range(2, 6)))
+        await exchange.send(b"0\r\n\r\n")
+
+    for name, endpoint in site.endpoints.items():
+        endpoint.scripts[:] = [answer_late if name[0] == "s" else stream_with_gap]
+    traffic = CutTraffic(site)
+    async with trio.open_nursery() as nursery:
+        for number in range(6):
+            path = ("/claim/1", "/question/1")[number % 2]
+            nursery.start_soon(traffic.ask, site.daemons[number % 2], path)
+    assert traffic.served(["instance-0", "instance-1"], 0.0) == (6, 6), traffic.tries
+    await trio.sleep(0.3)
+    for daemon in site.daemons:
+        for message in ("request: Endpoint ended.", "home: Endpoint not reached."):
+            assert not logged(daemon, message)
+        assert not logged(daemon, "gateway: Endpoints not reached.")
