Store all streams of several pools, and again after a restore

All pools shared one count of records, so that with three pools of several versions a record was replaced after 10 s, while callers take streams up for 30 s; and what a restore of the store had removed was not written again. Found by reading; both decision cases fail before.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -105,6 +105,8 @@
       | a request for one version is granted endpoints of that version only |
       | a frontend without its coordinator lets no stream go on at another version |
       | a stream that is taken up may go on later than a new one may begin |
+      | all streams of several pools that may be taken up are stored |
+      | streams are stored again after a restore of the store |
       | telling 195 instances' streams costs their coordinators a bounded part |
 
   Scenario Outline: Instances cut off from all endpoints
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -34,6 +34,7 @@
     Reason,
     ReleaseResult,
     RequestKey,
+    SoftwareVersion,
     TeamId,
 )
 from savorydyke._log_writer import MAX_BUFFERED_BYTES, LogBuffer, write_lines
@@ -92,6 +93,7 @@
     encode_evidence,
 )
 from savorydyke._store_restores import new_store_restores
+from savorydyke._stream_records import StreamRecords
 from savorydyke._stream_versions import (
     KEPT_S,
     MAX_GAP_S,
@@ -116,6 +118,7 @@
     open_store,
     read_configuration,
     read_endpoint,
+    streams_key,
 )
 
 SETTINGS = {
@@ -2091,3 +2094,67 @@
     assert streaming_request().due_times() == (10.3, 12.4)
     assert streaming_request(last_event_id="7").due_times() == (18.0, 18.0)
     assert streaming_request(sent_to=["e1"]).due_times() == (18.0, 18.0)
+
+
+class RecordingStore:
+    """A store that keeps what is written."""
+
+    def __init__(self):
+        self.generation = 1
+        self.values = {}
+
+    async def open_lease(self, ttl_s):
+        """Return a lease."""
+        return self.generation
+
+    async def write(self, values, lease=0):
+        """Keep values."""
+        self.values |= values
+
+    def streams(self, pool):
+        """Return the streams of a pool that are stored."""
+        prefix = streams_key(pool, "")
+        records = [json.loads(v) for k, v in self.values.items() if prefix in k]
+        return {s for r in records for streams in r.values() for s in streams}
+
+
+async def write_streams(store, pools, seconds):
+    """Let streams begin at two versions in some pools, and store them."""
+    versions = StreamVersions()
+    membership = Membership(InstanceId("me"), "127.0.0.1:1", "a", 1)
+    records = StreamRecords(store, versions, membership)
+    for pool in pools:
+        versions.listed[pool] = {SoftwareVersion("v1"), SoftwareVersion("v2")}
+    for tick in range(int(4 * seconds)):
+        now = 100.0 + tick / 4
+        for pool in pools:
+            for version in ("v1", "v2"):
+                stream = RequestKey(f"{pool}/{version}/{tick}")
+                versions.record_coordinated(pool, stream, version, now)
+        versions.drop_old(now)
+        await records.write(now)
+    return records
+
+
+@case("all streams of several pools that may be taken up are stored")
+def _():
+    pools = [PoolId(f"pool{number}") for number in range(3)]
+    store = RecordingStore()
+    trio.run(write_streams, store, pools, 60.0)
+    for pool in pools:
+        stored = store.streams(pool)
+        recent = {f"{pool}/v1/{tick}" for tick in range(240 - 4 * 30, 240)}
+        assert recent <= stored, (pool, len(recent - stored))
+
+
+@case("streams are stored again after a restore of the store")
+def _():
+    store = RecordingStore()
+
+    async def restore():
+        records = await write_streams(store, [PoolId("pool0")], 10.0)
+        store.generation, store.values = 2, {}
+        await records.write(110.0)
+
+    trio.run(restore)
+    assert len(store.streams(PoolId("pool0"))) == 80
--- a/src/savorydyke/_stream_records.py
+++ b/src/savorydyke/_stream_records.py
@@ -45,10 +45,12 @@
         Generation of the store in which the versions of a pool were written or read.
     distrusted : dict of PoolId to float
         When versions were read that later ones may be missing from.
-    segment : int
-        Number of the next record with streams.
+    segments : dict of PoolId to int
+        Number of the next record with streams of a pool.
     lease : int
         Lease of these records, 0 for none.
+    lease_generation : int
+        Generation of the store in which it was opened.
     lease_opened : float
         When it was opened.
     """
@@ -59,9 +61,10 @@
     written_until: dict[PoolId, float] = field(default_factory=dict)
     generations: dict[PoolId, int] = field(default_factory=dict)
     distrusted: dict[PoolId, float] = field(default_factory=dict)
-    segment: int = 0
+    segments: dict[PoolId, int] = field(default_factory=dict)
     lease: int = 0
     lease_opened: float = 0.0
+    lease_generation: int = 0
 
     async def run(self, timers: TimerService) -> None:
         """Write what has changed until cancelled."""
@@ -111,6 +114,10 @@
         self.generations[pool] = generation
 
     async def _write_streams(self, pool: PoolId, now: float) -> None:
+        if self.lease_generation != self.store.generation:
+            # A restored store may lack what was written.
+            self.written_until.clear()
+            self.lease, self.lease_generation = 0, self.store.generation
         rows = self.versions.coordinated_since(
             pool, self.written_until.get(pool, now - KEPT_S)
         )
@@ -122,12 +129,13 @@
         if not self.lease or now - self.lease_opened > LEASE_USED_S:
             self.lease = await self.store.open_lease(LEASE_S)
             self.lease_opened = now
-        name = f"{self.membership.id}/{self.segment % SEGMENTS}"
+        segment = self.segments.get(pool, 0)
+        name = f"{self.membership.id}/{segment % SEGMENTS}"
         values = {streams_key(pool, name): json.dumps(by_version).encode()}
         if isinstance(await self.store.write(values, self.lease), LeaseExpired):
             self.lease = 0
             return
-        self.segment += 1
+        self.segments[pool] = segment + 1
         self.written_until[pool] = rows[-1][0]
 
     # Reading
