--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -2124,7 +2124,9 @@
     membership = Membership(InstanceId("me"), "127.0.0.1:1", "a", 1)
     records = StreamRecords(store, versions, membership)
     for pool in pools:
-        versions.listed[pool] = {SoftwareVersion("v1"), SoftwareVersion("v2")}
+        names = [SoftwareVersion("v1"), SoftwareVersion("v2")]
+        versions.listed[pool] = set(names)
+        versions.last_seen[pool] = dict.fromkeys(names, 100.0)
     for tick in range(int(4 * seconds)):
         now = 100.0 + tick / 4
         for pool in pools:
