--- a/features/routed.feature
+++ b/features/routed.feature
@@ -241,6 +241,7 @@
       | an order without a valid signature is not carried out                              |
       | several instances that are cut off share the load of the others                    |
       | a connection whose other end hangs breaks, and one that is silent does not |
+      | instances that are cut off together report no endpoint as unreachable |
       | endpoints that are silent for a second are not taken for gone |
 
   Scenario Outline: Endpoints that bear few rejections
--- a/features/steps/cut_off_cases.py
+++ b/features/steps/cut_off_cases.py
@@ -200,6 +200,14 @@
         assert not logged(daemon, "home: Endpoint not reached.")
 
 
+@case("instances that are cut off together report no endpoint as unreachable")
+async def _(site):
+    await play_cut(site, 4, 1, NewLinks.REFUSED, OpenLinks.RESET)
+    for daemon in site.daemons:
+        assert not logged(daemon, "request: Endpoint ended.")
+        assert not logged(daemon, "home: Endpoint not reached.")
+
+
 @case("an instance that reaches endpoints again sends to them itself")
 async def _(site):
     (links,) = await start_fleet(site, 1, 2)
--- a/src/savorydyke_standins/_faulty_links.py
+++ b/src/savorydyke_standins/_faulty_links.py
@@ -181,9 +181,10 @@
         return link.address
 
     async def cut(self, new: NewLinks, open_links: OpenLinks) -> None:
-        """Cut all links."""
-        for link in self.links.values():
-            await link.cut(new, open_links)
+        """Cut all links at once."""
+        async with trio.open_nursery() as nursery:
+            for link in self.links.values():
+                nursery.start_soon(link.cut, new, open_links)
 
     async def heal(self) -> None:
         """Let all links work again."""
