Let slow instances send for others if no other one reaches endpoints

With four of five instances cut off and the fifth slow for 3 s (timers 71 ms late), the four refused 66 requests: an instance that is slow was never asked. It is now if there is no other; it still refuses when it is overloaded. The decision case fails before.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -119,3 +119,4 @@
       | an instance counts as cut off when several endpoints in a row are not reached |
       | requests of cut off instances are spread over all that reach endpoints        |
       | an instance that could not send a request is not asked again for a moment     |
+      | a slow instance is asked only if no other one reaches endpoints |
--- a/features/steps/cut_off_decisions.py
+++ b/features/steps/cut_off_decisions.py
@@ -98,12 +98,13 @@
     assert not away.is_cut_off and away.is_failed("b")
 
 
-def ways_among(members, cut_off=()):
+def ways_among(members, cut_off=(), slow=()):
     """Return the ways of an instance that knows some others."""
     membership = Membership(InstanceId("me"), "127.0.0.1:1", "a", 1)
     for number, name in enumerate(members):
         address = f"10.0.0.{number}:7600"
-        row = MemberRow(name, address, "a", 1, 1, 0, False, False, name in cut_off)
+        states = (False, name in slow, name in cut_off)
+        row = MemberRow(name, address, "a", 1, 1, 0, *states)
         membership.merge_row(row, 0.0)
         membership.members[name].linked = True
     membership.update(0.0)
@@ -138,3 +139,12 @@
 def _():
     ways = ways_among([InstanceId("i1"), InstanceId("i2")])
     assert set(chosen_of(ways, 50, [InstanceId("i1")])) == {"i2"}
+
+
+@case("a slow instance is asked only if no other one reaches endpoints")
+def _():
+    members = [InstanceId(f"i{number}") for number in range(4)]
+    ways = ways_among(members, cut_off=members[:2], slow=members[2:3])
+    assert set(chosen_of(ways, 50)) == {"i3"}
+    ways = ways_among(members, cut_off=members[:2], slow=members[2:])
+    assert set(chosen_of(ways, 50)) == {"i2", "i3"}
--- a/src/savorydyke/_endpoint_ways.py
+++ b/src/savorydyke/_endpoint_ways.py
@@ -187,18 +187,18 @@
     # Other instances
 
     def _forwarders(self) -> list[Member]:
-        """Return the instances that may be asked."""
+        """Return the instances that may be asked; slow ones only without others."""
         now = trio.current_time()
         members = self.membership.members
-        return [
+        found = [
             members[name]
             for name in self.membership.live()
             if name in members
-            and not members[name].slow
             and not members[name].cut_off
             and self.membership.is_reachable(name)
             and self.skipped_until.get(name, 0.0) <= now
         ]
+        return [member for member in found if not member.slow] or found
 
     def choose(self, tried: set[InstanceId]) -> Member | None:
         """Return an instance at random, by capacity, so that the load is spread."""
