--- a/features/steps/cut_off_decisions.py
+++ b/features/steps/cut_off_decisions.py
@@ -108,9 +108,7 @@
         membership.merge_row(row, 0.0)
         membership.members[name].linked = True
     membership.update(0.0)
-    return EndpointWays(
-        membership, EndpointLinks(), lambda: b"s", lambda: None, random.Random(7)
-    )
+    return EndpointWays(membership, EndpointLinks(), lambda: b"s", random.Random(7))
 
 
 def chosen_of(ways, orders, skipped=()):
--- a/src/savorydyke/_endpoint_ways.py
+++ b/src/savorydyke/_endpoint_ways.py
@@ -33,7 +33,7 @@
     open_channel,
 )
 from savorydyke._ids import EndpointId, InstanceId, RequestKey
-from savorydyke._manifest import Endpoint, Manifest
+from savorydyke._manifest import Endpoint
 from savorydyke._membership import Member, Membership
 
 CONNECT_TIMEOUT_S = 0.3
@@ -77,8 +77,6 @@
     ----------
     secret : callable
         Returns the fleet's secret.
-    manifest : callable
-        Returns the manifest in force, None if there is none yet.
     skipped_until : dict of InstanceId to float
         Instances that could not send a request, and until when they are not asked.
     serial : int
@@ -90,7 +88,6 @@
     membership: Membership
     links: EndpointLinks
     secret: Callable[[], bytes]
-    manifest: Callable[[], Manifest | None]
     rng: random.Random
     skipped_until: dict[InstanceId, float] = field(default_factory=dict)
     serial: int = 0
@@ -168,22 +165,6 @@
         self.links.record_failed(endpoint.id, now)
         return ForwardResult.UNREACHABLE
 
-    async def is_at_fault(self, endpoint: Endpoint, since: float) -> bool:
-        """Return whether an endpoint, not its link, fails since a time.
-
-        Instances lose their links together, so that only another endpoint that is
-        reached after the failure shows it. Without another endpoint it is assumed.
-        """
-        if self.links.opened_at > since:
-            return True
-        manifest = self.manifest()
-        known = manifest.endpoints.values() if manifest else ()
-        others = [other for other in known if other.id != endpoint.id]
-        if not others:
-            return True
-        result = await self.probe_own_link(self.rng.choice(others))
-        return result is ForwardResult.REACHED
-
     # Other instances
 
     def _forwarders(self) -> list[Member]:
@@ -251,7 +232,6 @@
         That is found out by another instance, if there is one, so that this instance's
         own link is not taken for the endpoint's fault.
         """
-        since = trio.current_time()
         own = await self.probe_own_link(endpoint)
         if own is ForwardResult.REACHED:
             return False
@@ -264,9 +244,7 @@
             if result is ForwardResult.REFUSED:
                 self.links.forget(endpoint.id)
                 return True
-        if own is not ForwardResult.REFUSED:
-            return False
-        return await self.is_at_fault(endpoint, since)
+        return own is ForwardResult.REFUSED and not self.links.is_cut_off
 
     async def _ask_to_probe(
         self, endpoint: Endpoint, forwarder: Member
