--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -17,6 +17,7 @@
 LOG_LINES = 20
 NEXT_SCENARIO = re.compile(r"^(?:  Scenario|Feature)", re.MULTILINE)
 ROUTED_CASE = re.compile('the routed case "(.*)" holds')
+ERROR = re.compile(r"^[ |+]*(\w+(?:\.\w+)*(?:Error|Exception|Cancelled|Timeout)\b.*)$")
 
 
 def scenarios(report):
@@ -32,10 +33,11 @@
 
 
 def print_output(title, output):
-    """Print the end of what a scenario has printed, with its assertion."""
+    """Print the errors of a scenario, then the end of what it has printed."""
     _, _, found = output.partition(f": {title}\n")
-    found = NEXT_SCENARIO.split(found, maxsplit=1)[0]
-    print("\n".join(found.splitlines()[-MESSAGE_LINES:]))
+    lines = NEXT_SCENARIO.split(found, maxsplit=1)[0].splitlines()
+    errors = [match.group(1) for match in map(ERROR.match, lines) if match]
+    print("\n".join(["errors:", *errors, *lines[-MESSAGE_LINES:]]))
 
 
 def print_logs(name):
