Let cut off instances ask others in turn instead of at random

An instance that has few requests to hand over hit one other instance with them. Ruled out: refusals as busy (none in the logs).

Each instance goes through the others in turn, by capacity, from a turn that is drawn. The bound of the case stays.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -118,5 +118,7 @@
       | an order that comes again is not carried out                                  |
       | an instance counts as cut off when several endpoints in a row are not reached |
       | requests of cut off instances are spread over all that reach endpoints        |
+      | few requests of a cut off instance are spread by capacity too                 |
+      | an instance that comes back is not asked for all that it missed               |
       | an instance that could not send a request is not asked again for a moment     |
       | a slow instance is asked only if no other one reaches endpoints |
--- a/features/steps/cut_off_decisions.py
+++ b/features/steps/cut_off_decisions.py
@@ -133,6 +133,27 @@
         assert max(counts.values()) < 1.5 * mean, max(counts.values()) / mean
 
 
+@case("few requests of a cut off instance are spread by capacity too")
+def _():
+    members = [InstanceId(f"i{number}") for number in range(4)]
+    counts = chosen_of(ways_among(members), 20)
+    assert set(counts.values()) == {5}, counts
+    ways = ways_among(members)
+    ways.membership.weights[members[0]] = 2.0
+    counts = chosen_of(ways, 25)
+    assert counts[members[0]] == 10, counts
+
+
+@case("an instance that comes back is not asked for all that it missed")
+def _():
+    members = [InstanceId(f"i{number}") for number in range(4)]
+    ways = ways_among(members)
+    chosen_of(ways, 40, skipped=members[:1])
+    ways.skipped_until.clear()
+    counts = chosen_of(ways, 12)
+    assert max(counts.values()) <= 4, counts
+
+
 @case("an instance that could not send a request is not asked again for a moment")
 def _():
     ways = ways_among([InstanceId("i1"), InstanceId("i2")])
--- a/src/savorydyke/_endpoint_ways.py
+++ b/src/savorydyke/_endpoint_ways.py
@@ -79,6 +79,10 @@
         Returns the fleet's secret.
     skipped_until : dict of InstanceId to float
         Instances that could not send a request, and until when they are not asked.
+    turns : dict of InstanceId to float
+        When the turn of each instance to be asked comes, in requests per capacity.
+    turn : float
+        The turn of the latest one that was asked.
     serial : int
         Number of the latest order.
     forwarding : int
@@ -90,6 +94,8 @@
     secret: Callable[[], bytes]
     rng: random.Random
     skipped_until: dict[InstanceId, float] = field(default_factory=dict)
+    turns: dict[InstanceId, float] = field(default_factory=dict)
+    turn: float = 0.0
     serial: int = 0
     forwarding: int = 0
 
@@ -182,14 +188,30 @@
         return [member for member in found if not member.slow] or found
 
     def choose(self, tried: set[InstanceId]) -> Member | None:
-        """Return an instance at random, by capacity, so that the load is spread."""
+        """Return the instance whose turn it is, so that load is spread by capacity.
+
+        The first turns are drawn, so that those who ask do not ask the same ones. An
+        instance that was away takes its place among the others.
+        """
         if len(tried) >= MAX_FORWARDERS:
             return None
-        found = [member for member in self._forwarders() if member.id not in tried]
-        if not found:
+        members = {member.id: member for member in self._forwarders()}
+        self.turns = {name: self._turn_of(name) for name in members}
+        untried = [name for name in members if name not in tried]
+        if not untried:
             return None
-        weights = [self.membership.weights.get(member.id, 1.0) for member in found]
-        return self.rng.choices(found, weights)[0]
+        name = min(untried, key=lambda name: self.turns[name])
+        self.turn = self.turns[name]
+        self.turns[name] += self._stride(name)
+        return members[name]
+
+    def _turn_of(self, instance: InstanceId) -> float:
+        if instance in self.turns:
+            return max(self.turns[instance], self.turn)
+        return self.turn + self.rng.random() * self._stride(instance)
+
+    def _stride(self, instance: InstanceId) -> float:
+        return 1.0 / self.membership.weights.get(instance, 1.0)
 
     def skip(self, instance: InstanceId, why: str) -> None:
         """Record that an instance could not send a request."""
