Ask an instance again that could not send if there is no other one

An instance that could not send a request, or took too long to connect to, is not asked for a second. If it is the only one that reaches endpoints, all requests of those that are cut off are refused for that second, though it may be able to send the next one. Decision case: no instance chosen before, the skipped one after. The instance's own link is tried first, as before.

--- a/features/steps/cut_off_decisions.py
+++ b/features/steps/cut_off_decisions.py
@@ -160,6 +160,12 @@
     assert set(chosen_of(ways, 50, [InstanceId("i1")])) == {"i2"}
 
 
+@case("instances that could not send a request are asked again without others")
+def _():
+    ways = ways_among([InstanceId("i1"), InstanceId("i2")], cut_off=["i2"])
+    assert set(chosen_of(ways, 5, [InstanceId("i1")])) == {"i1"}
+
+
 @case("a slow instance is asked only if no other one reaches endpoints")
 def _():
     members = [InstanceId(f"i{number}") for number in range(4)]
--- a/src/savorydyke/_endpoint_ways.py
+++ b/src/savorydyke/_endpoint_ways.py
@@ -78,7 +78,8 @@
     secret : callable
         Returns the fleet's secret.
     skipped_until : dict of InstanceId to float
-        Instances that could not send a request, and until when they are not asked.
+        Instances that could not send a request, and until when they are asked only
+        without others.
     turns : dict of InstanceId to float
         When the turn of each instance to be asked comes, in requests per capacity.
     turn : float
@@ -115,7 +116,8 @@
             if nothing listens at the endpoint's address as far as can be told.
         """
         failure: ChannelBrokenError = NoWayError("no other instance can send it")
-        use_own_link = not self.links.is_failed(endpoint.id) or not self._forwarders()
+        has_others = bool(self._ready_forwarders())
+        use_own_link = not self.links.is_failed(endpoint.id) or not has_others
         if not tried and use_own_link:
             try:
                 return Way(await self.open_own_link(endpoint))
@@ -174,16 +176,23 @@
     # Other instances
 
     def _forwarders(self) -> list[Member]:
-        """Return the instances that may be asked; slow ones only without others."""
-        now = trio.current_time()
+        """Return the instances that may be asked."""
         members = self.membership.members
-        found = [
+        return [
             members[name]
             for name in self.membership.live()
             if name in members
             and not members[name].cut_off
             and self.membership.is_reachable(name)
-            and self.skipped_until.get(name, 0.0) <= now
+        ]
+
+    def _ready_forwarders(self) -> list[Member]:
+        """Return those that were able of late; slow ones only without others."""
+        now = trio.current_time()
+        found = [
+            member
+            for member in self._forwarders()
+            if self.skipped_until.get(member.id, 0.0) <= now
         ]
         return [member for member in found if not member.slow] or found
 
@@ -195,7 +204,8 @@
         """
         if len(tried) >= MAX_FORWARDERS:
             return None
-        members = {member.id: member for member in self._forwarders()}
+        found = self._ready_forwarders() or self._forwarders()
+        members = {member.id: member for member in found}
         self.turns = {name: self._turn_of(name) for name in members}
         untried = [name for name in members if name not in tried]
         if not untried:
