Tell links' faults from endpoints' when instances are cut off together, and keep ends in doubt

Ruled out: counting doubtful ends at once (a cut would hold back sound requests, all answers break off with it); counting records that were removed from the store (an operator may have done so during a cut).

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -121,5 +121,6 @@
       | few requests of a cut off instance are spread by capacity too                 |
       | an instance that comes back is not asked for all that it missed               |
       | an instance that could not send a request is not asked again for a moment     |
+      | an end that is in doubt counts once an endpoint is reached again              |
       | instances that could not send a request are asked again without others        |
       | a slow instance is asked only if no other one reaches endpoints |
--- a/features/steps/cut_off_decisions.py
+++ b/features/steps/cut_off_decisions.py
@@ -2,16 +2,18 @@
 
 import random
 from collections import Counter
+from types import SimpleNamespace
 
 import trio
 from decision_cases import case
 from trio.testing import MockClock
 
 from savorydyke._endpoint_links import EndpointLinks
-from savorydyke._endpoint_ways import EndpointWays
+from savorydyke._endpoint_ways import Ended, EndpointWays
 from savorydyke._forward_headers import (
     SIGNATURE,
     ForwardOrder,
+    ForwardResult,
     is_signed,
     order_headers,
     process_name,
@@ -20,8 +22,10 @@
 )
 from savorydyke._forwarded_requests import ForwardedRequests
 from savorydyke._ids import EndpointId, InstanceId, RequestKey
+from savorydyke._lost_answers import LostAnswers
 from savorydyke._membership import Membership
 from savorydyke._messages import MemberRow
+from savorydyke._quarantine import Quarantine, process_id
 
 
 def signed_request(**changes):
@@ -108,7 +112,9 @@
         membership.merge_row(row, 0.0)
         membership.members[name].linked = True
     membership.update(0.0)
-    return EndpointWays(membership, EndpointLinks(), lambda: b"s", random.Random(7))
+    return EndpointWays(
+        membership, EndpointLinks(), lambda: b"s", lambda: None, random.Random(7)
+    )
 
 
 def chosen_of(ways, orders, skipped=()):
@@ -173,3 +179,69 @@
     assert set(chosen_of(ways, 50)) == {"i3"}
     ways = ways_among(members, cut_off=members[:2], slow=members[2:])
     assert set(chosen_of(ways, 50)) == {"i2", "i3"}
+
+
+REACHED_AGAIN_S = 3.0
+"""When endpoints are reached again after answers were lost."""
+
+
+def ends_recorded(found, now_started_ms):
+    """Lose an answer while no endpoint is reached; return when an end is recorded.
+
+    Parameters
+    ----------
+    found : ForwardResult
+        What becomes of a connection to the endpoint once others are reached again.
+    now_started_ms : int
+        When the endpoint's process has started by then; it was at 1 ms before.
+
+    Returns
+    -------
+    list of bool
+        Whether it is recorded before and after endpoints are reached again.
+    """
+    endpoint = SimpleNamespace(id=EndpointId("e"), started_ms=1)
+    newer = SimpleNamespace(id=EndpointId("e"), started_ms=now_started_ms)
+    manifest = SimpleNamespace(endpoints={endpoint.id: newer})
+
+    async def has_ended(_):
+        return Ended.IN_DOUBT
+
+    async def is_any_reached(_):
+        return trio.current_time() - began >= REACHED_AGAIN_S
+
+    async def probe_own_link(_):
+        return found
+
+    ways = SimpleNamespace(
+        has_ended=has_ended,
+        is_any_reached=is_any_reached,
+        probe_own_link=probe_own_link,
+        manifest=lambda: manifest,
+        links=EndpointLinks(),
+    )
+    began = 0.0
+
+    async def play():
+        nonlocal began
+        began = trio.current_time()
+        quarantine = Quarantine()
+        async with trio.open_nursery() as nursery:
+            lost = LostAnswers(quarantine, ways, nursery)
+            lost.record_lost(endpoint, ("part",), began)
+            process, recorded = process_id(endpoint.id, 1), []
+            for _ in range(2):
+                await trio.sleep(REACHED_AGAIN_S - 0.1)
+                recorded.append(process in quarantine.ended)
+            assert not lost.in_doubt
+        return recorded
+
+    return trio.run(play, clock=MockClock(autojump_threshold=0))
+
+
+@case("an end that is in doubt counts once an endpoint is reached again")
+def _():
+    assert ends_recorded(ForwardResult.REFUSED, 1) == [False, True]
+    assert ends_recorded(ForwardResult.REACHED, 2) == [False, True]
+    assert ends_recorded(ForwardResult.REACHED, 1) == [False, False]
+    assert ends_recorded(ForwardResult.UNREACHABLE, 1) == [False, False]
--- a/src/savorydyke/_endpoint_ways.py
+++ b/src/savorydyke/_endpoint_ways.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from enum import Enum
 
 import trio
 
@@ -33,7 +34,7 @@
     open_channel,
 )
 from savorydyke._ids import EndpointId, InstanceId, RequestKey
-from savorydyke._manifest import Endpoint
+from savorydyke._manifest import Endpoint, Manifest
 from savorydyke._membership import Member, Membership
 
 CONNECT_TIMEOUT_S = 0.3
@@ -43,6 +44,8 @@
 """Time in which a link that resets new connections does so."""
 PROBE_TIMEOUT_S = 1.0
 """Time for another instance to tell whether it reaches an endpoint."""
+QUICK_PROBE_S = 0.1
+"""Time to reach another endpoint, while a request waits."""
 MAX_FORWARDERS = 3
 """Instances that are asked in turn to send one request."""
 SKIP_S = 1.0
@@ -51,6 +54,15 @@
 log = _logs.component_logger("request")
 
 
+class Ended(Enum):
+    """Whether the process of an endpoint has ended, as far as can be told."""
+
+    YES = "yes"
+    NO = "no"
+    IN_DOUBT = "in doubt"
+    """The links may be at fault."""
+
+
 class NoWayError(ChannelBrokenError):
     """Raised when neither this instance nor another one can send a request."""
 
@@ -77,6 +89,8 @@
     ----------
     secret : callable
         Returns the fleet's secret.
+    manifest : callable
+        Returns the manifest in force, None if there is none yet.
     skipped_until : dict of InstanceId to float
         Instances that could not send a request, and until when they are asked only
         without others.
@@ -93,6 +107,7 @@
     membership: Membership
     links: EndpointLinks
     secret: Callable[[], bytes]
+    manifest: Callable[[], Manifest | None]
     rng: random.Random
     skipped_until: dict[InstanceId, float] = field(default_factory=dict)
     turns: dict[InstanceId, float] = field(default_factory=dict)
@@ -152,11 +167,13 @@
         self.links.record_opened(endpoint.id, trio.current_time())
         return channel
 
-    async def probe_own_link(self, endpoint: Endpoint) -> ForwardResult:
+    async def probe_own_link(
+        self, endpoint: Endpoint, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> ForwardResult:
         """Return whether this instance reaches an endpoint; send no request."""
         now = trio.current_time()
         try:
-            channel = await open_channel(endpoint.address, CONNECT_TIMEOUT_S)
+            channel = await open_channel(endpoint.address, timeout_s)
         except ChannelBrokenError as error:
             self.links.record_failed(endpoint.id, now)
             extra = {"endpoint": endpoint.id, "error": str(error)}
@@ -173,6 +190,36 @@
         self.links.record_failed(endpoint.id, now)
         return ForwardResult.UNREACHABLE
 
+    async def is_at_fault(self, endpoint: Endpoint, since: float) -> bool:
+        """Return whether an endpoint, not its link, fails since a time.
+
+        Instances lose their links together, so that only another endpoint that is
+        reached after the failure shows it. Without another endpoint it is assumed.
+        """
+        if self.links.opened_at > since:
+            return True
+        others = self._other_endpoints(endpoint)
+        if not others:
+            return True
+        other = self.rng.choice(others)
+        result = await self.probe_own_link(other, QUICK_PROBE_S)
+        return result is ForwardResult.REACHED
+
+    async def is_any_reached(self, since: float) -> bool:
+        """Return whether an endpoint was reached after a time or is now."""
+        if self.links.opened_at > since:
+            return True
+        known = self._other_endpoints(None)
+        if not known:
+            return False
+        result = await self.probe_own_link(self.rng.choice(known), QUICK_PROBE_S)
+        return result is ForwardResult.REACHED
+
+    def _other_endpoints(self, endpoint: Endpoint | None) -> list[Endpoint]:
+        manifest = self.manifest()
+        known = manifest.endpoints.values() if manifest else ()
+        return [one for one in known if endpoint is None or one.id != endpoint.id]
+
     # Other instances
 
     def _forwarders(self) -> list[Member]:
@@ -258,25 +305,28 @@
         )
         return replace(request, headers=[*headers, (SIGNATURE, signed)])
 
-    async def is_ended(self, endpoint: Endpoint) -> bool:
+    async def has_ended(self, endpoint: Endpoint) -> Ended:
         """Return whether nothing listens at an endpoint's address any more.
 
         That is found out by another instance, if there is one, so that this instance's
         own link is not taken for the endpoint's fault.
         """
+        since = trio.current_time()
         own = await self.probe_own_link(endpoint)
         if own is ForwardResult.REACHED:
-            return False
+            return Ended.NO
         tried: set[InstanceId] = set()
         while (forwarder := self.choose(tried)) is not None:
             tried.add(forwarder.id)
             result = await self._ask_to_probe(endpoint, forwarder)
             if result in {ForwardResult.REACHED, ForwardResult.UNREACHABLE}:
-                return False
+                return Ended.NO
             if result is ForwardResult.REFUSED:
                 self.links.forget(endpoint.id)
-                return True
-        return own is ForwardResult.REFUSED and not self.links.is_cut_off
+                return Ended.YES
+        if not await self.is_at_fault(endpoint, since):
+            return Ended.IN_DOUBT
+        return Ended.YES if own is ForwardResult.REFUSED else Ended.NO
 
     async def _ask_to_probe(
         self, endpoint: Endpoint, forwarder: Member
--- a/src/savorydyke/_forwarded_requests.py
+++ b/src/savorydyke/_forwarded_requests.py
@@ -55,7 +55,6 @@
 """Latest orders that are remembered, so that none is carried out twice."""
 MORE_HEAD_BYTES = 4096
 """What an order adds to the largest head of a request."""
-REACHED_RECENTLY_S = 1.0
 NOT_SENT_STATUS = 503
 LOST_STATUS = 502
 
@@ -147,10 +146,11 @@
             return ForwardResult.BUSY
         if self.ways.links.is_cut_off:
             return ForwardResult.CUT_OFF
+        since = trio.current_time()
         try:
             channel = await self.ways.open_own_link(endpoint, CONNECT_TIMEOUT_S)
         except ChannelBrokenError as error:
-            return await self._why_not_reached(endpoint, error)
+            return await self._why_not_reached(endpoint, error, since)
         if order.is_probe:
             channel.close()
             return ForwardResult.REACHED
@@ -164,30 +164,16 @@
         )
 
     async def _why_not_reached(
-        self, endpoint: Endpoint, error: ChannelBrokenError
+        self, endpoint: Endpoint, error: ChannelBrokenError, since: float
     ) -> ForwardResult:
-        """Return whether an endpoint is at fault or this instance's links are.
-
-        If no endpoint was reached lately, another one shows that.
-        """
-        links = self.ways.links
-        if trio.current_time() - links.opened_at > REACHED_RECENTLY_S:
-            other = self._other_endpoint(endpoint)
-            if other is not None:
-                await self.ways.probe_own_link(other)
-        if links.is_cut_off:
+        """Return whether an endpoint is at fault or this instance's links are."""
+        if not await self.ways.is_at_fault(endpoint, since):
             return ForwardResult.CUT_OFF
-        links.forget(endpoint.id)
+        self.ways.links.forget(endpoint.id)
         if isinstance(error, ChannelRefusedError):
             return ForwardResult.REFUSED
         return ForwardResult.UNREACHABLE
 
-    def _other_endpoint(self, endpoint: Endpoint) -> Endpoint | None:
-        manifest = self.directory.manifest
-        known = manifest.endpoints.values() if manifest else ()
-        others = [other for other in known if other.id != endpoint.id]
-        return self.ways.rng.choice(others) if others else None
-
     async def _send(
         self,
         endpoint: Endpoint,
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -467,6 +467,7 @@
     ) -> SendResult:
         """Send a request by this instance's own link or through another instance."""
         tried: set[InstanceId] = set()
+        since = trio.current_time()
         while True:
             # Saves a connection; the check that counts is made when it is open.
             if why := self.check.why_not(endpoint):
@@ -475,7 +476,7 @@
             try:
                 way = await self.ways.open(endpoint, tried)
             except ChannelBrokenError as error:
-                return self._not_reached(request, endpoint, error)
+                return await self._not_reached(request, endpoint, error, since)
             result = await self._send_by(request, endpoint, key, first_s, way)
             if not isinstance(result, ForwardResult):
                 return result
@@ -487,15 +488,21 @@
                 return NotRun("the endpoint takes no new requests")
             self.ways.skip(way.forwarder.id, result.value)
 
-    def _not_reached(
-        self, request: RoutedRequest, endpoint: Endpoint, error: ChannelBrokenError
+    async def _not_reached(
+        self,
+        request: RoutedRequest,
+        endpoint: Endpoint,
+        error: ChannelBrokenError,
+        since: float,
     ) -> NotRun:
-        """Record that there is no way to an endpoint.
+        """Record that there is no way to an endpoint, as tried since a time.
 
         It counts as the endpoint's fault only if others are reached.
         """
         request.unsent += 1
-        if not self.ways.links.is_cut_off and not isinstance(error, NoWayError):
+        if isinstance(error, NoWayError):
+            return NotRun(str(error))
+        if await self.ways.is_at_fault(endpoint, since):
             request.result = ReleaseResult.UNREACHABLE
             if isinstance(error, ChannelRefusedError):
                 self.lost_answers.record_refused(endpoint)
