--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -90,6 +90,7 @@
       | 195 instances learn of a limit in time, each at a bounded cost             |
       | request keys differ after a restart                                        |
       | a request is explained from its log lines                                  |
+      | test processes that run at once take different ports                       |
       | the page of log messages names all messages in the code                    |
 
   Scenario Outline: Software versions of streams
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -120,6 +120,7 @@
     read_endpoint,
     streams_key,
 )
+from savorydyke_standins._ports import PortPool
 
 SETTINGS = {
     "edges": "routed",
@@ -1284,6 +1285,13 @@
         assert json.loads(counted.stdout)["request: Ended. answered"] == 1
 
 
+@case("test processes that run at once take different ports")
+def _():
+    first, second = PortPool(), PortPool()
+    taken = {first.take() for _ in range(600)} | {second.take() for _ in range(600)}
+    assert len(taken) == 1200, len(taken)
+
+
 @case("the page of log messages names all messages in the code")
 def _():
     root = Path(__file__).parents[2]
