Bound the bodies held for other instances by their size

Up to 128 requests of others were held, each with a body as large as the configuration allows; 128 times the default of 4 MB is more than an instance has. Now 16 MB at a time, and one of any size alone; more is refused as busy, so that the next instance is asked.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -117,6 +117,7 @@
       | case                                                                          |
       | an order is valid only as it was signed and at the process that it names      |
       | an order that comes again is not carried out                                  |
+      | bodies that are held for other instances are bounded by their size            |
       | an instance counts as cut off when several endpoints in a row are not reached |
       | requests of cut off instances are spread over all that reach endpoints        |
       | few requests of a cut off instance are spread by capacity too                 |
--- a/features/steps/cut_off_decisions.py
+++ b/features/steps/cut_off_decisions.py
@@ -11,6 +11,7 @@
 from savorydyke._endpoint_links import EndpointLinks
 from savorydyke._endpoint_ways import Ended, EndpointWays
 from savorydyke._forward_headers import (
+    RESULT,
     SIGNATURE,
     ForwardOrder,
     ForwardResult,
@@ -22,6 +23,7 @@
 )
 from savorydyke._forwarded_requests import ForwardedRequests
 from savorydyke._ids import EndpointId, InstanceId, RequestKey
+from savorydyke._ingress import IncomingRequest
 from savorydyke._lost_answers import LostAnswers
 from savorydyke._membership import Membership
 from savorydyke._messages import MemberRow
@@ -78,6 +80,79 @@
     assert len(orders.attempts) <= 20_000
 
 
+class AnswerHead:
+    """Records the answer to an order."""
+
+    result = None
+
+    async def send_answer(self, status, headers, body):
+        """Record what became of the order."""
+        self.result = dict(headers)[RESULT].decode()
+
+
+def results_of_bodies(*sizes):
+    """Send orders at once to an instance that reaches no endpoint for now.
+
+    Returns
+    -------
+    list of str or None
+        What became of each; None for one whose request is held.
+    """
+    ways = ways_among([])
+    endpoint = SimpleNamespace(id=EndpointId("e1"))
+    directory = SimpleNamespace(
+        manifest=SimpleNamespace(endpoints={endpoint.id: endpoint})
+    )
+    overload = SimpleNamespace(is_overloaded=lambda now: False)
+    answers = [AnswerHead() for _ in sizes]
+
+    async def wait(*_):
+        await trio.sleep_forever()
+
+    ways.open_own_link = wait
+
+    def order(number, size):
+        key = RequestKey(f"i1/7/{number}")
+        headers = order_headers(ForwardOrder(endpoint.id, InstanceId("i1"), key))
+        me = process_name(InstanceId("me"), 1)
+        parts = (b"POST", b"/claim/1", headers, bytes(size))
+        signed = (SIGNATURE, signature(b"s", me, *parts))
+        return IncomingRequest(*parts[:2], [*headers, signed], parts[3], 0.0)
+
+    async def play():
+        async with trio.open_nursery() as nursery:
+            handler = ForwardedRequests(
+                ways.membership,
+                lambda: b"s",
+                directory,
+                ways,
+                None,
+                None,
+                None,
+                overload,
+                lambda: False,
+                nursery,
+            )
+            for number, size in enumerate(sizes):
+                incoming = order(number, size)
+                nursery.start_soon(handler.handle, incoming, answers[number])
+                await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        assert handler.held_bytes == 0
+
+    trio.run(play, clock=MockClock(autojump_threshold=0))
+    return [answer.result for answer in answers]
+
+
+@case("bodies that are held for other instances are bounded by their size")
+def _():
+    busy = ForwardResult.BUSY.value
+    assert results_of_bodies(*[3_000_000] * 7) == [None] * 5 + [busy] * 2
+    # One of any size is taken alone.
+    assert results_of_bodies(20_000_000, 10) == [None, busy]
+    assert results_of_bodies(*[1000] * 128) == [None] * 128
+
+
 def links_after(*seen):
     """Return the links after connections that failed or were opened."""
     links = EndpointLinks()
--- a/src/savorydyke/_forwarded_requests.py
+++ b/src/savorydyke/_forwarded_requests.py
@@ -50,7 +50,9 @@
 CONNECT_TIMEOUT_S = 0.1
 """The instance that has the caller has waited before."""
 MAX_FORWARDED = 128
-"""Requests of other instances at a time; each may hold a whole body."""
+"""Requests of other instances at a time."""
+MAX_FORWARDED_BYTES = 16_000_000
+"""Bodies of other instances' requests at a time; one of any size is taken alone."""
 MAX_ATTEMPTS_KEPT = 20_000
 """Latest orders that are remembered, so that none is carried out twice."""
 MORE_HEAD_BYTES = 4096
@@ -73,6 +75,8 @@
         Whether this instance takes no more requests of others.
     attempts : OrderedDict of RequestKey to None
         The latest orders.
+    held_bytes : int
+        Size of the bodies that are held for other instances.
     """
 
     membership: Membership
@@ -86,6 +90,7 @@
     stopping: Callable[[], bool]
     background: trio.Nursery
     attempts: OrderedDict[RequestKey, None] = field(default_factory=OrderedDict)
+    held_bytes: int = 0
 
     async def handle(self, incoming: IncomingRequest, responder: Responder) -> None:
         """Carry out one order."""
@@ -100,10 +105,12 @@
             await _answer(responder, ForwardResult.LOST)
             return
         self.ways.forwarding += 1
+        self.held_bytes += len(incoming.body)
         try:
             result = await self._carry_out(order, incoming, responder)
         finally:
             self.ways.forwarding -= 1
+            self.held_bytes -= len(incoming.body)
         if result is not None:
             extra = {"endpoint": order.endpoint, "sender": order.sender}
             log.info("Not forwarded.", extra=extra | {"result": result.value})
@@ -142,7 +149,7 @@
         endpoint = manifest.endpoints.get(order.endpoint) if manifest else None
         if endpoint is None:
             return ForwardResult.UNUSABLE
-        if self._is_busy():
+        if self._is_busy(len(incoming.body)):
             return ForwardResult.BUSY
         if self.ways.links.is_cut_off:
             return ForwardResult.CUT_OFF
@@ -156,10 +163,11 @@
             return ForwardResult.REACHED
         return await self._send(endpoint, channel, order, incoming, responder)
 
-    def _is_busy(self) -> bool:
+    def _is_busy(self, body_bytes: int) -> bool:
         return (
             self.stopping()
             or self.ways.forwarding > MAX_FORWARDED
+            or self.held_bytes > max(MAX_FORWARDED_BYTES, body_bytes)
             or self.overload.is_overloaded(trio.current_time())
         )
 
