--- a/features/routed.feature
+++ b/features/routed.feature
@@ -235,9 +235,13 @@
       | a claim whose forwarding instance freezes is not sent again                        |
       | a stream whose forwarding instance is killed does not look complete                |
       | a retryable request whose forwarding instance is killed is retried elsewhere       |
+      | a claim whose forwarding instance ends before it has sent is not sent again        |
+      | a retryable request whose forwarding instance ends unread is retried elsewhere     |
       | a caller that disconnects ends its request through another instance                |
       | an endpoint that asks an instance for a pause gets none of others through it       |
       | an endpoint that leaves gets no requests through other instances                   |
+      | an endpoint whose record says that it leaves gets none through other instances     |
+      | an endpoint whose record is removed gets none through other instances              |
       | an order without a valid signature is not carried out                              |
       | several instances that are cut off share the load of the others                    |
       | a connection whose other end hangs breaks, and one that is silent does not |
--- a/features/steps/cut_off_cases.py
+++ b/features/steps/cut_off_cases.py
@@ -22,6 +22,9 @@
 SERVED_SHARE = 0.95
 """Part of the first tries that must be served."""
 PAUSE_S = 0.03
+ORDERS_UNREAD = 4
+LEFT_S = 2.0
+"""Time after an endpoint's record says so from which it must get no request."""
 PATHS = ("/lookup/1", "/claim/1", "/digest/1", "/question/1")
 
 
@@ -339,6 +342,39 @@
     assert traffic.served(["instance-0"], 0.0) == (1, 1), traffic.tries
 
 
+async def ask_one_that_ends_unread(site, path, others):
+    """Hand a request to an instance that is frozen, and kill that one.
+
+    The instance has then accepted the connection and not read the request.
+    """
+    (links,) = await start_fleet(site, 1, others)
+    await links.cut(NewLinks.REFUSED, OpenLinks.RESET)
+    for daemon in site.daemons[1:2]:
+        daemon.process.send_signal(signal.SIGSTOP)
+    traffic = CutTraffic(site)
+    async with trio.open_nursery() as nursery:
+        for _ in range(ORDERS_UNREAD):
+            nursery.start_soon(traffic.ask, site.daemons[0], path)
+        await trio.sleep(0.3)
+        site.daemons[1].process.kill()
+    return traffic
+
+
+@case("a claim whose forwarding instance ends before it has sent is not sent again")
+async def _(site):
+    traffic = await ask_one_that_ends_unread(site, "/claim/1", 1)
+    assert not traffic.arrivals()
+    for *_, answer in traffic.tries:
+        assert answer.status == 502 and b"may have run" in answer.body, answer
+
+
+@case("a retryable request whose forwarding instance ends unread is retried elsewhere")
+async def _(site):
+    traffic = await ask_one_that_ends_unread(site, "/lookup/1", 2)
+    served = traffic.served(["instance-0"], 0.0)
+    assert served == (ORDERS_UNREAD, ORDERS_UNREAD), traffic.tries
+
+
 async def find_forwarder(site):
     """Return the instance that has a connection for another one open."""
     for daemon in site.daemons[1:]:
@@ -416,6 +452,53 @@
     assert await ask_twice(site, leave) == 0
 
 
+async def requests_after(site, change):
+    """Return how many requests an endpoint gets once its record has been changed.
+
+    Requests come through an instance that is cut off and one that is not, also as
+    retries and as parts of streams that are taken up.
+    """
+    links = await start_fleet(site, 1, 2)
+
+    async def reject_first(exchange):
+        headers = [(b"X-Savorydyke-Not-Executed", b"1")]
+        await exchange.send_complete(503, b"", *headers)
+
+    async def stream_half(exchange):
+        await exchange.stream_events(1, 2, end=False)
+
+    site.endpoints["s0"].scripts[:] = [reject_first, answer_after_work]
+    site.endpoints["e0"].scripts[:] = [stream_half, answer_stream_slowly]
+    await links[0].cut(NewLinks.REFUSED, OpenLinks.RESET)
+    traffic = CutTraffic(site)
+    for name, service in (("s1", "desk"), ("e1", "engines")):
+        change(name, service)
+    leaving = [site.endpoints[name] for name in ("s1", "e1")]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(traffic.run, LEFT_S + 2.0)
+        await trio.sleep(LEFT_S)
+        before = sum(map(count_requests, leaving))
+    served, sent = traffic.served([d.name for d in site.daemons], 0.0)
+    assert served >= SERVED_SHARE * sent > 0, (served, sent)
+    return sum(map(count_requests, leaving)) - before
+
+
+@case("an endpoint whose record says that it leaves gets none through other instances")
+async def _(site):
+    def drain(name, service):
+        site.write_record(name, service, state="draining", seq=2)
+
+    assert await requests_after(site, drain) == 0
+
+
+@case("an endpoint whose record is removed gets none through other instances")
+async def _(site):
+    def remove(name, service):
+        site.store.remove(f"servers/{name}")
+
+    assert await requests_after(site, remove) == 0
+
+
 @case("an order without a valid signature is not carried out")
 async def _(site):
     await start_fleet(site, 0, 1)
