Tell routed callers when a stop aborts their requests

Callers of requests in progress at the end of the time for a stop got a closed connection and nothing else, and a second stop signal was not heeded at all. Cause: the end of the stop cancels all tasks at once. Now a second signal ends the requests at once, as the end of the time does (0.6 s before the kill), and where no answer has begun the caller gets 503 as the problem document, not run or may have run, whichever is true.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -82,6 +82,8 @@
       | case                                                                   |
       | an answer that an endpoint repeats late is not taken for the next one  |
       | a stop under load leaves no accepted request without an answer         |
+      | requests that a second signal aborts are told whether they ran         |
+      | requests that the end of a stop aborts are told whether they ran       |
       | a stream that only sends parts of an event counts as stalled           |
       | a stream that stalls for good ends at the route's time-out             |
       | a slow stream whose events keep coming is not cut                      |
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -946,6 +946,57 @@
     )
 
 
+LONGER_THAN_STOP_MS = 10_000
+
+
+async def stop_with_requests(site, second_signal):
+    """Stop an instance whose endpoint hangs; return the answers to three claims.
+
+    The endpoint takes the first two, and the last one waits.
+    """
+    site.configure(routes=[site.routes()[0] | {"timeout_ms": LONGER_THAN_STOP_MS}])
+    endpoint = await site.endpoint("e1", "desk", hang)
+    site.write_record("e1", "desk", slots=2, seq=2)
+    daemon = await site.daemon()
+    await trio.sleep(0.5)
+    answers = []
+
+    async def ask(number):
+        caller = await site.connect(daemon.callers)
+        headers = site.headers(deadline_ms=LONGER_THAN_STOP_MS)
+        answer = await caller.request("POST", f"/claim/{number}", headers, BODY)
+        answers.append((number, answer))
+
+    async with trio.open_nursery() as nursery:
+        for number in range(3):
+            nursery.start_soon(ask, number)
+            await trio.sleep(0.2)
+        assert count(endpoint) == 2
+        daemon.process.send_signal(signal.SIGTERM)
+        if second_signal:
+            await trio.sleep(0.3)
+            daemon.process.send_signal(signal.SIGTERM)
+    return [answer for _, answer in sorted(answers, key=lambda item: item[0])]
+
+
+def check_told_of_stop(answers):
+    """Check that callers without an answer were told whether their claims ran."""
+    for number, answer in enumerate(answers):
+        outcome = b"may have run" if number < 2 else b"not run"
+        assert answer.complete and answer.status == 503, (number, answer)
+        assert outcome in answer.body and b"stop" in answer.body, (number, answer)
+
+
+@case("requests that a second signal aborts are told whether they ran")
+async def _(site):
+    check_told_of_stop(await stop_with_requests(site, second_signal=True))
+
+
+@case("requests that the end of a stop aborts are told whether they ran")
+async def _(site):
+    check_told_of_stop(await stop_with_requests(site, second_signal=False))
+
+
 @case("a stream that only sends parts of an event counts as stalled")
 async def _(site):
     async def dribble(exchange):
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -4,6 +4,7 @@
 import json
 import signal
 import sys
+from collections.abc import AsyncIterator
 from dataclasses import replace
 
 import trio
@@ -36,6 +37,8 @@
 failed checks."""
 KILL_MARGIN_S = 0.6
 """Time between aborting the remaining requests and the kill."""
+ABORT_S = 0.3
+"""Time to tell the callers of aborted requests."""
 STOP_CHECK_S = 0.02
 METRICS_PATH = b"/metrics"
 
@@ -208,8 +211,8 @@
 ) -> None:
     """Wait for a stop signal, then until the requests in progress have ended.
 
-    Returns `KILL_MARGIN_S` before the process would be killed, even if requests
-    remain. SIGHUP only checks the settings file.
+    A second signal aborts those that remain, as does `KILL_MARGIN_S` before the process
+    would be killed. SIGHUP only checks the settings file.
     """
     with trio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
@@ -223,8 +226,11 @@
         gateway.membership.leaving = True
         gateway.membership.notify()
         ingress.closing = True
-        stop_s = gateway.settings.bounds.stop_s
-        with trio.move_on_after(stop_s - KILL_MARGIN_S):
+        async with trio.open_nursery() as nursery:
+            scope = nursery.cancel_scope
+            stop_s = gateway.settings.bounds.stop_s
+            scope.deadline = trio.current_time() + stop_s - KILL_MARGIN_S
+            nursery.start_soon(_cancel_at_signal, signals, scope)
             # The balancer sends callers here until two readiness checks have failed.
             await trio.sleep(min(DRAIN_NOTICE_S, stop_s / 3))
             handler.refusing = True
@@ -232,6 +238,29 @@
             while ingress.active or gateway.ways.forwarding:
                 await trio.sleep(STOP_CHECK_S)
                 ingress.close_idle()
+            scope.cancel()
+    if ingress.active:
+        await _abort(handler, ingress)
+
+
+async def _cancel_at_signal(
+    signals: AsyncIterator[int], scope: trio.CancelScope
+) -> None:
+    """Cancel a scope at the next signal that asks for a stop."""
+    async for number in signals:
+        if number != signal.SIGHUP:
+            log.info("Second signal.")
+            scope.cancel()
+            return
+
+
+async def _abort(handler: RoutedHandler, ingress: Ingress) -> None:
+    """End the requests in progress, and wait until their callers have been told."""
+    log.warning("Requests aborted.", extra={"active": ingress.active})
+    handler.abort()
+    with trio.move_on_after(ABORT_S):
+        while ingress.active:
+            await trio.sleep(STOP_CHECK_S)
 
 
 def _check_settings(gateway: Gateway, path: str) -> None:
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -7,7 +7,7 @@
 
 import math
 import random
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import trio
 
@@ -128,6 +128,10 @@
         Time after which a revoked key must no longer be accepted.
     refusing : bool
         Whether new requests are refused because the instance is stopping.
+    aborting : bool
+        Whether the requests in progress are ended because the instance is stopping.
+    scopes : set of trio.CancelScope
+        Those of the requests in progress.
     incarnation : int
         Distinguishes this process from earlier ones of the same instance,
         whose requests a coordinator may still hold.
@@ -149,6 +153,8 @@
     versions: StreamVersions
     metrics: Metrics
     refusing: bool = False
+    aborting: bool = False
+    scopes: set[trio.CancelScope] = field(default_factory=set)
     incarnation: int = 0
     serial: int = 0
 
@@ -273,19 +279,32 @@
 
     async def _answer(self, request: RoutedRequest) -> Refusal | None:
         """Answer a request before it expires; return a refusal if that fails."""
+        scope = trio.CancelScope(deadline=request.expires)
+        self.scopes.add(scope)
         try:
-            with trio.move_on_at(request.expires):
+            with scope:
                 return await self._run_attempts(request)
         finally:
+            self.scopes.discard(scope)
             if request.reserved is not None:
                 self.grant_client.release(request.reserved.key, ReleaseResult.NOT_SENT)
         if request.responder.started:
             return None
-        if request.sent_to and request.may_have_run:
+        ran = bool(request.sent_to) and request.may_have_run
+        if self.aborting:
+            outcome = Outcome.MAY_HAVE_RUN if ran else Outcome.NOT_RUN
+            return Refusal(Reason.STOPPING, "this instance has stopped", outcome)
+        if ran:
             detail = "the endpoint did not answer in time"
             return Refusal(Reason.TIMEOUT, detail, Outcome.MAY_HAVE_RUN)
         return Refusal(Reason.DEADLINE, "no endpoint came free in time")
 
+    def abort(self) -> None:
+        """End the requests in progress; callers without an answer are told so."""
+        self.refusing = self.aborting = True
+        for scope in self.scopes:
+            scope.cancel()
+
     async def _run_attempts(self, request: RoutedRequest) -> Refusal | None:
         while True:
             held = self._held_back(request)
@@ -569,7 +588,7 @@
             if trio.current_time() >= request.expires:
                 self._give_up(request, endpoint, way, sent, "time-out", EXPIRED_S)
             else:
-                why = "caller gone"
+                why = "stopping" if self.aborting else "caller gone"
                 self._give_up(request, endpoint, way, sent, why, CALLER_GONE_S)
             raise
         finally:
