Tell callers of the product's own interface when a stop aborts their requests

A second stop signal or the stop limit closed the connections of callers whose answers had not begun. Cause: the nursery of all tasks was cancelled at once. Requests are ended by themselves now; callers without an answer get 503 as the problem document, with the outcome that is true: may have run if it was sent, or has an id or key that another instance may have used. Streams are broken off, as before.

Case with engines that hang and 60 callers: connections closed before, 60 answers after, of both outcomes, and the engines read no more requests than were said to may have run.

--- a/features/service.feature
+++ b/features/service.feature
@@ -118,6 +118,11 @@
     When an instance gets two stop signals while a stream runs
     Then it exits with 1 and its log names the aborted stream
 
+  Scenario: Callers whose requests a second signal aborts are told whether they ran
+    Given the small fleet
+    When an instance gets two stop signals while its engines hang
+    Then each caller is told that it is stopping and whether the request may have run
+
   Scenario: Operators, callers and peer links use TLS
     Given two instances with certificates of one CA
     Then they connect, and the tool applies a manifest over TLS
--- a/features/steps/service_steps.py
+++ b/features/steps/service_steps.py
@@ -6,6 +6,7 @@
 import socket
 import ssl
 import time
+from collections import Counter
 
 import httpx
 import openai
@@ -691,6 +692,7 @@
 
 STOP_NOTICED_S = 4.0
 STREAMS_BEGUN_S = 8.0
+HANGING_REQUESTS = 60
 
 
 def act_while_streaming(context, action, count=4, tokens=200):
@@ -742,22 +744,69 @@
         assert wait_exit(instance) == 0
 
 
+def signal_twice(context, instance):
+    """Send two stop signals to an instance."""
+    instance.signal(signal.SIGTERM)
+    # Signals of one kind do not queue: a second one before the first has been
+    # handled would be lost.
+    log = context.small.fleet.folder / f"{instance.name}.log"
+    until = time.monotonic() + STOP_NOTICED_S
+    while "Stopping." not in log.read_text():
+        assert time.monotonic() < until
+        time.sleep(0.02)
+    instance.signal(signal.SIGTERM)
+
+
 @when("an instance gets two stop signals while a stream runs")
 def stop_twice(context):
     instance = context.small.instances()[0]
+    act_while_streaming(
+        context, lambda: signal_twice(context, instance), count=1, tokens=600
+    )
 
-    def action():
-        instance.signal(signal.SIGTERM)
-        # Signals of one kind do not queue: a second one before the first has been
-        # handled would be lost.
-        log = context.small.fleet.folder / f"{instance.name}.log"
-        until = time.monotonic() + STOP_NOTICED_S
-        while "Stopping." not in log.read_text():
-            assert time.monotonic() < until
-            time.sleep(0.02)
-        instance.signal(signal.SIGTERM)
 
-    act_while_streaming(context, action, count=1, tokens=600)
+@when("an instance gets two stop signals while its engines hang")
+def stop_twice_hanging(context):
+    small = context.small
+    instance = small.instances()[0]
+    engines = [e for e in small.fleet.endpoints.values() if e.kind == "engine"]
+    assert engines
+    context.answers = []
+
+    async def ask(number):
+        body = BODY | {"stream": False}
+        headers = {"authorization": "Bearer key-of-crews"}
+        url = f"http://{instance.callers}{CHAT}"
+        answer = await small.fleet.client.post(url, json=body, headers=headers)
+        context.answers.append(answer)
+
+    async def play():
+        async with trio.open_nursery() as nursery:
+            for number in range(HANGING_REQUESTS):
+                nursery.start_soon(ask, number)
+            await trio.sleep(1.5)
+            await trio.to_thread.run_sync(signal_twice, context, instance)
+
+    for engine in engines:
+        engine.process.send_signal(signal.SIGSTOP)
+    try:
+        small.run(play)
+    finally:
+        for engine in engines:
+            engine.process.send_signal(signal.SIGCONT)
+
+
+@then("each caller is told that it is stopping and whether the request may have run")
+def told_of_stop(context):
+    found = Counter()
+    for answer in context.answers:
+        assert answer.status_code == 503, answer
+        assert answer.json()["title"] == "stopping", answer.json()
+        found[answer.json()["outcome"]] += 1
+    assert sum(found.values()) == HANGING_REQUESTS, found
+    assert found["not run"] and found["may have run"], found
+    # An engine reads requests that were sent and given up, at most.
+    assert len(context.small.requests()) <= found["may have run"], found
 
 
 @then("it exits with 1 and its log names the aborted stream")
--- a/src/savorydyke/_caller_app.py
+++ b/src/savorydyke/_caller_app.py
@@ -121,6 +121,8 @@
         Ids of the requests in progress that have been read and validated.
     held_bytes : int
         Size of the request bodies in memory, in bytes.
+    aborting : trio.Event
+        Set when the requests in progress are to end.
     """
 
     dispatcher: Dispatcher
@@ -133,6 +135,7 @@
     active: int = 0
     requests: set[RequestId] = field(default_factory=set)
     held_bytes: int = 0
+    aborting: trio.Event = field(default_factory=trio.Event)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
@@ -178,7 +181,10 @@
     async def _run_until_disconnect(
         self, exchange: Exchange, dispatch: Dispatch, calls: list[Call]
     ) -> DispatchResult | None:
-        """Run a dispatch; cancel it and return None if the caller disconnects."""
+        """Run a dispatch; cancel it and return None if the caller disconnects.
+
+        It is also cancelled when the requests in progress are to end.
+        """
         result: DispatchResult | None = None
         async with trio.open_nursery() as nursery:
 
@@ -188,9 +194,16 @@
                 exchange.disconnected = True
                 nursery.cancel_scope.cancel()
 
+            async def watch_abort() -> None:
+                await self.aborting.wait()
+                nursery.cancel_scope.cancel()
+
             nursery.start_soon(watch_caller)
+            nursery.start_soon(watch_abort)
             result = await self._dispatch(dispatch, calls)
             nursery.cancel_scope.cancel()
+        if result is None and not exchange.disconnected:
+            return _aborted(dispatch)
         return result
 
     async def _dispatch(self, dispatch: Dispatch, calls: list[Call]) -> DispatchResult:
@@ -343,6 +356,18 @@
         self.metrics.wasted_prefill.add(labels, tokens)
 
 
+def _aborted(dispatch: Dispatch) -> DispatchResult:
+    """Return how a request ends whose dispatch was cancelled by a stop."""
+    detail = "this instance has stopped"
+    if dispatch.replying:
+        return Truncated(detail)
+    head = dispatch.call.head
+    # Another instance may have run a request of the same id or key.
+    may_have_run = dispatch.sent or head.has_caller_id or head.idempotency_key
+    outcome = Outcome.MAY_HAVE_RUN if may_have_run else Outcome.NOT_RUN
+    return Refusal(Reason.STOPPING, detail, outcome)
+
+
 def _is_data_path(path: str) -> bool:
     return path in MODEL_PATHS or path.startswith((SERVICE_PREFIX, RESUME_PREFIX))
 
--- a/src/savorydyke/_daemon.py
+++ b/src/savorydyke/_daemon.py
@@ -55,6 +55,8 @@
 STALLED_CALLER_MS = 30_000
 """Time after which a caller that does not read loses its connection."""
 BACKLOG = 1024
+ABORT_S = 0.5
+"""Time to tell the callers of aborted requests."""
 STOP_CHECK_S = 0.05
 LEAVE_NOTICE_S = 1.0
 """Time for the peers to learn that this instance is leaving."""
@@ -434,7 +436,8 @@
 async def _wait_for_stop(instance: Instance, callers: CallerApp, claims: Claims) -> int:
     """Wait for a signal, then until all requests have ended; return the exit status.
 
-    A second signal or the stop limit aborts the remaining requests.
+    A second signal or the stop limit aborts the remaining requests. Callers without an
+    answer are told.
     """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         await anext(signals)
@@ -452,6 +455,10 @@
                 names = sorted(callers.requests)[:MAX_REQUESTS_LOGGED]
                 extra = {"cut": len(callers.requests), "requests": names}
                 log.warning(reason, extra=extra)
+                callers.aborting.set()
+                with trio.move_on_after(ABORT_S):
+                    while callers.active:
+                        await trio.sleep(STOP_CHECK_S)
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(abort_after, "Second signal.", signals.__anext__)
