Let instances without links give out equal parts of quotas, slots and repeats

After a kill of all, several instances took themselves for the only one until they had links, each read the same balances and gave out the whole quota. Limits that endpoints name asked how many instances the store lists; quotas were not divided at all, slots by the members known, the slack of the retry budget not at all.

One rule now, Membership.share: an instance that most of the instances that are known or listed acknowledge gives the whole, any other one an equal part; slots, quotas, limits, slack and fallback ask there.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -12,6 +12,8 @@
       | a new coordinator admits no second burst                                   |
       | the first coordinator of a deployment starts with full buckets             |
       | a coordinator continues with the balances of the previous one              |
+      | instances without links share the quotas that a pool's coordinator had     |
+      | an instance that is linked to few of those that are listed gives out its part |
       | a team that used little is not refused after a takeover                    |
       | balances that can not be read count as spent                               |
       | a start of all instances admits no burst                                   |
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -333,6 +333,60 @@
         assert worst_window(admitted) <= ALLOWED, (seed, worst_window(admitted))
 
 
+@case("instances without links share the quotas that a pool's coordinator had")
+def _():
+    # All instances are killed. Five host the pool one after the other, each with the
+    # stored balances, until they are linked; then one of them goes on alone.
+    for seed in range(20):
+        rng = random.Random(seed)
+        first = first_quotas(tolerance=TOLERANCE)
+        killed = 30 + 8 * rng.random()
+        stored, admitted, now = b"{}", [], 10.0
+        while now < killed:
+            if first.should_report():
+                stored = encode_balances(first.export(now), 1)
+                first.unreported.clear()
+            admitted += spend(first, now, min(killed, now + CHECK_S), rng, 0.12)
+            now += CHECK_S
+        linked = killed + 2.0
+        hosts = []
+        for number in range(5):
+            opened = killed + 0.3 * (number + 1)
+            hosts.append(quotas(tolerance=TOLERANCE, opened=opened, share=1 / 5))
+            hosts[-1].restore(decode_balances(stored))
+            admitted += spend(hosts[-1], opened, linked, rng, 0.02)
+        hosts[0].set_share(1.0)
+        admitted += spend(hosts[0], linked, killed + 20, rng, 0.12)
+        assert worst_window(admitted) <= ALLOWED, (seed, worst_window(admitted))
+        late = [tokens for at, tokens in admitted if at > linked + 8.0]
+        assert sum(late) > 0.8 * 100 * (killed + 20 - linked - 8.0), (seed, sum(late))
+
+
+@case("an instance that is linked to few of those that are listed gives out its part")
+def _():
+    async def play():
+        gateway = unconnected_gateway()
+        limit = {"rate_per_s": 1000, "burst": 1000}
+        teams = [{"name": "crew", "api_keys": ["k"], **limit}]
+        gateway.directory.configuration = configuration(tenants=teams)
+        gateway.directory.manifest = build_manifest(
+            gateway.directory.configuration, {"e1": record("e1", 64)}
+        )
+        gateway.membership.listed = {f"i{number}" for number in range(7)}
+        now = trio.current_time()
+        hosted = gateway.pool_host._host(POOL, now)
+        scheduler = hosted.scheduler
+        eighth = 1 / gateway.membership.listed_count()
+        assert scheduler.quotas.share == scheduler.capacity.share == eighth
+        assert scheduler.retry_budget.share == eighth
+        gateway.membership.listed = set()
+        gateway.pool_host._tick(POOL, hosted, now)
+        assert scheduler.quotas.share == scheduler.capacity.share == 1.0
+        assert scheduler.retry_budget.share == 1.0
+
+    trio.run(play)
+
+
 @case("a team that used little is not refused after a takeover")
 def _():
     first = first_quotas(tolerance=TOLERANCE)
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -405,7 +405,7 @@
         allowance = self.fallback_allowances.get(endpoint)
         if allowance is None:
             return True
-        allowance.share = FALLBACK_LIMIT_SHARE / self.membership.listed_count()
+        allowance.share = FALLBACK_LIMIT_SHARE * self.membership.equal_share()
         return allowance.allows(now)
 
     def apply_limit(self, endpoint: EndpointId, per_s: float | None) -> None:
@@ -458,11 +458,10 @@
             ),
             in_flight,
             self.membership.id,
-            self.membership.known_count(),
-        )
-        self.fallback_quotas.share = (
-            FALLBACK_QUOTA_SHARE / self.membership.known_count()
+            self.membership.listed_count(),
         )
+        share = FALLBACK_QUOTA_SHARE * self.membership.equal_share()
+        self.fallback_quotas.share = share
         tokens = demand.quota_tokens
         draw = self.rng.random()
         if name and not self.fallback_quotas.take_fraction(
--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -345,6 +345,18 @@
         """Return whether most of these recently acknowledged a heartbeat."""
         return 2 * self._answered_count(now) > self.listed_count()
 
+    def share(self, now: float) -> float:
+        """Return which part of what the whole fleet may give this instance may give.
+
+        All of it while it is linked to most instances, since only one part of a fleet
+        can be. Else each may give an equal part, so that all together give no more.
+        """
+        return 1.0 if self.reaches_most_listed(now) else self.equal_share()
+
+    def equal_share(self) -> float:
+        """Return the part of an instance if all may give the same."""
+        return 1.0 / self.listed_count()
+
     def is_cut_off(self, now: float) -> bool:
         """Return whether no other instance recently acknowledged a heartbeat."""
         return self._answered_count(now) == 1
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -289,6 +289,7 @@
             scheduler.set_limit(endpoint, known.per_s, now)
         for endpoint, known in self.rejections.named.items():
             scheduler.set_rejection_limit(endpoint, known.per_s)
+        self.set_share(scheduler)
         self.hosted[pool] = hosted
         log.info("Pool hosted.", extra={"pool": pool})
         return hosted
@@ -304,19 +305,16 @@
 
     def set_share(self, scheduler: PoolScheduler) -> None:
         """Limit what a scheduler may use while another coordinator may exist."""
+        share = self.membership.share(trio.current_time())
         is_coordinator = self.membership.is_coordinator(scheduler.pool)
-        reaches_majority = self.membership.reaches_majority(trio.current_time())
-        scheduler.capacity.share = (
-            1.0
-            if is_coordinator and reaches_majority
-            else 1.0 / self.membership.known_count()
-        )
-        reaches_listed = self.membership.reaches_most_listed(trio.current_time())
-        is_only_coordinator = is_coordinator and reaches_listed
-        scheduler.request_trials_enabled = is_only_coordinator
-        scheduler.set_limit_share(
-            1.0 if is_only_coordinator else 1.0 / self.membership.listed_count()
-        )
+        own = share if is_coordinator else self.membership.equal_share()
+        scheduler.capacity.share = own
+        scheduler.request_trials_enabled = is_coordinator and share == 1.0
+        scheduler.set_limit_share(own)
+        # Frontends may see a new coordinator before it does; its quotas are whole.
+        scheduler.quotas.set_share(share)
+        if scheduler.retry_budget is not None:
+            scheduler.retry_budget.share = own
 
     # Events
 
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -303,7 +303,8 @@
         idle = self.capacity.is_idle(now)
         wait_s = self.quotas.take(item.team, item.quota_tokens, now, idle)
         if wait_s > 0:
-            detail = "the team's quota is used up"
+            whose = "the team's" if self.quotas.share == 1.0 else "a part of the team's"
+            detail = f"{whose} quota is used up"
             return self._refuse(item, Reason.QUOTA, detail, wait_s, now)
         return None
 
--- a/src/savorydyke/_quota.py
+++ b/src/savorydyke/_quota.py
@@ -108,7 +108,7 @@
     opened : float
         When the buckets were opened.
     share : float
-        Part of each quota that this instance may admit.
+        Part of each quota that this instance may admit; `set_share` changes it.
     balances_loaded : bool
         Whether the balances of an earlier coordinator have been loaded.
     balances : mapping or None
@@ -140,7 +140,8 @@
             return 0.0
         account = self._account(team, limit, now)
         used = sum(account.used.values())
-        fits = used == 0 or used + tokens <= self._max_in_window(limit)
+        is_alone = self.share >= 1.0
+        fits = used + tokens <= self._max_in_window(limit) or (used == 0 and is_alone)
         if fits and (account.tokens >= 0 or idle):
             if account.tokens >= 0:
                 account.tokens -= tokens
@@ -191,6 +192,19 @@
         account.fraction -= 1
         return True
 
+    def set_share(self, share: float) -> None:
+        """Change the part of each quota that this instance may admit.
+
+        The other holders of shares are assumed to have used theirs as this one has.
+        """
+        if share == self.share:
+            return
+        ratio, self.share = share / self.share, share
+        for account in self.accounts.values():
+            if ratio < 1 or account.tokens < 0:
+                account.tokens *= ratio
+            account.used = {slot: ratio * used for slot, used in account.used.items()}
+
     # Handover
 
     def reset(self, now: float) -> None:
@@ -242,7 +256,8 @@
                 continue
             account = self._account(team, limit, now)
             used = [account.used.get(latest - age, 0.0) for age in range(SLOTS)]
-            balances[team] = Balance(account.tokens, tuple(used))
+            whole = tuple(tokens / self.share for tokens in used)
+            balances[team] = Balance(account.tokens / self.share, whole)
         return balances
 
     # Accounts
@@ -275,9 +290,10 @@
             # The whole quota may have just been used.
             return Account(-owed, self.opened, {latest: quota})
         unreported = self._max_unreported(limit)
-        bucket = max(balance.tokens - unreported, min(balance.tokens, -owed))
-        used = (unreported, *balance.used)
-        slots = {latest - age: tokens for age, tokens in enumerate(used)}
+        tokens = self.share * balance.tokens
+        bucket = max(tokens - unreported, min(tokens, -owed))
+        used = (unreported, *(self.share * part for part in balance.used))
+        slots = {latest - age: part for age, part in enumerate(used)}
         return Account(bucket, self.opened, slots)
 
     def _account(self, team: TeamId, limit: TeamQuota, now: float) -> Account:
--- a/src/savorydyke/_retry_budget.py
+++ b/src/savorydyke/_retry_budget.py
@@ -22,11 +22,14 @@
         Retries allowed beyond that.
     window_s : float
         Length of the window, in seconds.
+    share : float
+        Part of the slack that this instance may use.
     """
 
     ratio: float = 0.2
     slack: float = 10.0
     window_s: float = 10.0
+    share: float = 1.0
     requests: deque[float] = field(default_factory=deque)
     retries: deque[float] = field(default_factory=deque)
 
@@ -38,7 +41,9 @@
     def take(self, now: float) -> bool:
         """Count a retry if the budget allows it; return whether it does."""
         self._drop_old(now)
-        allowed = USED_SHARE * (self.ratio * len(self.requests) + self.slack)
+        allowed = USED_SHARE * (
+            self.ratio * len(self.requests) + self.share * self.slack
+        )
         if len(self.retries) + 1 > allowed:
             return False
         self.retries.append(now)
