Answer 502 when a stop aborts a routed request that may have run

Routed callers read the status, so it is 502 (reason "aborted") where it may have run and 503 where it has not. The case asked for 503 and was wrong; it asks for the status that is true now, and fails on the code before (503, may have run).

--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -982,8 +982,9 @@
 def check_told_of_stop(answers):
     """Check that callers without an answer were told whether their claims ran."""
     for number, answer in enumerate(answers):
-        outcome = b"may have run" if number < 2 else b"not run"
-        assert answer.complete and answer.status == 503, (number, answer)
+        # 503 promises that a request has not run and never will.
+        status, outcome = (502, b"may have run") if number < 2 else (503, b"not run")
+        assert answer.complete and answer.status == status, (number, answer)
         assert outcome in answer.body and b"stop" in answer.body, (number, answer)
 
 
--- a/src/savorydyke/_ids.py
+++ b/src/savorydyke/_ids.py
@@ -74,6 +74,7 @@
     STALE_CONFIGURATION = "stale-configuration"
     CLAIMS_UNAVAILABLE = "claims-unavailable"
     STOPPING = "stopping"
+    ABORTED = "aborted"
     HELD_BACK = "prompt-held-back"
     UNKNOWN_STREAM = "stream-version-unknown"
     ENDPOINT_FAILED = "endpoint-failed"
--- a/src/savorydyke/_problems.py
+++ b/src/savorydyke/_problems.py
@@ -32,6 +32,7 @@
     Reason.STALE_CONFIGURATION: 503,
     Reason.CLAIMS_UNAVAILABLE: 503,
     Reason.STOPPING: 503,
+    Reason.ABORTED: 502,
     Reason.HELD_BACK: 503,
     Reason.UNKNOWN_STREAM: 503,
     Reason.ENDPOINT_FAILED: 502,
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -291,9 +291,12 @@
         if request.responder.started:
             return None
         ran = bool(request.sent_to) and request.may_have_run
+        if self.aborting and ran:
+            # 503 would promise that it has not run.
+            detail = "this instance stopped before the endpoint answered"
+            return Refusal(Reason.ABORTED, detail, Outcome.MAY_HAVE_RUN)
         if self.aborting:
-            outcome = Outcome.MAY_HAVE_RUN if ran else Outcome.NOT_RUN
-            return Refusal(Reason.STOPPING, "this instance has stopped", outcome)
+            return Refusal(Reason.STOPPING, "this instance has stopped")
         if ran:
             detail = "the endpoint did not answer in time"
             return Refusal(Reason.TIMEOUT, detail, Outcome.MAY_HAVE_RUN)
