Count the instances that the store lists before pools are hosted

They are counted when the store has been read, before any pool is hosted, and with each answer to a watch. The decision case reads the store without a heartbeat: 1.0 before, an eighth after.

--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -373,11 +373,16 @@
         gateway.directory.manifest = build_manifest(
             gateway.directory.configuration, {"e1": record("e1", 64)}
         )
-        gateway.membership.listed = {f"i{number}" for number in range(7)}
+        gateway.directory.instances = {
+            name: InstanceRecord(name, f"{name}:1", "a", 2.0)
+            for name in (f"i{number}" for number in range(7))
+        }
+        # The store has been read; there has been no heartbeat yet.
+        gateway.directory._publish()
         now = trio.current_time()
         hosted = gateway.pool_host._host(POOL, now)
         scheduler = hosted.scheduler
-        eighth = 1 / gateway.membership.listed_count()
+        eighth = 1 / 8
         assert scheduler.quotas.share == scheduler.capacity.share == eighth
         assert scheduler.retry_budget.share == eighth
         gateway.membership.listed = set()
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -580,6 +580,9 @@
     links.listeners.append(lambda is_cut_off: _note_cut_off(gateway, is_cut_off))
     limits.listeners.append(gateway.apply_limit)
     rejections.listeners.append(gateway.apply_rejection_limit)
+    # First, since the number of instances decides what a pool hosted here may give.
+    directory.listeners.append(lambda manifest: gateway.apply_instance_records())
+    directory.view_listeners.append(lambda sent: gateway.apply_instance_records())
     directory.restart_listeners.append(limits.forget)
     directory.restart_listeners.append(rejections.forget)
     quarantine.listeners.append(lambda part, held: _note_held(gateway, part, held))
