Play cuts of instances, leaving endpoints and second signals in the soak

Each instance has its own now; one, some or all are cut off in nine ways. Endpoints say that they leave, and get no request later than the bound; half of the signals come twice.

The stand-in's links refuse now while the endpoint is gone, as its address does. Brittle endpoints are not played here, since the soak's endpoints do not run out of room.

--- a/features/steps/soak_cases.py
+++ b/features/steps/soak_cases.py
@@ -53,3 +53,11 @@
     assert not limited.check_shared_knowledge()
     limited.arrivals["desk-0"].append(15.0)
     assert limited.check_shared_knowledge()
+
+    leaving = make_run(executions=0, status=0)
+    leaving.late_for_leaving["desk-1"] = 2
+    assert not leaving.check_shared_knowledge()
+    leaving.late_for_leaving["desk-1"] += 1
+    assert leaving.check_shared_knowledge()
+    leaving.interruptions.append(14.0)
+    assert not leaving.check_shared_knowledge()
--- a/src/savorydyke_bench/_soak.py
+++ b/src/savorydyke_bench/_soak.py
@@ -1,10 +1,11 @@
 """A seeded soak test: instances under random, overlapping faults.
 
-Instances run as processes, which are killed, paused, terminated and restarted.
+Instances run as processes, which are killed, paused, terminated, once or twice, and
+restarted. Some or all of them are cut off from all endpoints.
 Proxies in front of the store and of each endpoint delay, stall or reset
 connections. The store refuses calls, loses answers, repeats them, compacts its
-history or is restored from a backup. Endpoints ask for pauses or name limits, and end
-under prompts with a certain part. API keys are revoked.
+history or is restored from a backup. Endpoints ask for pauses, name limits or say that
+they leave, and end under prompts with a certain part. API keys are revoked.
 The guarantees are checked on what callers and endpoints saw.
 """
 
@@ -16,6 +17,7 @@
 
 import trio
 
+from savorydyke_standins._faulty_links import InstanceLinks, NewLinks, OpenLinks
 from savorydyke_standins._routed_endpoint import EVENTS, Exchange, event
 from savorydyke_standins._routed_site import (
     BOUNDS,
@@ -47,6 +49,10 @@
 BAD_SHARE = 0.05
 ENDS_ALLOWED = 5
 LATE_ALLOWED = 3
+LEAVING_S = 2.0
+"""Time for which an endpoint goes on that says that it leaves, beyond `CONTACT_S`."""
+LEAVING_ALLOWED = 2
+"""Requests that were on their way to an endpoint when its news arrived."""
 LIMIT_PER_S = 2.0
 LIMIT_WINDOW_S = 4.0
 LIMIT_ALLOWED = 1.5 * LIMIT_WINDOW_S * LIMIT_PER_S + 5
@@ -148,6 +154,12 @@
         Endpoints that name a limit, and since when.
     arrivals : dict of str to list of float
         When endpoints with a limit got requests.
+    links : list of InstanceLinks
+        The instances' links to endpoints.
+    leaving : dict of str to float
+        Endpoints that say that they leave, and since when.
+    late_for_leaving : Counter
+        Requests that endpoints got `CONTACT_S` after they had first said so.
     interruptions : list of float
         When an instance was killed, stopped, frozen or cut from the store. Each
         excuses the instance from acting on what others know.
@@ -166,7 +178,11 @@
     bad_arrivals: list[float] = field(default_factory=list)
     limited: dict[str, float] = field(default_factory=dict)
     arrivals: dict[str, list[float]] = field(default_factory=dict)
+    links: list[InstanceLinks] = field(default_factory=list)
+    leaving: dict[str, float] = field(default_factory=dict)
+    late_for_leaving: Counter = field(default_factory=Counter)
     interruptions: list[float] = field(default_factory=list)
+    last_born: int = 1
     is_ending: bool = False
 
     # Endpoints
@@ -177,9 +193,14 @@
         request_id = headers[b"x-savorydyke-request-id"].decode()
         name = headers[b"x-savorydyke-expect-instance"].decode()
         draw = self.rng.random()
+        exchange.more_headers = []
         if name in self.limited:
             self.arrivals.setdefault(name, []).append(trio.current_time())
-            exchange.more_headers = [(b"Server-Limit", str(LIMIT_PER_S).encode())]
+            exchange.more_headers.append((b"Server-Limit", str(LIMIT_PER_S).encode()))
+        if name in self.leaving:
+            if trio.current_time() > self.leaving[name] + CONTACT_S:
+                self.late_for_leaving[name] += 1
+            exchange.more_headers.append((b"Server-Leaving", b"1"))
         if draw < 0.04:
             more = [(b"X-Savorydyke-Not-Executed", b"1")]
             if draw < 0.01:
@@ -215,16 +236,24 @@
 
     async def _end_endpoint(self, name: str) -> None:
         """End an endpoint's process, and start another one under its name."""
+        if not self.endpoint_proxies[name].listener.cancel_called:
+            self.ends.append(trio.current_time())
+            await self._replace_endpoint(name)
+
+    async def _replace_endpoint(self, name: str) -> None:
         proxy = self.endpoint_proxies[name]
-        if proxy.listener.cancel_called:
-            return
         proxy.listener.cancel()
-        self.ends.append(trio.current_time())
+        for links in self.links:
+            await links.end(name)
         await trio.sleep(self._fault_s())
         proxy.listener = trio.CancelScope()
+        self.leaving.pop(name, None)
         await serve_proxy(self.site, proxy, self.site.addresses[name])
-        born = 1 + len(self.ends)
-        self.site.write_record(name, name.partition("-")[0], born=born)
+        for links in self.links:
+            await links.begin(name)
+        self.last_born += 1
+        service = name.partition("-")[0]
+        self.site.write_record(name, service, born=self.last_born)
 
     # Callers
 
@@ -273,6 +302,8 @@
             self._disturb_endpoint_proxy,
             self._toggle_spare_key,
             self._limit_endpoint,
+            self._cut_instances,
+            self._let_endpoint_leave,
         ]
         async with trio.open_nursery() as nursery:
             while not self.is_ending:
@@ -298,6 +329,9 @@
         self.interruptions.append(trio.current_time())
         process.send_signal(signal.SIGCONT)
         process.send_signal(number)
+        if self.rng.random() < 0.5:
+            await trio.sleep(self._fault_s())
+            process.send_signal(number)
         while process.poll() is None:
             await trio.sleep(0.05)
         await trio.sleep(self._fault_s() / 2)
@@ -349,6 +383,28 @@
         """Let an endpoint name a limit until the end of the run."""
         self.limited.setdefault("desk-0", trio.current_time())
 
+    async def _cut_instances(self) -> None:
+        """Cut one instance, some or all of them off from all endpoints."""
+        count = self.rng.randint(1, len(self.links))
+        how = self.rng.choice(list(NewLinks)), self.rng.choice(list(OpenLinks))
+        chosen = [x for x in self.rng.sample(self.links, count) if not x.is_cut()]
+        async with trio.open_nursery() as nursery:
+            for links in chosen:
+                nursery.start_soon(links.cut, *how)
+        await trio.sleep(self._fault_s())
+        for links in chosen:
+            await links.heal()
+
+    async def _let_endpoint_leave(self) -> None:
+        """Let an endpoint say that it leaves, and replace it some time later."""
+        name = self.rng.choice(sorted(self.endpoint_proxies))
+        if name in self.leaving or name in self.limited:
+            return
+        self.leaving[name] = trio.current_time()
+        await trio.sleep(CONTACT_S + LEAVING_S)
+        if not self.endpoint_proxies[name].listener.cancel_called:
+            await self._replace_endpoint(name)
+
     async def _toggle_spare_key(self) -> None:
         """Revoke the spare key, or grant it again."""
         if self.revoked_at.pop("spare-key", None) is None:
@@ -430,6 +486,9 @@
                 violations.append(
                     f"{name} got {worst} requests in a window, over its limit"
                 )
+        for name, late in self.late_for_leaving.items():
+            if late > LEAVING_ALLOWED + excused:
+                violations.append(f"{name} got {late} requests late, and leaves")
         return violations
 
     def check_revocations(self, bound_s: float) -> list[str]:
@@ -474,7 +533,8 @@
             site.addresses[name] = await serve_proxy(site, proxy, free_address())
             site.write_record(name, pool)
     for number in range(INSTANCES):
-        proxy = FaultProxy(site.store_address)
+        run.links.append(InstanceLinks(site.nursery, free_address))
+        proxy = FaultProxy(await site.store_view(run.links[-1]))
         run.store_proxies.append(proxy)
         store = await serve_proxy(site, proxy, "127.0.0.1:0")
         await site.daemon(f"instance-{number}", store=store)
--- a/src/savorydyke_standins/_faulty_links.py
+++ b/src/savorydyke_standins/_faulty_links.py
@@ -56,6 +56,8 @@
     ----------
     opened : int
         Connections that were accepted, also while the link is cut.
+    has_ended : bool
+        Whether the endpoint's process has ended, so that nothing listens.
     """
 
     nursery: trio.Nursery
@@ -64,6 +66,7 @@
     new: NewLinks | None = None
     open: OpenLinks = OpenLinks.ALIVE
     opened: int = 0
+    has_ended: bool = False
     listening: trio.CancelScope = field(default_factory=trio.CancelScope)
     streams: set[trio.SocketStream] = field(default_factory=set)
     fillers: list[socket.socket] = field(default_factory=list)
@@ -87,7 +90,7 @@
         if open_links is OpenLinks.RESET:
             for stream in list(self.streams):
                 reset(stream)
-        if new is NewLinks.RESET:
+        if new is NewLinks.RESET or self.has_ended:
             return
         self.listening.cancel()
         await trio.sleep(CHECK_S)
@@ -113,7 +116,22 @@
         for filler in self.fillers:
             filler.close()
         self.fillers.clear()
-        if was not in {None, NewLinks.RESET}:
+        if was not in {None, NewLinks.RESET} and not self.has_ended:
+            await self.start()
+
+    async def end(self) -> None:
+        """Refuse connections, since the endpoint's process has ended."""
+        self.has_ended = True
+        for stream in list(self.streams):
+            reset(stream)
+        if self.new in {None, NewLinks.RESET}:
+            self.listening.cancel()
+            await trio.sleep(CHECK_S)
+
+    async def begin(self) -> None:
+        """Relay connections to the endpoint's next process."""
+        self.has_ended = False
+        if self.new in {None, NewLinks.RESET}:
             await self.start()
 
     async def _serve(self, stream: trio.SocketStream) -> None:
@@ -191,6 +209,20 @@
         for link in self.links.values():
             await link.heal()
 
+    async def end(self, endpoint: str) -> None:
+        """Refuse connections to an endpoint whose process has ended."""
+        if endpoint in self.links:
+            await self.links[endpoint].end()
+
+    async def begin(self, endpoint: str) -> None:
+        """Relay connections to an endpoint's next process."""
+        if endpoint in self.links and self.links[endpoint].has_ended:
+            await self.links[endpoint].begin()
+
+    def is_cut(self) -> bool:
+        """Return whether the links are cut."""
+        return any(link.new is not None for link in self.links.values())
+
     def opened(self) -> int:
         """Return how many connections the links accepted."""
         return sum(link.opened for link in self.links.values())
--- a/src/savorydyke_standins/_routed_site.py
+++ b/src/savorydyke_standins/_routed_site.py
@@ -262,12 +262,16 @@
     async def cuttable_daemon(self, name: str, data_centre: str = "a") -> InstanceLinks:
         """Start an instance with links to endpoints that can be cut; return these."""
         links = InstanceLinks(self.nursery, free_address)
+        store = await self.store_view(links)
+        await self.daemon(name, store=store, data_centre=data_centre)
+        return links
+
+    async def store_view(self, links: InstanceLinks) -> str:
+        """Serve the store with the addresses of an instance's links; return where."""
         view = StoreView(self.store, links)
         limits = IngressLimits(max_body_bytes=2_000_000, idle_timeout_s=60.0)
         server = Ingress(view.handle, refuse_unreadable, lambda: limits)
-        address = await self.listen(server.serve, free_address())
-        await self.daemon(name, store=address, data_centre=data_centre)
-        return links
+        return await self.listen(server.serve, free_address())
 
     async def daemon(
         self,
