--- a/features/steps/checker_steps.py
+++ b/features/steps/checker_steps.py
@@ -182,4 +182,5 @@
     for history in context.histories:
         violations = {k: v for k, v in check_all(history).items() if v}
         assert not violations, (history.seed, violations)
-        assert len(history.requests) > 300 and len(history.faults) >= 8
+        size = len(history.requests), len(history.faults)
+        assert size[0] > 300 and size[1] >= 8, (history.seed, size)
