Record the end of a connection in the stand-in whoever notices it first

Cause, in the stand-in: the reset ends the script's send and the watcher's read; if the script is first, the watcher is cancelled and nothing is recorded.

The case of the stand-in's script that notices fails before and passes after.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -93,6 +93,7 @@
       | 195 instances learn of a limit in time, each at a bounded cost             |
       | request keys differ after a restart                                        |
       | a request is explained from its log lines                                  |
+      | an endpoint's stand-in records the end of a connection that its script notices |
       | test processes that run at once take different ports                       |
       | the page of log messages names all messages in the code                    |
 
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -122,6 +122,7 @@
     streams_key,
 )
 from savorydyke_standins._ports import PortPool
+from savorydyke_standins._routed_endpoint import RoutedEndpoint
 
 SETTINGS = {
     "edges": "routed",
@@ -1391,6 +1392,26 @@
         assert json.loads(counted.stdout)["request: Ended. answered"] == 1
 
 
+@case("an endpoint's stand-in records the end of a connection that its script notices")
+def _():
+    async def play():
+        async def notice(_):
+            raise trio.BrokenResourceError
+
+        endpoint = RoutedEndpoint([notice])
+        async with trio.open_nursery() as nursery:
+            address = PortPool().take()
+            await nursery.start(endpoint.listen, address)
+            host, _, port = address.partition(":")
+            stream = await trio.open_tcp_stream(host, int(port))
+            await stream.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            await stream.receive_some()
+            nursery.cancel_scope.cancel()
+        assert endpoint.received_requests[0].closed_at is not None
+
+    trio.run(play)
+
+
 @case("test processes that run at once take different ports")
 def _():
     first, second = PortPool(), PortPool()
--- a/src/savorydyke_standins/_routed_endpoint.py
+++ b/src/savorydyke_standins/_routed_endpoint.py
@@ -148,6 +148,7 @@
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection: one request and its answer."""
         http = h11.Connection(h11.SERVER)
+        request = None
         try:
             request = await self._read(http, stream)
             if request is None:
@@ -161,8 +162,9 @@
                 await script(Exchange(self, stream, request))
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
-            # The client has disconnected; `_watch` records when.
-            pass
+            # The client has disconnected; the script may notice before `_watch` does.
+            if request is not None and request.closed_at is None:
+                request.closed_at = trio.current_time()
         finally:
             stream.socket.close()
 
