Keep quotas whole at an instance that has been linked to most once

All routed cases, six at a time, on: "an exhausted quota stays exhausted without coordinator and store" failed once (4 of 5 first requests served, then 429, and 200 at the end of twelve). Cause: since a coordinator whose fleet grows gives out only its part while the new instance is listed and has not acknowledged it yet; of two instances most are both. The team was refused with most of its quota left.

Slots, limits and slack are not changed. The decision case asks for it: a half before, whole after.

--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -390,6 +390,10 @@
         gateway.pool_host._tick(POOL, hosted, now)
         assert scheduler.quotas.share == scheduler.capacity.share == 1.0
         assert scheduler.retry_budget.share == 1.0
+        # A second instance is listed and not linked yet; no caller is refused for it.
+        gateway.membership.listed = {"i1"}
+        gateway.pool_host._tick(POOL, hosted, now)
+        assert scheduler.quotas.share == 1.0
 
     trio.run(play)
 
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -102,6 +102,8 @@
         Numbers of rejections that endpoints bear, for new schedulers.
     versions : StreamVersions
         At which software versions streams began.
+    has_reached_most : bool
+        Whether this instance has been linked to most of those listed since its start.
     awaits_reports : trio.Event
         Set when grants wait for the reports of endpoints; replaced by whoever asks
         these for them.
@@ -123,6 +125,7 @@
     rejections: RequestLimits = field(default_factory=RequestLimits)
     versions: StreamVersions = field(default_factory=StreamVersions)
     hosted: dict[PoolId, HostedPool] = field(default_factory=dict)
+    has_reached_most: bool = False
     awaits_reports: trio.Event = field(default_factory=trio.Event)
     last_tick: float = field(default_factory=trio.current_time)
 
@@ -317,8 +320,10 @@
         scheduler.capacity.share = own
         scheduler.request_trials_enabled = is_coordinator and share == 1.0
         scheduler.set_limit_share(own)
-        # Frontends may see a new coordinator before it does; its quotas are whole.
-        scheduler.quotas.set_share(share)
+        # Frontends may see a new coordinator before it does; its quotas are whole. They
+        # stay so when instances are added, which are linked a moment after.
+        self.has_reached_most = self.has_reached_most or share == 1.0
+        scheduler.quotas.set_share(1.0 if self.has_reached_most else share)
         if scheduler.retry_budget is not None:
             scheduler.retry_budget.share = own
 
