--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,8 @@
-"""A part of prompts crashes engines while others send a sound request again and again."""
+"""An instance is killed, and its streams on a split route are taken up at the others."""
 
 import asyncio
 import random
+import signal
 import sys
 from pathlib import Path
 
@@ -9,193 +10,164 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from standins.engine import Engine  # noqa: E402
-from standins.http import ask  # noqa: E402
+from standins.http import head_bytes, read_chunks, read_head  # noqa: E402
 from standins.site import CONTACT_S, main, route  # noqa: E402
 
 INSTANCES = 3
-ENGINES = 3
-BEFORE_S = 10.0
-AWAY_S = 3.0
-"""How long an engine is away after a crash."""
-EXPIRES_S = 3.6
-"""Three heartbeat intervals, after which a silent engine's entry is removed."""
-BAD_PER_S = 10.0
-BURST = 12
-STEADY_S = 35.0
-REQUESTERS = 8
-EVENTS = 20
+SERVICES = ("pool-a", "pool-b", "pool-c")
+VERSIONS = 2
+"""Software versions that serve side by side in each service."""
+ENGINES = 2
+"""Engines of each version."""
+EVENTS = 40
 EVENT_S = 0.1
-FIRST_S = 0.2
-BAD = "bad0"
-SOUND = b'{"prompt": "where will the gondola come down?"}'
-MIN_REQUESTS = 20
-BUDGET = 3
-
-
-def has_bad_part(request):
-    prefix = request.headers.get("x-savorydyke-prompt-prefix", "")
-    return any(part.partition(":")[0] == BAD for part in prefix.split(","))
-
-
-class Fleet:
-    """The engines, and when they crashed."""
-
-    def __init__(self, site):
-        self.site = site
-        self.serial = 0
-        self.crashes = []
-        self.crashed = set()
-
-    async def start(self):
-        engine = Engine(self.site, f"engine-{self.serial}", "engines", self.work)
-        self.serial += 1
-        self.site.engines.append(engine)
-        await engine.start()
-
-    async def work(self, engine, call):
-        await asyncio.sleep(FIRST_S)
-        if has_bad_part(call.request):
-            if engine not in self.crashed:
-                self.crashed.add(engine)
-                self.crashes.append(self.site.clock())
-                self.site.spawn(self.replace(engine, len(self.crashes)))
-            return
-        await call.begin_stream()
-        for number in range(1, EVENTS + 1):
-            await call.send_event(number, f"token {number}")
-            await asyncio.sleep(EVENT_S)
-        await call.end_stream()
-
-    async def replace(self, engine, number):
-        self.site.note(f"{engine.name} crashes, number {number}")
-        engine.end()
-        await asyncio.sleep(AWAY_S)
-        await self.start()
-        await asyncio.sleep(EXPIRES_S - AWAY_S)
-        self.site.store.remove(f"servers/{engine.name}")
-
-
-def headers(site, prefix):
-    tokens = ("X-Savorydyke-Token-Count", "610,10")
-    model = ("X-Savorydyke-Model", "m")
-    return site.headers(
-        tokens, model, ("X-Savorydyke-Prompt-Prefix", prefix), deadline_ms=12000
+REQUESTERS = 120
+BEFORE_S = 8.0
+AFTER_S = 15.0
+MIN_STREAMS = 12
+
+
+async def work(engine, call):
+    last = int(call.request.headers.get("last-event-id", "0"))
+    await asyncio.sleep(0.03)
+    await call.begin_stream()
+    for number in range(last + 1, EVENTS + 1):
+        await asyncio.sleep(EVENT_S)
+        await call.send_event(number, f"{engine.version} token {number}")
+    await call.end_stream()
+
+
+class Try:
+    """What a requester got in one try."""
+
+    def __init__(self, name, instance):
+        self.name, self.instance = name, instance
+        self.status = 0
+        self.events = []
+        self.whole = False
+        self.detail = ""
+
+
+async def try_stream(site, instance, more):
+    body = b'{"prompt": "digest"}'
+    lines = site.headers(
+        ("X-Savorydyke-Model", "m"),
+        ("X-Savorydyke-Token-Count", "600,40"),
+        ("X-Savorydyke-Prompt-Prefix", f"a1:60,{site.serial:x}:540"),
+        *more,
+        ("Content-Length", str(len(body))),
+        deadline_ms=15000,
     )
-
-
-async def send_sound(site, sent):
-    """Send the same sound request, one after the other."""
+    found = Try(dict(lines)["X-Savorydyke-Request-Id"], instance)
+    host, _, port = instance.callers.rpartition(":")
+    writer = None
+    try:
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(head_bytes("POST /digest/1 HTTP/1.1", lines) + body)
+        head = await read_head(reader)
+        if head is None:
+            return found
+        found.status = int(head[0].split(" ")[1])
+        if found.status != 200:
+            length = int(head[1].get("content-length", "0"))
+            found.detail = (await reader.readexactly(length))[:160].decode()
+            return found
+        rest = b""
+        async for part in read_chunks(reader):
+            rest += part
+            *blocks, rest = rest.split(b"\n\n")
+            found.events += [block.decode() for block in blocks]
+        found.whole = True
+    except (OSError, asyncio.IncompleteReadError):
+        pass
+    finally:
+        if writer is not None:
+            writer.close()
+    return found
+
+
+async def request(site, begun, taken_up):
+    """Ask for streams; take one up once, at another instance, if its channel breaks."""
     while not site.closing:
-        instance = random.choice(site.instances)
+        instance = random.choice(site.alive)
         at = site.clock()
-        lines = headers(site, "5c1e:60,91bd:500,e440:50")
-        answer = await ask(instance.callers, "POST", "/question/1", lines, SOUND)
-        sent.append((at, answer))
+        first = await try_stream(site, instance, [])
+        begun.append((at, first))
+        if first.events and not first.whole and not site.closing:
+            others = [one for one in site.alive if one is not instance]
+            last = first.events[-1].split("\n")[0].removeprefix("id: ")
+            more = [("Last-Event-Id", last), ("Resumes", first.name)]
+            again = await try_stream(site, random.choice(others), more)
+            taken_up.append((site.clock(), first, again))
         await asyncio.sleep(0.1)
 
 
-async def send_bad(site, serial):
-    """Send a request with the part that crashes engines; no two are alike."""
-    instance = random.choice(site.instances)
-    lines = headers(site, f"5c1e:60,{BAD}:500,{serial:x}:50")
-    body = b'{"prompt": "bad %d"}' % serial
-    await ask(instance.callers, "POST", "/question/1", lines, body)
-
-
-async def send_bad_ones(site):
-    serial = 0
-    for _ in range(BURST):
-        serial += 1
-        site.spawn(send_bad(site, serial))
-    while not site.closing:
-        await asyncio.sleep(random.expovariate(BAD_PER_S))
-        serial += 1
-        site.spawn(send_bad(site, serial))
-
-
-def share_begun(site, name, sent, since, until):
-    found = [answer for at, answer in sent if since <= at < until]
-    begun = sum(a.status == 200 and b"data:" in a.body for a in found)
-    others = {}
-    for answer in found:
-        if answer.status != 200:
-            reason = answer.body[30:130].decode("latin-1")
-            key = f"{answer.status} {answer.error} {reason}"
-            others[key] = others.get(key, 0) + 1
-    site.note(f"{name}: {len(found)} sound requests sent, {begun} begun")
-    for key, count in others.items():
-        site.note(f"  {count} x {key}")
-    return len(found), begun / max(1, len(found))
-
-
-def check_budget(site, fleet):
-    """Return how many requests with the part reach engines too late, if too many."""
-    if len(fleet.crashes) < 5:
-        return []
-    since = fleet.crashes[4] + CONTACT_S
-    late = [
-        at
-        for engine in site.engines
-        for at, request in engine.arrivals
-        if has_bad_part(request) and at > since
-    ]
-    site.note(f"{len(late)} requests with the part reach engines after {since:.3f}")
-    if len(late) <= BUDGET:
-        return []
-    return [
-        f"BUDGET: {len(late)} requests with a part that crashes engines reach engines"
-        f" later than contact_ms after the fifth crash; {BUDGET} are allowed"
-    ]
-
-
 async def case(site, trouble):
-    fleet = Fleet(site)
-    for _ in range(ENGINES):
-        await fleet.start()
-    question = route(
-        "question",
+    for place, service in enumerate(SERVICES):
+        for number in range(VERSIONS * ENGINES):
+            version = str(VERSIONS * place + number % VERSIONS + 1)
+            name = f"{service}-{number}"
+            engine = Engine(site, name, service, work, version, slots=20)
+            site.engines.append(engine)
+            await engine.start()
+    backend = {"slots": 20, "kv_capacity": 464353, "stride": 1}
+    digest = route(
+        "digest",
         "streaming",
-        "engines",
-        attempts=1,
-        timeout_ms=12000,
-        slo_ms=600,
-        resumable=False,
+        SERVICES[0],
+        timeout_ms=15000,
+        slo_ms=1200,
+        resumable=True,
         affinity=True,
         gap_target_ms=800,
+        split=[{"service": name, "weight": 1} for name in SERVICES],
     )
-    backend = {"slots": 8, "kv_capacity": 464353, "stride": 1}
     site.configure(
-        routes=[question], services=[{"name": "engines", "backend": backend}]
+        routes=[digest],
+        services=[{"name": name, "backend": backend} for name in SERVICES],
     )
     await site.start_instances(INSTANCES)
-    sent = []
+    site.alive = list(site.instances)
+    begun, taken_up = [], []
     for _ in range(REQUESTERS):
-        site.spawn(send_sound(site, sent))
-    await asyncio.sleep(BEFORE_S)
-    begun_at = site.clock()
+        site.spawn(request(site, begun, taken_up))
+    await asyncio.sleep(CONTACT_S + BEFORE_S)
+    killed = site.instances[-1]
     if trouble:
-        site.spawn(send_bad_ones(site))
-        site.note("requests with the part that crashes engines come")
-    await asyncio.sleep(15.0)
-    if trouble and not fleet.crashes:
-        return []
-    last = (fleet.crashes[:5] or [begun_at])[-1]
-    since = last + 2 * CONTACT_S
-    await asyncio.sleep(max(0.0, since + STEADY_S - site.clock()))
-    until = site.clock()
-    broken = check_budget(site, fleet)
+        site.alive.remove(killed)
+        killed.signal(signal.SIGKILL)
+        site.note(f"{killed.name} is killed")
+    await asyncio.sleep(AFTER_S)
+    fresh = [t for _, t in begun if t.instance is not killed]
+    new_share = sum(bool(t.events) for t in fresh) / max(1, len(fresh))
+    right, wrong, refused = 0, 0, 0
+    for _, one, again in taken_up:
+        version, other = version_of(one), version_of(again)
+        right += other == version
+        wrong += other not in {"", version}
+        refused += not other
+        how = (
+            f"goes on at version {other}" if other else f"{again.status} {again.detail}"
+        )
+        site.note(f"{one.name} of version {version} taken up as {again.name}: {how}")
+    count = len(taken_up)
     site.note(
-        f"{len(fleet.crashes)} crashes, the fifth or last that counts at {last:.3f}"
+        f"{len(fresh)} new streams, {new_share:.3f} of them begin; {count} taken up:"
+        f" {right} go on at their version, {wrong} at another one, {refused} not at all"
     )
-    before = share_begun(site, "before", sent, 0.0, begun_at - 2.0)
-    after = share_begun(site, "from 2 x contact_ms on", sent, since, until - 2.0)
-    if min(before[0], after[0]) >= MIN_REQUESTS and after[1] < 0.5 * before[1]:
-        broken.insert(
-            0,
-            f"LOST: {after[1]:.3f} of {after[0]} sound requests begin from 2 x contact_ms"
-            f" after the fifth crash on, {before[1]:.3f} of {before[0]} before",
-        )
-    return broken
+    on = right + wrong
+    if count >= MIN_STREAMS and on / count < 0.5 * new_share:
+        return [
+            f"LOST: {on} of {count} streams that are taken up go on, while {new_share:.3f}"
+            f" of {len(fresh)} new ones begin and {ENGINES} engines of each software"
+            " version serve"
+        ]
+    return []
+
+
+def version_of(found):
+    """Return the software version that wrote the first event, empty without one."""
+    return found.events[0].split("data: ")[1].split(" ")[0] if found.events else ""
 
 
 sys.exit(main(FOLDER, case))
