--- a/review/4/case.py
+++ b/review/4/case.py
@@ -14,7 +14,7 @@
 from standins.site import CONTACT_S, main, route  # noqa: E402
 
 INSTANCES = 3
-SERVICES = ("pool-a", "pool-b", "pool-c")
+SERVICES = ("pool-a", "pool-b", "pool-c", "pool-d")
 VERSIONS = 2
 """Software versions that serve side by side in each service."""
 ENGINES = 2
@@ -107,10 +107,10 @@
         for number in range(VERSIONS * ENGINES):
             version = str(VERSIONS * place + number % VERSIONS + 1)
             name = f"{service}-{number}"
-            engine = Engine(site, name, service, work, version, slots=20)
+            engine = Engine(site, name, service, work, version, slots=16)
             site.engines.append(engine)
             await engine.start()
-    backend = {"slots": 20, "kv_capacity": 464353, "stride": 1}
+    backend = {"slots": 16, "kv_capacity": 464353, "stride": 1}
     digest = route(
         "digest",
         "streaming",
