--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -272,6 +272,8 @@
 
     Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
     """
+    # A script that is told to end ends its instances too.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     path = Path(folder) / "record.txt"
     status = 2
