--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,14 +20,17 @@
 SETTLE_S = 6.0
 """Twice `contact_ms`."""
 STEADY_S = 20.0
-REQUESTERS = 6
-PAUSE_S = 0.1
+REQUESTERS = 11
+"""Of each route; one less than a service has slots, so that all engines are in use."""
+PAUSE_S = 0.005
+WORK_S = (0.15, 0.25)
+SLOTS = 4
 MIN_REQUESTS = 20
 SHARE = 0.25
 
 
 async def work(engine, call):
-    await asyncio.sleep(random.uniform(0.03, 0.08))
+    await asyncio.sleep(random.uniform(*WORK_S))
     await call.send_whole(200, f"of {call.id}".encode())
 
 
@@ -37,7 +40,9 @@
         at = site.clock()
         answer = await ask(instance.callers, "GET", path, site.headers())
         sent.append((at, answer))
-        await asyncio.sleep(PAUSE_S)
+        # Requesters honour Retry-After.
+        wait_s = float(answer.headers.get("retry-after", "0"))
+        await asyncio.sleep(max(PAUSE_S, wait_s))
 
 
 async def restart(site, engine):
@@ -71,7 +76,7 @@
 async def case(site, trouble):
     for service in ("desk", "notes"):
         for number in range(ENGINES):
-            engine = Engine(site, f"{service}-{number}", service, work)
+            engine = Engine(site, f"{service}-{number}", service, work, slots=SLOTS)
             site.engines.append(engine)
             await engine.start()
     services = [{"name": "desk"}, {"name": "notes"}]
