Take a failed call for an outage only if records can have expired in it

Cause: any failed call set `connected` to false, and the next answer counted as the return of the store. For two seconds from then on, endpoints whose records were missing were kept, as after an outage.

Change: `StoreContact` answers two questions that a failed call does not. Was the store away for as long as endpoints take between two writes, from the first call that failed to the next answer? And may this record have gone without a write for three such intervals, after which it expires? Only then is an endpoint kept. A restore of the store is the third reason, as before.

The case of records that expired in an outage of 0.6 s now says that its endpoint writes ten times a second: with the default of 1.2 s nothing can expire in 0.6 s.

Ruled out: the time of the call alone, since a store that turns away one instance expires nothing; records that were written lately show it.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -132,6 +132,15 @@
       | instances that could not send a request are asked again without others        |
       | a slow instance is asked only if no other one reaches endpoints |
 
+  Scenario Outline: A store whose calls fail
+    Then the decision case "<case>" holds
+
+    Examples:
+      | case                                                                          |
+      | an endpoint that leaves is removed in time although watches fail              |
+      | only an outage that lets records expire lets missing ones count as expired    |
+      | a restored store may lack any record                                          |
+
   Scenario Outline: Quotas of a fleet
     Then the decision case "<case>" holds
 
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -110,6 +110,7 @@
     Examples:
       | case                                                                           |
       | the configuration is confirmed although each watch is cut                      |
+      | an endpoint that leaves while watches are cut gets no more requests            |
 
   Scenario Outline: A store that is restored from a backup
     Then the routed case "<case>" holds
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -94,6 +94,7 @@
     decode_evidence,
     encode_evidence,
 )
+from savorydyke._store_contact import StoreContact
 from savorydyke._store_restores import new_store_restores
 from savorydyke._stream_records import StreamRecords
 from savorydyke._stream_versions import (
@@ -727,7 +728,9 @@
 
     async def play():
         rng, restores = random.Random(1), new_store_restores(5.0)
-        directory = Directory(CompactedStore(), ConfigurationAge(), rng, restores)
+        directory = Directory(
+            CompactedStore(), ConfigurationAge(), rng, restores, StoreContact(1.2)
+        )
         directory.watch_pause_s = 1.0
         with trio.move_on_after(10):
             await directory.watch_store()
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -766,7 +766,9 @@
 
 @case("records that expired in an outage are kept for a grace period")
 async def _(site):
-    endpoint = await start_one(site, "desk")
+    endpoint = await site.endpoint("e1", "desk")
+    # In 0.6 s a record of this endpoint can expire.
+    await site.daemon(endpoint_heartbeat_ms=100)
     site.store.mode = Mode.BUSY
     await trio.sleep(0.6)
     site.store.remove("servers/e1")
--- /dev/null
+++ b/features/steps/store_contact_decisions.py
@@ -0,0 +1,139 @@
+"""Decision cases for what a failed call of the store says about endpoints' records."""
+
+import json
+import random
+
+import trio
+from decision_cases import case
+from trio.testing import MockClock
+
+from savorydyke._configuration_age import ConfigurationAge
+from savorydyke._directory import Directory
+from savorydyke._store_contact import MISSING_GRACE_S, StoreContact
+from savorydyke._store_restores import new_store_restores
+from savorydyke.platform import Change, Changes, Item, Listing, StoreError
+from savorydyke.platform._store import StoreFault
+
+HEARTBEAT_S = 1.2
+LEAVING_S = 2.0
+FAILING_SHARE = 0.25
+ENDPOINTS = ("e1", "e2", "e3")
+ANSWER_S = 0.004
+
+
+class FailingStore:
+    """A store whose watches fail at any phase, while it serves everybody."""
+
+    generation = 0
+
+    def __init__(self, rng, share):
+        self.rng, self.share = rng, share
+        self.restored = trio.Event()
+        self.changed = trio.Event()
+        self.changes = []
+
+    def put(self, name, value):
+        """Write or remove the record of an endpoint."""
+        data = None if value is None else json.dumps(value).encode()
+        number = len(self.changes) + 1
+        self.changes.append(Change(f"servers/{name}", data, number))
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def list(self, prefix):
+        await trio.sleep(ANSWER_S)
+        latest = {change.key: change for change in self.changes}
+        items = [Item(c.key, c.value, c.revision) for c in latest.values() if c.value]
+        return Listing(tuple(items), len(self.changes))
+
+    async def watch(self, prefix, revision, wait_s):
+        phase = self.rng.random() if self.rng.random() < self.share else None
+        await trio.sleep(ANSWER_S)
+        with trio.move_on_after(wait_s if phase is None else phase * wait_s):
+            while revision == len(self.changes):
+                await self.changed.wait()
+        if phase is not None:
+            raise StoreError(StoreFault.ANSWER_LOST, "cut")
+        return Changes(tuple(self.changes[revision:]), len(self.changes))
+
+
+async def write_heartbeats(store, names):
+    """Write the records of endpoints until cancelled."""
+    number = 0
+    while True:
+        number += 1
+        for name in sorted(names):
+            record = {
+                "service": "desk",
+                "address": "127.0.0.1:1",
+                "zone": "a",
+                "slots": 4,
+                "state": "ready",
+                "seq": number,
+                "born": 1,
+            }
+            store.put(name, record)
+        await trio.sleep(HEARTBEAT_S)
+
+
+async def seconds_until_removed(seed, share):
+    """Return how long after its removal each endpoint went on being used."""
+    rng = random.Random(seed)
+    store = FailingStore(rng, share)
+    contact, restores = StoreContact(HEARTBEAT_S), new_store_restores(5.0)
+    directory = Directory(store, ConfigurationAge(), rng, restores, contact)
+    names = set(ENDPOINTS)
+    took = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(write_heartbeats, store, names)
+        nursery.start_soon(directory.watch_store)
+        await trio.sleep(3 * HEARTBEAT_S)
+        for name in ENDPOINTS:
+            await trio.sleep(HEARTBEAT_S * rng.random())
+            names.discard(name)
+            store.put(name, None)
+            removed_at = trio.current_time()
+            while name in directory.endpoints:
+                await trio.sleep(0.01)
+            took.append(trio.current_time() - removed_at)
+        nursery.cancel_scope.cancel()
+    return took
+
+
+@case("an endpoint that leaves is removed in time although watches fail")
+def _():
+    # Failures come at any phase of a call, alone and in a row, and for good.
+    late = []
+    for share in (0.0, FAILING_SHARE):
+        for seed in range(1, 21):
+            clock = MockClock(autojump_threshold=0)
+            took = trio.run(seconds_until_removed, seed, share, clock=clock)
+            late += [(share, seed, s) for s in took if s > LEAVING_S]
+    assert not late, late
+
+
+@case("only an outage that lets records expire lets missing ones count as expired")
+def _():
+    contact = StoreContact(HEARTBEAT_S)
+    contact.record_answer(10.0)
+    # A watch was cut, and the next call answered.
+    contact.record_failure(10.4)
+    contact.record_answer(11.0)
+    assert contact.kept_until(0.0, 11.0) < 11.0
+    # The store was away for longer than endpoints are between two writes.
+    contact.record_failure(20.0)
+    contact.record_failure(20.7)
+    now = 20.0 + 1.01 * HEARTBEAT_S
+    contact.record_answer(now)
+    assert contact.kept_until(now - 3.01 * HEARTBEAT_S, now) == now + MISSING_GRACE_S
+    # The record was written too lately to have expired.
+    assert contact.kept_until(now - 2.9 * HEARTBEAT_S, now) < now
+
+
+@case("a restored store may lack any record")
+def _():
+    contact = StoreContact(HEARTBEAT_S)
+    contact.record_answer(10.0)
+    contact.record_restore(20.0)
+    assert contact.kept_until(19.9, 20.0) == 20.0 + MISSING_GRACE_S
+    assert contact.kept_until(19.9, 22.5) < 22.5
--- a/features/steps/store_watch_cases.py
+++ b/features/steps/store_watch_cases.py
@@ -8,6 +8,8 @@
 from routed_cases import BOUNDS, case, start_one
 
 CUT_AFTER_S = 0.2
+LEAVING_S = 2.0
+"""Time after which an endpoint that has left gets no requests, by default."""
 
 
 @case("the configuration is confirmed although each watch is cut")
@@ -19,3 +21,33 @@
     assert site.store.cut_watches
     answer = await site.ask("/claim/1")
     assert answer.status == 200, answer
+
+
+async def request_on(site, answers):
+    """Send one request after the other until cancelled."""
+    while True:
+        answers.append(await site.ask("/claim/1"))
+        await trio.sleep(0.02)
+
+
+@case("an endpoint that leaves while watches are cut gets no more requests")
+async def _(site):
+    await site.endpoint("e1", "desk")
+    await site.endpoint("e2", "desk")
+    await site.daemon()
+    site.store.cut_watches_after_s = CUT_AFTER_S
+    answers = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(request_on, site, answers)
+        for name in ("e1", "e3"):
+            cuts = site.store.cut_watches
+            await site.wait_until(lambda cuts=cuts: site.store.cut_watches > cuts)
+            removed_at = trio.current_time()
+            site.store.remove(f"servers/{name}")
+            await trio.sleep(LEAVING_S + 1)
+            arrivals = [r.at for r in site.endpoints[name].received_requests]
+            late = [at - removed_at for at in arrivals if at - removed_at > LEAVING_S]
+            assert not late, f"{name} got requests {late[0]:.2f} to {late[-1]:.2f} s on"
+            await site.endpoint("e3", "desk")
+        nursery.cancel_scope.cancel()
+    assert {answer.status for answer in answers} == {200}
--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -29,6 +29,7 @@
     Tier,
 )
 from savorydyke._routes import PUBLIC_TEAM, RoutedConfiguration, RoutedTeam
+from savorydyke._store_contact import StoreContact
 from savorydyke._store_restores import GENERATION_KEY, StoreRestores, read_generation
 from savorydyke._timing import SHORT_PAUSE_S, WATCH_WAIT_S
 from savorydyke._untrusted import MAX_SHOWN, shown
@@ -55,9 +56,6 @@
 
 RETRY_BASE_S = 0.1
 RETRY_MAX_S = 1.0
-MISSING_GRACE_S = 2.0
-"""After an outage of the store, endpoints that are alive write their records
-again within this time."""
 REMOVED_REPORTED_S = 10.0
 """For how long removed endpoints are reported to peers as leaving."""
 REMOVED_KEPT_S = 600.0
@@ -107,11 +105,11 @@
         Whether configuration or endpoints have changed since it was made.
     loaded : bool
         Whether the endpoints have been read.
-    connected : bool
-        Whether the latest call to the store succeeded.
-    reconnected_at : float
-        When the store last answered after a failure, or for the first time, on
-        the monotonic clock.
+    contact : StoreContact
+        When this instance heard of the store.
+    written_after : dict of EndpointId to float
+        A time after which the record of an endpoint was last written, on the
+        monotonic clock.
     suspects : dict
         Endpoints whose records were missing after an outage, and until when
         they are kept nevertheless, on the monotonic clock.
@@ -141,6 +139,7 @@
     configuration_age: ConfigurationAge
     rng: random.Random
     restores: StoreRestores
+    contact: StoreContact
     configuration: RoutedConfiguration | None = None
     record: bytes = b""
     manifest: Manifest | None = None
@@ -148,13 +147,12 @@
     loaded: bool = False
     endpoints: dict[EndpointId, EndpointRecord] = field(default_factory=dict)
     instances: dict[InstanceId, InstanceRecord] = field(default_factory=dict)
+    written_after: dict[EndpointId, float] = field(default_factory=dict)
     suspects: dict[EndpointId, float] = field(default_factory=dict)
     removed: dict[EndpointId, RemovedEndpoint] = field(default_factory=dict)
     stored_version: int = 0
     fleet_key: bytes = b""
     watch_pause_s: float = SHORT_PAUSE_S
-    connected: bool = False
-    reconnected_at: float = float("-inf")
     listeners: list[Callable[[Manifest], None]] = field(default_factory=list)
     restart_listeners: list[Callable[[EndpointId], None]] = field(default_factory=list)
     view_listeners: list[Callable[[float], None]] = field(default_factory=list)
@@ -180,7 +178,7 @@
         revision = 0
         failures = 0
         while True:
-            sent = boot_time()
+            sent, sent_at = boot_time(), trio.current_time()
             try:
                 if revision == 0:
                     revision = await self._read_all(sent)
@@ -194,7 +192,7 @@
                     await self._pause()
             except StoreError as error:
                 failures += 1
-                self.connected = False
+                self.contact.record_failure(sent_at)
                 if failures == 1:
                     log.warning("Store unavailable.", extra={"error": str(error)})
                 wait_s = backoff_s(failures, RETRY_BASE_S, RETRY_MAX_S, self.rng)
@@ -212,12 +210,13 @@
     async def _read_all(self, sent: float) -> int:
         """Read all keys; return the revision from which to watch."""
         listing = await self.store.list("")
+        answered_before = self.contact.answered_at
         self._record_response()
         self._begin_listing(listing)
         for item in listing.items:
             change = Change(item.key, item.value, item.revision)
             if not self._is_from_backup(change):
-                self._apply_change(change)
+                self._apply_change(change, answered_before)
         endpoints = {endpoint_of_key(item.key) for item in listing.items}
         for endpoint in self.endpoints.keys() - endpoints:
             self._handle_missing_endpoint(endpoint)
@@ -239,8 +238,7 @@
         values = {item.key: item.value for item in listing.items}
         now = trio.current_time()
         if self.restores.generation not in {0, self.store.generation}:
-            # Records that the backup lacks are treated as after an outage.
-            self.reconnected_at = now
+            self.contact.record_restore(now)
             self.stored_version = 0
         self.fleet_key = values.get(FLEET_KEY, b"")
         noted = read_generation(values.get(GENERATION_KEY, b""))
@@ -271,6 +269,7 @@
         if self.restores.generation != self.store.generation:
             return 0
         changes = await self.store.watch("", revision, wait_s)
+        answered_before = self.contact.answered_at
         self._record_response()
         if self.restores.generation != self.store.generation:
             return 0
@@ -281,7 +280,7 @@
             )
             return 0
         for change in changes.changes:
-            self._apply_change(change)
+            self._apply_change(change, answered_before)
             if change.key == CONFIGURATION_KEY:
                 self.restores.record_configuration_written()
         self._remove_expired_suspects()
@@ -297,10 +296,9 @@
 
     def _record_response(self) -> None:
         """Record that the store has responded, possibly after an outage."""
-        if not self.connected:
-            self.reconnected_at = trio.current_time()
+        if self.contact.is_failing() or not self.loaded:
             log.info("Store available.", extra={"version": self.version})
-        self.connected = True
+        self.contact.record_answer(trio.current_time())
 
     # Records
 
@@ -326,10 +324,16 @@
             removed.record.heartbeat,
         )
 
-    def _apply_change(self, change: Change) -> None:
-        """Apply a change; a record that can not be read costs itself only."""
+    def _apply_change(self, change: Change, answered_before: float) -> None:
+        """Apply a change; a record that can not be read costs itself only.
+
+        Parameters
+        ----------
+        answered_before : float
+            When the store answered without this change, on the monotonic clock.
+        """
         try:
-            self._apply_record(change)
+            self._apply_record(change, answered_before)
         except Exception as error:
             extra = {"key": change.key[:MAX_SHOWN], "error": shown(error)}
             log.error("Record unreadable.", extra=extra)
@@ -337,7 +341,7 @@
             if endpoint is not None:
                 self._remove_endpoint(endpoint, "entry unreadable")
 
-    def _apply_record(self, change: Change) -> None:
+    def _apply_record(self, change: Change, answered_before: float) -> None:
         if change.key == CONFIGURATION_KEY:
             if change.value is not None:
                 self._apply_configuration(change.value)
@@ -350,7 +354,7 @@
             return
         endpoint = endpoint_of_key(change.key)
         if endpoint is not None:
-            self._apply_endpoint(endpoint, change.value)
+            self._apply_endpoint(endpoint, change.value, answered_before)
             return
         instance = instance_of_key(change.key)
         if instance is not None:
@@ -374,7 +378,9 @@
             for pool_listener in self.stream_listeners:
                 pool_listener(pool, value)
 
-    def _apply_endpoint(self, endpoint: EndpointId, data: bytes | None) -> None:
+    def _apply_endpoint(
+        self, endpoint: EndpointId, data: bytes | None, answered_before: float
+    ) -> None:
         if data is None:
             self._handle_missing_endpoint(endpoint)
             return
@@ -387,6 +393,8 @@
             return
         self.suspects.pop(endpoint, None)
         known = self.endpoints.get(endpoint)
+        if record != known:
+            self.written_after[endpoint] = answered_before
         if known is not None and known.started_ms > record.started_ms:
             return
         if known is not None and known.started_ms < record.started_ms:
@@ -412,8 +420,9 @@
         """Remove an endpoint, unless its record may have expired in an outage."""
         if endpoint not in self.endpoints:
             return
-        until = self.reconnected_at + MISSING_GRACE_S
-        if trio.current_time() < until:
+        now = trio.current_time()
+        until = self.contact.kept_until(self.written_after[endpoint], now)
+        if now < until:
             self.suspects.setdefault(endpoint, until)
             return
         self._remove_endpoint(endpoint, "entry removed")
@@ -427,6 +436,7 @@
 
     def _remove_endpoint(self, endpoint: EndpointId, why: str) -> None:
         record = self.endpoints.pop(endpoint, None)
+        self.written_after.pop(endpoint, None)
         if record is None:
             return
         self.is_manifest_outdated = True
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -63,6 +63,7 @@
 from savorydyke._retry_budget import RetryBudget
 from savorydyke._routes import TeamQuota
 from savorydyke._shared_evidence import SharedEvidence
+from savorydyke._store_contact import StoreContact
 from savorydyke._store_records import StoreRecords
 from savorydyke._store_restores import new_store_restores
 from savorydyke._stream_records import StreamRecords
@@ -523,7 +524,8 @@
     store.on_call = metrics.observe_store_call
     configuration_age = ConfigurationAge()
     restores = new_store_restores(settings.bounds.apply.revocation_s)
-    directory = Directory(store, configuration_age, rng, restores)
+    contact = StoreContact(settings.endpoint_heartbeat_s)
+    directory = Directory(store, configuration_age, rng, restores, contact)
     membership = Membership(
         settings.instance,
         settings.peers,
--- a/src/savorydyke/_gateway_settings.py
+++ b/src/savorydyke/_gateway_settings.py
@@ -55,6 +55,8 @@
         Address of the platform's store.
     cores : float
         CPU that the instance may use, in cores of nominal speed.
+    endpoint_heartbeat_s : float
+        Interval at which endpoints write their records.
     """
 
     instance: InstanceId
@@ -66,6 +68,7 @@
     store: str
     log_level: str
     cores: float
+    endpoint_heartbeat_s: float
     bounds: Bounds
 
 
@@ -109,6 +112,7 @@
         store=top.address("store"),
         log_level=top.text("log_level", "info"),
         cores=_cores(top.object("processor")),
+        endpoint_heartbeat_s=top.number("endpoint_heartbeat_ms", 1200, 50) / 1000,
         bounds=_bounds(top.object("bounds")),
     )
     if settings.log_level not in {"debug", "info", "warning", "error"}:
--- a/src/savorydyke_standins/_routed_site.py
+++ b/src/savorydyke_standins/_routed_site.py
@@ -294,8 +294,12 @@
         store: str = "",
         data_centre: str = "a",
         source: Path | None = None,
+        **more: Any,
     ) -> Daemon:
-        """Start an instance and, unless `wait` is false, wait until it is ready."""
+        """Start an instance and, unless `wait` is false, wait until it is ready.
+
+        Its settings are those of the deployment and `more`.
+        """
         settings = {
             "edges": "routed",
             "instance": name,
@@ -307,7 +311,7 @@
             "store": store or self.store_address,
             "bounds": BOUNDS,
             "processor": {"share": 0.55, "speed": 2},
-        }
+        } | more
         path = self.folder / f"{name}.jsonc"
         path.write_text(json.dumps(settings))
         log = self.folder / f"{name}.log"
