Key what endpoints say by their processes

A service whose endpoints were restarted in turn was refused with 503 for good. Without the removal it was refused for 3 s.

Cause: the fact was keyed by the endpoint's id and cleared by an event, the new record of an endpoint that was still listed. After a removal the event did not come, and heartbeats passed the fact on by id.

Change: leaving, pauses and rejections are kept by process, which is id and start, and so are the reports of peers: an answer that comes late and a peer that has not noticed the restart concern the process before. Directories notice a restart also after a removal; limits that were named before it are not believed from peers. A coordinator has a new load for a new process: grants for the one before have ended, and nothing of its speed, failures or prefixes is kept.

Ruled out: clearing the facts when the record is removed. A record that expired in an outage comes back with the same process, which still leaves.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -104,6 +104,23 @@
       | a pool that asks for a pause gets no requests until its end        |
       | an endpoint whose pause is unreadable is used                      |
 
+  Scenario Outline: Endpoints that start again under their ids
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case |
+      | an endpoint that said that it leaves and starts again after its record was removed is used |
+      | an endpoint that said that it leaves and starts again under its record is used |
+      | an endpoint that asked for a pause and starts again after its record was removed is used |
+      | an endpoint that asked for a pause and starts again under its record is used |
+      | an endpoint that named a limit and starts again after its record was removed is used |
+      | an endpoint that named a limit and starts again under its record is used |
+      | an endpoint that failed its requests and starts again after its record was removed is used |
+      | an endpoint that failed its requests and starts again under its record is used |
+      | an endpoint that said that it leaves and starts again soon after its record was removed is used |
+      | an endpoint that starts again is used though a peer reports that it leaves |
+      | an endpoint that leaves after a restart too gets no more requests |
+
   Scenario Outline: A store that cuts watches
     Then the routed case "<case>" holds
 
--- a/features/steps/cut_off_decisions.py
+++ b/features/steps/cut_off_decisions.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from types import SimpleNamespace
 
+import decision_cases
 import trio
 from decision_cases import case
 from trio.testing import MockClock
@@ -27,7 +28,7 @@
 from savorydyke._lost_answers import LostAnswers
 from savorydyke._membership import Membership
 from savorydyke._messages import MemberRow
-from savorydyke._quarantine import Quarantine, process_id
+from savorydyke._quarantine import Quarantine
 
 
 def signed_request(**changes):
@@ -275,8 +276,8 @@
     list of bool
         Whether it is recorded before and after endpoints are reached again.
     """
-    endpoint = SimpleNamespace(id=EndpointId("e"), started_ms=1)
-    newer = SimpleNamespace(id=EndpointId("e"), started_ms=now_started_ms)
+    endpoint = decision_cases.endpoint_of("e", started_ms=1)
+    newer = decision_cases.endpoint_of("e", started_ms=now_started_ms)
     manifest = SimpleNamespace(endpoints={endpoint.id: newer})
 
     async def has_ended(_):
@@ -304,7 +305,7 @@
         async with trio.open_nursery() as nursery:
             lost = LostAnswers(quarantine, ways, nursery)
             lost.record_lost(endpoint, ("part",), began)
-            process, recorded = process_id(endpoint.id, 1), []
+            process, recorded = endpoint.process, []
             for _ in range(2):
                 await trio.sleep(REACHED_AGAIN_S - 0.1)
                 recorded.append(process in quarantine.ended)
--- a/src/savorydyke/_daemon.py
+++ b/src/savorydyke/_daemon.py
@@ -103,7 +103,7 @@
                 now = trio.current_time()
                 self.membership.receive_heartbeat(sender, message, now)
                 self.configuration.receive_heartbeat(sender, message)
-                self.states.update_from_peer(message.leaving_endpoints, now)
+                self.states.update_from_peer(message.leaving_processes, now)
             case ConfigurationRequest():
                 self.configuration.send_if_newer(sender, message)
             case ConfigurationPush():
@@ -131,7 +131,7 @@
                 leaving=self.membership.leaving,
                 revision=self.configuration.revision,
                 confirmation_age_ms=self.configuration.confirmation_age_ms(now),
-                leaving_endpoints=self.states.observed_leaving(),
+                leaving_processes=self.states.observed_leaving(),
                 rows=rows,
             )
             self.peers.send(peer, heartbeat)
@@ -300,6 +300,9 @@
     membership.listeners.append(instance.grant_client.follow_coordinators)
     membership.loss_listeners.append(pool_host.frontend_lost)
     instance.states.listeners.append(pool_host.set_leaving)
+    instance.configuration.listeners.append(
+        lambda manifest: instance.states.observe_manifest(manifest, trio.current_time())
+    )
     instance.configuration.listeners.append(pool_host.reconfigure)
     instance.configuration.listeners.append(
         lambda manifest: instance.grant_client.follow_coordinators()
--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -18,7 +18,14 @@
 from savorydyke import _logs
 from savorydyke._backoff import backoff_s
 from savorydyke._configuration_age import ConfigurationAge, boot_time
-from savorydyke._ids import EndpointId, InstanceId, PoolId, TierId
+from savorydyke._ids import (
+    EndpointId,
+    InstanceId,
+    PoolId,
+    ProcessId,
+    TierId,
+    process_id,
+)
 from savorydyke._manifest import (
     SERVICE_CALL_TOKENS,
     Endpoint,
@@ -125,7 +132,8 @@
     listeners : list of callable
         Called with each new manifest.
     restart_listeners : list of callable
-        Called with an endpoint whose record is from a new process.
+        Called with an endpoint whose record is from a new process, also if the
+        record of the earlier one was removed before.
     view_listeners : list of callable
         Called with the time at which the store was asked, on a clock that counts
         suspension, when all changes up to then have been applied.
@@ -210,13 +218,12 @@
     async def _read_all(self, sent: float) -> int:
         """Read all keys; return the revision from which to watch."""
         listing = await self.store.list("")
-        answered_before = self.contact.answered_at
         self._record_response()
         self._begin_listing(listing)
         for item in listing.items:
             change = Change(item.key, item.value, item.revision)
             if not self._is_from_backup(change):
-                self._apply_change(change, answered_before)
+                self._apply_change(change)
         endpoints = {endpoint_of_key(item.key) for item in listing.items}
         for endpoint in self.endpoints.keys() - endpoints:
             self._handle_missing_endpoint(endpoint)
@@ -269,7 +276,6 @@
         if self.restores.generation != self.store.generation:
             return 0
         changes = await self.store.watch("", revision, wait_s)
-        answered_before = self.contact.answered_at
         self._record_response()
         if self.restores.generation != self.store.generation:
             return 0
@@ -280,7 +286,7 @@
             )
             return 0
         for change in changes.changes:
-            self._apply_change(change, answered_before)
+            self._apply_change(change)
             if change.key == CONFIGURATION_KEY:
                 self.restores.record_configuration_written()
         self._remove_expired_suspects()
@@ -324,16 +330,10 @@
             removed.record.heartbeat,
         )
 
-    def _apply_change(self, change: Change, answered_before: float) -> None:
-        """Apply a change; a record that can not be read costs itself only.
-
-        Parameters
-        ----------
-        answered_before : float
-            When the store answered without this change, on the monotonic clock.
-        """
+    def _apply_change(self, change: Change) -> None:
+        """Apply a change; a record that can not be read costs itself only."""
         try:
-            self._apply_record(change, answered_before)
+            self._apply_record(change)
         except Exception as error:
             extra = {"key": change.key[:MAX_SHOWN], "error": shown(error)}
             log.error("Record unreadable.", extra=extra)
@@ -341,7 +341,7 @@
             if endpoint is not None:
                 self._remove_endpoint(endpoint, "entry unreadable")
 
-    def _apply_record(self, change: Change, answered_before: float) -> None:
+    def _apply_record(self, change: Change) -> None:
         if change.key == CONFIGURATION_KEY:
             if change.value is not None:
                 self._apply_configuration(change.value)
@@ -354,7 +354,7 @@
             return
         endpoint = endpoint_of_key(change.key)
         if endpoint is not None:
-            self._apply_endpoint(endpoint, change.value, answered_before)
+            self._apply_endpoint(endpoint, change.value)
             return
         instance = instance_of_key(change.key)
         if instance is not None:
@@ -378,9 +378,7 @@
             for pool_listener in self.stream_listeners:
                 pool_listener(pool, value)
 
-    def _apply_endpoint(
-        self, endpoint: EndpointId, data: bytes | None, answered_before: float
-    ) -> None:
+    def _apply_endpoint(self, endpoint: EndpointId, data: bytes | None) -> None:
         if data is None:
             self._handle_missing_endpoint(endpoint)
             return
@@ -394,16 +392,16 @@
         self.suspects.pop(endpoint, None)
         known = self.endpoints.get(endpoint)
         if record != known:
-            self.written_after[endpoint] = answered_before
+            self.written_after[endpoint] = self.contact.answered_before
         if known is not None and known.started_ms > record.started_ms:
             return
-        if known is not None and known.started_ms < record.started_ms:
+        if self._is_other_process(record):
             for listener in self.restart_listeners:
                 listener(endpoint)
         elif known is not None and known.leaving and not record.leaving:
             # An earlier record of the same process, from a backup of the store.
             return
-        if not record.leaving:
+        elif not record.leaving:
             self.removed.pop(endpoint, None)
         if known is None or not _same_endpoint(known, record):
             changed: dict[str, object] = {
@@ -416,6 +414,13 @@
             self.is_manifest_outdated = True
         self.endpoints[endpoint] = record
 
+    def _is_other_process(self, record: EndpointRecord) -> bool:
+        """Return whether another process had the id of a record before."""
+        before = self.endpoints.get(record.id)
+        if before is None and record.id in self.removed:
+            before = self.removed[record.id].record
+        return before is not None and before.started_ms != record.started_ms
+
     def _handle_missing_endpoint(self, endpoint: EndpointId) -> None:
         """Remove an endpoint, unless its record may have expired in an outage."""
         if endpoint not in self.endpoints:
@@ -445,16 +450,17 @@
         )
         log.info("Endpoint removed.", extra={"endpoint": endpoint, "why": why})
 
-    def leaving_endpoints(self) -> set[EndpointId]:
-        """Return the endpoints to report to peers as leaving or removed."""
+    def leaving_processes(self) -> set[ProcessId]:
+        """Return the processes to report to peers as leaving or removed."""
         now = trio.current_time()
         self.removed = {
             e: r for e, r in self.removed.items() if now - r.at < REMOVED_KEPT_S
         }
-        removed = {
-            e for e, r in self.removed.items() if now - r.at < REMOVED_REPORTED_S
-        }
-        return {e.id for e in self.endpoints.values() if e.leaving} | removed
+        records = [e for e in self.endpoints.values() if e.leaving]
+        records += [
+            r.record for r in self.removed.values() if now - r.at < REMOVED_REPORTED_S
+        ]
+        return {process_id(r.id, r.started_ms) for r in records}
 
     def _apply_instance(self, instance: InstanceId, data: bytes | None) -> None:
         if data is None:
--- a/src/savorydyke/_endpoint_observer.py
+++ b/src/savorydyke/_endpoint_observer.py
@@ -7,6 +7,7 @@
 from savorydyke import _logs
 from savorydyke._endpoint_states import EndpointStates
 from savorydyke._ids import EndpointId
+from savorydyke._manifest import Endpoint
 from savorydyke._request_limits import BadLimitError, RequestLimits, parse_limit
 from savorydyke._retry_after import BadRetryAfterError, parse_retry_after
 from savorydyke.platform import ResponseInfo
@@ -23,12 +24,14 @@
     rejections: RequestLimits
 
     def observe(
-        self, endpoint: EndpointId, info: ResponseInfo, sent: float, request_id: str
+        self, endpoint: Endpoint, info: ResponseInfo, sent: float, request_id: str
     ) -> float:
         """Record what an answer states.
 
         Parameters
         ----------
+        endpoint : Endpoint
+            As it was when the request was sent.
         sent : float
             When the request was sent, on the monotonic clock.
 
@@ -38,17 +41,19 @@
             Seconds for which the endpoint wants no other request of this instance.
         """
         now = trio.current_time()
-        extra: dict[str, object] = {"request": request_id, "endpoint": endpoint}
-        if info.stamped or info.not_executed:
+        extra: dict[str, object] = {"request": request_id, "endpoint": endpoint.id}
+        process = endpoint.process
+        is_present = self.states.present.get(endpoint.id) == process
+        if is_present and (info.stamped or info.not_executed):
             for limits, text in (
                 (self.limits, info.limit),
                 (self.rejections, info.rejection_limit),
             ):
-                _observe_limit(limits, endpoint, text, sent, extra)
-        if info.rejected and self.rejections.limit(endpoint) is not None:
-            self.states.record_rejected(endpoint, now)
-        if info.leaving and endpoint not in self.states.reported:
-            self.states.set_reported(endpoint, True, now)
+                _observe_limit(limits, endpoint.id, text, sent, extra)
+        if info.rejected and self.rejections.limit(endpoint.id) is not None:
+            self.states.record_rejected(process, now)
+        if info.leaving and process not in self.states.reported:
+            self.states.set_reported(process, True, now)
             log.info("Endpoint leaves.", extra=extra)
         if not info.retry_after:
             return 0.0
@@ -57,7 +62,7 @@
         except BadRetryAfterError as error:
             log.warning("Pause unreadable.", extra=extra | {"error": str(error)})
             return 0.0
-        self.states.pause(endpoint, now + pause_s)
+        self.states.pause(process, now + pause_s)
         log.info("Endpoint pauses.", extra=extra | {"pause_s": pause_s})
         return pause_s
 
--- a/src/savorydyke/_forwarded_requests.py
+++ b/src/savorydyke/_forwarded_requests.py
@@ -219,7 +219,7 @@
                 status = head.status
                 response = parse_response_headers(head.status, head.headers)
                 if response.request_id == info.request_id:
-                    self.observer.observe(endpoint.id, response, sent, info.request_id)
+                    self.observer.observe(endpoint, response, sent, info.request_id)
                 await _relay(channel, head, responder)
         except ChannelStaleError as error:
             log.info("Not sent.", extra=extra | {"why": str(error)})
@@ -231,7 +231,7 @@
                 is_awaited = False
                 request_id = info.request_id
                 self.late_answers.take_over(
-                    channel, endpoint.id, sent, request_id, CALLER_GONE_S
+                    channel, endpoint, sent, request_id, CALLER_GONE_S
                 )
             raise
         finally:
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -1,6 +1,5 @@
 """An instance that serves routed callers on the users' platform."""
 
-import math
 import random
 import time
 from dataclasses import dataclass, field, replace
@@ -192,7 +191,7 @@
     def _receive_heartbeat(self, sender: InstanceId, heartbeat: Heartbeat) -> None:
         now = trio.current_time()
         self.membership.receive_heartbeat(sender, heartbeat, now)
-        self.states.update_from_peer(heartbeat.leaving_endpoints, now)
+        self.states.update_from_peer(heartbeat.leaving_processes, now)
         self.quarantine.merge(heartbeat.losses, now)
         self.limits.merge(heartbeat.limits, now)
         self.rejections.merge(heartbeat.rejections, now)
@@ -236,7 +235,7 @@
                 counter = self.membership.next_heartbeat(now)
                 self.configuration_age.record_heartbeat(counter, boot_time())
                 self._send_heartbeats(counter, now, has_changed, has_evidence)
-                self.states.set_listed(self.directory.leaving_endpoints(), now)
+                self.states.set_listed(self.directory.leaving_processes(), now)
                 self.membership.update(now)
                 self.apply_instance_records()
 
@@ -353,7 +352,7 @@
                 leaving=self.membership.leaving,
                 revision=Revision(self.directory.version),
                 confirmation_age_ms=self.configuration_age.age_ms(boot_time()),
-                leaving_endpoints=self.states.observed_leaving(),
+                leaving_processes=self.states.observed_leaving(),
                 rows=rows,
                 slow=self.membership.slow,
                 losses=losses if has_evidence or peer == informed else (),
@@ -410,7 +409,7 @@
         per_s = self.rejections.limit(endpoint)
         if per_s is not None:
             instances = self.membership.listed_count()
-            rejected_at = self.states.rejected_at.get(endpoint, -math.inf)
+            rejected_at = self.states.last_rejected(endpoint)
             if now - rejected_at < uncoordinated_pause_s(per_s, instances):
                 return False
         allowance = self.fallback_allowances.get(endpoint)
@@ -419,6 +418,12 @@
         allowance.share = FALLBACK_LIMIT_SHARE * self.membership.equal_share()
         return allowance.allows(now)
 
+    def forget_process(self, endpoint: EndpointId) -> None:
+        """Drop what the process has named that another one has replaced."""
+        now = trio.current_time()
+        self.limits.forget(endpoint, now)
+        self.rejections.forget(endpoint, now)
+
     def apply_limit(self, endpoint: EndpointId, per_s: float | None) -> None:
         """Apply the limit that an endpoint has named, or its end."""
         log.info(
@@ -628,8 +633,7 @@
     # First, since the number of instances decides what a pool hosted here may give.
     directory.listeners.append(lambda manifest: gateway.apply_instance_records())
     directory.view_listeners.append(lambda sent: gateway.apply_instance_records())
-    directory.restart_listeners.append(limits.forget)
-    directory.restart_listeners.append(rejections.forget)
+    directory.restart_listeners.append(gateway.forget_process)
     quarantine.listeners.append(lambda part, held: _note_held(gateway, part, held))
     directory.evidence_listeners.append(gateway.shared_evidence.receive)
     directory.version_listeners.append(gateway.stream_records.receive_versions)
@@ -637,11 +641,10 @@
     membership.listeners.append(lambda: gateway.follow_coordinators())
     membership.loss_listeners.append(pool_host.frontend_lost)
     states.listeners.append(pool_host.set_leaving)
-    directory.restart_listeners.append(
-        lambda endpoint: states.forget(endpoint, trio.current_time())
-    )
     directory.restart_listeners.append(links.forget)
-    directory.restart_listeners.append(pool_host.endpoint_restarted)
+    directory.listeners.append(
+        lambda manifest: states.observe_manifest(manifest, trio.current_time())
+    )
     directory.listeners.append(lambda manifest: links.keep(set(manifest.endpoints)))
     directory.listeners.append(pool_host.reconfigure)
     directory.listeners.append(
--- a/src/savorydyke/_ids.py
+++ b/src/savorydyke/_ids.py
@@ -108,3 +108,18 @@
     LIVE = "live"
     LEAVING = "leaving"
     DEAD = "dead"
+
+
+UNKNOWN_START = 0
+"""Start of an endpoint's process that is not known."""
+
+
+def process_id(endpoint: EndpointId, started_ms: int) -> ProcessId:
+    """Return the id of an endpoint's process.
+
+    Parameters
+    ----------
+    started_ms : int
+        Start of the process in Unix milliseconds.
+    """
+    return ProcessId(f"{endpoint}@{started_ms}")
--- a/src/savorydyke/_late_answers.py
+++ b/src/savorydyke/_late_answers.py
@@ -11,7 +11,7 @@
 from savorydyke import _logs
 from savorydyke._endpoint_observer import EndpointObserver
 from savorydyke._http1 import Channel, ChannelBrokenError
-from savorydyke._ids import EndpointId
+from savorydyke._manifest import Endpoint
 from savorydyke.platform import parse_response_headers
 
 SILENT_S = 0.25
@@ -46,7 +46,7 @@
     def take_over(
         self,
         channel: Channel,
-        endpoint: EndpointId,
+        endpoint: Endpoint,
         sent: float,
         request_id: str,
         wait_s: float,
@@ -68,18 +68,17 @@
         self.background.start_soon(self._read, channel, endpoint, sent, request_id)
 
     async def _read(
-        self, channel: Channel, endpoint: EndpointId, sent: float, request_id: str
+        self, channel: Channel, endpoint: Endpoint, sent: float, request_id: str
     ) -> None:
+        extra: dict[str, object] = {"request": request_id, "endpoint": endpoint.id}
         try:
             head = await channel.read_head()
             info = parse_response_headers(head.status, head.headers)
             if info.request_id == request_id:
                 self.observer.observe(endpoint, info, sent, request_id)
-            extra = {"request": request_id, "endpoint": endpoint, "status": head.status}
-            log.info("Late answer.", extra=extra)
+            log.info("Late answer.", extra=extra | {"status": head.status})
         except ChannelBrokenError as error:
-            extra = {"request": request_id, "endpoint": endpoint, "error": str(error)}
-            log.debug("No late answer.", extra=extra)
+            log.debug("No late answer.", extra=extra | {"error": str(error)})
         finally:
             self.waiting -= 1
             channel.close()
--- a/src/savorydyke/_lost_answers.py
+++ b/src/savorydyke/_lost_answers.py
@@ -14,7 +14,7 @@
 from savorydyke._forward_headers import ForwardResult
 from savorydyke._ids import ProcessId, SuspectId
 from savorydyke._manifest import Endpoint
-from savorydyke._quarantine import Quarantine, process_id
+from savorydyke._quarantine import Quarantine
 
 CHECK_DELAY_S = 0.03
 """Time for a process that ends to close its listener after its connections."""
@@ -57,7 +57,7 @@
         sent : float
             When the request was sent, on the monotonic clock.
         """
-        process = process_id(endpoint.id, endpoint.started_ms)
+        process = endpoint.process
         self.quarantine.record_loss(process, suspects, sent, trio.current_time())
         if process not in self.checking:
             self.checking.add(process)
@@ -65,7 +65,7 @@
 
     def record_refused(self, endpoint: Endpoint) -> None:
         """Record that nothing listens at an endpoint's address."""
-        process = process_id(endpoint.id, endpoint.started_ms)
+        process = endpoint.process
         self.quarantine.record_end(process)
 
     def record_complete(
--- a/src/savorydyke/_manifest.py
+++ b/src/savorydyke/_manifest.py
@@ -16,9 +16,11 @@
     DataCentreId,
     EndpointId,
     PoolId,
+    ProcessId,
     SoftwareVersion,
     TeamId,
     TierId,
+    process_id,
 )
 
 MAX_BYTES = 1_000_000
@@ -133,6 +135,11 @@
     started_ms: int = 0
     version: SoftwareVersion = UNKNOWN_VERSION
 
+    @property
+    def process(self) -> ProcessId:
+        """Return the id of its process."""
+        return process_id(self.id, self.started_ms)
+
 
 @dataclass(frozen=True)
 class Access:
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -148,8 +148,8 @@
     confirmation_age_ms : int
         Age of the latest confirmation that `revision` is the newest; -1 for
         none.
-    leaving_endpoints : tuple of EndpointId
-        Endpoints that the sender knows to be leaving.
+    leaving_processes : tuple of ProcessId
+        Processes of endpoints that the sender knows to be leaving.
     rows : tuple of MemberRow
         The sender's view of the fleet; sent on only one link at each interval.
     slow : bool
@@ -168,7 +168,7 @@
     leaving: bool
     revision: Revision
     confirmation_age_ms: int
-    leaving_endpoints: tuple[EndpointId, ...]
+    leaving_processes: tuple[ProcessId, ...]
     rows: tuple[MemberRow, ...]
     slow: bool = False
     losses: tuple[LossRow, ...] = ()
--- a/src/savorydyke/_monitor.py
+++ b/src/savorydyke/_monitor.py
@@ -9,7 +9,13 @@
 from savorydyke._endpoint_client import EndpointClient
 from savorydyke._endpoint_states import EndpointStates
 from savorydyke._exceptions import PlatformUnavailableError
-from savorydyke._ids import EndpointId, InstanceId, MemberState
+from savorydyke._ids import (
+    UNKNOWN_START,
+    EndpointId,
+    InstanceId,
+    MemberState,
+    process_id,
+)
 from savorydyke._manifest import Endpoint, Manifest, PoolKind
 from savorydyke._membership import Membership
 from savorydyke._peers import Peers
@@ -99,7 +105,7 @@
         if type(requests) is int and load is not None:
             load.report(requests)
         leaving = report.get("leaving") is True
-        self.states.set_reported(endpoint.id, leaving, trio.current_time())
+        self.states.set_reported(endpoint.process, leaving, trio.current_time())
         self.pool_host.mark_reported(endpoint.pool, endpoint.id)
 
     async def _poll_cache(self, endpoint: Endpoint) -> None:
@@ -148,7 +154,7 @@
             if item.state is MemberState.LIVE
         }
         leaving = {
-            EndpointId(item.name)
+            process_id(EndpointId(item.name), UNKNOWN_START)
             for item in endpoints
             if item.state is not MemberState.LIVE
         }
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -475,11 +475,6 @@
         for hosted in self.hosted.values():
             hosted.scheduler.set_leaving(endpoint, leaving)
 
-    def endpoint_restarted(self, endpoint: EndpointId) -> None:
-        """Record in all schedulers that an endpoint's process has been replaced."""
-        for hosted in self.hosted.values():
-            hosted.scheduler.endpoint_restarted(endpoint)
-
     def refuse_held(self) -> None:
         """Refuse waiting requests with suspects that are now held back."""
         now = trio.current_time()
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -168,14 +168,25 @@
         kind = pool.kind if pool else PoolKind.ENGINE
         self.estimates.forget_reachable()
         for name, spec in specs.items():
-            if name in self.endpoints:
-                self.endpoints[name].spec = spec
-            else:
-                self.endpoints[name] = new_load(spec, kind)
+            known = self.endpoints.get(name)
+            if known is not None and known.spec.process == spec.process:
+                known.spec = spec
+                continue
+            if known is not None:
+                self._end_process(known, now)
+            self.endpoints[name] = new_load(spec, kind)
         for name, load in self.endpoints.items():
             load.removed = name not in specs
         return self._recheck_access(now) + self.grant_waiting(now)
 
+    def _end_process(self, load: EndpointLoad, now: float) -> None:
+        """End the grants for a process that another one has replaced."""
+        self.estimates.prefixes.forget(load.id)
+        for item in list(load.running.values()):
+            load.remove(item.key)
+            self.placed.pop(item.key, None)
+            self._remember_finished(item.key, load.id, now)
+
     def _recheck_access(self, now: float) -> list[Decision]:
         decisions = []
         for item in list(self.queue.by_key.values()):
@@ -215,12 +226,6 @@
             if load.allowance is not None:
                 load.allowance.share = share
 
-    def endpoint_restarted(self, endpoint: EndpointId) -> None:
-        """Drop what an earlier process of an endpoint has asked for."""
-        load = self.endpoints.get(endpoint)
-        if load is not None:
-            load.paused_until.clear()
-
     # Requests
 
     def acquire(
--- a/src/savorydyke/_quarantine.py
+++ b/src/savorydyke/_quarantine.py
@@ -20,7 +20,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from savorydyke._ids import EndpointId, ProcessId, SuspectId, is_digest
+from savorydyke._ids import ProcessId, SuspectId, is_digest
 from savorydyke._messages import LossRow
 
 ENDS_TO_HOLD = 3
@@ -411,14 +411,3 @@
 
 def _age_ms(time: float, now: float) -> int:
     return max(0, int(1000 * (now - time)))
-
-
-def process_id(endpoint: EndpointId, started_ms: int) -> ProcessId:
-    """Return the id of an endpoint's process.
-
-    Parameters
-    ----------
-    started_ms : int
-        Start of the process in Unix milliseconds.
-    """
-    return ProcessId(f"{endpoint}@{started_ms}")
--- a/src/savorydyke/_request_limits.py
+++ b/src/savorydyke/_request_limits.py
@@ -71,6 +71,9 @@
 
     Attributes
     ----------
+    forgotten : dict of EndpointId to float
+        When an endpoint's process was replaced. What was said before concerns the
+        process before.
     changes : int
         Increased when something is learned that other instances may not know.
     listeners : list of callable
@@ -78,6 +81,7 @@
     """
 
     named: dict[EndpointId, NamedLimit] = field(default_factory=dict)
+    forgotten: dict[EndpointId, float] = field(default_factory=dict)
     changes: int = 0
     listeners: list[Callable[[EndpointId, float | None], None]] = field(
         default_factory=list
@@ -105,8 +109,12 @@
         known = self.named.get(endpoint)
         return known.per_s if known else None
 
-    def forget(self, endpoint: EndpointId) -> None:
+    def forget(self, endpoint: EndpointId, now: float) -> None:
         """Drop the limit of an endpoint whose process has been replaced."""
+        self.forgotten[endpoint] = now
+        self._drop(endpoint)
+
+    def _drop(self, endpoint: EndpointId) -> None:
         if self.named.pop(endpoint, None) is not None:
             self._notify(endpoint, None)
 
@@ -115,12 +123,17 @@
         for endpoint, known in list(self.named.items()):
             kept_s = SPREAD_S if known.per_s is None else KEPT_S
             if now - known.at > kept_s:
-                self.forget(endpoint)
+                self._drop(endpoint)
+        for endpoint, at in list(self.forgotten.items()):
+            if now - at > KEPT_S:
+                del self.forgotten[endpoint]
 
     def _set(self, endpoint: EndpointId, limit: NamedLimit) -> None:
         known = self.named.get(endpoint)
         if known is not None and limit.at <= known.at:
             return
+        if limit.at <= self.forgotten.get(endpoint, -math.inf):
+            return
         self.named[endpoint] = limit
         if known is None or known.per_s != limit.per_s:
             self.changes += 1
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -634,9 +634,7 @@
         if request.first_byte is None and way.forwarder is None:
             request.late_answer = way.channel
             request_id = request.request_info.request_id
-            self.late_answers.take_over(
-                way.channel, endpoint.id, sent, request_id, late_s
-            )
+            self.late_answers.take_over(way.channel, endpoint, sent, request_id, late_s)
 
     def _not_forwarded(
         self, request: RoutedRequest, result: ForwardResult
@@ -688,7 +686,7 @@
         info = parse_response_headers(head.status, head.headers)
         request_id = request.request_info.request_id
         if info.request_id == request_id:
-            request.pause_s = self.observer.observe(endpoint.id, info, sent, request_id)
+            request.pause_s = self.observer.observe(endpoint, info, sent, request_id)
         result = await relay_answer(
             request,
             channel,
--- a/src/savorydyke/_store_contact.py
+++ b/src/savorydyke/_store_contact.py
@@ -29,8 +29,9 @@
     ----------
     heartbeat_s : float
         Interval at which endpoints write their records.
-    answered_at : float
-        When the store last answered.
+    answered_at, answered_before : float
+        When the store last answered, and when it did before that. What the last answer
+        changed was written in between.
     failing_since : float
         When the first call was made of those that have failed since then, infinite
         if none has.
@@ -42,6 +43,7 @@
 
     heartbeat_s: float
     answered_at: float = -math.inf
+    answered_before: float = -math.inf
     failing_since: float = math.inf
     missing_until: float = -math.inf
     restored_until: float = -math.inf
@@ -59,7 +61,7 @@
         if now - self.failing_since >= OUTAGE_HEARTBEATS * self.heartbeat_s:
             self.missing_until = now + MISSING_GRACE_S
         self.failing_since = math.inf
-        self.answered_at = now
+        self.answered_before, self.answered_at = self.answered_at, now
 
     def record_restore(self, now: float) -> None:
         """Record that the store was restored and may lack any record."""
