Let a stream go on in the pool that began it

With one software version a service, some went on in another service.

Cause: each try drew its pool by the weights of the route, also one that takes a stream up. What is kept of streams was their version without their pool. A coordinator that did not know the stream also took it for one of its own if its pool had one version only.

Change: streams are kept by pool. `RoutePools` knows which pools a route has had while its streams may be taken up. A stream whose pool is not known is asked for at the coordinators of all targets at once; those that do not know it refuse, unless no other pool can have begun it. A pool that serves the route no more does not go on. The message to the next coordinator names the pool in a way that earlier builds ignore; protocol 7 stays. While pools share routes, their streams are stored as for several versions.

Four decision cases.

Ruled out: a draw by a hash of the stream's id, which changes with the weights; asking one pool after the other, since one of them may have lost its coordinator.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -117,6 +117,16 @@
       | streams are stored again after a restore of the store |
       | telling 195 instances' streams costs their coordinators a bounded part |
 
+  Scenario Outline: Pools of streams
+    Then the decision case "<case>" holds
+
+    Examples:
+      | case                                                                          |
+      | the pools of a route are those that it had while streams may be taken up      |
+      | a new route has the streams of the route whose paths it takes over            |
+      | an unknown stream of a pool that shares its routes has no known version       |
+      | the next coordinator is told of which pool streams are                        |
+
   Scenario Outline: Instances cut off from all endpoints
     Then the decision case "<case>" holds
 
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -238,6 +238,17 @@
       | streams of the only version go on after a restart of all instances       |
       | streams of a version that has just left do not go on after a restart of all |
 
+  Scenario Outline: Streams on split routes
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                               |
+      | streams on a split route go on in their pools when an instance is killed           |
+      | streams on a split route go on in their pools when a coordinator is killed         |
+      | streams on a split route go on in their pools after a restart of all instances     |
+      | streams of a pool that has lost its route do not go on in another one              |
+      | streams go on in their pools after their route has been split                      |
+
   Scenario Outline: Instances cut off from all endpoints
     Then the routed case "<case>" holds
 
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -87,6 +87,7 @@
     parse_retry_after,
 )
 from savorydyke._retry_budget import RetryBudget
+from savorydyke._route_pools import RoutePools
 from savorydyke._routed_handler import RoutedHandler
 from savorydyke._routed_request import RoutedRequest, shared_parts
 from savorydyke._routes import TeamQuota
@@ -2176,16 +2177,16 @@
     manifest = manifest_of(a="v1", b="v1")
     now = KEPT_S + 1.0
     versions = versions_known_since(manifest, 0.0, now)
-    assert versions.version_of("crew/r1", POOL, now) == "v1"
+    assert versions.version_of("crew/r1", POOL, now, True) == "v1"
     # The list of endpoints is too old, as at an instance that is cut off.
     late = now + MAX_VIEW_AGE_S + 0.1
-    assert versions.version_of("crew/r1", POOL, late) == UNKNOWN_VERSION
+    assert versions.version_of("crew/r1", POOL, late, True) == UNKNOWN_VERSION
 
 
 @case("a stream that nobody knows does not go on soon after a start")
 def _():
     versions = versions_known_since(manifest_of(a="v1"), 0.0, KEPT_S - 1.0)
-    assert versions.version_of("crew/r1", POOL, KEPT_S - 1.0) == UNKNOWN_VERSION
+    assert versions.version_of("crew/r1", POOL, KEPT_S - 1.0, True) == UNKNOWN_VERSION
 
 
 @case("a version whose endpoints have left counts as long as a stream may be taken up")
@@ -2193,12 +2194,12 @@
     now = KEPT_S + 1.0
     versions = versions_known_since(manifest_of(a="v1", b="v2"), 0.0, now)
     versions.observe_endpoints(manifest_of(b="v2"), now)
-    assert versions.version_of("crew/r1", POOL, now) == UNKNOWN_VERSION
+    assert versions.version_of("crew/r1", POOL, now, True) == UNKNOWN_VERSION
     asked = now
     while asked < now + KEPT_S + 1.0:
         asked += 1.0
         versions.observe_view(asked)
-    assert versions.version_of("crew/r1", POOL, asked) == "v2"
+    assert versions.version_of("crew/r1", POOL, asked, True) == "v2"
 
 
 @case("versions that came and went while the store was away are not ruled out")
@@ -2207,14 +2208,14 @@
     versions = versions_known_since(manifest_of(a="v1"), 0.0, now)
     versions.observe_view(now + MAX_GAP_S + 1.0)
     after = now + MAX_GAP_S + 1.1
-    assert versions.version_of("crew/r1", POOL, after) == UNKNOWN_VERSION
+    assert versions.version_of("crew/r1", POOL, after, True) == UNKNOWN_VERSION
 
 
 @case("what an instance keeps about streams is bounded in number and in time")
 def _():
     versions = StreamVersions()
     for number in range(MAX_STREAMS + 100):
-        versions.record(f"crew/r{number}", "v1", 1.0)
+        versions.record(POOL, f"crew/r{number}", "v1", 1.0)
     assert len(versions.streams) == MAX_STREAMS
     versions.drop_old(1.0 + KEPT_S + 0.1)
     assert not versions.streams
@@ -2251,7 +2252,7 @@
             has_begun=True,
         )
         assert gateway.place_fallback(demand, ()) is None
-        gateway.pool_host.versions.record("crew/r1", "v2", boot_time())
+        gateway.pool_host.versions.record(POOL, "crew/r1", "v2", boot_time())
         assert gateway.place_fallback(demand, ()) == "b"
 
     trio.run(play)
@@ -2321,7 +2322,7 @@
     """Let streams begin at two versions in some pools, and store them."""
     versions = StreamVersions()
     membership = Membership(InstanceId("me"), "127.0.0.1:1", "a", 1)
-    records = StreamRecords(store, versions, membership)
+    records = StreamRecords(store, versions, RoutePools(), membership)
     for pool in pools:
         names = [SoftwareVersion("v1"), SoftwareVersion("v2")]
         versions.listed[pool] = set(names)
--- /dev/null
+++ b/features/steps/route_pool_decisions.py
@@ -0,0 +1,96 @@
+"""Decision cases for the pools that may have begun a route's streams."""
+
+import json
+
+from decision_cases import case
+
+from savorydyke._ids import PoolId
+from savorydyke._messages import StreamPush
+from savorydyke._route_pools import RoutePools
+from savorydyke._stream_versions import KEPT_S, StreamVersions
+from savorydyke.platform import read_configuration
+
+HOST = "h"
+
+
+def version(number, **routes):
+    """Return a configuration with streaming routes, by prefix, and their pools."""
+    value = {
+        "version": number,
+        "routes": [
+            {
+                "name": prefix,
+                "host": HOST,
+                "prefix": f"/{prefix}/".replace("//", "/").replace("_", "/"),
+                "kind": "streaming",
+                "service": pools[0],
+                "split": [{"service": p, "weight": 1} for p in pools],
+                "resumable": True,
+                "timeout_ms": 2000,
+                "slo_ms": 1000,
+                "attempts": 2,
+                "priority": 0,
+            }
+            for prefix, pools in routes.items()
+        ],
+        "services": [{"name": name} for name in "abcd"],
+    }
+    return read_configuration(json.dumps(value).encode())
+
+
+@case("the pools of a route are those that it had while streams may be taken up")
+def _():
+    pools = RoutePools()
+    pools.observe_configuration(version(1, digest="ab"), 100.0)
+    assert pools.candidates(HOST, "/digest/1", 100.0) == {"a", "b"}
+    assert pools.is_shared("a", 500.0) and not pools.is_shared("c", 500.0)
+    pools.observe_configuration(version(2, digest="c"), 500.0)
+    assert pools.candidates(HOST, "/digest/1", 500.0 + KEPT_S) == {"a", "b", "c"}
+    assert pools.is_shared("c", 500.0 + KEPT_S - 1)
+    assert pools.candidates(HOST, "/digest/1", 501.0 + KEPT_S) == {"c"}
+    assert not pools.is_shared("c", 501.0 + KEPT_S)
+    assert not pools.candidates("other", "/digest/1", 500.0)
+
+
+@case("a new route has the streams of the route whose paths it takes over")
+def _():
+    pools = RoutePools()
+    pools.observe_configuration(version(1, digest="a", digest_own="b"), 100.0)
+    assert pools.candidates(HOST, "/digest/own/1", 100.0) == {"b"}
+    assert not pools.is_shared("a", 100.0)
+    pools.observe_configuration(
+        version(2, digest="a", digest_own="b", digest_new="c"), 200.0
+    )
+    assert pools.candidates(HOST, "/digest/new/1", 201.0) == {"a", "c"}
+    assert pools.is_shared("a", 201.0) and pools.is_shared("c", 201.0)
+    assert pools.candidates(HOST, "/digest/own/1", 201.0) == {"b"}
+    assert pools.candidates(HOST, "/digest/new/1", 201.0 + KEPT_S) == {"c"}
+    # Its paths are those of the shorter one again.
+    pools.observe_configuration(version(3, digest="a", digest_own="b"), 300.0)
+    assert pools.candidates(HOST, "/digest/new/1", 301.0) == {"a", "c"}
+
+
+@case("an unknown stream of a pool that shares its routes has no known version")
+def _():
+    versions = StreamVersions()
+    versions.receive_stored(PoolId("a"), ["crew/r1"], "v1", 10.0)
+    assert versions.version_of("crew/r1", PoolId("a"), 11.0, False) == "v1"
+    assert not versions.version_of("crew/r1", PoolId("b"), 11.0, False)
+    assert versions.pool_of("crew/r1", [PoolId("b"), PoolId("a")], 11.0) == "a"
+    assert versions.pool_of("crew/r1", [PoolId("b")], 11.0) is None
+
+
+@case("the next coordinator is told of which pool streams are")
+def _():
+    versions, follower = StreamVersions(), StreamVersions()
+    for pool in ("a", "b"):
+        versions.record_coordinated(PoolId(pool), f"crew/{pool}", "v1", 10.0)
+        for message in versions.take_untold(PoolId(pool)):
+            follower.receive(message, [PoolId("a"), PoolId("b")], 10.0)
+    assert set(follower.streams) == {("a", "crew/a"), ("b", "crew/b")}
+    # An earlier build does not name it; the sender may coordinate one pool only.
+    follower.receive(StreamPush("v1", ("crew/c",)), [PoolId("c")], 10.0)
+    follower.receive(StreamPush("v1", ("crew/d",)), [PoolId("a"), PoolId("b")], 10.0)
+    assert set(follower.streams) - {("a", "crew/a"), ("b", "crew/b")} == {
+        ("c", "crew/c")
+    }
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -186,7 +186,7 @@
                 if not self.quota_reports.receive(sender, message):
                     self.quota_balances.receive(message, trio.current_time())
             case StreamPush():
-                self.pool_host.versions.receive(message, boot_time())
+                self._receive_streams(sender, message)
 
     def _receive_heartbeat(self, sender: InstanceId, heartbeat: Heartbeat) -> None:
         now = trio.current_time()
@@ -203,6 +203,10 @@
             heartbeat.echo, heartbeat.confirmation_age_ms
         )
 
+    def _receive_streams(self, sender: InstanceId, message: StreamPush) -> None:
+        pools = [p for p in self.pools() if self.membership.coordinator(p) == sender]
+        self.pool_host.versions.receive(message, pools, boot_time())
+
     def _answer_configuration(
         self, peer: InstanceId, request: ConfigurationRequest
     ) -> None:
@@ -483,7 +487,9 @@
             return None
         if demand.has_begun and not demand.version:
             versions = self.pool_host.versions
-            version = versions.version_of(demand.stream, demand.pool, boot_time())
+            version = versions.version_of(
+                demand.stream, demand.pool, boot_time(), demand.is_pool_certain
+            )
             if not version:
                 return None
             demand = replace(demand, version=version)
@@ -625,7 +631,7 @@
         quota_reports,
         overload,
         store_records,
-        StreamRecords(store, pool_host.versions, membership),
+        StreamRecords(store, pool_host.versions, pool_host.route_pools, membership),
     )
     links.listeners.append(lambda is_cut_off: _note_cut_off(gateway, is_cut_off))
     limits.listeners.append(gateway.apply_limit)
@@ -650,6 +656,7 @@
     directory.listeners.append(
         lambda manifest: pool_host.versions.observe_endpoints(manifest, boot_time())
     )
+    directory.listeners.append(lambda manifest: _observe_routes(gateway))
     directory.view_listeners.append(pool_host.versions.observe_view)
     directory.listeners.append(lambda manifest: _update_quota_limits(gateway))
     directory.listeners.append(lambda manifest: gateway.follow_coordinators())
@@ -716,6 +723,12 @@
     return limit is not None and limit.tokens_per_s > 0
 
 
+def _observe_routes(gateway: Gateway) -> None:
+    configuration = gateway.directory.configuration
+    if configuration is not None:
+        gateway.pool_host.route_pools.observe_configuration(configuration, boot_time())
+
+
 def _update_quota_limits(gateway: Gateway) -> None:
     limits = _limits_of_teams(gateway.directory)
     gateway.fallback_quotas.limits = {
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -76,6 +76,7 @@
             LostAnswers(gateway.quarantine, gateway.ways, nursery),
             gateway.overload,
             gateway.pool_host.versions,
+            gateway.pool_host.route_pools,
             gateway.metrics,
             incarnation=gateway.membership.incarnation,
         )
--- a/src/savorydyke/_grant_client.py
+++ b/src/savorydyke/_grant_client.py
@@ -86,6 +86,8 @@
     version : SoftwareVersion
         The version that the endpoint must have, empty for any one or, if the stream
         has begun, for the one that the coordinator knows.
+    is_pool_certain : bool
+        Whether the stream, if it has begun, began in this pool.
     """
 
     key: RequestKey
@@ -108,6 +110,7 @@
     stream: RequestKey = NO_STREAM
     has_begun: bool = False
     version: SoftwareVersion = UNKNOWN_VERSION
+    is_pool_certain: bool = True
 
 
 @dataclass(frozen=True)
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -42,6 +42,7 @@
 from savorydyke._pool_scheduler import Decision, PoolScheduler, new_pool_scheduler
 from savorydyke._quota import FOLLOWER_MAX_AGE_S, Quotas
 from savorydyke._request_limits import RequestLimits
+from savorydyke._route_pools import RoutePools
 from savorydyke._stream_versions import UNKNOWN_DETAIL, StreamVersions
 from savorydyke._timers import TimerService
 
@@ -132,6 +133,8 @@
         Numbers of rejections that endpoints bear, for new schedulers.
     versions : StreamVersions
         At which software versions streams began.
+    route_pools : RoutePools
+        Which pools may have begun the streams of each route.
     has_reached_most : bool
         Whether this instance has been linked to most of those listed since its start.
     reporting : set of InstanceId
@@ -156,6 +159,7 @@
     limits: RequestLimits = field(default_factory=RequestLimits)
     rejections: RequestLimits = field(default_factory=RequestLimits)
     versions: StreamVersions = field(default_factory=StreamVersions)
+    route_pools: RoutePools = field(default_factory=RoutePools)
     hosted: dict[PoolId, HostedPool] = field(default_factory=dict)
     has_reached_most: bool = False
     reporting: set[InstanceId] = field(default_factory=set)
@@ -222,8 +226,10 @@
             return
         hosted.used = now
         if message.stream and not message.version:
+            now_with_suspension = boot_time()
+            is_shared = self.route_pools.is_shared(message.pool, now_with_suspension)
             version = self.versions.version_of(
-                message.stream, message.pool, boot_time()
+                message.stream, message.pool, now_with_suspension, not is_shared
             )
             if not version:
                 self._defer_unknown(hosted, sender, message)
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -68,6 +68,7 @@
 from savorydyke._overload import Overload
 from savorydyke._problems import Refusal
 from savorydyke._quarantine import HELD_BACK_DETAIL, Quarantine
+from savorydyke._route_pools import RoutePools
 from savorydyke._routed_relay import (
     MIN_RETRY_S,
     NO_CAPACITY_RETRY_S,
@@ -117,6 +118,8 @@
 ALTERNATIVE_FIRST_BYTE_S = 0.4
 """Time in which another endpoint must send a first byte to replace a silent one."""
 
+MOVED_DETAIL = "the pool that began this stream does not serve its route any more"
+
 UNKNOWN_TEAM = TeamId("(unknown)")
 UNKNOWN_TIER = TierId("(unknown)")
 
@@ -158,6 +161,7 @@
     lost_answers: LostAnswers
     overload: Overload
     versions: StreamVersions
+    route_pools: RoutePools
     metrics: Metrics
     refusing: bool = False
     aborting: bool = False
@@ -234,14 +238,23 @@
         timeout_s = route.timeout_s
         if request_info.deadline_s is not None:
             timeout_s = min(timeout_s, request_info.deadline_s)
-        pool = route.choose_pool(self.rng.random())
+        stream = _stream(team, route, request_info)
+        pools: tuple[PoolId, ...] = (route.choose_pool(self.rng.random()),)
+        is_certain = True
+        if stream and request_info.last_event_id:
+            host = request_info.host
+            pools, is_certain = self._pools_of_stream(stream, route, host, path)
+        if not pools:
+            return Refusal(Reason.UNKNOWN_STREAM, MOVED_DETAIL)
         return RoutedRequest(
             incoming=incoming,
             responder=responder,
             request_info=request_info,
             route=route,
             team=team,
-            pool=pool,
+            pool=pools[0],
+            other_pools=pools[1:],
+            is_pool_certain=is_certain,
             expires=incoming.arrived + timeout_s,
             quota_tokens=_quota_tokens(configuration, team, request_info),
             config_version=configuration.version,
@@ -250,9 +263,25 @@
             parts=shared_parts(request_info.prefix),
             digest=request_digest(team, request_info.host, incoming),
             last_event_id=request_info.last_event_id,
-            stream=_stream(team, route, request_info),
+            stream=stream,
         )
 
+    def _pools_of_stream(
+        self, stream: RequestKey, route: Route, host: str, path: str
+    ) -> tuple[tuple[PoolId, ...], bool]:
+        """Return the pools of a route in which a stream may have begun.
+
+        There is none if the one that began it is known and no target any more. Also
+        returns whether it can have begun in no other pool.
+        """
+        now = boot_time()
+        targets = route.pools()
+        candidates = self.route_pools.candidates(host, path, now) | set(targets)
+        pool = self.versions.pool_of(stream, candidates, now)
+        if pool is not None:
+            return ((pool,) if pool in targets else ()), True
+        return targets, len(candidates) == 1
+
     def _team(
         self,
         configuration: RoutedConfiguration,
@@ -345,10 +374,47 @@
         reserved, request.reserved = request.reserved, None
         if reserved is not None:
             return reserved.key, reserved.granted
-        demand = self._demand(request)
         started_at = trio.current_time()
-        answer = await self.grant_client.acquire(demand, tuple(request.avoid))
+        if request.other_pools:
+            key, answer = await self._acquire_of_any(request)
+        else:
+            demand = self._demand(request)
+            key = demand.key
+            answer = await self.grant_client.acquire(demand, tuple(request.avoid))
         request.waited_s += trio.current_time() - started_at
+        return key, answer
+
+    async def _acquire_of_any(
+        self, request: RoutedRequest
+    ) -> tuple[RequestKey, Granted | Refused]:
+        """Ask all pools in which a stream may have begun; the right one grants.
+
+        The coordinators of the others do not know the stream.
+        """
+        answers: list[tuple[Demand, Granted | Refused]] = []
+        async with trio.open_nursery() as nursery:
+
+            async def ask(pool: PoolId) -> None:
+                demand = replace(self._demand(request), pool=pool)
+                answer = await self.grant_client.acquire(demand, tuple(request.avoid))
+                answers.append((demand, answer))
+                if isinstance(answer, Granted):
+                    nursery.cancel_scope.cancel()
+
+            for pool in (request.pool, *request.other_pools):
+                nursery.start_soon(ask, pool)
+        granted = [(d, a) for d, a in answers if isinstance(a, Granted)]
+        for demand, _ in granted[1:]:
+            self.grant_client.release(demand.key, ReleaseResult.NOT_SENT)
+        # A coordinator that knows the stream says more than those that do not.
+        informed = [
+            (demand, answer)
+            for demand, answer in answers
+            if isinstance(answer, Granted) or answer.reason is not Reason.UNKNOWN_STREAM
+        ]
+        demand, answer = (granted or informed or answers)[0]
+        if granted:
+            request.pool, request.other_pools = demand.pool, ()
         return demand.key, answer
 
     async def _reserve_alternative(self, request: RoutedRequest) -> bool:
@@ -430,6 +496,7 @@
             stream=request.stream,
             has_begun=request.has_begun(),
             version=self._required_version(request),
+            is_pool_certain=request.is_pool_certain,
         )
 
     def new_key(self, request_id: str) -> RequestKey:
@@ -447,7 +514,9 @@
             return UNKNOWN_VERSION
         if request.version:
             return request.version
-        return self.versions.version_of(request.stream, request.pool, boot_time())
+        return self.versions.version_of(
+            request.stream, request.pool, boot_time(), request.is_pool_certain
+        )
 
     # Sending
 
@@ -738,7 +807,7 @@
         request.first_byte = request.last_byte = trio.current_time()
         request.version = version
         if request.stream and version:
-            self.versions.record(request.stream, version, boot_time())
+            self.versions.record(request.pool, request.stream, version, boot_time())
         first_s = request.first_byte - request.granted_at
         self.grant_client.started(key, first_s, version)
 
--- a/src/savorydyke/_routed_request.py
+++ b/src/savorydyke/_routed_request.py
@@ -86,6 +86,13 @@
         Whether it may have run in any attempt, and in one before the latest.
     last_event_id : str
         Id of the last event that the caller has received.
+    pool : PoolId
+        Where it is served.
+    other_pools : tuple of PoolId
+        Targets of its route in which its stream may have begun as well, until that
+        is known.
+    is_pool_certain : bool
+        Whether its stream, if it has begun, can have begun in no other pool.
     stream : RequestKey
         The caller's attempt with which its stream began; empty if the route has none.
     version : SoftwareVersion
@@ -120,6 +127,8 @@
     config_age_s: float
     tier: TierId
     digest: SuspectId
+    other_pools: tuple[PoolId, ...] = ()
+    is_pool_certain: bool = True
     parts: tuple[SuspectId, ...] = ()
     avoid: list[EndpointId] = field(default_factory=list)
     sent_to: list[EndpointId] = field(default_factory=list)
--- a/src/savorydyke/_routes.py
+++ b/src/savorydyke/_routes.py
@@ -63,6 +63,10 @@
     urgency: int
     public: bool
 
+    def pools(self) -> tuple[PoolId, ...]:
+        """Return the pools that get a part of its requests, each once."""
+        return tuple(dict.fromkeys(t.pool for t in self.targets if t.weight > 0))
+
     def choose_pool(self, draw: float) -> PoolId:
         """Return a pool by weight; `draw` is uniform in [0, 1)."""
         left = draw * sum(target.weight for target in self.targets)
--- a/src/savorydyke/_stream_records.py
+++ b/src/savorydyke/_stream_records.py
@@ -1,9 +1,9 @@
 """Keeps the software versions of streams in the platform's store.
 
 All instances may be killed at once, and callers take their streams up again. A pool
-mostly has one version, and its name is all that is stored. While there are several, the
-coordinator also stores the streams that began, a few times a second, in records of
-which each holds what is new.
+mostly has one version, and its name is all that is stored. While there are several, or
+its routes have other pools as well, the coordinator also stores the streams that began,
+a few times a second, in records of which each holds what is new.
 """
 
 import json
@@ -13,6 +13,7 @@
 from savorydyke._configuration_age import boot_time
 from savorydyke._ids import PoolId, RequestKey, SoftwareVersion
 from savorydyke._membership import Membership
+from savorydyke._route_pools import RoutePools
 from savorydyke._stream_versions import KEPT_S, StreamVersions
 from savorydyke._timers import TimerService
 from savorydyke._untrusted import MAX_SHOWN, parse_json, shown
@@ -58,6 +59,7 @@
 
     store: Store
     versions: StreamVersions
+    route_pools: RoutePools
     membership: Membership
     written_until: dict[PoolId, float] = field(default_factory=dict)
     generations: dict[PoolId, int] = field(default_factory=dict)
@@ -87,14 +89,16 @@
         for pool in list(self.versions.listed):
             versions = self.versions.recent_versions(pool, now)
             is_written = not versions or self._is_stored(pool, versions)
+            # Streams have to be told apart by version, or by pool.
+            is_mixed = len(versions) > 1 or self.route_pools.is_shared(pool, now)
             # Who coordinates a pool costs more to find out, in a large fleet.
-            if is_written and len(versions) < 2:
+            if is_written and not is_mixed:
                 continue
             if not self.membership.is_coordinator(pool):
                 continue
             if not is_written:
                 await self._write_versions(pool, versions)
-            if len(versions) > 1:
+            if is_mixed:
                 await self._write_streams(pool, now)
 
     def _is_stored(self, pool: PoolId, versions: frozenset[SoftwareVersion]) -> bool:
@@ -170,7 +174,7 @@
             self._report_unreadable(pool, error)
             return
         for version, streams in rows:
-            self.versions.receive_stored(streams, version, boot_time())
+            self.versions.receive_stored(pool, streams, version, boot_time())
 
     def _report_unreadable(self, pool: PoolId, error: Exception) -> None:
         extra = {"pool": pool[:MAX_SHOWN], "error": shown(error)}
--- a/src/savorydyke/_stream_versions.py
+++ b/src/savorydyke/_stream_versions.py
@@ -1,4 +1,4 @@
-"""Keeps which software version began each stream, so that it goes on at no other.
+"""Keeps which pool and software version began each stream; it goes on at no other.
 
 What two versions of an endpoint's software write does not fit together, and endpoints
 do not check it. An instance knows the version of the streams that it relays, the
@@ -10,7 +10,7 @@
 
 import math
 from collections import OrderedDict, defaultdict, deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from savorydyke._ids import UNKNOWN_VERSION, PoolId, RequestKey, SoftwareVersion
@@ -24,6 +24,9 @@
 """Age of the list of endpoints above which another version may have come."""
 MAX_GAP_S = 5.0
 """Time without the list in which a version may have come and gone."""
+POOL_MARK = "//"
+"""Ends the entry that names the pool of the streams in a message. No stream's key ends
+so, since ids are not empty."""
 UNKNOWN_DETAIL = "the software version that began this stream is not known"
 
 
@@ -47,8 +50,9 @@
 
     Attributes
     ----------
-    streams : OrderedDict of RequestKey to Begun
-        Streams by the attempt that brought their first event, the latest last.
+    streams : OrderedDict of (PoolId, RequestKey) to Begun
+        Streams by pool and the attempt that brought their first event, the latest
+        last.
     untold : dict
         Streams of the pools coordinated here that the next coordinator does not
         know, by pool and version.
@@ -68,7 +72,9 @@
         coordinators have stored them.
     """
 
-    streams: OrderedDict[RequestKey, Begun] = field(default_factory=OrderedDict)
+    streams: OrderedDict[tuple[PoolId, RequestKey], Begun] = field(
+        default_factory=OrderedDict
+    )
     untold: dict[PoolId, dict[SoftwareVersion, list[RequestKey]]] = field(
         default_factory=dict
     )
@@ -85,10 +91,12 @@
 
     # Streams
 
-    def record(self, stream: RequestKey, version: SoftwareVersion, now: float) -> None:
+    def record(
+        self, pool: PoolId, stream: RequestKey, version: SoftwareVersion, now: float
+    ) -> None:
         """Record the version at which a stream began, or at which it goes on."""
-        self.streams[stream] = Begun(version, now)
-        self.streams.move_to_end(stream)
+        self.streams[pool, stream] = Begun(version, now)
+        self.streams.move_to_end((pool, stream))
         while len(self.streams) > MAX_STREAMS:
             self.streams.popitem(last=False)
 
@@ -96,7 +104,7 @@
         self, pool: PoolId, stream: RequestKey, version: SoftwareVersion, now: float
     ) -> None:
         """Record a stream of a pool that is coordinated here."""
-        self.record(stream, version, now)
+        self.record(pool, stream, version, now)
         by_version = self.untold.setdefault(pool, {})
         by_version.setdefault(version, []).append(stream)
         kept = self.coordinated.setdefault(pool, deque(maxlen=MAX_STREAMS))
@@ -105,12 +113,31 @@
     def take_untold(self, pool: PoolId) -> list[StreamPush]:
         """Return what to tell the next coordinator of a pool, and forget it."""
         by_version = self.untold.pop(pool, {})
-        return [StreamPush(v, tuple(streams)) for v, streams in by_version.items()]
+        first = RequestKey(f"{pool}{POOL_MARK}")
+        return [
+            StreamPush(version, (first, *streams))
+            for version, streams in by_version.items()
+        ]
+
+    def receive(
+        self, message: StreamPush, pools: Collection[PoolId], now: float
+    ) -> None:
+        """Record what the coordinator of a pool has told.
 
-    def receive(self, message: StreamPush, now: float) -> None:
-        """Record what the coordinator of a pool has told."""
-        for stream in message.streams:
-            self.record(stream, message.version, now)
+        Parameters
+        ----------
+        pools : collection of PoolId
+            Those that the sender coordinates. An earlier build does not name the
+            pool.
+        """
+        first, streams = message.streams[:1], message.streams
+        if first and first[0].endswith(POOL_MARK):
+            pools, streams = [PoolId(first[0][: -len(POOL_MARK)])], streams[1:]
+        if len(pools) != 1:
+            return
+        (pool,) = pools
+        for stream in streams:
+            self.record(pool, stream, message.version, now)
 
     def drop_old(self, now: float) -> None:
         """Forget the streams that no caller takes up any more."""
@@ -118,19 +145,38 @@
             while kept and now - kept[0][0] > KEPT_S:
                 kept.popleft()
         while self.streams:
-            stream, begun = next(iter(self.streams.items()))
+            key, begun = next(iter(self.streams.items()))
             if now - begun.at <= KEPT_S:
                 return
-            del self.streams[stream]
+            del self.streams[key]
 
     def version_of(
-        self, stream: RequestKey, pool: PoolId, now: float
+        self, stream: RequestKey, pool: PoolId, now: float, is_pool_certain: bool
     ) -> SoftwareVersion:
-        """Return the version that began a stream, `UNKNOWN_VERSION` if not known."""
-        begun = self.streams.get(stream)
-        if begun is not None and now - begun.at <= KEPT_S:
+        """Return the version that began a stream, `UNKNOWN_VERSION` if not known.
+
+        Parameters
+        ----------
+        is_pool_certain : bool
+            Whether the stream began in `pool` if it is not known.
+        """
+        begun = self._begun(stream, pool, now)
+        if begun is not None:
             return begun.version
-        return self.only_version(pool, now)
+        return self.only_version(pool, now) if is_pool_certain else UNKNOWN_VERSION
+
+    def pool_of(
+        self, stream: RequestKey, pools: Iterable[PoolId], now: float
+    ) -> PoolId | None:
+        """Return which of some pools began a stream, None if that is not known."""
+        for pool in pools:
+            if self._begun(stream, pool, now) is not None:
+                return pool
+        return None
+
+    def _begun(self, stream: RequestKey, pool: PoolId, now: float) -> Begun | None:
+        begun = self.streams.get((pool, stream))
+        return begun if begun is not None and now - begun.at <= KEPT_S else None
 
     # Versions of a pool
 
@@ -184,12 +230,16 @@
         return [row for row in self.coordinated.get(pool, ()) if row[0] > since]
 
     def receive_stored(
-        self, streams: Iterable[RequestKey], version: SoftwareVersion, now: float
+        self,
+        pool: PoolId,
+        streams: Iterable[RequestKey],
+        version: SoftwareVersion,
+        now: float,
     ) -> None:
         """Record streams that a coordinator has stored, unless they are known."""
         for stream in streams:
-            if stream not in self.streams:
-                self.record(stream, version, now)
+            if (pool, stream) not in self.streams:
+                self.record(pool, stream, version, now)
 
 
 def _versions(manifest: Manifest) -> dict[PoolId, set[SoftwareVersion]]:
