Check streams from their first event

Reproduced on real processes: a 200 with the type of an event stream and the text "error: out of memory" reached the caller as a complete stream.

Cause: whether events have ids was decided by the first one, and its id was compared with nothing. An event without an id, or with any text as id, was relayed; after it nothing was checked any more. The id became the Last-Event-Id of the next attempt. The head of the answer was sent before any event had come, so that a caller that had got nothing could not be served elsewhere.

Change: each event must consist of the lines of an event, with one id that is a number and data. The caller's answer begins with the first event. What has no event is no stream, however it is framed, unless it goes on after the last one. Events before the junk are passed on.

Tests: "Streams that faulty endpoints spoil", 150 generated answers (bytes before, between and after events, odd fields, three framings, whole and broken, first answers and rests, routes that may go on and others) and five beginnings. The oracle compares what the caller got with what the run made.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -360,6 +360,18 @@
       | a stream whose first answer is followed by an error's head is not complete |
       | a stream that goes on rightly after an error is whole |
 
+  Scenario Outline: Streams that faulty endpoints spoil
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                      |
+      | generated junk in streams reaches no caller                               |
+      | an answer that begins with text without an id is not relayed              |
+      | an answer that begins with an empty id is not relayed                     |
+      | an answer that begins with an id that is no number is not relayed         |
+      | an answer that begins with another answer's head is not relayed           |
+      | an answer that begins with nothing is not relayed                         |
+
   Scenario Outline: An earlier build beside the present one
     Then the routed case "<case>" holds
 
--- a/features/steps/routed_steps.py
+++ b/features/steps/routed_steps.py
@@ -9,6 +9,7 @@
 import rejection_cases  # noqa: F401  Registers its cases.
 import route_pool_decisions  # noqa: F401  Registers its cases.
 import split_route_cases  # noqa: F401  Registers its cases.
+import spoilt_stream_cases  # noqa: F401  Registers its cases.
 import store_contact_decisions  # noqa: F401  Registers its cases.
 import store_watch_cases  # noqa: F401  Registers its cases.
 import stray_answer_cases  # noqa: F401  Registers its cases.
--- a/src/savorydyke/_dispatch.py
+++ b/src/savorydyke/_dispatch.py
@@ -20,7 +20,7 @@
     Opened,
     OpenResult,
 )
-from savorydyke._event_order import EventOrder, StrayEventError
+from savorydyke._event_order import EventOrder, EventSteps, StrayEventError
 from savorydyke._grant_client import GRANT_VALID_S, GrantClient, Granted, Refused
 from savorydyke._ids import EndpointId, Outcome, Reason, ReleaseResult
 from savorydyke._manifest import Endpoint
@@ -398,10 +398,12 @@
     StrayEventError
         If anything else comes.
     """
-    order = EventOrder(str(last))
+    order = EventOrder(str(last), EventSteps({1}), has_fixed_steps=True)
     async for chunk in chunks:
         if events := order.feed(chunk):
             yield events
+        if order.stray is not None:
+            raise order.stray
 
 
 def _usage(chunk: bytes) -> int:
--- a/src/savorydyke/_event_order.py
+++ b/src/savorydyke/_event_order.py
@@ -1,23 +1,49 @@
 """Checks that a stream consists of its events in order, and of nothing else.
 
-An endpoint that is asked for the rest of a stream may answer with the stream from its
-begin, with a later part of it, or with the text of an error.
+An endpoint that is asked for a stream, or for the rest of one, may answer with the text
+of an error, parts of another answer, the stream from its begin or a later part of it.
+Each event has an id, a number that is greater than that of the event before.
 """
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from functools import cache
 
 EVENT_END = b"\n\n"
 MAX_EVENT_BYTES = 1_048_576
 """Largest event of a stream. A faulty endpoint may send bytes without end."""
-ID_LINE = re.compile(rb"^id:[ ]?(.*?)\r?$", re.MULTILINE)
+FIELDS = (b"id", b"data", b"event", b"retry")
+CONTROL_BYTES = rb"\x00-\x08\x0a-\x1f\x7f"
+ID_LINE = re.compile(rb"^id: ?([0-9]{1,18})$", re.MULTILINE)
+DATA_LINE = re.compile(rb"^data:", re.MULTILINE)
 NUMBER = re.compile(r"[0-9]{1,18}")
+MAX_STEPS = 16
+"""Different steps between ids from which on any step counts as usual."""
 
 
 class StrayEventError(Exception):
     """Raised when a stream contains anything but the next event."""
 
 
+@dataclass
+class EventSteps:
+    """By how much the ids of a pool's streams have risen from event to event.
+
+    The events that an answer leaves out at its begin are noticed by this only.
+    """
+
+    seen: set[int] = field(default_factory=set)
+
+    def learn(self, step: int) -> None:
+        """Record a step within one answer."""
+        if len(self.seen) <= MAX_STEPS:
+            self.seen.add(step)
+
+    def is_usual(self, step: int) -> bool:
+        """Return whether an event may follow another one by this step."""
+        return not self.seen or len(self.seen) > MAX_STEPS or step in self.seen
+
+
 @dataclass
 class EventOrder:
     """The events of one answer.
@@ -26,16 +52,25 @@
     ----------
     last_id : str
         Id of the last event, possibly of an earlier answer; empty for none.
-    has_ids : bool or None
-        Whether the stream's events have ids; None before the first one.
+    steps : EventSteps
+        The usual steps between ids.
+    has_fixed_steps : bool
+        Whether each step has to be usual, and not only that from an earlier answer.
+    more_fields : tuple of bytes
+        Names of the lines that events may have beside the usual ones.
     events : int
         Complete events of this answer.
+    stray : StrayEventError or None
+        What came after the last of them, if it was no event.
     """
 
     last_id: str = ""
-    has_ids: bool | None = None
+    steps: EventSteps = field(default_factory=EventSteps)
+    has_fixed_steps: bool = False
+    more_fields: tuple[bytes, ...] = ()
     events: int = 0
-    rest: bytearray | None = None
+    stray: StrayEventError | None = None
+    rest: bytearray = field(default_factory=bytearray)
 
     def feed(self, part: bytes) -> bytes:
         """Return the events that a part of the body completes.
@@ -43,9 +78,11 @@
         Raises
         ------
         StrayEventError
-            If one is not the event that follows.
+            If nothing but what is no event came after the events that were returned.
         """
-        rest = self.rest = bytearray() if self.rest is None else self.rest
+        if self.stray is not None:
+            raise self.stray
+        rest = self.rest
         searched = max(0, len(rest) - len(EVENT_END) + 1)
         rest += part
         end = rest.rfind(EVENT_END, searched)
@@ -55,28 +92,47 @@
             return b""
         complete = bytes(rest[: end + len(EVENT_END)])
         del rest[: end + len(EVENT_END)]
-        self._check(complete)
-        return complete
+        size = 0
+        try:
+            for event in complete.split(EVENT_END)[:-1]:
+                self._check(event)
+                self.events += 1
+                size += len(event) + len(EVENT_END)
+        except StrayEventError as error:
+            if not size:
+                raise
+            self.stray = error
+        return complete[:size]
 
     def is_within_event(self) -> bool:
         """Return whether the body has ended within an event."""
         return bool(self.rest)
 
-    def _check(self, complete: bytes) -> None:
-        for block in complete.split(EVENT_END)[:-1]:
-            ids = ID_LINE.findall(block)
-            if self.has_ids is None:
-                self.has_ids = bool(ids) or bool(self.last_id)
-            if len(ids) != (1 if self.has_ids else 0):
-                raise StrayEventError("an event without an id, or with several")
-            if ids:
-                self._check_id(ids[0].decode("latin-1").strip())
-            self.events += 1
-
-    def _check_id(self, event_id: str) -> None:
-        expected = ""
+    def _check(self, event: bytes) -> None:
+        if not _lines_pattern(self.more_fields).fullmatch(event):
+            raise StrayEventError("a line that is no field of an event")
+        ids = ID_LINE.findall(event)
+        if len(ids) != 1 or event.count(b"\nid:") + event.startswith(b"id:") != 1:
+            raise StrayEventError("an event without an id, or with several")
+        if not DATA_LINE.search(event):
+            raise StrayEventError("an event without data")
+        self._check_id(int(ids[0]))
+
+    def _check_id(self, number: int) -> None:
         if NUMBER.fullmatch(self.last_id):
-            expected = str(int(self.last_id) + 1)
-        if expected and event_id != expected:
-            raise StrayEventError(f"event {event_id[:20]!r} instead of {expected}")
-        self.last_id = event_id
+            step = number - int(self.last_id)
+            if step <= 0:
+                raise StrayEventError(f"event {number} after {self.last_id}")
+            is_checked = self.has_fixed_steps or not self.events
+            if is_checked and not self.steps.is_usual(step):
+                raise StrayEventError(f"event {number} right after {self.last_id}")
+            if self.events:
+                self.steps.learn(step)
+        self.last_id = str(number)
+
+
+@cache
+def _lines_pattern(more_fields: tuple[bytes, ...]) -> re.Pattern[bytes]:
+    """Return a pattern for the lines of one event."""
+    names = b"|".join(map(re.escape, (*FIELDS, *more_fields)))
+    return re.compile(rb"(?:(?:%s):[^%s]*(?:\n|\Z))+" % (names, CONTROL_BYTES))
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -22,6 +22,7 @@
     endpoint_head,
     forward_result,
 )
+from savorydyke._event_order import EventSteps
 from savorydyke._forward_headers import ForwardResult
 from savorydyke._grant_client import (
     FALLBACK,
@@ -142,6 +143,8 @@
         Whether the requests in progress are ended because the instance is stopping.
     scopes : set of trio.CancelScope
         Those of the requests in progress.
+    event_steps : dict of PoolId to EventSteps
+        The usual steps between the ids of events, by pool.
     incarnation : int
         Distinguishes this process from earlier ones of the same instance,
         whose requests a coordinator may still hold.
@@ -163,6 +166,7 @@
     versions: StreamVersions
     route_pools: RoutePools
     metrics: Metrics
+    event_steps: dict[PoolId, EventSteps] = field(default_factory=dict)
     refusing: bool = False
     aborting: bool = False
     scopes: set[trio.CancelScope] = field(default_factory=set)
@@ -763,6 +767,7 @@
             info,
             lambda: self._note_first_byte(request, key, endpoint.version),
             lambda: self._reserve_alternative(request),
+            self.event_steps.setdefault(request.pool, EventSteps({1})),
         )
         if isinstance(result, Done) and result.status < 500:
             is_delimited = head.is_delimited()
--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -10,7 +10,12 @@
 
 import trio
 
-from savorydyke._event_order import EVENT_END, EventOrder, StrayEventError
+from savorydyke._event_order import (
+    EVENT_END,
+    EventOrder,
+    EventSteps,
+    StrayEventError,
+)
 from savorydyke._http1 import (
     AnswerHead,
     Channel,
@@ -29,6 +34,7 @@
     SendResult,
 )
 from savorydyke.platform import (
+    EVENT_FIELDS,
     RequestInfo,
     ResponseInfo,
     refusal_headers,
@@ -61,6 +67,7 @@
     response_info: ResponseInfo,
     on_first_byte: OnFirstByte,
     reserve_alternative: ReserveAlternative,
+    steps: EventSteps,
 ) -> SendResult:
     """Relay an answer, or return why there is none.
 
@@ -86,7 +93,7 @@
     is_success = 200 <= head.status < 300
     if is_success and _is_event_stream(head):
         return await _relay_events(
-            request, channel, head, on_first_byte, reserve_alternative
+            request, channel, head, on_first_byte, reserve_alternative, steps
         )
     return await _relay_whole(
         request, channel, head, on_first_byte, reserve_alternative
@@ -190,37 +197,51 @@
     head: AnswerHead,
     on_first_byte: OnFirstByte,
     reserve_alternative: ReserveAlternative,
+    steps: EventSteps,
 ) -> SendResult:
-    """Relay complete events as they arrive."""
-    if not request.responder.started:
-        await request.responder.start(head.status, response_headers(head.headers))
+    """Relay complete events as they arrive.
+
+    The caller's answer begins with the first event. What has none is no stream, unless
+    it goes on after the last one.
+    """
     # Parts of an event are no progress, so that an endpoint that only sends some now
     # and then counts as stalled.
     is_limited = channel.has_read_timeout()
     if is_limited:
         channel.read_until = trio.current_time() + STALLED_STREAM_S
-    order = EventOrder(request.last_event_id)
+    order = EventOrder(request.last_event_id, steps, True, EVENT_FIELDS)
+    goes_on = bool(request.last_event_id)
     try:
         async for part in _body_parts(channel, reserve_alternative):
-            on_first_byte()
             complete = order.feed(part)
             if not complete:
                 continue
+            on_first_byte()
+            await _start(request, head)
             _count_events(request, complete, order)
             if is_limited:
                 channel.read_until = trio.current_time() + STALLED_STREAM_S
             await request.responder.body(complete)
+            if order.stray is not None:
+                raise order.stray
     except StrayEventError as error:
         raise ChannelBrokenError(f"not the stream: {error}") from None
     if order.is_within_event():
         raise ChannelBrokenError("the stream ended within an event")
-    if not order.events and not head.is_delimited():
+    if not order.events and not (goes_on and head.is_delimited()):
         raise ChannelBrokenError("the stream ended without an event")
+    await _start(request, head)
     await request.responder.end()
     request.result = ReleaseResult.COMPLETE
     return Done(head.status)
 
 
+async def _start(request: RoutedRequest, head: AnswerHead) -> None:
+    """Begin the caller's answer, unless an earlier endpoint's answer has."""
+    if not request.responder.started:
+        await request.responder.start(head.status, response_headers(head.headers))
+
+
 def _count_events(request: RoutedRequest, complete: bytes, order: EventOrder) -> None:
     """Count events and note the last event id, from which a stream can resume."""
     now = trio.current_time()
--- a/src/savorydyke/platform/__init__.py
+++ b/src/savorydyke/platform/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from savorydyke.platform._headers import (
+    EVENT_FIELDS,
     BadRequestHeadError,
     RequestInfo,
     ResponseInfo,
@@ -51,6 +52,7 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "EVENT_FIELDS",
     "FLEET_KEY",
     "READINESS_PATH",
     "BadRecordError",
--- a/src/savorydyke/platform/_headers.py
+++ b/src/savorydyke/platform/_headers.py
@@ -43,6 +43,9 @@
 )
 """Request headers that only this system may set; those of callers are removed."""
 
+EVENT_FIELDS = (b"x-savorydyke-weight-versions",)
+"""Lines that an event of a stream may have beside those of any event stream."""
+
 SINGLE_VALUE_HEADERS = (
     REQUEST_ID,
     DEADLINE,
