Set the targets of longer prefixes first

"A new route has the streams of the route whose paths it takes over" failed in one run beside others: two routes of the first configuration were taken for sharing streams if the shorter one came first, which the hash seed decides.

--- a/src/savorydyke/_route_pools.py
+++ b/src/savorydyke/_route_pools.py
@@ -49,7 +49,8 @@
             if route.streaming
         }
         self._drop_old(now)
-        for key in {*targets, *self._present()}:
+        # Of two new routes the longer one has not taken over paths of the shorter one.
+        for key in sorted({*targets, *self._present()}, key=lambda k: -len(k[1])):
             self._set_targets(key, targets.get(key, set()), now)
         self.version = configuration.version
 
