Let the ids of events rise by more than one

Cause: the order of events was checked by the next number.

Change: within one answer each id has to be greater than the one before. The begin of a rest is where events can be missing, which a greater id does not show; it has to follow by a step that streams of the pool have had within answers, if any is known. The product's own engines count by one, and each step is checked there as before.

Test: "streams whose ids increase by more than one are relayed and go on", regular and irregular steps, whole and broken off after one and after three events; it failed before.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -371,6 +371,7 @@
       | an answer that begins with an id that is no number is not relayed         |
       | an answer that begins with another answer's head is not relayed           |
       | an answer that begins with nothing is not relayed                         |
+      | streams whose ids increase by more than one are relayed and go on         |
 
   Scenario Outline: An earlier build beside the present one
     Then the routed case "<case>" holds
--- a/features/steps/spoilt_stream_cases.py
+++ b/features/steps/spoilt_stream_cases.py
@@ -204,3 +204,31 @@
                 assert answer.status == 502, (spoilt, answer)
                 answer = await ask(site, endpoints, "/digest/1", spoilt)
                 assert answer.body == WHOLE and answer.complete, (spoilt, answer)
+
+
+@case("streams whose ids increase by more than one are relayed and go on")
+async def _(site):
+    def stepping(steps, breaks_after=None):
+        numbers = [sum(steps[: n + 1]) for n in range(len(steps))]
+
+        async def script(exchange):
+            last = int(exchange.request.headers.get(b"last-event-id", b"0"))
+            await exchange.send(exchange.response_head(200, EVENT_STREAM, CHUNKED))
+            for place, number in enumerate(numbers):
+                if number > last:
+                    await exchange.send(chunk(event(number)))
+                if place == breaks_after and not last:
+                    await trio.sleep(0.02)
+                    exchange.reset()
+                    return
+            await exchange.send(b"0\r\n\r\n")
+
+        return script, b"".join(event(number) for number in numbers)
+
+    endpoints = await start(site)
+    for steps in ([6] * 5, [6, 6, 1, 3, 8], [5, 1, 1, 1, 1]):
+        for breaks_after in (None, 0, 2):
+            script, whole = stepping(steps, breaks_after)
+            endpoints.scripts = [script] * 2
+            answer = await site.ask("/digest/1")
+            assert answer.body == whole and answer.complete, (steps, breaks_after)
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -767,7 +767,7 @@
             info,
             lambda: self._note_first_byte(request, key, endpoint.version),
             lambda: self._reserve_alternative(request),
-            self.event_steps.setdefault(request.pool, EventSteps({1})),
+            self.event_steps.setdefault(request.pool, EventSteps()),
         )
         if isinstance(result, Done) and result.status < 500:
             is_delimited = head.is_delimited()
--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -209,7 +209,7 @@
     is_limited = channel.has_read_timeout()
     if is_limited:
         channel.read_until = trio.current_time() + STALLED_STREAM_S
-    order = EventOrder(request.last_event_id, steps, True, EVENT_FIELDS)
+    order = EventOrder(request.last_event_id, steps, more_fields=EVENT_FIELDS)
     goes_on = bool(request.last_event_id)
     try:
         async for part in _body_parts(channel, reserve_alternative):
