Take no lines of a body for lines of a head

Report of other operators: an endpoint stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body.

With a body after the cut, a stream lost its first event: its lines and its blank line, which end with bare line feeds, completed the head. The caller got a 200 that began with the second event, framed as whole, with the first one as headers ("id: 1").

Cause: h11 accepts a bare line feed for the end of a line.

Change: an answer whose head has one counts as broken. What has been received up to the end of the head is kept until then.

Ruled out: the end of a connection as the end of a head; h11 raises.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -373,6 +373,16 @@
       | an answer that begins with nothing is not relayed                         |
       | streams whose ids increase by more than one are relayed and go on         |
 
+  Scenario Outline: Endpoints that end within a head
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                      |
+      | an answer whose head is cut anywhere is not relayed                       |
+      | an answer whose head is cut is not completed by its body                  |
+      | an answer whose head is cut is not relayed by another instance            |
+      | an answer whose head is cut is lost on the product's own interface        |
+
   Scenario Outline: An earlier build beside the present one
     Then the routed case "<case>" holds
 
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -7,6 +7,7 @@
 """
 
 import math
+import re
 import select
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
@@ -27,6 +28,7 @@
 how many keep-alive probes are sent, whatever their count is set to."""
 MAX_HEAD_BYTES = 65536
 """Largest head of an answer that is accepted."""
+BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
 MAX_INTERIM_ANSWERS = 8
 """Interim answers (status 1xx) that may precede an answer."""
 
@@ -124,6 +126,8 @@
     read_until : float
         Time at which reading raises `ChannelTimeoutError`, on the monotonic clock.
         Bytes that arrive do not extend it; the caller does when it sees progress.
+    head : bytearray
+        What was received until the head of the answer was complete.
     """
 
     stream: trio.SocketStream
@@ -133,6 +137,7 @@
         )
     )
     read_until: float = math.inf
+    head: bytearray = field(default_factory=bytearray)
 
     async def send(
         self, request: OutgoingRequest, nursery: trio.Nursery | None
@@ -197,11 +202,28 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
+                self._check_head()
                 headers = list(event.headers.raw_items())
                 return AnswerHead(event.status_code, headers, _length(event.headers))
             raise ChannelBrokenError(f"no answer but {type(event).__name__}")
         raise ChannelBrokenError(f"more than {MAX_INTERIM_ANSWERS} interim answers")
 
+    def _check_head(self) -> None:
+        """Check that no part of a body was read as one of the head.
+
+        After a head that was cut, events and other lines of a body look like headers.
+        Those end with a bare line feed, which h11 accepts.
+
+        Raises
+        ------
+        ChannelBrokenError
+            If a line of the head ends so.
+        """
+        head = self.head[: len(self.head) - len(self.connection.trailing_data[0])]
+        if BARE_LINE_FEED.search(head):
+            raise ChannelBrokenError("not an answer: a line feed within the head")
+        self.head.clear()
+
     async def read_body(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive.
 
@@ -224,7 +246,10 @@
             while True:
                 event = self.connection.next_event()
                 if event is h11.NEED_DATA:
-                    self.connection.receive_data(await self._receive())
+                    data = await self._receive()
+                    if self.connection.their_state is h11.SEND_RESPONSE:
+                        self.head += data
+                    self.connection.receive_data(data)
                     continue
                 if isinstance(event, h11.Event):
                     return event
