Conclude a stream's version from endpoints as of its request only

Cause: a stream that is not known was taken for one of the only version in a list of endpoints that could be 1.5 s old. A version can join, begin the stream and lose it in less. The frontend also told its conclusion to the coordinator as if it knew, which did know the stream.

Who draws the conclusion asks the store once more, by a watch that does not wait; the changes that this brings are applied by the watch in their order. Frontends leave the conclusion to the coordinator, and draw it only without one. Versions that come and go between two answers of a watch count (they were missed), so that only listings make a gap.

Cost: one call of the store for each take-up of a stream that is not known.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -109,6 +109,7 @@
       | a stream that nobody knows does not go on soon after a start |
       | a version whose endpoints have left counts as long as a stream may be taken up |
       | versions that came and went while the store was away are not ruled out |
+      | versions that came and went are known from the history of the store |
       | what an instance keeps about streams is bounded in number and in time |
       | a request for one version is granted endpoints of that version only |
       | a frontend without its coordinator lets no stream go on at another version |
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -238,6 +238,16 @@
       | streams of the only version go on after a restart of all instances       |
       | streams of a version that has just left do not go on after a restart of all |
 
+  Scenario Outline: Software versions that join unseen
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                               |
+      | a stream of a version that joins unseen goes on there if its coordinator knows     |
+      | a stream of a version that joins unseen does not go on elsewhere without links     |
+      | a stream of a version that joins while instances stand still is not mixed          |
+      | a stream of the only version goes on at an instance that has not seen it           |
+
   Scenario Outline: Streams on split routes
     Then the routed case "<case>" holds
 
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -104,7 +104,6 @@
     KEPT_S,
     MAX_GAP_S,
     MAX_STREAMS,
-    MAX_VIEW_AGE_S,
     StreamVersions,
 )
 from savorydyke._tier_shares import TierShares
@@ -1416,6 +1415,7 @@
             None,
             None,
             None,
+            None,
             incarnation=incarnation,
         )
         for number in range(3):
@@ -2165,9 +2165,10 @@
     versions = StreamVersions()
     asked = start
     while asked <= now:
-        versions.observe_view(asked)
         if asked == start:
+            versions.observe_listing(asked)
             versions.observe_endpoints(manifest, asked)
+        versions.observe_view(asked)
         asked += 1.0
     return versions
 
@@ -2177,16 +2178,18 @@
     manifest = manifest_of(a="v1", b="v1")
     now = KEPT_S + 1.0
     versions = versions_known_since(manifest, 0.0, now)
-    assert versions.version_of("crew/r1", POOL, now, True) == "v1"
-    # The list of endpoints is too old, as at an instance that is cut off.
-    late = now + MAX_VIEW_AGE_S + 0.1
-    assert versions.version_of("crew/r1", POOL, late, True) == UNKNOWN_VERSION
+    assert versions.only_version(POOL, now, now) == "v1"
+    # The stream was asked for after the list, in which a version may be missing.
+    assert versions.only_version(POOL, now + 0.1, now + 0.1) == UNKNOWN_VERSION
+    versions.observe_view(now + 0.1)
+    assert versions.only_version(POOL, now + 0.2, now + 0.1) == "v1"
 
 
 @case("a stream that nobody knows does not go on soon after a start")
 def _():
     versions = versions_known_since(manifest_of(a="v1"), 0.0, KEPT_S - 1.0)
-    assert versions.version_of("crew/r1", POOL, KEPT_S - 1.0, True) == UNKNOWN_VERSION
+    now = KEPT_S - 1.0
+    assert versions.only_version(POOL, now, now) == UNKNOWN_VERSION
 
 
 @case("a version whose endpoints have left counts as long as a stream may be taken up")
@@ -2194,21 +2197,37 @@
     now = KEPT_S + 1.0
     versions = versions_known_since(manifest_of(a="v1", b="v2"), 0.0, now)
     versions.observe_endpoints(manifest_of(b="v2"), now)
-    assert versions.version_of("crew/r1", POOL, now, True) == UNKNOWN_VERSION
+    assert versions.only_version(POOL, now, now) == UNKNOWN_VERSION
     asked = now
     while asked < now + KEPT_S + 1.0:
         asked += 1.0
         versions.observe_view(asked)
-    assert versions.version_of("crew/r1", POOL, asked, True) == "v2"
+    assert versions.only_version(POOL, asked, asked) == "v2"
 
 
 @case("versions that came and went while the store was away are not ruled out")
 def _():
     now = KEPT_S + 1.0
     versions = versions_known_since(manifest_of(a="v1"), 0.0, now)
-    versions.observe_view(now + MAX_GAP_S + 1.0)
-    after = now + MAX_GAP_S + 1.1
-    assert versions.version_of("crew/r1", POOL, after, True) == UNKNOWN_VERSION
+    after = now + MAX_GAP_S + 1.0
+    versions.observe_listing(after)
+    versions.observe_view(after)
+    assert versions.only_version(POOL, after, after) == UNKNOWN_VERSION
+
+
+@case("versions that came and went are known from the history of the store")
+def _():
+    now = KEPT_S + 1.0
+    versions = versions_known_since(manifest_of(a="v1"), 0.0, now)
+    # One answer brings an endpoint's record and its removal, after a long time.
+    after = now + MAX_GAP_S + 1.0
+    versions.observe_record(POOL, "v2", after)
+    versions.observe_endpoints(manifest_of(a="v1"), after)
+    versions.observe_view(after)
+    assert versions.only_version(POOL, after, after) == UNKNOWN_VERSION
+    later = after + KEPT_S + 0.1
+    versions.observe_view(later)
+    assert versions.only_version(POOL, later, later) == "v1"
 
 
 @case("what an instance keeps about streams is bounded in number and in time")
--- a/features/steps/route_pool_decisions.py
+++ b/features/steps/route_pool_decisions.py
@@ -74,8 +74,8 @@
 def _():
     versions = StreamVersions()
     versions.receive_stored(PoolId("a"), ["crew/r1"], "v1", 10.0)
-    assert versions.version_of("crew/r1", PoolId("a"), 11.0, False) == "v1"
-    assert not versions.version_of("crew/r1", PoolId("b"), 11.0, False)
+    assert versions.known_version("crew/r1", PoolId("a"), 11.0) == "v1"
+    assert not versions.known_version("crew/r1", PoolId("b"), 11.0)
     assert versions.pool_of("crew/r1", [PoolId("b"), PoolId("a")], 11.0) == "a"
     assert versions.pool_of("crew/r1", [PoolId("b")], 11.0) is None
 
--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -9,6 +9,7 @@
 confirmed until the changes that it lacks have been written again.
 """
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -38,7 +39,7 @@
 from savorydyke._routes import PUBLIC_TEAM, RoutedConfiguration, RoutedTeam
 from savorydyke._store_contact import StoreContact
 from savorydyke._store_restores import GENERATION_KEY, StoreRestores, read_generation
-from savorydyke._timing import SHORT_PAUSE_S, WATCH_WAIT_S
+from savorydyke._timing import SHORT_PAUSE_S, VIEW_WAIT_S, WATCH_WAIT_S
 from savorydyke._untrusted import MAX_SHOWN, shown
 from savorydyke.platform import (
     CONFIGURATION_KEY,
@@ -46,6 +47,7 @@
     BadRecordError,
     Change,
     Changes,
+    Compacted,
     EndpointRecord,
     InstanceRecord,
     Listing,
@@ -124,6 +126,15 @@
         Endpoints removed recently.
     restores : StoreRestores
         Whether the store may lack changes that it acknowledged before a restore.
+    revision : int
+        Revision of the store up to which changes are applied, 0 before a listing.
+    viewed : float
+        Up to when all changes of endpoints are known, on a clock that counts
+        suspension.
+    view_wanted : float
+        Up to when they are to be known.
+    wanted, applied : trio.Event
+        Set when a view is requested, and when changes have been applied.
     stored_version : int
         Highest version of the configuration that the store has held since it was
         last restored, 0 for none.
@@ -137,6 +148,10 @@
     view_listeners : list of callable
         Called with the time at which the store was asked, on a clock that counts
         suspension, when all changes up to then have been applied.
+    listing_listeners : list of callable
+        Called with such a time when endpoints were listed without their history.
+    record_listeners : list of callable
+        Called with each record of an endpoint.
     evidence_listeners : list of callable
         Called with an instance and the evidence that it has written.
     version_listeners, stream_listeners : list of callable
@@ -158,12 +173,21 @@
     written_after: dict[EndpointId, float] = field(default_factory=dict)
     suspects: dict[EndpointId, float] = field(default_factory=dict)
     removed: dict[EndpointId, RemovedEndpoint] = field(default_factory=dict)
+    revision: int = 0
+    viewed: float = -math.inf
+    view_wanted: float = -math.inf
+    wanted: trio.Event = field(default_factory=trio.Event)
+    applied: trio.Event = field(default_factory=trio.Event)
     stored_version: int = 0
     fleet_key: bytes = b""
     watch_pause_s: float = SHORT_PAUSE_S
     listeners: list[Callable[[Manifest], None]] = field(default_factory=list)
     restart_listeners: list[Callable[[EndpointId], None]] = field(default_factory=list)
     view_listeners: list[Callable[[float], None]] = field(default_factory=list)
+    listing_listeners: list[Callable[[float], None]] = field(default_factory=list)
+    record_listeners: list[Callable[[EndpointRecord], None]] = field(
+        default_factory=list
+    )
     evidence_listeners: list[Callable[[InstanceId, bytes], None]] = field(
         default_factory=list
     )
@@ -183,20 +207,20 @@
 
     async def watch_store(self) -> None:
         """Keep this view up to date until cancelled."""
-        revision = 0
         failures = 0
         while True:
             sent, sent_at = boot_time(), trio.current_time()
             try:
-                if revision == 0:
-                    revision = await self._read_all(sent)
+                if self.revision == 0:
+                    self.revision = await self._read_all(sent)
                 else:
                     # The store may cut a watch that waits. It answers one that does
                     # not, so that a failure is followed by such a one.
                     wait_s = 0.0 if failures else WATCH_WAIT_S
-                    revision = await self._watch(revision, sent, wait_s)
+                    self.revision = await self._watch(self.revision, sent, wait_s)
                 failures = 0
-                if revision:
+                self._wake_confirmations()
+                if self.revision:
                     await self._pause()
             except StoreError as error:
                 failures += 1
@@ -232,6 +256,8 @@
             del self.instances[instance]
         self._confirm(sent)
         self.loaded = True
+        for listener in self.listing_listeners:
+            listener(sent)
         self._publish()
         self._notify_viewed(sent)
         log.info(
@@ -296,7 +322,76 @@
         self._notify_viewed(sent)
         return max(revision, changes.revision)
 
+    # Views as of a certain time
+
+    def request_view(self, asked: float) -> None:
+        """Let all changes of endpoints up to a time be known here soon.
+
+        Parameters
+        ----------
+        asked : float
+            A time that has passed, on a clock that counts suspension.
+        """
+        self.view_wanted = max(self.view_wanted, asked)
+        self.wanted.set()
+
+    async def confirm_views(self) -> None:
+        """Ask the store at once for what was requested, until cancelled."""
+        while True:
+            await self.wanted.wait()
+            self.wanted = trio.Event()
+            while self.viewed < self.view_wanted:
+                if boot_time() - self.view_wanted > VIEW_WAIT_S:
+                    break
+                try:
+                    await self._confirm_view()
+                except StoreError as error:
+                    log.info("View not confirmed.", extra={"error": str(error)})
+                    await trio.sleep(RETRY_BASE_S)
+
+    async def _confirm_view(self) -> None:
+        """Find out whether endpoints have changed since the latest answer.
+
+        Changes are applied by the watch only, in their order.
+        """
+        sent, revision = boot_time(), self.revision
+        if revision:
+            changes = await self.store.watch("", revision, 0.0)
+            if revision == self.revision and not self._changes_any_endpoint(changes):
+                self._notify_viewed(sent)
+                return
+        with trio.move_on_after(RETRY_BASE_S):
+            await self.applied.wait()
+
+    def _changes_any_endpoint(self, changes: Changes | Compacted) -> bool:
+        """Return whether changes that are not applied yet concern endpoints."""
+        if not isinstance(changes, Changes):
+            return True
+        if self.restores.generation != self.store.generation:
+            return True
+        return any(map(self._changes_endpoint, changes.changes))
+
+    def _changes_endpoint(self, change: Change) -> bool:
+        """Return whether a change is of an endpoint, and more than a heartbeat."""
+        endpoint = endpoint_of_key(change.key)
+        if endpoint is None:
+            return False
+        known = self.endpoints.get(endpoint)
+        if known is None or change.value is None:
+            return True
+        try:
+            return not _same_endpoint(known, read_endpoint(endpoint, change.value))
+        except BadRecordError:
+            # `_apply_endpoint` reports it.
+            return True
+
+    def _wake_confirmations(self) -> None:
+        """Let a confirmation that waits for changes look again."""
+        self.applied.set()
+        self.applied = trio.Event()
+
     def _notify_viewed(self, sent: float) -> None:
+        self.viewed = max(self.viewed, sent)
         for listener in self.view_listeners:
             listener(sent)
 
@@ -389,10 +484,8 @@
             log.warning("Endpoint record unreadable.", extra=extra)
             self._remove_endpoint(endpoint, "entry unreadable")
             return
-        self.suspects.pop(endpoint, None)
         known = self.endpoints.get(endpoint)
-        if record != known:
-            self.written_after[endpoint] = self.contact.answered_before
+        self._note_written(record, known)
         if known is not None and known.started_ms > record.started_ms:
             return
         if self._is_other_process(record):
@@ -414,6 +507,16 @@
             self.is_manifest_outdated = True
         self.endpoints[endpoint] = record
 
+    def _note_written(
+        self, record: EndpointRecord, known: EndpointRecord | None
+    ) -> None:
+        """Record that an endpoint has written its record, also an outdated one."""
+        for listener in self.record_listeners:
+            listener(record)
+        self.suspects.pop(record.id, None)
+        if record != known:
+            self.written_after[record.id] = self.contact.answered_before
+
     def _is_other_process(self, record: EndpointRecord) -> bool:
         """Return whether another process had the id of a record before."""
         before = self.endpoints.get(record.id)
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -26,6 +26,7 @@
     InstanceId,
     PoolId,
     Revision,
+    SoftwareVersion,
     SuspectId,
     TeamId,
     is_digest,
@@ -471,6 +472,15 @@
             self.quota_reports.follow(pool)
         self.grant_client.follow_coordinators()
 
+    def _version_of(self, demand: Demand) -> SoftwareVersion:
+        """Return the version that began a request's stream, as far as is known here."""
+        versions, now = self.pool_host.versions, boot_time()
+        version = versions.known_version(demand.stream, demand.pool, now)
+        if version or not demand.is_pool_certain:
+            return version
+        self.directory.request_view(demand.asked)
+        return versions.only_version(demand.pool, now, demand.asked)
+
     def place_fallback(
         self, demand: Demand, avoid: tuple[EndpointId, ...]
     ) -> EndpointId | None:
@@ -486,10 +496,7 @@
         if manifest is None or self.quarantine.held.intersection(demand.suspects):
             return None
         if demand.has_begun and not demand.version:
-            versions = self.pool_host.versions
-            version = versions.version_of(
-                demand.stream, demand.pool, boot_time(), demand.is_pool_certain
-            )
+            version = self._version_of(demand)
             if not version:
                 return None
             demand = replace(demand, version=version)
@@ -561,6 +568,7 @@
         cancel_orphan=lambda endpoint, item: None,
         orphan_grace_s=0.5,
         rng=rng,
+        request_view=directory.request_view,
         endpoints_report=False,
         configure_scheduler=lambda scheduler: _configure_scheduler(gateway, scheduler),
         on_takeover=lambda scheduler: _on_takeover(gateway, scheduler),
@@ -658,6 +666,13 @@
     )
     directory.listeners.append(lambda manifest: _observe_routes(gateway))
     directory.view_listeners.append(pool_host.versions.observe_view)
+    directory.view_listeners.append(lambda sent: pool_host.resolve_streams())
+    directory.listing_listeners.append(pool_host.versions.observe_listing)
+    directory.record_listeners.append(
+        lambda record: pool_host.versions.observe_record(
+            record.pool, record.version, boot_time()
+        )
+    )
     directory.listeners.append(lambda manifest: _update_quota_limits(gateway))
     directory.listeners.append(lambda manifest: gateway.follow_coordinators())
     return gateway
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -105,6 +105,7 @@
         nursery.start_soon(_listen, settings.callers, ingress)
         nursery.start_soon(gateway.timers.run)
         nursery.start_soon(gateway.directory.watch_store)
+        nursery.start_soon(gateway.directory.confirm_views)
         nursery.start_soon(_join, gateway, forwarded)
         log.info("Started.", extra={"callers": settings.callers})
         gc.freeze()
--- a/src/savorydyke/_grant_client.py
+++ b/src/savorydyke/_grant_client.py
@@ -88,6 +88,8 @@
         has begun, for the one that the coordinator knows.
     is_pool_certain : bool
         Whether the stream, if it has begun, began in this pool.
+    asked : float
+        When the request came, on a clock that counts suspension.
     """
 
     key: RequestKey
@@ -111,6 +113,7 @@
     has_begun: bool = False
     version: SoftwareVersion = UNKNOWN_VERSION
     is_pool_certain: bool = True
+    asked: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -25,6 +25,7 @@
     Reason,
     ReleaseResult,
     RequestKey,
+    SoftwareVersion,
 )
 from savorydyke._manifest import Manifest
 from savorydyke._membership import Membership
@@ -45,6 +46,7 @@
 from savorydyke._route_pools import RoutePools
 from savorydyke._stream_versions import UNKNOWN_DETAIL, StreamVersions
 from savorydyke._timers import TimerService
+from savorydyke._timing import VIEW_WAIT_S
 
 TICK_S = 0.1
 REGISTRATION_TIMEOUT_S = 1.5
@@ -76,6 +78,21 @@
     message: Acquire
 
 
+@dataclass(frozen=True)
+class Unresolved:
+    """A request whose stream is not known yet.
+
+    Attributes
+    ----------
+    asked : float
+        When it came, on a clock that counts suspension.
+    """
+
+    sender: InstanceId
+    message: Acquire
+    asked: float
+
+
 @dataclass
 class HostedPool:
     """A scheduler with the state of its hosting.
@@ -89,9 +106,8 @@
     is_coordinator : bool
         Whether this instance was the coordinator at the latest tick. Frontends
         that learn of the change sooner send requests here before that.
-    unresolved : list of tuple
-        Requests, with their frontends, whose streams are not known before all
-        frontends have registered.
+    unresolved : list of Unresolved
+        Requests whose streams are not known yet.
     deferred : dict of RequestKey to Deferred
         Requests that wait for their quotas to be known.
     """
@@ -102,7 +118,7 @@
     unreported: set[EndpointId]
     used: float
     is_coordinator: bool = False
-    unresolved: list[tuple[InstanceId, Acquire]] = field(default_factory=list)
+    unresolved: list[Unresolved] = field(default_factory=list)
     deferred: dict[RequestKey, Deferred] = field(default_factory=dict)
 
     def is_complete(self) -> bool:
@@ -135,6 +151,8 @@
         At which software versions streams began.
     route_pools : RoutePools
         Which pools may have begun the streams of each route.
+    request_view : callable
+        Lets all changes of endpoints up to a time be known here soon.
     has_reached_most : bool
         Whether this instance has been linked to most of those listed since its start.
     reporting : set of InstanceId
@@ -160,6 +178,7 @@
     rejections: RequestLimits = field(default_factory=RequestLimits)
     versions: StreamVersions = field(default_factory=StreamVersions)
     route_pools: RoutePools = field(default_factory=RoutePools)
+    request_view: Callable[[float], None] = field(default=lambda asked: None)
     hosted: dict[PoolId, HostedPool] = field(default_factory=dict)
     has_reached_most: bool = False
     reporting: set[InstanceId] = field(default_factory=set)
@@ -215,8 +234,15 @@
         message: Acquire,
         now: float,
         since: float | None = None,
+        asked: float | None = None,
     ) -> None:
-        """Process a request, which has waited for its quota since a time."""
+        """Process a request, which has waited for its quota since a time.
+
+        Parameters
+        ----------
+        asked : float or None
+            When it came, on a clock that counts suspension; None for now.
+        """
         hosted = self._host(message.pool, now)
         if hosted is None:
             reason = Reason.NO_CONFIGURATION
@@ -226,13 +252,10 @@
             return
         hosted.used = now
         if message.stream and not message.version:
-            now_with_suspension = boot_time()
-            is_shared = self.route_pools.is_shared(message.pool, now_with_suspension)
-            version = self.versions.version_of(
-                message.stream, message.pool, now_with_suspension, not is_shared
-            )
+            asked = boot_time() if asked is None else asked
+            version = self._version_of(message, asked)
             if not version:
-                self._defer_unknown(hosted, sender, message)
+                self._defer_unknown(hosted, Unresolved(sender, message, asked))
                 return
             message = replace(message, version=version)
         decisions = hosted.scheduler.acquire(message, sender, now)
@@ -280,12 +303,30 @@
             )
             self._acquire(deferred.sender, again, now, deferred.since)
 
-    def _defer_unknown(
-        self, hosted: HostedPool, sender: InstanceId, message: Acquire
-    ) -> None:
-        """Refuse a stream that is not known, once all frontends have registered."""
-        if not hosted.scheduler.grants_enabled:
-            hosted.unresolved.append((sender, message))
+    def _version_of(self, message: Acquire, asked: float) -> SoftwareVersion:
+        """Return the version that began a stream, empty if it is not known."""
+        now, pool = boot_time(), message.pool
+        version = self.versions.known_version(message.stream, pool, now)
+        if version or self.route_pools.is_shared(pool, now):
+            return version
+        return self.versions.only_version(pool, now, asked)
+
+    def _defer_unknown(self, hosted: HostedPool, unresolved: Unresolved) -> None:
+        """Refuse a stream, unless it may become known soon.
+
+        A frontend that has not registered may know it, and the list of endpoints, once
+        it is as late as the request, may show that there is one version only.
+        """
+        sender, message = unresolved.sender, unresolved.message
+        now, asked = boot_time(), unresolved.asked
+        may_be_only = self.versions.viewed < asked and not self.route_pools.is_shared(
+            message.pool, now
+        )
+        if may_be_only:
+            self.request_view(asked)
+        is_waiting = may_be_only and now - asked <= VIEW_WAIT_S
+        if is_waiting or not hosted.scheduler.grants_enabled:
+            hosted.unresolved.append(unresolved)
             self.answer(sender, Queued(message.key, message.attempt))
             return
         reason, retry_ms = Reason.UNKNOWN_STREAM, UNKNOWN_STREAM_RETRY_MS
@@ -398,11 +439,20 @@
         if hosted.scheduler.grants_enabled:
             return
         hosted.scheduler.grants_enabled = True
-        unresolved, hosted.unresolved = hosted.unresolved, []
-        for sender, message in unresolved:
-            self._acquire(sender, message, now)
+        self._resolve_streams(hosted, now)
         self._send(hosted.scheduler, hosted.scheduler.grant_waiting(now))
 
+    def resolve_streams(self) -> None:
+        """Process requests again whose streams may be known now."""
+        now = trio.current_time()
+        for hosted in list(self.hosted.values()):
+            self._resolve_streams(hosted, now)
+
+    def _resolve_streams(self, hosted: HostedPool, now: float) -> None:
+        unresolved, hosted.unresolved = hosted.unresolved, []
+        for item in unresolved:
+            self._acquire(item.sender, item.message, now, asked=item.asked)
+
     def set_share(self, scheduler: PoolScheduler) -> None:
         """Limit what a scheduler may use while another coordinator may exist."""
         share = self.membership.share(trio.current_time())
@@ -525,6 +575,7 @@
         scheduler = hosted.scheduler
         if now >= hosted.registration_deadline or hosted.is_complete():
             self._enable_grants(hosted, now)
+        self._resolve_streams(hosted, now)
         self.set_share(scheduler)
         is_coordinator = self.membership.is_coordinator(pool)
         if is_coordinator and not hosted.is_coordinator:
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -259,6 +259,7 @@
             pool=pools[0],
             other_pools=pools[1:],
             is_pool_certain=is_certain,
+            asked=boot_time(),
             expires=incoming.arrived + timeout_s,
             quota_tokens=_quota_tokens(configuration, team, request_info),
             config_version=configuration.version,
@@ -501,6 +502,7 @@
             has_begun=request.has_begun(),
             version=self._required_version(request),
             is_pool_certain=request.is_pool_certain,
+            asked=request.asked,
         )
 
     def new_key(self, request_id: str) -> RequestKey:
@@ -512,15 +514,14 @@
     def _required_version(self, request: RoutedRequest) -> SoftwareVersion:
         """Return the version that the next endpoint must have, empty for any one.
 
-        It is also empty if the stream is taken up and not known here.
+        It is also empty if the stream is taken up and not known here. Its coordinator
+        may know it, so that nothing is concluded from the versions of its pool.
         """
         if not request.has_begun():
             return UNKNOWN_VERSION
         if request.version:
             return request.version
-        return self.versions.version_of(
-            request.stream, request.pool, boot_time(), request.is_pool_certain
-        )
+        return self.versions.known_version(request.stream, request.pool, boot_time())
 
     # Sending
 
--- a/src/savorydyke/_routed_request.py
+++ b/src/savorydyke/_routed_request.py
@@ -93,6 +93,8 @@
         is known.
     is_pool_certain : bool
         Whether its stream, if it has begun, can have begun in no other pool.
+    asked : float
+        When it was accepted, on a clock that counts suspension.
     stream : RequestKey
         The caller's attempt with which its stream began; empty if the route has none.
     version : SoftwareVersion
@@ -129,6 +131,7 @@
     digest: SuspectId
     other_pools: tuple[PoolId, ...] = ()
     is_pool_certain: bool = True
+    asked: float = 0.0
     parts: tuple[SuspectId, ...] = ()
     avoid: list[EndpointId] = field(default_factory=list)
     sent_to: list[EndpointId] = field(default_factory=list)
--- a/src/savorydyke/_stream_versions.py
+++ b/src/savorydyke/_stream_versions.py
@@ -20,10 +20,9 @@
 KEPT_S = 30.0
 """Time after its first event in which a caller may take up a stream."""
 MAX_STREAMS = 20_000
-MAX_VIEW_AGE_S = 1.5
-"""Age of the list of endpoints above which another version may have come."""
-MAX_GAP_S = 5.0
-"""Time without the list in which a version may have come and gone."""
+MAX_GAP_S = 1.5
+"""Time before a list of endpoints in which a version may have come and gone, if what
+happened since the list before is not known."""
 POOL_MARK = "//"
 """Ends the entry that names the pool of the streams in a message. No stream's key ends
 so, since ids are not empty."""
@@ -61,7 +60,7 @@
     listed : dict of PoolId to set of SoftwareVersion
         The versions of the endpoints that are listed now.
     viewed : float
-        When the latest list of endpoints was asked for.
+        Up to when all changes of endpoints are known.
     complete_since : float
         Since when no version of a pool can have been missed.
     coordinated : dict of PoolId to deque
@@ -150,20 +149,12 @@
                 return
             del self.streams[key]
 
-    def version_of(
-        self, stream: RequestKey, pool: PoolId, now: float, is_pool_certain: bool
+    def known_version(
+        self, stream: RequestKey, pool: PoolId, now: float
     ) -> SoftwareVersion:
-        """Return the version that began a stream, `UNKNOWN_VERSION` if not known.
-
-        Parameters
-        ----------
-        is_pool_certain : bool
-            Whether the stream began in `pool` if it is not known.
-        """
+        """Return the version that began a stream, if the stream itself is known."""
         begun = self._begun(stream, pool, now)
-        if begun is not None:
-            return begun.version
-        return self.only_version(pool, now) if is_pool_certain else UNKNOWN_VERSION
+        return begun.version if begun is not None else UNKNOWN_VERSION
 
     def pool_of(
         self, stream: RequestKey, pools: Iterable[PoolId], now: float
@@ -181,10 +172,19 @@
     # Versions of a pool
 
     def observe_view(self, asked: float) -> None:
-        """Record that the list of endpoints is as of `asked` or later."""
+        """Record that all changes of endpoints up to `asked` are known."""
+        self.viewed = max(self.viewed, asked)
+
+    def observe_listing(self, asked: float) -> None:
+        """Record that endpoints were listed without what happened before."""
         if asked - self.viewed > MAX_GAP_S:
             self.complete_since = asked
-        self.viewed = max(self.viewed, asked)
+
+    def observe_record(
+        self, pool: PoolId, version: SoftwareVersion, now: float
+    ) -> None:
+        """Record the version of an endpoint, which may be gone at the next list."""
+        self.last_seen[pool][version] = now
 
     def observe_endpoints(self, manifest: Manifest, now: float) -> None:
         """Record the versions of the endpoints that are now listed."""
@@ -195,13 +195,19 @@
                 self.last_seen[pool][version] = now
         self.listed = listed
 
-    def only_version(self, pool: PoolId, now: float) -> SoftwareVersion:
+    def only_version(self, pool: PoolId, now: float, asked: float) -> SoftwareVersion:
         """Return the only version that can have begun a stream of a pool.
 
-        `UNKNOWN_VERSION` is returned if there may have been several, also if the list
-        of endpoints is too old or has not been known for long enough.
+        `UNKNOWN_VERSION` is returned if there may have been several, also if the
+        endpoints have not been known for long enough.
+
+        Parameters
+        ----------
+        asked : float
+            When the stream was asked for. An endpoint that began it was listed by
+            then, and an instance that has not seen it may not guess.
         """
-        if now - self.viewed > MAX_VIEW_AGE_S:
+        if self.viewed < asked:
             return UNKNOWN_VERSION
         if now - self.complete_since < KEPT_S and pool not in self.stored:
             return UNKNOWN_VERSION
--- a/src/savorydyke/_timing.py
+++ b/src/savorydyke/_timing.py
@@ -9,6 +9,8 @@
 
 WATCH_WAIT_S = 0.5
 """Longest wait of one watch."""
+VIEW_WAIT_S = 1.2
+"""Time for which a late view of the store is asked for: a pause, two watches."""
 SHORT_PAUSE_S = 0.4
 """Pause between the watches of a small fleet. It batches the heartbeats of endpoints,
 each of which would end a watch."""
