Give requests back that a stop would cut

Shown in part, by requests at every tenth of the grace with work of 0.05 to 9 s, on new and kept connections ("Requests during a planned stop"). Not shown: no request that came after the first 2.6 s was passed on, none ended without an answer, and an instance that stops sends none for others.

Cause: what is taken after the signal was not compared with what is left of the grace.

Change: from the signal on a request that may run once is refused as not run if its own limit is after the end of the requests in progress. After the notice the same holds for what waits for a grant, which is given back then. Streams that may go on elsewhere are taken during the notice as before.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -393,6 +393,15 @@
       | an answer whose head is cut is not relayed by another instance            |
       | an answer whose head is cut is lost on the product's own interface        |
 
+  Scenario Outline: Requests during a planned stop
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                      |
+      | requests that come during a stop are finished or given back untouched     |
+      | requests that wait during a stop are finished or given back untouched     |
+      | requests that are sent for others during a stop are finished or given back |
+
   Scenario Outline: An earlier build beside the present one
     Then the routed case "<case>" holds
 
--- a/features/steps/routed_steps.py
+++ b/features/steps/routed_steps.py
@@ -7,6 +7,7 @@
 import joining_version_cases  # noqa: F401  Registers its cases.
 import odd_record_cases  # noqa: F401  Registers its cases.
 import pause_cases  # noqa: F401  Registers its cases.
+import planned_stop_cases  # noqa: F401  Registers its cases.
 import quota_cases  # noqa: F401  Registers its cases.
 import rejection_cases  # noqa: F401  Registers its cases.
 import route_pool_decisions  # noqa: F401  Registers its cases.
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -233,10 +233,11 @@
             scope = nursery.cancel_scope
             stop_s = gateway.settings.bounds.stop_s
             scope.deadline = trio.current_time() + stop_s - KILL_MARGIN_S
+            handler.stop_at = scope.deadline
             nursery.start_soon(_cancel_at_signal, signals, scope)
             # The balancer sends callers here until two readiness checks have failed.
             await trio.sleep(min(DRAIN_NOTICE_S, stop_s / 3))
-            handler.refusing = True
+            handler.stop_taking()
             ingress.close_idle()
             while ingress.active or gateway.ways.forwarding:
                 await trio.sleep(STOP_CHECK_S)
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -119,6 +119,8 @@
 ALTERNATIVE_FIRST_BYTE_S = 0.4
 """Time in which another endpoint must send a first byte to replace a silent one."""
 
+TOO_LONG_DETAIL = "this instance stops before the request would have to end"
+NO_KEY = RequestKey("")
 MOVED_DETAIL = "the pool that began this stream does not serve its route any more"
 
 UNKNOWN_TEAM = TeamId("(unknown)")
@@ -139,10 +141,15 @@
         Time after which a revoked key must no longer be accepted.
     refusing : bool
         Whether new requests are refused because the instance is stopping.
+    stop_at : float
+        When requests in progress will be ended because the instance is stopping, on
+        the monotonic clock.
     aborting : bool
         Whether the requests in progress are ended because the instance is stopping.
     scopes : set of trio.CancelScope
         Those of the requests in progress.
+    waiting : dict of trio.CancelScope to float
+        Those of the waits for grants, and when their requests expire.
     event_steps : dict of PoolId to EventSteps
         The usual steps between the ids of events, by pool.
     incarnation : int
@@ -168,8 +175,10 @@
     metrics: Metrics
     event_steps: dict[PoolId, EventSteps] = field(default_factory=dict)
     refusing: bool = False
+    stop_at: float = math.inf
     aborting: bool = False
     scopes: set[trio.CancelScope] = field(default_factory=set)
+    waiting: dict[trio.CancelScope, float] = field(default_factory=dict)
     incarnation: int = 0
     serial: int = 0
 
@@ -242,6 +251,8 @@
         timeout_s = route.timeout_s
         if request_info.deadline_s is not None:
             timeout_s = min(timeout_s, request_info.deadline_s)
+        if not route.is_retryable and incoming.arrived + timeout_s > self.stop_at:
+            return Refusal(Reason.STOPPING, TOO_LONG_DETAIL, retry_s=MIN_RETRY_S)
         stream = _stream(team, route, request_info)
         pools: tuple[PoolId, ...] = (route.choose_pool(self.rng.random()),)
         is_certain = True
@@ -343,6 +354,16 @@
             return Refusal(Reason.TIMEOUT, detail, Outcome.MAY_HAVE_RUN)
         return Refusal(Reason.DEADLINE, "no endpoint came free in time")
 
+    def stop_taking(self) -> None:
+        """Refuse new requests, and those that wait and may take until after the stop.
+
+        They have not been sent, so that another instance can serve them.
+        """
+        self.refusing = True
+        for scope, expires in self.waiting.items():
+            if expires > self.stop_at:
+                scope.cancel()
+
     def abort(self) -> None:
         """End the requests in progress; callers without an answer are told so."""
         self.refusing = self.aborting = True
@@ -379,15 +400,27 @@
         reserved, request.reserved = request.reserved, None
         if reserved is not None:
             return reserved.key, reserved.granted
+        if self.refusing and request.expires > self.stop_at:
+            return NO_KEY, Refused(Reason.STOPPING, TOO_LONG_DETAIL)
         started_at = trio.current_time()
+        with trio.CancelScope() as scope:
+            self.waiting[scope] = request.expires
+            try:
+                return await self._acquire_of(request)
+            finally:
+                del self.waiting[scope]
+                request.waited_s += trio.current_time() - started_at
+        return NO_KEY, Refused(Reason.STOPPING, TOO_LONG_DETAIL)
+
+    async def _acquire_of(
+        self, request: RoutedRequest
+    ) -> tuple[RequestKey, Granted | Refused]:
+        """Return the grant or refusal of the pool, or pools, of a request."""
         if request.other_pools:
-            key, answer = await self._acquire_of_any(request)
-        else:
-            demand = self._demand(request)
-            key = demand.key
-            answer = await self.grant_client.acquire(demand, tuple(request.avoid))
-        request.waited_s += trio.current_time() - started_at
-        return key, answer
+            return await self._acquire_of_any(request)
+        demand = self._demand(request)
+        answer = await self.grant_client.acquire(demand, tuple(request.avoid))
+        return demand.key, answer
 
     async def _acquire_of_any(
         self, request: RoutedRequest
