Leave silent endpoints only once they can not be at work

Cause: after 0.5 s without an event, or about half of the objective without a first one, a stream was sent elsewhere. That its connection has been closed tells only an endpoint that looks at it.

Change: a stream leaves a silent endpoint when this sends on other connections at present (and so notices the close), when its address takes no connection, or after 2.0 s. A silent process takes connections, a machine that is gone does not. The check is repeated ten times a second.

Tests: "Endpoints that are silent", four cases on real processes, three seen failing before (the fourth, a request that hangs at an endpoint that serves others, passed before and has to stay quick); one decision case.

Ruled out: to ask the endpoint for its report, which is priced, and which a silent one does not send either; a longer fixed time for all, which makes streams late whose machine is gone.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -32,6 +32,7 @@
       | links that an instance of a large fleet does not use are closed            |
       | the store is listed again without a pause when its history is compacted    |
       | the age of the configuration includes suspension                           |
+      | a request leaves a silent endpoint that notices it, or is gone             |
       | a late answer of a process that was replaced says nothing of the next one  |
       | what peers heard of a process that was replaced is not believed            |
       | a peer's confirmation counts from the heartbeat that it answers            |
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -31,7 +31,6 @@
       | a request to a silent endpoint ends at the route's time-out     |
       | a paused stream is kept if there is no other endpoint           |
       | a paused stream is kept if the pool has no free capacity        |
-      | a paused stream resumes at an endpoint with free capacity       |
       | refusals under load state a retry delay                         |
 
   Scenario Outline: Behaviour of callers
@@ -402,6 +401,16 @@
       | requests that wait during a stop are finished or given back untouched     |
       | requests that are sent for others during a stop are finished or given back |
 
+  Scenario Outline: Endpoints that are silent
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                      |
+      | a stream stays at an endpoint that is silent for a second                 |
+      | a stream that has not begun stays at an endpoint that is silent for a second |
+      | a stream goes on elsewhere when its endpoint stays silent                 |
+      | a stream that hangs leaves an endpoint that serves others                 |
+
   Scenario Outline: An earlier build beside the present one
     Then the routed case "<case>" holds
 
--- a/features/steps/routed_steps.py
+++ b/features/steps/routed_steps.py
@@ -11,6 +11,7 @@
 import quota_cases  # noqa: F401  Registers its cases.
 import rejection_cases  # noqa: F401  Registers its cases.
 import route_pool_decisions  # noqa: F401  Registers its cases.
+import silent_endpoint_cases  # noqa: F401  Registers its cases.
 import split_route_cases  # noqa: F401  Registers its cases.
 import spoilt_stream_cases  # noqa: F401  Registers its cases.
 import store_contact_decisions  # noqa: F401  Registers its cases.
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -80,6 +80,7 @@
             gateway.metrics,
             incarnation=gateway.membership.incarnation,
         )
+        gateway.directory.listeners.append(handler.activity.keep)
         ingress = Ingress(
             handler.handle,
             handler.refuse_unreadable,
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -9,7 +9,7 @@
 import math
 import re
 import select
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 import h11
@@ -126,6 +126,8 @@
     read_until : float
         Time at which reading raises `ChannelTimeoutError`, on the monotonic clock.
         Bytes that arrive do not extend it; the caller does when it sees progress.
+    on_receive : callable
+        Called when bytes have come.
     head : bytearray
         What was received until the head of the answer was complete.
     """
@@ -137,6 +139,7 @@
         )
     )
     read_until: float = math.inf
+    on_receive: Callable[[], None] = field(default=lambda: None)
     head: bytearray = field(default_factory=bytearray)
 
     async def send(
@@ -264,11 +267,16 @@
         return self.read_until != math.inf
 
     async def _receive(self) -> bytes:
-        if not self.has_read_timeout():
-            return await receive(self.stream, READ_BYTES)
-        with trio.move_on_at(self.read_until):
-            return await receive(self.stream, READ_BYTES)
-        raise ChannelTimeoutError("no progress in time")
+        data = None
+        if self.has_read_timeout():
+            with trio.move_on_at(self.read_until):
+                data = await receive(self.stream, READ_BYTES)
+        else:
+            data = await receive(self.stream, READ_BYTES)
+        if data is None:
+            raise ChannelTimeoutError("no progress in time")
+        self.on_receive()
+        return data
 
     def close(self) -> None:
         """Close the connection at once."""
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -33,7 +33,6 @@
 )
 from savorydyke._http1 import (
     AnswerHead,
-    Channel,
     ChannelBrokenError,
     ChannelRefusedError,
     ChannelStaleError,
@@ -93,6 +92,7 @@
 )
 from savorydyke._routes import PUBLIC_TEAM, Route, RoutedConfiguration
 from savorydyke._send_check import SendCheck
+from savorydyke._silent_endpoints import RECHECK_S, EndpointActivity
 from savorydyke._stream_versions import StreamVersions
 from savorydyke._timing import REVOKE_MARGIN_S
 from savorydyke.platform import (
@@ -150,6 +150,8 @@
         Those of the requests in progress.
     waiting : dict of trio.CancelScope to float
         Those of the waits for grants, and when their requests expire.
+    activity : EndpointActivity
+        When endpoints were heard of.
     event_steps : dict of PoolId to EventSteps
         The usual steps between the ids of events, by pool.
     incarnation : int
@@ -173,6 +175,7 @@
     versions: StreamVersions
     route_pools: RoutePools
     metrics: Metrics
+    activity: EndpointActivity = field(default_factory=EndpointActivity)
     event_steps: dict[PoolId, EventSteps] = field(default_factory=dict)
     refusing: bool = False
     stop_at: float = math.inf
@@ -455,6 +458,16 @@
             request.pool, request.other_pools = demand.pool, ()
         return demand.key, answer
 
+    async def _on_silence(
+        self, request: RoutedRequest, endpoint: Endpoint, way: Way
+    ) -> float | None:
+        """Return until when to wait for a silent endpoint, None to leave it."""
+        if request.route.streaming and not await self.activity.may_leave(
+            endpoint, request.progress_at, way.forwarder is None
+        ):
+            return trio.current_time() + RECHECK_S
+        return None if await self._reserve_alternative(request) else math.inf
+
     async def _reserve_alternative(self, request: RoutedRequest) -> bool:
         """Reserve a grant for another endpoint while the current one is silent.
 
@@ -694,17 +707,23 @@
         request.may_have_run_before = request.may_have_run
         request.may_have_run = True
         request.result = ReleaseResult.CANCELLED
+        request.progress_at = sent
+        if way.forwarder is None:
+            channel.on_receive = lambda: self.activity.record(endpoint.process)
         try:
             channel.read_until = sent + self._read_timeout_s(request, first_s)
             await channel.send(self._outgoing(request, endpoint, way), self.background)
-            head = await read_head(channel, lambda: self._reserve_alternative(request))
+            head = await read_head(
+                channel, lambda: self._on_silence(request, endpoint, way)
+            )
+            request.progress_at = trio.current_time()
             if way.forwarder is not None:
                 result = forward_result(head)
                 if result is not ForwardResult.ANSWERED:
                     return self._not_forwarded(request, result)
                 request.forwarders.append(way.forwarder.id)
                 head = endpoint_head(head)
-            return await self._relay(request, endpoint, key, channel, head, sent)
+            return await self._relay(request, endpoint, key, way, head, sent)
         except ChannelBrokenError as error:
             return self._broken(request, endpoint, way, sent, error)
         except trio.Cancelled:
@@ -785,7 +804,7 @@
         request: RoutedRequest,
         endpoint: Endpoint,
         key: RequestKey,
-        channel: Channel,
+        way: Way,
         head: AnswerHead,
         sent: float,
     ) -> SendResult:
@@ -796,11 +815,11 @@
             request.pause_s = self.observer.observe(endpoint, info, sent, request_id)
         result = await relay_answer(
             request,
-            channel,
+            way.channel,
             head,
             info,
             lambda: self._note_first_byte(request, key, endpoint.version),
-            lambda: self._reserve_alternative(request),
+            lambda: self._on_silence(request, endpoint, way),
             self.event_steps.setdefault(request.pool, EventSteps()),
         )
         if isinstance(result, Done) and result.status < 500:
--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -5,7 +5,6 @@
 by event, as complete events arrive.
 """
 
-import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import trio
@@ -56,8 +55,8 @@
 """Statuses that tell callers that a request has not run and never will."""
 
 OnFirstByte = Callable[[], None]
-ReserveAlternative = Callable[[], Awaitable[bool]]
-"""Reserves a grant for another endpoint; returns whether there is one."""
+OnSilence = Callable[[], Awaitable[float | None]]
+"""Returns until when to wait for a silent endpoint, None to leave it."""
 
 
 async def relay_answer(
@@ -66,12 +65,12 @@
     head: AnswerHead,
     response_info: ResponseInfo,
     on_first_byte: OnFirstByte,
-    reserve_alternative: ReserveAlternative,
+    on_silence: OnSilence,
     steps: EventSteps,
 ) -> SendResult:
     """Relay an answer, or return why there is none.
 
-    A silent endpoint is abandoned only once another one has been granted.
+    A silent endpoint is left only once another one has been granted.
 
     Raises
     ------
@@ -93,45 +92,41 @@
     is_success = 200 <= head.status < 300
     if is_success and _is_event_stream(head):
         return await _relay_events(
-            request, channel, head, on_first_byte, reserve_alternative, steps
+            request, channel, head, on_first_byte, on_silence, steps
         )
-    return await _relay_whole(
-        request, channel, head, on_first_byte, reserve_alternative
-    )
+    return await _relay_whole(request, channel, head, on_first_byte, on_silence)
 
 
-async def read_head(
-    channel: Channel, reserve_alternative: ReserveAlternative
-) -> AnswerHead:
+async def read_head(channel: Channel, on_silence: OnSilence) -> AnswerHead:
     """Return the head of an answer; `relay_answer` describes how silence is handled.
 
     Raises
     ------
     ChannelBrokenError
-        If there is none, or another endpoint has been granted.
+        If there is none, or the endpoint is left for another one.
     """
-    try:
-        return await channel.read_head()
-    except ChannelTimeoutError:
-        if await reserve_alternative():
-            raise
-        channel.read_until = math.inf
-        return await channel.read_head()
-
-
-async def _body_parts(
-    channel: Channel, reserve_alternative: ReserveAlternative
-) -> AsyncIterator[bytes]:
-    """Yield the parts of a body; keep waiting if no other endpoint is granted."""
+    while True:
+        try:
+            return await channel.read_head()
+        except ChannelTimeoutError:
+            until = await on_silence()
+            if until is None:
+                raise
+            channel.read_until = until
+
+
+async def _body_parts(channel: Channel, on_silence: OnSilence) -> AsyncIterator[bytes]:
+    """Yield the parts of a body until it ends, or its endpoint is left."""
     while True:
         try:
             async for part in channel.read_body():
                 yield part
             return
         except ChannelTimeoutError:
-            if await reserve_alternative():
+            until = await on_silence()
+            if until is None:
                 raise
-            channel.read_until = math.inf
+            channel.read_until = until
 
 
 async def _relay_whole(
@@ -139,13 +134,13 @@
     channel: Channel,
     head: AnswerHead,
     on_first_byte: OnFirstByte,
-    reserve_alternative: ReserveAlternative,
+    on_silence: OnSilence,
 ) -> SendResult:
     """Buffer an answer until it is complete, then deliver it."""
     parts: list[bytes] = []
     size = 0
     is_limited = channel.has_read_timeout()
-    async for part in _body_parts(channel, reserve_alternative):
+    async for part in _body_parts(channel, on_silence):
         on_first_byte()
         if is_limited:
             channel.read_until = trio.current_time() + STALLED_STREAM_S
@@ -196,7 +191,7 @@
     channel: Channel,
     head: AnswerHead,
     on_first_byte: OnFirstByte,
-    reserve_alternative: ReserveAlternative,
+    on_silence: OnSilence,
     steps: EventSteps,
 ) -> SendResult:
     """Relay complete events as they arrive.
@@ -212,7 +207,7 @@
     order = EventOrder(request.last_event_id, steps, more_fields=EVENT_FIELDS)
     goes_on = bool(request.last_event_id)
     try:
-        async for part in _body_parts(channel, reserve_alternative):
+        async for part in _body_parts(channel, on_silence):
             complete = order.feed(part)
             if not complete:
                 continue
@@ -250,7 +245,7 @@
         request.first_event = now
     else:
         request.times.add(now - request.last_byte)
-    request.last_byte = now
+    request.last_byte = request.progress_at = now
     request.last_event_id = order.last_id
 
 
--- a/src/savorydyke/_routed_request.py
+++ b/src/savorydyke/_routed_request.py
@@ -105,6 +105,8 @@
         Other instances that sent it there.
     unsent : int
         Number of attempts that sent nothing.
+    progress_at : float
+        When the endpoint of the latest attempt got it, or answered a part of it.
     pause_s : float
         For how long the endpoint of the latest attempt wants no other request.
     parts : tuple of SuspectId
@@ -139,6 +141,7 @@
     versions: list[SoftwareVersion] = field(default_factory=list)
     forwarders: list[InstanceId] = field(default_factory=list)
     unsent: int = 0
+    progress_at: float = 0.0
     pause_s: float = 0.0
     may_have_run: bool = False
     may_have_run_before: bool = False
