Keep the collector out of the measured time of a log line

The same run with its collections timed: the longest one of the oldest generation takes 0.098 s, with 165,000 objects of the test run. The case freezes the heap before it measures, as instances do; the bound stays.

--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -1,5 +1,6 @@
 """The decision cases: functions and small state, in simulated time."""
 
+import gc
 import json
 import logging
 import os
@@ -1357,6 +1358,9 @@
         buffer = _logs.configure_buffered("info", InstanceId("i"))
         log = _logs.component_logger("test")
         longest, waits = 0.0, 0
+        # As instances do, so that the heap of the test run is not collected meanwhile.
+        gc.collect()
+        gc.freeze()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(write_lines, buffer, writer)
             for number in range(6000):
@@ -1372,6 +1376,7 @@
             assert any(b"Kept." in line for line in buffer.lines)
             assert waits == 0 and longest < 0.05
             nursery.cancel_scope.cancel()
+        gc.unfreeze()
         os.close(reader)
         os.close(writer)
 
