--- a/src/savorydyke/_cli.py
+++ b/src/savorydyke/_cli.py
@@ -15,7 +15,8 @@
 
 import typer
 
-from savorydyke import _keys
+from savorydyke import __version__, _keys
+from savorydyke._build import build_digest
 from savorydyke._exceptions import FindingsError
 from savorydyke._explain import Line, lines_of_request, read_lines
 from savorydyke._explain import causes as count_causes
@@ -127,6 +128,12 @@
     return text, manifest
 
 
+@app.command()
+def version() -> None:
+    """Print the version and the digest of the sources, as `Started.` has it."""
+    typer.echo(f"savorydyke {__version__}, build {build_digest()}")
+
+
 @app.command()
 def check(file: ManifestFile, as_json: AsJson = False) -> None:
     """Check a manifest and report all findings with their places."""
--- a/src/savorydyke/_daemon.py
+++ b/src/savorydyke/_daemon.py
@@ -17,6 +17,7 @@
 from hypercorn.trio import serve
 
 from savorydyke import _logs
+from savorydyke._build import build_digest
 from savorydyke._caller_app import CallerApp
 from savorydyke._calls import stream_id
 from savorydyke._claims import Claims
@@ -328,7 +329,10 @@
         stopped = trio.Event()
         await nursery.start(instance.peers.listen, settings.peers)
         await _serve_http(instance, callers, nursery, stopped)
-        log.info("Started.", extra={"callers": settings.callers})
+        log.info(
+            "Started.",
+            extra={"callers": settings.callers, "build": build_digest()},
+        )
         gc.freeze()
         status = await _wait_for_stop(instance, callers, claims)
         stopped.set()
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -10,6 +10,7 @@
 import trio
 
 from savorydyke import _logs
+from savorydyke._build import build_digest
 from savorydyke._directory import Directory
 from savorydyke._endpoint_observer import EndpointObserver
 from savorydyke._endpoint_probes import probe_failed_links
@@ -108,7 +109,10 @@
         nursery.start_soon(gateway.directory.watch_store)
         nursery.start_soon(gateway.directory.confirm_views)
         nursery.start_soon(_join, gateway, forwarded)
-        log.info("Started.", extra={"callers": settings.callers})
+        log.info(
+            "Started.",
+            extra={"callers": settings.callers, "build": build_digest()},
+        )
         gc.freeze()
         await _wait_for_stop(gateway, handler, ingress, path)
         nursery.cancel_scope.cancel()
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -11,6 +11,7 @@
 import select
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
 import h11
 import trio
@@ -90,6 +91,14 @@
     body: bytes = b""
 
 
+class Framing(Enum):
+    """What marks the end of a body."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
 @dataclass(frozen=True)
 class AnswerHead:
     """Status and headers of an answer.
@@ -104,10 +113,20 @@
     headers: Headers
     length: int | None
 
+    def framing(self) -> Framing:
+        """Return what marks the end of the body."""
+        coding = self.get(b"transfer-encoding") or b""
+        if coding.lower().endswith(b"chunked"):
+            return Framing.CHUNKED
+        return Framing.CLOSE if self.length is None else Framing.LENGTH
+
     def is_delimited(self) -> bool:
         """Return whether the end of the body is marked, other than by a close."""
-        coding = self.get(b"transfer-encoding") or b""
-        return self.length is not None or coding.lower().endswith(b"chunked")
+        return self.framing() is not Framing.CLOSE
+
+    def get_all(self, name: bytes) -> list[bytes]:
+        """Return the values of a header, by its name in lower case."""
+        return [value for key, value in self.headers if key.lower() == name]
 
     def get(self, name: bytes) -> bytes | None:
         """Return the value of a header, by its name in lower case."""
--- a/src/savorydyke/_metrics.py
+++ b/src/savorydyke/_metrics.py
@@ -12,6 +12,7 @@
 from aioprometheus import render
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 
+from savorydyke._answer_kinds import RelayedAnswer, stated_type
 from savorydyke._ids import Outcome, Reason, TeamId, TierId
 
 SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.82, 1.5, 3, 6, 12, 30, 60)
@@ -59,6 +60,10 @@
         self.answers = self._counter(
             "savorydyke_answers_total", "Requests by how they ended."
         )
+        self.relayed = self._counter(
+            "savorydyke_relayed_answers_total",
+            "Answers of endpoints by kind of route, way of relaying and stated type.",
+        )
         self.refusals = self._counter(
             "savorydyke_refusals_total", "Refusals by reason and outcome."
         )
@@ -130,6 +135,15 @@
         """Count what a request that was sent takes of its team's quota."""
         self.quota_tokens.add({"team": team, "placed_by": placed_by}, tokens)
 
+    def count_relayed(self, is_stream_route: bool, relayed: RelayedAnswer) -> None:
+        """Count an endpoint's answer of which a caller has got something."""
+        labels = {
+            "route": "stream" if is_stream_route else "plain",
+            "relayed": relayed.relayed_as.value,
+            "type": stated_type(relayed.content_type).value,
+        }
+        self.relayed.inc(labels)
+
     def count_refusal(
         self, tier: TierId, team: TeamId, reason: Reason, outcome: Outcome
     ) -> None:
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -12,6 +12,7 @@
 import trio
 
 from savorydyke import _logs
+from savorydyke._answer_kinds import RelayedAnswer
 from savorydyke._configuration_age import boot_time
 from savorydyke._directory import Directory
 from savorydyke._endpoint_observer import EndpointObserver
@@ -913,6 +914,8 @@
         metrics, tier, team = self.metrics, request.tier, request.team
         metrics.answers.inc({"tier": tier, "team": team, "result": how})
         metrics.observe(metrics.waiting, tier, team, request.waited_s)
+        if request.relayed is not None:
+            metrics.count_relayed(request.route.streaming, request.relayed)
         arrived = request.incoming.arrived
         if request.first_byte is not None:
             first_s = (request.first_event or request.first_byte) - arrived
@@ -951,10 +954,24 @@
                 "events": request.events,
                 "parts": request.parts,
                 "digest": request.digest,
+                **_relayed_fields(request.relayed),
             },
         )
 
 
+def _relayed_fields(relayed: RelayedAnswer | None) -> dict[str, object]:
+    """Return the log fields that state what the caller has got of an answer."""
+    if relayed is None:
+        return {"relayed": ""}
+    return {
+        "relayed": relayed.relayed_as.value,
+        "status": relayed.status,
+        "type": relayed.content_type,
+        "framing": relayed.framing.value,
+        "bytes": relayed.size,
+    }
+
+
 def _stream(team: TeamId, route: Route, request_info: RequestInfo) -> RequestKey:
     """Return the caller's attempt with which the stream of a request began."""
     if not route.streaming:
--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from savorydyke._answer_kinds import RelayedAnswer, RelayedAs
 from savorydyke._event_order import (
     EVENT_END,
     EventOrder,
@@ -44,6 +45,8 @@
 """Largest answer that is buffered until it is complete."""
 MAX_UNSTATED_BYTES = 4_194_304
 """Largest answer, other than a stream, whose length is not stated."""
+MAX_LOGGED_CHARS = 100
+"""Longest part of a header that is logged."""
 STALLED_STREAM_S = 0.5
 """Gaps of up to 0.8 s are in time; another prefill of the prompt takes 0.2 s of it."""
 RETRY_SHARE = 0.33
@@ -156,6 +159,7 @@
     request.result = ReleaseResult.COMPLETE
     if request.responder.started:
         return Lost(f"status {head.status} where a stream should go on")
+    _record_relayed(request, head, RelayedAs.WHOLE, len(body))
     await deliver(request, head, body)
     return Done(head.status)
 
@@ -170,16 +174,16 @@
     if head.length is not None:
         headers.append((b"Content-Length", str(head.length).encode()))
     await request.responder.start(head.status, headers)
-    size = 0
+    relayed = _record_relayed(request, head, RelayedAs.PARTS)
     for part in parts:
-        size += len(part)
+        relayed.size += len(part)
         await request.responder.body(part)
     async for part in channel.read_body():
-        size += len(part)
-        if head.length is None and size > MAX_UNSTATED_BYTES:
+        if head.length is None and relayed.size + len(part) > MAX_UNSTATED_BYTES:
             raise ChannelBrokenError(
                 f"more than {MAX_UNSTATED_BYTES} bytes without a stated length"
             )
+        relayed.size += len(part)
         await request.responder.body(part)
     await request.responder.end()
     request.result = ReleaseResult.COMPLETE
@@ -234,13 +238,27 @@
 async def _start(request: RoutedRequest, head: AnswerHead) -> None:
     """Begin the caller's answer, unless an earlier endpoint's answer has."""
     if not request.responder.started:
+        _record_relayed(request, head, RelayedAs.EVENTS)
         await request.responder.start(head.status, response_headers(head.headers))
 
 
+def _record_relayed(
+    request: RoutedRequest, head: AnswerHead, relayed_as: RelayedAs, size: int = 0
+) -> RelayedAnswer:
+    """Record as what the first answer that the caller gets is relayed."""
+    stated = b", ".join(head.get_all(b"content-type")).decode("latin-1")
+    request.relayed = RelayedAnswer(
+        relayed_as, head.status, stated[:MAX_LOGGED_CHARS], head.framing(), size
+    )
+    return request.relayed
+
+
 def _count_events(request: RoutedRequest, complete: bytes, order: EventOrder) -> None:
     """Count events and note the last event id, from which a stream can resume."""
     now = trio.current_time()
     request.events += complete.count(EVENT_END)
+    if request.relayed is not None:
+        request.relayed.size += len(complete)
     if request.first_event is None:
         request.first_event = now
     else:
--- a/src/savorydyke/_routed_request.py
+++ b/src/savorydyke/_routed_request.py
@@ -3,6 +3,7 @@
 import hashlib
 from dataclasses import dataclass, field
 
+from savorydyke._answer_kinds import RelayedAnswer
 from savorydyke._grant_client import Granted, Refused
 from savorydyke._http1 import AnswerHead, Channel
 from savorydyke._ids import (
@@ -117,6 +118,8 @@
         The connection that another task waits on, since its attempt was given up.
     reserved : ReservedGrant or None
         Grant for the next attempt, if one has been reserved.
+    relayed : RelayedAnswer or None
+        What the caller has got, if that is an endpoint's answer.
     """
 
     incoming: IncomingRequest
@@ -159,6 +162,7 @@
     failure: Failed | None = None
     late_answer: Channel | None = None
     reserved: ReservedGrant | None = None
+    relayed: RelayedAnswer | None = None
 
     def has_begun(self) -> bool:
         """Return whether the caller has events of the stream, of any attempt."""
