--- a/features/routed.feature
+++ b/features/routed.feature
@@ -411,6 +411,30 @@
       | a stream goes on elsewhere when its endpoint stays silent                 |
       | a stream that hangs leaves an endpoint that serves others                 |
 
+  Scenario Outline: What the head of an answer says
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                          |
+      | an answer with no type is no stream                                           |
+      | an answer with another type is no stream                                      |
+      | an answer with a type that begins alike is no stream                          |
+      | an answer with two types is no stream                                         |
+      | an answer with two types in the other order is no stream                      |
+      | an answer with an encoding is no stream                                       |
+      | an answer with status 201 and no type is no stream                            |
+      | an answer with status 206 is no stream                                        |
+      | an answer with status 204 is no stream                                        |
+      | megabytes without the type of a stream reach no caller of a stream            |
+      | a stream goes on elsewhere when the rest is no stream                         |
+      | an answer that is no stream is none through another instance either           |
+      | streams with the usual variants of their head are whole                       |
+      | answers of plain routes are relayed unchanged whatever their type             |
+      | an answer with an encoding is not the endpoint's body on any route            |
+      | an answer of a plain route that is cut is not relayed as complete             |
+      | a status that promises that nothing has run is passed on only if that is true |
+      | streams are asked for and served while one endpoint in three sends garbage    |
+
   Scenario Outline: An earlier build beside the present one
     Then the routed case "<case>" holds
 
