--- a/src/savorydyke/_answer_kinds.py
+++ b/src/savorydyke/_answer_kinds.py
@@ -3,7 +3,12 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from savorydyke._http1 import Framing
+from savorydyke._http1 import AnswerHead, Framing
+
+PARTIAL_OR_EMPTY = frozenset({204, 205, 206})
+"""Successful statuses of answers that have no body, or a part of one."""
+MAX_LOGGED_CHARS = 100
+"""Longest part of a header that is logged."""
 
 
 class RelayedAs(Enum):
@@ -45,6 +50,26 @@
     size: int = 0
 
 
+def why_not_stream(head: AnswerHead) -> str:
+    """Return why a successful answer is no stream of events, empty if it is one.
+
+    Callers read what they get on a streaming route as events, whatever its head says.
+    """
+    if head.status in PARTIAL_OR_EMPTY:
+        return f"status {head.status}"
+    types = stated_types(head)
+    if len(types) != 1:
+        return f"{len(types)} content types"
+    if stated_type(types[0]) is not StatedType.EVENT_STREAM:
+        return f"content type {types[0][:MAX_LOGGED_CHARS]!r}"
+    return ""
+
+
+def stated_types(head: AnswerHead) -> list[str]:
+    """Return all content types that a head states."""
+    return [value.decode("latin-1") for value in head.get_all(b"content-type")]
+
+
 def stated_type(content_type: str) -> StatedType:
     """Return what a head states of a body."""
     if not content_type:
--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -9,7 +9,13 @@
 
 import trio
 
-from savorydyke._answer_kinds import RelayedAnswer, RelayedAs
+from savorydyke._answer_kinds import (
+    MAX_LOGGED_CHARS,
+    RelayedAnswer,
+    RelayedAs,
+    stated_types,
+    why_not_stream,
+)
 from savorydyke._event_order import (
     EVENT_END,
     EventOrder,
@@ -45,8 +51,6 @@
 """Largest answer that is buffered until it is complete."""
 MAX_UNSTATED_BYTES = 4_194_304
 """Largest answer, other than a stream, whose length is not stated."""
-MAX_LOGGED_CHARS = 100
-"""Longest part of a header that is logged."""
 STALLED_STREAM_S = 0.5
 """Gaps of up to 0.8 s are in time; another prefill of the prompt takes 0.2 s of it."""
 RETRY_SHARE = 0.33
@@ -78,8 +82,8 @@
     Raises
     ------
     ChannelBrokenError
-        If the answer belongs to another request, lacks the endpoint's stamp, or ends
-        before it is complete.
+        If the answer belongs to another request, lacks the endpoint's stamp, is not
+        what its route asks for, or ends before it is complete.
     CallerDisconnectedError
         If the caller has disconnected.
     """
@@ -93,7 +97,9 @@
     if not response_info.stamped:
         raise ChannelBrokenError(f"status {head.status} without the stamp")
     is_success = 200 <= head.status < 300
-    if is_success and _is_event_stream(head):
+    if is_success and request.route.streaming:
+        if why := why_not_stream(head):
+            raise ChannelBrokenError(f"not a stream: {why}")
         return await _relay_events(
             request, channel, head, on_first_byte, on_silence, steps
         )
@@ -246,7 +252,7 @@
     request: RoutedRequest, head: AnswerHead, relayed_as: RelayedAs, size: int = 0
 ) -> RelayedAnswer:
     """Record as what the first answer that the caller gets is relayed."""
-    stated = b", ".join(head.get_all(b"content-type")).decode("latin-1")
+    stated = ", ".join(stated_types(head))
     request.relayed = RelayedAnswer(
         relayed_as, head.status, stated[:MAX_LOGGED_CHARS], head.framing(), size
     )
@@ -303,8 +309,3 @@
     await responder.send_answer(
         refusal.status, headers, refusal.body(request_info.request_id)
     )
-
-
-def _is_event_stream(head: AnswerHead) -> bool:
-    kind = head.get(b"content-type") or b""
-    return kind.lower().startswith(b"text/event-stream")
