--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -96,6 +96,9 @@
         return NotRun(f"status {head.status}")
     if not response_info.stamped:
         raise ChannelBrokenError(f"status {head.status} without the stamp")
+    if head.get(b"content-encoding") is not None:
+        # No caller asks for an encoding.
+        raise ChannelBrokenError("an answer with a content encoding")
     is_success = 200 <= head.status < 300
     if is_success and request.route.streaming:
         if why := why_not_stream(head):
@@ -165,7 +168,6 @@
     request.result = ReleaseResult.COMPLETE
     if request.responder.started:
         return Lost(f"status {head.status} where a stream should go on")
-    _record_relayed(request, head, RelayedAs.WHOLE, len(body))
     await deliver(request, head, body)
     return Done(head.status)
 
@@ -276,6 +278,7 @@
 async def deliver(request: RoutedRequest, head: AnswerHead, body: bytes) -> None:
     """Send the caller an endpoint's complete answer."""
     if head.status not in NOT_RUN_STATUSES:
+        _record_relayed(request, head, RelayedAs.WHOLE, len(body))
         headers = response_headers(head.headers)
         await request.responder.send_answer(head.status, headers, body)
         return
