--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -35,6 +35,13 @@
 two failures in a row make an endpoint suspect, and two successes clear it."""
 SUSPECT_RATIO = 2.0
 """Factor by which a suspect endpoint fails more often than the median of its pool."""
+FAILED_IN_ROW = 3
+"""Failures in a row from which on a suspect endpoint is passed over for a while. One
+that fails a part of its requests seldom reaches them."""
+RETEST_BASE_S = 0.25
+RETEST_MAX_S = 2.0
+"""Longest time for which a suspect endpoint is passed over. Then one request finds out
+whether it has recovered."""
 SUSPECT_SLOTS = 1
 """Most requests in flight at a suspect endpoint, to find out whether it recovered."""
 PAUSED_FRONTENDS = 2
@@ -106,6 +113,10 @@
         Connections that failed since the last answer.
     failing : float
         Smoothed share of answers that were errors or got lost.
+    failed_in_row : int
+        Answers that were errors or got lost since the last complete one.
+    passed_over_until : float
+        Until when it gets nothing if it is suspect.
     suspect : bool
         Whether that share is high, and higher than at most other endpoints.
     external : deque of int
@@ -135,6 +146,8 @@
     failures: int = 0
     open_until: float = 0.0
     failing: float = 0.0
+    failed_in_row: int = 0
+    passed_over_until: float = 0.0
     suspect: bool = False
     learned: float = 0.0
     paused_until: dict[InstanceId, float] = field(default_factory=dict)
@@ -159,6 +172,8 @@
             return False
         if not self.takes_request(now):
             return False
+        if self.suspect and now < self.passed_over_until:
+            return False
         # After the back-off, one request at a time tests the endpoint.
         return self.failures == 0 or not self.running
 
@@ -368,9 +383,18 @@
         )
         self.open_until = now + pause_s
 
-    def record_failed_answer(self) -> None:
-        """Record an answer that was an error or was lost."""
+    def record_failed_answer(self, now: float, rng: random.Random) -> None:
+        """Record an answer that was an error or was lost.
+
+        An endpoint whose answers are worthless sends them at once, and would draw the
+        load of a full pool by that.
+        """
         self.failing += FAILING_RATE * (1 - self.failing)
+        self.failed_in_row += 1
+        retests = self.failed_in_row - FAILED_IN_ROW
+        if retests >= 0:
+            pause_s = backoff_s(retests + 1, RETEST_BASE_S, RETEST_MAX_S, rng)
+            self.passed_over_until = now + pause_s
 
     def record_rejection(self, now: float) -> None:
         """Pause a full endpoint for a moment."""
@@ -381,6 +405,7 @@
     def record_success(self) -> None:
         """Record a complete answer and close the circuit."""
         self.failing -= FAILING_RATE * self.failing
+        self.failed_in_row = 0
         self.failures = 0
         self.open_until = 0.0
 
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -371,7 +371,7 @@
             return
         self._remember_finished(item.key, load.id, now)
         if result in {ReleaseResult.TRUNCATED, ReleaseResult.FAILED}:
-            load.record_failed_answer()
+            load.record_failed_answer(now, self.rng)
             mark_suspects(self.endpoints.values())
             return
         if result is ReleaseResult.COMPLETE:
