--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -121,6 +121,13 @@
       | streams are stored again after a restore of the store |
       | telling 195 instances' streams costs their coordinators a bounded part |
 
+  Scenario Outline: Reading of streams
+    Then the decision case "<case>" holds
+
+    Examples:
+      | case                                                                      |
+      | callers read what the relay passes on as the events that it has checked   |
+
   Scenario Outline: Pools of streams
     Then the decision case "<case>" holds
 
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -435,6 +435,18 @@
       | a status that promises that nothing has run is passed on only if that is true |
       | streams are asked for and served while one endpoint in three sends garbage    |
 
+  Scenario Outline: Streams in every form that callers read
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                         |
+      | a sound stream with carriage returns and line feeds is whole |
+      | a sound stream with carriage returns is whole                |
+      | a sound stream with a byte order mark is whole               |
+      | a sound stream with comments is whole                        |
+      | a sound stream with empty lines too many is whole            |
+      | a stream of comments only counts as silent                   |
+
   Scenario Outline: An earlier build beside the present one
     Then the routed case "<case>" holds
 
--- a/features/steps/routed_steps.py
+++ b/features/steps/routed_steps.py
@@ -19,6 +19,7 @@
 import store_contact_decisions  # noqa: F401  Registers its cases.
 import store_watch_cases  # noqa: F401  Registers its cases.
 import stray_answer_cases  # noqa: F401  Registers its cases.
+import stream_grammar_cases  # noqa: F401  Registers its cases.
 import trio
 import upgrade_cases  # noqa: F401  Registers its cases.
 from behave import then
--- a/src/savorydyke/_event_order.py
+++ b/src/savorydyke/_event_order.py
@@ -3,6 +3,10 @@
 An endpoint that is asked for a stream, or for the rest of one, may answer with the text
 of an error, parts of another answer, the stream from its begin or a later part of it.
 Each event has an id, a number that is greater than that of the event before.
+
+Lines may end in any of the three ways of event streams, and comments, empty lines and a
+byte order mark at the begin mean nothing. These are left out, and events passed on with
+line feeds, so that all readers see the same events.
 """
 
 import re
@@ -10,6 +14,8 @@
 from functools import cache
 
 EVENT_END = b"\n\n"
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+COMMENT = re.compile(rb"^:[^\n]*(?:\n|\Z)", re.MULTILINE)
 MAX_EVENT_BYTES = 1_048_576
 """Largest event of a stream. A faulty endpoint may send bytes without end."""
 FIELDS = (b"id", b"data", b"event", b"retry")
@@ -44,6 +50,41 @@
         return not self.seen or len(self.seen) > MAX_STEPS or step in self.seen
 
 
+@dataclass
+class LineEnds:
+    """Turns the ends of lines into line feeds, part by part.
+
+    Attributes
+    ----------
+    held : bytes
+        The begin of the body, while it may be a part of a byte order mark.
+    after_return : bool
+        Whether the part before ended with a carriage return.
+    """
+
+    at_begin: bool = True
+    held: bytes = b""
+    after_return: bool = False
+
+    def feed(self, part: bytes) -> bytes:
+        """Return a part with line feeds only, without a byte order mark."""
+        if self.at_begin:
+            part = self.held + part
+            if len(part) < len(BYTE_ORDER_MARK) and BYTE_ORDER_MARK.startswith(part):
+                self.held = part
+                return b""
+            self.at_begin = False
+            self.held = b""
+            part = part.removeprefix(BYTE_ORDER_MARK)
+        if self.after_return:
+            part = part.removeprefix(b"\n")
+            self.after_return = not part
+        if b"\r" in part:
+            self.after_return = part.endswith(b"\r")
+            part = part.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+        return part
+
+
 @dataclass
 class EventOrder:
     """The events of one answer.
@@ -71,6 +112,7 @@
     events: int = 0
     stray: StrayEventError | None = None
     rest: bytearray = field(default_factory=bytearray)
+    line_ends: LineEnds = field(default_factory=LineEnds)
 
     def feed(self, part: bytes) -> bytes:
         """Return the events that a part of the body completes.
@@ -84,29 +126,32 @@
             raise self.stray
         rest = self.rest
         searched = max(0, len(rest) - len(EVENT_END) + 1)
-        rest += part
+        rest += self.line_ends.feed(part)
         end = rest.rfind(EVENT_END, searched)
         if end < 0:
             if len(rest) > MAX_EVENT_BYTES:
                 raise StrayEventError(f"an event of over {MAX_EVENT_BYTES} bytes")
             return b""
-        complete = bytes(rest[: end + len(EVENT_END)])
+        blocks = bytes(rest[:end]).split(EVENT_END)
         del rest[: end + len(EVENT_END)]
-        size = 0
+        events = []
         try:
-            for event in complete.split(EVENT_END)[:-1]:
-                self._check(event)
-                self.events += 1
-                size += len(event) + len(EVENT_END)
+            for block in blocks:
+                if event := _without_comments(block):
+                    self._check(event)
+                    self.events += 1
+                    events.append(event + EVENT_END)
         except StrayEventError as error:
-            if not size:
+            if not events:
                 raise
             self.stray = error
-        return complete[:size]
+        return b"".join(events)
 
     def is_within_event(self) -> bool:
         """Return whether the body has ended within an event."""
-        return bool(self.rest)
+        if self.line_ends.held:
+            return True
+        return bool(self.rest and _without_comments(bytes(self.rest)))
 
     def _check(self, event: bytes) -> None:
         if not _lines_pattern(self.more_fields).fullmatch(event):
@@ -131,6 +176,13 @@
         self.last_id = str(number)
 
 
+def _without_comments(block: bytes) -> bytes:
+    """Return the lines between two empty ones that are no comments."""
+    if block.startswith(b":") or b"\n:" in block:
+        block = COMMENT.sub(b"", block)
+    return block.strip(b"\n")
+
+
 @cache
 def _lines_pattern(more_fields: tuple[bytes, ...]) -> re.Pattern[bytes]:
     """Return a pattern for the lines of one event."""
