--- a/features/service.feature
+++ b/features/service.feature
@@ -72,6 +72,23 @@
       | begin |
       | later |
 
+  Scenario Outline: A first answer that is no stream reaches no caller
+    Given the small fleet
+    When the engine answers streams with <first>
+    Then a caller still gets the complete answer
+    When an engine that does not resume answers streams with <first>
+    Then the caller learns that the request may have run
+
+    Examples:
+      | first |
+      | page  |
+      | bare  |
+
+  Scenario: A first answer without ids is not taken for a stream that can go on
+    Given the small fleet
+    When the engine answers streams with error
+    Then a caller still gets the complete answer
+
   Scenario: A complete answer is stored for its idempotency key
     Given the small fleet
     When a claim is sent through both instances at once
--- a/features/steps/service_steps.py
+++ b/features/steps/service_steps.py
@@ -400,6 +400,31 @@
         context.small.control(name, cut_after=0, stray_rest="")
 
 
+@when("the engine answers streams with {first}")
+def answers_with(context, first):
+    for name in ("engine-1", "engine-2"):
+        context.small.control(name, stray_first=first)
+    context.record = context.small.chat("begins wrongly", 12)
+    for name in ("engine-1", "engine-2"):
+        context.small.control(name, stray_first="")
+
+
+@when("an engine that does not resume answers streams with {first}")
+def answers_with_for_good(context, first):
+    for name in ("engine-1", "engine-2"):
+        context.small.control(name, stray_first=first, resumes=False)
+    context.record = context.small.chat("begins wrongly for good", 12)
+    for name in ("engine-1", "engine-2"):
+        context.small.control(name, stray_first="", resumes=True)
+
+
+@then("the caller learns that the request may have run")
+def learns_that_it_may_have_run(context):
+    record = context.record
+    assert record.status == 502 and record.ended is Ended.REFUSED, record
+    assert not record.not_run, record
+
+
 @then("the caller has a part of the answer that does not look complete")
 def part_not_complete(context):
     record = context.record
--- a/src/savorydyke/_answer_kinds.py
+++ b/src/savorydyke/_answer_kinds.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from savorydyke._http1 import AnswerHead, Framing
+from savorydyke._http1 import Framing, Headers
 
 PARTIAL_OR_EMPTY = frozenset({204, 205, 206})
 """Successful statuses of answers that have no body, or a part of one."""
@@ -50,14 +50,16 @@
     size: int = 0
 
 
-def why_not_stream(head: AnswerHead) -> str:
+def why_not_stream(status: int, headers: Headers) -> str:
     """Return why a successful answer is no stream of events, empty if it is one.
 
-    Callers read what they get on a streaming route as events, whatever its head says.
+    Callers that ask for a stream read what they get as events, whatever its head says.
     """
-    if head.status in PARTIAL_OR_EMPTY:
-        return f"status {head.status}"
-    types = stated_types(head)
+    if status in PARTIAL_OR_EMPTY:
+        return f"status {status}"
+    if is_encoded(headers):
+        return "a content encoding"
+    types = stated_types(headers)
     if len(types) != 1:
         return f"{len(types)} content types"
     if stated_type(types[0]) is not StatedType.EVENT_STREAM:
@@ -65,9 +67,14 @@
     return ""
 
 
-def stated_types(head: AnswerHead) -> list[str]:
+def is_encoded(headers: Headers) -> bool:
+    """Return whether a body has a content encoding."""
+    return any(name.lower() == b"content-encoding" for name, _ in headers)
+
+
+def stated_types(headers: Headers) -> list[str]:
     """Return all content types that a head states."""
-    return [value.decode("latin-1") for value in head.get_all(b"content-type")]
+    return [v.decode("latin-1") for n, v in headers if n.lower() == b"content-type"]
 
 
 def stated_type(content_type: str) -> StatedType:
--- a/src/savorydyke/_dispatch.py
+++ b/src/savorydyke/_dispatch.py
@@ -70,6 +70,9 @@
 
 
 DispatchResult = Complete | Truncated | Refusal
+_NO_ANSWER = Refusal(
+    Reason.ENDPOINT_FAILED, "the endpoint did not answer", Outcome.MAY_HAVE_RUN
+)
 
 
 @dataclass
@@ -208,49 +211,81 @@
             dispatch.sent = False
             dispatch.result = ReleaseResult.UNREACHABLE
             return None
+        is_stream = call.streamed
+        if isinstance(opened, Opened) and is_stream:
+            is_stream = 200 <= opened.status < 300
+            if is_stream:
+                opened = await self._checked(dispatch, opened)
         if isinstance(opened, Lost):
             dispatch.result = ReleaseResult.TRUNCATED
-            opened = await self._resume_answer(dispatch, endpoint, call.streamed)
+            opened = await self._resume_answer(dispatch, endpoint, is_stream)
+            if isinstance(opened, Opened) and is_stream:
+                opened = await self._checked(dispatch, opened)
         if not isinstance(opened, Opened):
-            detail = "the endpoint did not answer"
-            return Refusal(Reason.ENDPOINT_FAILED, detail, Outcome.MAY_HAVE_RUN)
-        return await self._relay(dispatch, endpoint, opened)
+            return _NO_ANSWER
+        return await self._relay(dispatch, endpoint, opened, is_stream)
+
+    async def _checked(self, dispatch: Dispatch, opened: Opened) -> Opened | Lost:
+        """Return an answer if it says that it is the stream that was asked for."""
+        why = opened.why_not_stream()
+        if not why:
+            return opened
+        await opened.close()
+        extra = {"request": dispatch.call.head.request_id, "why": why}
+        log.warning("Answer is no stream.", extra=extra)
+        return Lost(f"not a stream: {why}")
 
     def _headers(self, call: Call) -> list[tuple[bytes, bytes]]:
-        headers = [(n, v) for n, v in call.head.headers if n.lower() != b"x-request-id"]
+        dropped = {b"x-request-id"}
+        if call.streamed:
+            # The events of an encoded stream could not be read.
+            dropped.add(b"accept-encoding")
+        headers = [(n, v) for n, v in call.head.headers if n.lower() not in dropped]
         return [*headers, (b"x-request-id", call.stream_id.encode())]
 
     # Relaying
 
     async def _relay(
-        self, dispatch: Dispatch, endpoint: Endpoint, opened: Opened
+        self, dispatch: Dispatch, endpoint: Endpoint, opened: Opened, is_stream: bool
     ) -> DispatchResult:
         """Relay an answer; resume it after a failure if the endpoint supports that."""
-        headers = [
-            (n, v) for n, v in opened.headers if n.lower() != b"x-request-id"
-        ] + [(b"x-request-id", dispatch.call.head.request_id.encode())]
-        dispatch.replying = True
-        await dispatch.reply.start(opened.status, headers)
-        is_stream = opened.is_event_stream()
         for _ in range(RESUME_ATTEMPTS):
+            if is_stream:
+                last = dispatch.progress.events
+                opened.chunks = _events_after(last, opened.chunks, endpoint.resumes)
+            else:
+                await self._start_reply(dispatch, opened)
             if await self._relay_chunks(dispatch, opened, is_stream):
                 return self._completed(dispatch, opened.status)
             resumed = await self._resume_answer(dispatch, endpoint, is_stream)
             if not isinstance(resumed, Opened):
                 break
             opened = resumed
-            if opened.is_event_stream() != is_stream:
+            if is_stream == bool(opened.why_not_stream()):
                 await opened.close()
                 break
-            if is_stream:
-                opened.chunks = _events_after(dispatch.progress.events, opened.chunks)
         dispatch.result = ReleaseResult.TRUNCATED
+        if not dispatch.replying:
+            return _NO_ANSWER
         return Truncated("the endpoint ended the answer early")
 
+    async def _start_reply(self, dispatch: Dispatch, opened: Opened) -> None:
+        """Begin the caller's answer, unless an earlier connection's answer has."""
+        if dispatch.replying:
+            return
+        headers = [
+            (n, v) for n, v in opened.headers if n.lower() != b"x-request-id"
+        ] + [(b"x-request-id", dispatch.call.head.request_id.encode())]
+        dispatch.replying = True
+        await dispatch.reply.start(opened.status, headers)
+
     async def _relay_chunks(
         self, dispatch: Dispatch, opened: Opened, is_stream: bool
     ) -> bool:
-        """Relay the bytes of one connection; return whether the answer is complete."""
+        """Relay the bytes of one connection; return whether the answer is complete.
+
+        The caller's answer begins with the first event of a stream.
+        """
         progress = dispatch.progress
         last = b""
         try:
@@ -259,6 +294,7 @@
                 if progress.first_byte == progress.last_byte:
                     self._note_first_byte(dispatch)
                 if new_bytes:
+                    await self._start_reply(dispatch, opened)
                     await dispatch.reply.body(new_bytes)
                     last = new_bytes
         except (httpx.HTTPError, StrayEventError) as error:
@@ -332,9 +368,9 @@
         opened = await self._resume_answer(dispatch, endpoint, is_stream=True)
         if not isinstance(opened, Opened):
             return lost
-        if opened.is_event_stream():
-            opened.chunks = _events_after(dispatch.progress.events, opened.chunks)
-        return await self._relay(dispatch, endpoint, opened)
+        # A request that was not streamed may be taken up too.
+        is_stream = not opened.why_not_stream()
+        return await self._relay(dispatch, endpoint, opened, is_stream)
 
     async def resume_earlier(
         self, dispatch: Dispatch, calls: list[Call]
@@ -389,16 +425,23 @@
 
 
 async def _events_after(
-    last: int, chunks: AsyncIterator[bytes]
+    last: int, chunks: AsyncIterator[bytes], needs_ids: bool
 ) -> AsyncIterator[bytes]:
-    """Yield the events of a resumed stream, if they are those after the last one.
+    """Yield the events of a stream, if they are those after the last one.
+
+    Parameters
+    ----------
+    needs_ids : bool
+        Whether they have ids. Those of endpoints that resume streams do.
 
     Raises
     ------
     StrayEventError
         If anything else comes.
     """
-    order = EventOrder(str(last), EventSteps({1}), has_fixed_steps=True)
+    order = EventOrder(
+        str(last), EventSteps({1}), has_fixed_steps=True, needs_ids=needs_ids
+    )
     async for chunk in chunks:
         if events := order.feed(chunk):
             yield events
--- a/src/savorydyke/_endpoint_client.py
+++ b/src/savorydyke/_endpoint_client.py
@@ -12,6 +12,7 @@
 import httpx
 import trio
 
+from savorydyke._answer_kinds import why_not_stream
 from savorydyke._manifest import Endpoint
 from savorydyke._untrusted import parse_json
 
@@ -80,10 +81,9 @@
         with trio.CancelScope(shield=True):
             await self.response.aclose()
 
-    def is_event_stream(self) -> bool:
-        """Return whether the body is a stream of server-sent events."""
-        kind = self.response.headers.get("content-type", "")
-        return kind.startswith("text/event-stream")
+    def why_not_stream(self) -> str:
+        """Return why the answer is no stream of events, empty if it is one."""
+        return why_not_stream(self.status, self.headers)
 
 
 OpenResult = Opened | Lost | NotSent
--- a/src/savorydyke/_event_order.py
+++ b/src/savorydyke/_event_order.py
@@ -99,6 +99,9 @@
         Whether each step has to be usual, and not only that from an earlier answer.
     more_fields : tuple of bytes
         Names of the lines that events may have beside the usual ones.
+    needs_ids : bool
+        Whether each event must have an id. Without them a stream can not go on after a
+        break, and its events are not put in order.
     events : int
         Complete events of this answer.
     stray : StrayEventError or None
@@ -109,6 +112,7 @@
     steps: EventSteps = field(default_factory=EventSteps)
     has_fixed_steps: bool = False
     more_fields: tuple[bytes, ...] = ()
+    needs_ids: bool = True
     events: int = 0
     stray: StrayEventError | None = None
     rest: bytearray = field(default_factory=bytearray)
@@ -156,11 +160,13 @@
     def _check(self, event: bytes) -> None:
         if not _lines_pattern(self.more_fields).fullmatch(event):
             raise StrayEventError("a line that is no field of an event")
+        if not DATA_LINE.search(event):
+            raise StrayEventError("an event without data")
+        if not self.needs_ids:
+            return
         ids = ID_LINE.findall(event)
         if len(ids) != 1 or event.count(b"\nid:") + event.startswith(b"id:") != 1:
             raise StrayEventError("an event without an id, or with several")
-        if not DATA_LINE.search(event):
-            raise StrayEventError("an event without data")
         self._check_id(int(ids[0]))
 
     def _check_id(self, number: int) -> None:
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -124,10 +124,6 @@
         """Return whether the end of the body is marked, other than by a close."""
         return self.framing() is not Framing.CLOSE
 
-    def get_all(self, name: bytes) -> list[bytes]:
-        """Return the values of a header, by its name in lower case."""
-        return [value for key, value in self.headers if key.lower() == name]
-
     def get(self, name: bytes) -> bytes | None:
         """Return the value of a header, by its name in lower case."""
         for key, value in self.headers:
--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -13,6 +13,7 @@
     MAX_LOGGED_CHARS,
     RelayedAnswer,
     RelayedAs,
+    is_encoded,
     stated_types,
     why_not_stream,
 )
@@ -96,12 +97,12 @@
         return NotRun(f"status {head.status}")
     if not response_info.stamped:
         raise ChannelBrokenError(f"status {head.status} without the stamp")
-    if head.get(b"content-encoding") is not None:
+    if is_encoded(head.headers):
         # No caller asks for an encoding.
         raise ChannelBrokenError("an answer with a content encoding")
     is_success = 200 <= head.status < 300
     if is_success and request.route.streaming:
-        if why := why_not_stream(head):
+        if why := why_not_stream(head.status, head.headers):
             raise ChannelBrokenError(f"not a stream: {why}")
         return await _relay_events(
             request, channel, head, on_first_byte, on_silence, steps
@@ -254,7 +255,7 @@
     request: RoutedRequest, head: AnswerHead, relayed_as: RelayedAs, size: int = 0
 ) -> RelayedAnswer:
     """Record as what the first answer that the caller gets is relayed."""
-    stated = ", ".join(stated_types(head))
+    stated = ", ".join(stated_types(head.headers))
     request.relayed = RelayedAnswer(
         relayed_as, head.status, stated[:MAX_LOGGED_CHARS], head.framing(), size
     )
--- a/src/savorydyke_standins/_engine.py
+++ b/src/savorydyke_standins/_engine.py
@@ -31,6 +31,7 @@
 STRAY_BODIES = {
     "page": ("text/html", "error: out of memory"),
     "error": ("text/event-stream", f"data: out of memory\n\n{END_EVENT}"),
+    "bare": ("application/octet-stream", f"data: out of memory\n\n{END_EVENT}"),
 }
 
 
@@ -52,6 +53,9 @@
     stray_rest : str
         What is sent in place of the rest of a stream: ``page``, ``error``, ``begin`` or
         ``later``; empty for the rest.
+    stray_first : str
+        What is sent in place of a first answer: ``page``, ``error`` or ``bare``; empty
+        for the answer.
     """
 
     prefill_tokens_per_s: float = 20_000.0
@@ -67,6 +71,7 @@
     resumes: bool = True
     cut_after: int = 0
     stray_rest: str = ""
+    stray_first: str = ""
 
 
 @dataclass
@@ -278,6 +283,9 @@
     _drop_expired_streams(engine)
     engine.streams[name] = stream
     engine.nursery.start_soon(engine.run_stream, stream)
+    if engine.shape.stray_first:
+        kind, body = STRAY_BODIES[engine.shape.stray_first]
+        return Response(body, headers={"content-type": kind})
     return await _answer(engine, stream, 0)
 
 
