--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -121,6 +121,14 @@
       | streams are stored again after a restore of the store |
       | telling 195 instances' streams costs their coordinators a bounded part |
 
+  Scenario Outline: Retry budgets
+    Then the decision case "<case>" holds
+
+    Examples:
+      | case                                                                |
+      | coordinators that follow each other stay within one retry budget    |
+      | an instance that places requests itself keeps to a retry budget     |
+
   Scenario Outline: Reading of streams
     Then the decision case "<case>" holds
 
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -447,6 +447,13 @@
       | a sound stream with empty lines too many is whole            |
       | a stream of comments only counts as silent                   |
 
+  Scenario Outline: Retries while the coordinator changes
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                          |
+      | retries stay within their budget when coordinators are killed |
+
   Scenario Outline: An earlier build beside the present one
     Then the routed case "<case>" holds
 
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -115,6 +115,8 @@
     limits, rejections : RequestLimits
         The limits on requests that endpoints have named, and the rejections a second
         that they bear.
+    fallback_retries : dict of PoolId to RetryBudget
+        What may be sent again of the requests that this instance places itself.
     fallback_allowances : dict of EndpointId to RequestAllowance
         What fallback placement may use of these.
     shared_evidence : SharedEvidence
@@ -159,6 +161,7 @@
     stopping: bool = False
     announced_version: int = 0
     announced_evidence: tuple[int, ...] = ()
+    fallback_retries: dict[PoolId, RetryBudget] = field(default_factory=dict)
     fallback_allowances: dict[EndpointId, RequestAllowance] = field(
         default_factory=dict
     )
@@ -481,6 +484,21 @@
         self.directory.request_view(demand.asked)
         return versions.only_version(demand.pool, now, demand.asked)
 
+    def _takes_retry(self, demand: Demand, now: float) -> bool:
+        """Count a request that is placed here; return whether it may be sent again.
+
+        No coordinator counts what this instance places itself.
+        """
+        budget = self.fallback_retries.get(demand.pool)
+        if budget is None:
+            bounds = self.settings.bounds
+            budget = RetryBudget(bounds.retry_ratio, 0.0, bounds.retry_window_s)
+            self.fallback_retries[demand.pool] = budget
+        if demand.is_retry:
+            return budget.take(now)
+        budget.count_request(now)
+        return True
+
     def place_fallback(
         self, demand: Demand, avoid: tuple[EndpointId, ...]
     ) -> EndpointId | None:
@@ -515,6 +533,8 @@
             self.membership.listed_count(),
         )
         tokens = demand.quota_tokens
+        if name and not self._takes_retry(demand, now):
+            return None
         if name and not self._takes_quota(demand, now):
             return None
         if name and name in self.fallback_allowances:
@@ -684,7 +704,10 @@
     scheduler.capacity.min_retry_s = MIN_RETRY_S
     scheduler.quarantine = gateway.quarantine
     scheduler.retry_budget = RetryBudget(
-        bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
+        bounds.retry_ratio,
+        bounds.retry_slack,
+        bounds.retry_window_s,
+        opened=scheduler.coordinating_since,
     )
     scheduler.quotas.opened = scheduler.coordinating_since
     scheduler.quotas.tolerance = _tolerance(gateway)
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -564,6 +564,8 @@
         if now - self.last_tick > STALL_S:
             for hosted in self.hosted.values():
                 hosted.scheduler.coordinating_since = now
+                if hosted.scheduler.retry_budget is not None:
+                    hosted.scheduler.retry_budget.opened = now
                 hosted.scheduler.grants_enabled = False
                 hosted.registration_deadline = now + REGISTRATION_TIMEOUT_S
                 if self.endpoints_report:
