--- a/features/routed.feature
+++ b/features/routed.feature
@@ -156,6 +156,7 @@
       | all errors in the settings are reported together                 |
       | an instance restarted under the same name serves requests        |
       | an exhausted quota stays exhausted after a kill                  |
+      | a team stays within its quota and tolerance if a kill comes before a write|
       | an exhausted quota stays exhausted without coordinator and store |
       | requests are placed while their coordinator is silent            |
 
--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -1,6 +1,7 @@
 """Test cases for routed requests, each against a fresh deployment."""
 
 import json
+import math
 import re
 import signal
 import subprocess
@@ -1619,7 +1620,8 @@
     statuses = [(await site.ask("/claim/1")).status for _ in range(12)]
     # The first coordinator grants the whole burst.
     assert statuses[:5] == [200] * 5 and statuses[-1] == 429, statuses
-    await site.wait_until(lambda: "savorydyke/quotas/desk" in site.store.items)
+    # What is admitted after a write and before a kill, no other instance can know.
+    await site.wait_until(lambda: written_balance(site) < 1)
     first.process.kill()
     site.daemons.clear()
     second = await site.daemon("instance-2")
@@ -1628,6 +1630,34 @@
     assert (await site.ask("/claim/1")).status == 429
 
 
+def written_balance(site):
+    """Return what the store says is left of the team's quota, infinite for nothing."""
+    item = site.store.items.get("savorydyke/quotas/desk")
+    if item is None:
+        return math.inf
+    teams = json.loads(b64decode(item.value))["teams"]
+    return teams["crew"][0] if "crew" in teams else math.inf
+
+
+@case("a team stays within its quota and tolerance if a kill comes before a write")
+async def _(site):
+    rate_per_s, burst, slack, window_s = 0.5, 5, 5, 8
+    await site.endpoint("e1", "desk")
+    team = {"name": "crew", "api_keys": [KEY], "rate_per_s": rate_per_s, "burst": burst}
+    site.configure(tenants=[team])
+    tolerance = {"quota_excess": 0.1, "quota_slack": slack, "quota_window_s": window_s}
+    first = await site.daemon(bounds=BOUNDS | tolerance)
+    await site.wait_until(lambda: "Balances read." in first.log.read_text())
+    # The last of these come after the latest write.
+    statuses = [(await site.ask("/claim/1")).status for _ in range(20)]
+    first.process.kill()
+    site.daemons.clear()
+    await site.daemon("instance-2", bounds=BOUNDS | tolerance)
+    statuses += [(await site.ask("/claim/1")).status for _ in range(20)]
+    allowed = (rate_per_s * window_s + burst) * 1.1 + slack
+    assert burst <= statuses.count(200) <= allowed, statuses
+
+
 @case("an exhausted quota stays exhausted without coordinator and store")
 async def _(site):
     await site.endpoint("e1", "desk")
