--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -84,6 +84,7 @@
       | a frontend without its coordinator does not place a part that is held back |
       | 195 instances hold back a part in time, each at a bounded cost             |
       | a report of evidence is bounded, and begins with the most suspect parts    |
+      | a new instance does not hold back a part that others have seen answered    |
       | evidence in the store keeps its age, and clocks that differ do no harm     |
       | evidence that an instance wrote while it was alone is removed later        |
       | one instance writes evidence to the store, and each that reaches no others |
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -1703,6 +1703,31 @@
     trio.run(play)
 
 
+@case("a new instance does not hold back a part that others have seen answered")
+def _():
+    told, new = Quarantine(), Quarantine()
+    told.record_answer(("first", "other"), 0.0)
+    # What the two earlier ends and a killed instance's request have in common.
+    lose(told, 1, 1.0)
+    lose(told, 2, 2.0)
+    lose(told, 3, 3.0, parts=("first", "other"))
+    for number in (1, 2, 3):
+        told.record_end(process_id(f"e{number}", 1))
+    now = 3.0 + SETTLED_S
+    new.merge(told.rows(now), now)
+    for quarantine in (told, new):
+        quarantine.review(now)
+        assert "first" not in quarantine.held, quarantine.held
+    # Enough ends hold it back at both.
+    for number in (4, 5):
+        for quarantine in (told, new):
+            lose(quarantine, number, now + number, parts=("first", "other"))
+            quarantine.record_end(process_id(f"e{number}", 1))
+    for quarantine in (told, new):
+        quarantine.review(now + 5 + SETTLED_S)
+        assert "first" in quarantine.held, quarantine.suspects
+
+
 REQUEST = "request:0123456789abcdef"
 
 
--- a/src/savorydyke/_quarantine.py
+++ b/src/savorydyke/_quarantine.py
@@ -353,7 +353,8 @@
     def rows(self, now: float) -> tuple[LossRow, ...]:
         """Return the evidence of processes that have ended, for other instances.
 
-        A row without a process says that the suspect has been cleared.
+        A row without a process says when the suspect was last cleared. It comes with
+        evidence too, since a part that has been answered needs more of it.
         """
         rows: dict[bool, list[LossRow]] = {False: [], True: []}
         ranked = sorted(self.suspects.items(), key=lambda item: -len(item[1].losses))
@@ -362,17 +363,19 @@
             evidence.is_shared = evidence.is_shared or bool(ended)
             if len(ended) == 1 and now - evidence.losses[ended[0]].at > SPREAD_S:
                 continue
+            is_recent = now - self._answered_at(suspect) <= SPREAD_S
+            is_answered = suspect in self.answered
+            if (ended and is_answered) or (
+                evidence.is_shared and not ended and is_recent
+            ):
+                age_ms = _age_ms(self._answered_at(suspect), now)
+                row = (suspect, evidence.depth, ProcessId(""), age_ms, age_ms)
+                rows[is_digest(suspect)].append(LossRow(*row))
             for process in ended:
                 loss = evidence.losses[process]
                 sent_ms, lost_ms = _age_ms(loss.sent, now), _age_ms(loss.at, now)
                 row = (suspect, evidence.depth, process, sent_ms, lost_ms)
                 rows[is_digest(suspect)].append(LossRow(*row, evidence.trials))
-            is_cleared = not ended and now - self._answered_at(suspect) <= SPREAD_S
-            if evidence.is_shared and is_cleared:
-                age_ms = _age_ms(self._answered_at(suspect), now)
-                none = ProcessId("")
-                row = (suspect, evidence.depth, none, age_ms, age_ms)
-                rows[is_digest(suspect)].append(LossRow(*row))
         return (*rows[False][:MAX_ROWS], *rows[True][:MAX_ROWS])
 
     def merge(self, rows: Iterable[LossRow], now: float) -> None:
