--- a/features/steps/stream_grammar_cases.py
+++ b/features/steps/stream_grammar_cases.py
@@ -135,6 +135,9 @@
         sent, got = blocks_of(body), blocks_of(out)
         # The caller gets all sound events up to the first block that is none.
         assert [block.event() for block in got] == sound_begin(sent), (body, out)
+        assert got == sent[: len(got)], (body, out)
+        # However the bytes arrive.
+        assert relay(body, range(len(body))) == (out, is_whole), body
         # Readers that look only for empty lines read the same.
         assert out.split(b"\n\n")[-1] == b"" and b"\r" not in out, (body, out)
         assert out.count(b"\n\n") == len(got), (body, out)
--- a/src/savorydyke/_event_order.py
+++ b/src/savorydyke/_event_order.py
@@ -76,9 +76,9 @@
             self.at_begin = False
             self.held = b""
             part = part.removeprefix(BYTE_ORDER_MARK)
-        if self.after_return:
+        if self.after_return and part:
             part = part.removeprefix(b"\n")
-            self.after_return = not part
+            self.after_return = False
         if b"\r" in part:
             self.after_return = part.endswith(b"\r")
             part = part.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
