--- a/features/service.feature
+++ b/features/service.feature
@@ -84,6 +84,16 @@
       | page  |
       | bare  |
 
+  Scenario Outline: A stream that is taken up with its id is a stream
+    Given the small fleet
+    When the engine sends <first> to a caller that takes a stream up
+    Then no caller that takes it up gets an answer
+
+    Examples:
+      | first |
+      | page  |
+      | bare  |
+
   Scenario: A first answer without ids is not taken for a stream that can go on
     Given the small fleet
     When the engine answers streams with error
--- a/features/steps/service_steps.py
+++ b/features/steps/service_steps.py
@@ -409,6 +409,41 @@
         context.small.control(name, stray_first="")
 
 
+@when("the engine sends {first} to a caller that takes a stream up")
+def sends_to_resuming_caller(context, first):
+    small = context.small
+    headers = {"authorization": "Bearer key-of-crews", "x-request-id": new_id()}
+    messages = [{"role": "user", "content": f"taken up as {first}"}]
+    body = {"model": MODEL, "messages": messages, "max_tokens": 5, "stream": True}
+
+    def url(path):
+        return f"http://{small.instances()[0].callers}{path}"
+
+    def post():
+        where = url("/v1/chat/completions")
+        return httpx.post(where, json=body, headers=headers, timeout=20)
+
+    assert b"[DONE]" in post().content
+    for name in ("engine-1", "engine-2"):
+        small.control(name, stray_rest=first)
+    more = {"last-event-id": "2"}
+    where = url(f"/v1/requests/{headers['x-request-id']}")
+    context.answers = [
+        post(),
+        httpx.get(where, headers=headers | more, timeout=20),
+        httpx.get(where, headers=headers, timeout=20),
+    ]
+    for name in ("engine-1", "engine-2"):
+        small.control(name, stray_rest="")
+
+
+@then("no caller that takes it up gets an answer")
+def no_answer_to_resuming_caller(context):
+    for answer in context.answers:
+        assert answer.status_code == 409, (answer.status_code, answer.content)
+        assert b"may have run" in answer.content, answer.content
+
+
 @when("an engine that does not resume answers streams with {first}")
 def answers_with_for_good(context, first):
     for name in ("engine-1", "engine-2"):
--- a/src/savorydyke/_dispatch.py
+++ b/src/savorydyke/_dispatch.py
@@ -368,10 +368,21 @@
         opened = await self._resume_answer(dispatch, endpoint, is_stream=True)
         if not isinstance(opened, Opened):
             return lost
-        # A request that was not streamed may be taken up too.
         is_stream = not opened.why_not_stream()
+        if not is_stream and not self._may_be_whole(dispatch.call, opened):
+            await opened.close()
+            return lost
         return await self._relay(dispatch, endpoint, opened, is_stream)
 
+    def _may_be_whole(self, call: Call, opened: Opened) -> bool:
+        """Return whether an answer that is taken up may be one that is not streamed.
+
+        A caller that asks for a request by its id only does not say which it was.
+        """
+        if call.head.last_event or (call.streamed and call.head.method != "GET"):
+            return False
+        return opened.is_json()
+
     async def resume_earlier(
         self, dispatch: Dispatch, calls: list[Call]
     ) -> DispatchResult:
--- a/src/savorydyke/_endpoint_client.py
+++ b/src/savorydyke/_endpoint_client.py
@@ -12,7 +12,7 @@
 import httpx
 import trio
 
-from savorydyke._answer_kinds import why_not_stream
+from savorydyke._answer_kinds import stated_types, why_not_stream
 from savorydyke._manifest import Endpoint
 from savorydyke._untrusted import parse_json
 
@@ -81,6 +81,12 @@
         with trio.CancelScope(shield=True):
             await self.response.aclose()
 
+    def is_json(self) -> bool:
+        """Return whether the answer says that it is a JSON value."""
+        types = stated_types(self.headers)
+        media_types = [one.partition(";")[0].strip().lower() for one in types]
+        return media_types == ["application/json"]
+
     def why_not_stream(self) -> str:
         """Return why the answer is no stream of events, empty if it is one."""
         return why_not_stream(self.status, self.headers)
