--- a/features/routed.feature
+++ b/features/routed.feature
@@ -435,6 +435,8 @@
       | an answer of a plain route that is cut is not relayed as complete             |
       | a status that promises that nothing has run is passed on only if that is true |
       | streams are asked for and served while one endpoint in three sends garbage    |
+      | an answer with the ids of two requests is none                                |
+      | garbage of one endpoint costs no stream that may go on where others have room |
 
   Scenario Outline: Streams in every form that callers read
     Then the routed case "<case>" holds
--- a/features/steps/answer_kind_cases.py
+++ b/features/steps/answer_kind_cases.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import json
 from dataclasses import dataclass, replace
 
 import trio
@@ -170,12 +171,32 @@
     await site.daemon("instance-1", bounds=bounds)
     await trio.sleep(1.0)
     await links.cut(NewLinks.REFUSED, OpenLinks.RESET)
+    answer = await site.ask(NOT_RESUMABLE)
+    assert answer.body == WHOLE and answer.complete, answer
     for status, headers in NO_STREAM_HEADS.values():
         for shape in shapes(status, headers):
             if len(shape.body) < LARGE_BYTES:
                 endpoints.scripts = [shape.send]
                 answer = await site.ask(NOT_RESUMABLE)
                 assert answer.status == 502, (shape, answer)
+                detail = json.loads(answer.body)["detail"]
+                assert "not a stream" in detail or "encoding" in detail, answer
+    answer = await site.ask(NOT_RESUMABLE)
+    assert answer.body == WHOLE and answer.complete, answer
+
+
+@case("an answer with the ids of two requests is none")
+async def _(site):
+    async def two_ids(exchange):
+        head = exchange.response_head(200, EVENT_STREAM, CHUNKED)
+        begin, _, rest = head.partition(b"\r\n")
+        other = b"\r\nX-Savorydyke-Request-Id: another\r\n"
+        await exchange.send(begin + other + rest + chunk(WHOLE) + b"0\r\n\r\n")
+
+    endpoints = await start(site)
+    endpoints.scripts = [two_ids]
+    answer = await site.ask(NOT_RESUMABLE)
+    assert answer.status == 502, answer
 
 
 @case("streams with the usual variants of their head are whole")
@@ -265,8 +286,10 @@
 @case("a status that promises that nothing has run is passed on only if that is true")
 async def _(site):
     endpoints = await start_desk(site)
-    for status in (408, 421, 429, 503):
-        ran = AnswerShape(status, (TEXT,), b"no")
+    for status, body in itertools.product(
+        (408, 421, 429, 503), (b"no", b"x" * LARGE_BYTES)
+    ):
+        ran = AnswerShape(status, (TEXT,), body)
         answer = await ask_plainly(site, endpoints, "/claim/1", ran, PLAIN)
         # An endpoint that is not the expected one answers 421.
         assert answer.body == PLAIN.body if status == 421 else answer.status == 502
@@ -297,6 +320,27 @@
     await exchange.stream_events(last + 1, EVENTS, pause_s=0.012)
 
 
+@case("garbage of one endpoint costs no stream that may go on where others have room")
+async def _(site):
+    endpoints = [
+        await site.endpoint(f"e{number}", "engines", answer_in_turn, slots=8)
+        for number in range(3)
+    ]
+    endpoints[0].scripts = [answer_garbage]
+    await site.daemon("instance-0")
+    await site.daemon("instance-1")
+    await trio.sleep(0.5)
+    traffic = StreamTraffic(site)
+    begun = trio.current_time()
+    await traffic.run(GARBAGE_S / 2)
+    for _, path, answer in traffic.answers:
+        check_stream(answer)
+        assert path != RESUMABLE or answer.body == WHOLE, answer
+    noticed = [a for sent, _, a in traffic.answers if sent >= begun + NOTICED_S]
+    lost = [answer for answer in noticed if answer.body != WHOLE]
+    assert len(lost) <= LOST_SHARE * len(noticed), (len(lost), len(noticed))
+
+
 @case("streams are asked for and served while one endpoint in three sends garbage")
 async def _(site):
     endpoints = [
@@ -316,7 +360,7 @@
     await traffic.run(CURED_S)
     returned = len(bad.received_requests) - before
     for _, _, answer in traffic.answers:
-        if answer.status not in REFUSED:
+        if answer.status not in {*REFUSED, OUT_OF_TIME}:
             check_stream(answer)
     noticed = [
         answer
@@ -331,6 +375,8 @@
 
 REFUSED = {429, 503}
 """Statuses of requests that have not run; the load is more than two endpoints bear."""
+OUT_OF_TIME = 504
+"""Status of a request that was sent and then found no place in time; it is lost."""
 MIN_SERVED = 160
 """About 20 a second, of the 34 that two endpoints could serve."""
 
--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -160,15 +160,19 @@
         parts.append(part)
         size += len(part)
         if size > BUFFER_BYTES:
+            if head.status >= 500 or head.status in NOT_RUN_STATUSES:
+                # It can not be passed on before all of it is known.
+                raise ChannelBrokenError(f"status {head.status} with a long body")
             return await _relay_large(request, channel, head, parts)
     on_first_byte()
     body = b"".join(parts)
     if head.status >= 500:
         request.result = ReleaseResult.FAILED
         return Failed(head, body)
-    request.result = ReleaseResult.COMPLETE
     if request.responder.started:
+        request.result = ReleaseResult.FAILED
         return Lost(f"status {head.status} where a stream should go on")
+    request.result = ReleaseResult.COMPLETE
     await deliver(request, head, body)
     return Done(head.status)
 
@@ -178,6 +182,7 @@
 ) -> SendResult:
     """Relay an answer that is too large to be buffered."""
     if request.responder.started:
+        request.result = ReleaseResult.FAILED
         return Lost("a large answer where a stream should go on")
     headers = response_headers(head.headers)
     if head.length is not None:
--- a/src/savorydyke/platform/_headers.py
+++ b/src/savorydyke/platform/_headers.py
@@ -254,8 +254,10 @@
     load = LOAD_REPORT.fullmatch(found.get(LOAD, ""))
     if load is not None:
         running, waiting = int(load[1]), int(load[2])
+    ids = {value.decode("latin-1") for n, value in headers if n.lower() == REQUEST_ID}
     return ResponseInfo(
-        request_id=found.get(REQUEST_ID, ""),
+        # Of two ids, the caller could take the other one.
+        request_id=ids.pop() if len(ids) == 1 else "",
         stamped=STAMP in found,
         # An endpoint answers 421 if it is not the expected one.
         not_executed=NOT_EXECUTED in found or status == 421,
