Keep a pool with strong instances while all of these are slow

A coordinator that cannot keep up announces that it is slow, and the pool moves to another strong instance, which cannot keep up either. When all strong ones were slow, the pool moved to instances with a quarter of their cores, one after another.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -23,6 +23,7 @@
       | if all endpoints ask for a pause requests are refused until its end        |
       | the time of a Retry-After header is read by its standard                   |
       | a slow instance does not coordinate                                        |
+      | a pool does not move to weak instances when the strong ones are slow       |
       | an instance is slow if its timers are late, not after one pause            |
       | timers of a process with too much work are late each time                  |
       | a coordinator that returns does not count what ended or began meanwhile    |
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -644,6 +644,21 @@
     assert {view.coordinator(POOL) for view in views} == {coordinator}
 
 
+@case("a pool does not move to weak instances when the strong ones are slow")
+def _():
+    # Under a load that made two strong instances slow, the pool once moved on to
+    # instances of a quarter of their cores, each of which became slow in turn.
+    membership = instance_of_three()
+    membership.weights = {"a": 2.15, "b": 2.15, "c": 0.516}
+    membership.slow = membership.members["b"].slow = True
+    assert membership.coordinator(POOL) in {"a", "b"}
+    # One with half of their cores can bear the load in their place.
+    membership.weights["c"] = 1.1
+    assert membership.coordinator(POOL) == "c"
+    membership.members["c"].slow = True
+    assert membership.coordinator(POOL) in {"a", "b"}
+
+
 @case("an instance is slow if its timers are late, not after one pause")
 def _():
     overload = Overload()
--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -34,6 +34,9 @@
 """Rendezvous scores kept: those of 400 instances for 40 pools."""
 MIN_RELATIVE_WEIGHT = 0.75
 """Fraction of the largest weight that an instance needs to coordinate a pool."""
+MIN_SUBSTITUTE_WEIGHT = 0.5
+"""The same, for an instance that coordinates because all stronger ones are slow. Under
+a load that is too much for strong instances, weaker ones would fail one by one."""
 
 
 @dataclass
@@ -283,16 +286,24 @@
     def _highest_score(self, pool: PoolId, candidates: list[InstanceId]) -> InstanceId:
         """Return the instance with the highest hash among the strong ones.
 
-        Slow instances are chosen only if all are.
+        Slow instances are chosen only if all are that could bear the load of a pool.
         """
-        candidates = [n for n in candidates if not self.is_slow(n)] or candidates
-        strongest = max(self.weights.get(name, 1.0) for name in candidates)
-        candidates = [
-            name
-            for name in candidates
-            if self.weights.get(name, 1.0) >= MIN_RELATIVE_WEIGHT * strongest
-        ]
-        return max(candidates, key=lambda name: rendezvous_score(pool, name))
+        strong = self._strong(candidates)
+        if all(map(self.is_slow, strong)):
+            least = MIN_SUBSTITUTE_WEIGHT * max(map(self._weight, strong))
+            others = [name for name in candidates if self._weight(name) >= least]
+            strong = self._strong([n for n in others if not self.is_slow(n)]) or strong
+        else:
+            strong = [name for name in strong if not self.is_slow(name)]
+        return max(strong, key=lambda name: rendezvous_score(pool, name))
+
+    def _strong(self, names: list[InstanceId]) -> list[InstanceId]:
+        """Return the instances that are about as strong as the strongest of them."""
+        least = MIN_RELATIVE_WEIGHT * max(map(self._weight, names), default=0.0)
+        return [name for name in names if self._weight(name) >= least]
+
+    def _weight(self, name: InstanceId) -> float:
+        return self.weights.get(name, 1.0)
 
     def is_reachable(self, name: InstanceId) -> bool:
         """Return whether messages can be sent to a member."""
