Run the scenarios of behave side by side

It starts another one while 1.5 processors are idle, and always runs half as many as there are processors. A scenario that does not end within 300 s writes its stacks, is ended by its id and counts as failed. The scenarios run are compared with the list of behave's dry run.

`make test-quick` is new.

--- a/Makefile
+++ b/Makefile
@@ -6,22 +6,26 @@
 PURE_SDIST := quantile-python
 INSTALLED := $(VENV)/.installed
 
-.PHONY: demo test test-large lint histories soak bench bench-cost clean
+.PHONY: demo test test-quick test-large lint histories soak bench bench-cost clean
 
 demo: $(INSTALLED)
 	$(BIN)/savorydyke-bench demo
 
-# Further options of behave, for reports.
-REPORT ?=
+# Options of .ci/run_features.py, such as --jobs 2 or features/routed.feature:40.
+FEATURES ?=
 test: $(INSTALLED) lint
-	$(BIN)/behave --no-capture $(REPORT) --format progress --tags "not @large" features
+	$(BIN)/python .ci/run_features.py $(FEATURES)
+
+QUICK := features/decisions.feature features/decoders.feature
+test-quick: $(INSTALLED) lint
+	$(BIN)/python .ci/run_features.py $(QUICK)
 
 test-large: $(INSTALLED)
 	$(BIN)/behave --no-capture --format progress --tags @large features
 
 lint: $(INSTALLED)
-	$(BIN)/ruff check src features
-	$(BIN)/ruff format --check src features
+	$(BIN)/ruff check src features .ci
+	$(BIN)/ruff format --check src features .ci
 	$(BIN)/mypy
 
 SEEDS ?= 1 2 3
