Keep the logs of fleets that fail, and start long scenarios first

They are copied to ROUTED_LOGS, as those of routed sites are. A case no longer lets go of the block of its port while it uses the port. Scenarios that take 20 s to 50 s (measured at load average 12) get the tag @first.

--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -17,6 +17,7 @@
     And hypothesis finds no truncation after which a resumed stream is not complete
     And an event without end is relayed with bounded memory
 
+  @first
   Scenario: Records, messages and answers of others
     Then hypothesis finds no record in the store that ends or stops an instance
     And hypothesis finds no answer of the store that raises anything but its error
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -1467,7 +1467,8 @@
 
         endpoint = RoutedEndpoint([notice])
         async with trio.open_nursery() as nursery:
-            address = PortPool().take()
+            ports = PortPool()
+            address = ports.take()
             await nursery.start(endpoint.listen, address)
             host, _, port = address.partition(":")
             stream = await trio.open_tcp_stream(host, int(port))
--- a/src/savorydyke_bench/_fleet.py
+++ b/src/savorydyke_bench/_fleet.py
@@ -343,3 +343,5 @@
             yield fleet
         finally:
             fleet.stop()
+            if "ROUTED_LOGS" in os.environ:
+                fleet.copy_logs(f"{os.environ['ROUTED_LOGS']}/{fleet.folder.name}")
