Leave simulations of fleets out of make test-quick, and end a run by SIGTERM

They take 240 s of 303 s of processor time of decisions and decoders. make test runs them. SIGTERM to a run left the processes of the scenarios, which are in groups of their own; with 21 processes in a group, none was left after it.

--- a/.ci/run_features.py
+++ b/.ci/run_features.py
@@ -8,6 +8,8 @@
     Takes long and is started first, so that no other one waits for it at the end.
 ``@alone``
     Measures time or load and runs after all others, one at a time.
+``@fleet``
+    Simulates a fleet, with much processor time; not in `make test-quick`.
 
 Started with ``python .ci/run_features.py [options] [features or features:line ...]``.
 """
@@ -184,6 +186,7 @@
 def run_unit(unit, seed):
     """Run one scenario in this process, which was forked for it."""
     os.setsid()
+    signal.signal(signal.SIGTERM, signal.SIG_DFL)
     output = os.open(unit.folder / "output.txt", os.O_WRONLY | os.O_APPEND)
     os.dup2(output, 1)
     os.dup2(output, 2)
@@ -431,6 +434,8 @@
     os.chdir(ROOT)
     # A forked process must not inherit lines that are not written yet.
     sys.stdout.reconfigure(line_buffering=True)
+    # Ends the processes of the scenarios too, which are in groups of their own.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit("ended by a signal"))
     config = Configuration(["--tags", options.tags, *options.paths])
     runner = LoadedRunner.loaded = Runner(config)
     runner.path_manager.__enter__()
--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -174,7 +174,7 @@
       | only an outage that lets records expire lets missing ones count as expired    |
       | a restored store may lack any record                                          |
 
-  @first
+  @first @fleet
   Scenario Outline: Quotas of a fleet
     Then the decision case "<case>" holds
 
