Run scenarios with and without processes in two lanes

A routed scenario takes 6 s and uses 1.2 s of processor time (128 scenarios at load average 15 on 7 processors), one of the decisions uses a whole processor. With one number for both, three at a time beside other load, a whole run would have taken 830 s by the times measured. Each lane now has its own least number: two and five of seven processors.

--- a/.ci/run_features.py
+++ b/.ci/run_features.py
@@ -4,6 +4,8 @@
 process group, temporary folder, log folder and random seed; ports are reserved by
 `savorydyke_standins._ports`, which keeps processes apart. Tags of scenarios:
 
+``@processes``
+    Starts processes and mostly waits for them.
 ``@first``
     Takes long and is started first, so that no other one waits for it at the end.
 ``@alone``
@@ -53,7 +55,7 @@
 QUOTED = re.compile('"([^"]*)"')
 
 
-@dataclass
+@dataclass(eq=False)
 class Unit:
     """One scenario, or one row of an outline, and its result.
 
@@ -77,6 +79,7 @@
     processor_s: float = 0.0
     pid: int = 0
     element: dict = field(default_factory=dict)
+    lane: "Lane | None" = None
 
 
 class LoadedRunner(Runner):
@@ -283,6 +286,21 @@
 # All scenarios
 
 
+@dataclass(eq=False)
+class Lane:
+    """Units that wait and need the same of the machine.
+
+    Attributes
+    ----------
+    fewest : int
+        Number of units that run at a time also beside other load, since the whole run
+        has a limit of time.
+    """
+
+    waiting: list[Unit]
+    fewest: int
+
+
 class Run:
     """Runs units, as many at a time as the processors allow.
 
@@ -300,45 +318,56 @@
         self.count = len(units)
         self.most = 0
         self.began = self.last_start = self.last_progress = time.monotonic()
-        alone = [u for u in units if "alone" in u.tags]
+        self.alone = [u for u in units if "alone" in u.tags]
         beside = [u for u in units if "alone" not in u.tags]
         beside.sort(key=lambda u: ("first" not in u.tags, not u.touched))
-        self.parts = [(beside, jobs), (alone, 1)]
+        count = len(self.processors.numbers)
+        # A scenario without processes uses one processor. One that starts processes
+        # waits for them and uses a quarter of one on average.
+        in_memory = Lane([], max(2, count // 3))
+        of_processes = Lane([], max(2, count - 2))
+        for unit in beside:
+            lane = of_processes if "processes" in unit.tags else in_memory
+            lane.waiting.append(unit)
+        self.lanes = [of_processes, in_memory]
 
     def run(self):
         """Run all units; end their processes also if this is interrupted."""
         try:
-            for units, jobs in self.parts:
-                self._run_part(list(units), jobs)
+            self._run_lanes(self.lanes, self.jobs)
+            self._run_lanes([Lane(self.alone, 1)], 1)
         finally:
             for unit in self.running:
                 kill_unit(unit)
         return self.done
 
-    def _run_part(self, waiting, jobs):
-        while waiting or self.running:
+    def _run_lanes(self, lanes, jobs):
+        while self.running or any(lane.waiting for lane in lanes):
             self.processors.sample()
-            if waiting and self._may_start(jobs):
-                self._start(waiting.pop(0))
+            for lane in lanes:
+                if lane.waiting and self._may_start(lane, jobs):
+                    self._start(lane)
+                    # The other lane is the next one to use an idle processor.
+                    lanes = [*lanes[1:], lanes[0]]
+                    break
             time.sleep(POLL_S)
             self._collect()
             self._show_progress()
 
-    def _may_start(self, jobs):
-        """Return whether another unit may start beside those that run."""
+    def _may_start(self, lane, jobs):
+        """Return whether another unit of a lane may start beside those that run."""
         if jobs:
             return len(self.running) < jobs
         if time.monotonic() - self.last_start < START_PAUSE_S:
             return False
-        # Beside other load, half of the processors are used all the same, since the
-        # whole run has a limit of time.
-        fewest = max(2, len(self.processors.numbers) // 2)
-        if len(self.running) < fewest:
+        if sum(unit.lane is lane for unit in self.running) < lane.fewest:
             return True
         most = 3 * len(self.processors.numbers)
         return len(self.running) < most and self.processors.idle >= IDLE_TO_START
 
-    def _start(self, unit):
+    def _start(self, lane):
+        unit = lane.waiting.pop(0)
+        unit.lane = lane
         number = len(self.done) + len(self.running)
         feature = Path(unit.feature).stem
         unit.folder = self.folder / f"{number:04d}-{feature}"
--- a/features/checkers.feature
+++ b/features/checkers.feature
@@ -26,7 +26,7 @@
       | a team's request runs 5 s after its approval was withdrawn | 8 configuration           |
       | a request never gets an answer                             | 0 final answer            |
 
-  @first
+  @first @processes
   Scenario: Runs under random faults satisfy every invariant
     When the histories of seeds 2 and 3 are recorded
     Then no checker finds a violation in these histories
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Routed requests
   A real instance runs against stand-ins for the callers, the store and the
   endpoints, over the same protocols as in production.
--- a/features/service.feature
+++ b/features/service.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: A running fleet serves approved callers and refuses others with the correct reason
 
   Scenario: The OpenAI client library works unchanged
