--- a/.ci/run_features.py
+++ b/.ci/run_features.py
@@ -388,6 +388,9 @@
             self.running.remove(unit)
             finish_unit(unit, reason)
             self.done.append(unit)
+            times = f"{unit.wall_s:.2f}\t{unit.processor_s:.2f}\t{unit.location}\n"
+            with (self.folder / "times.txt").open("a") as log:
+                log.write(times)
 
     def _show_progress(self):
         now = time.monotonic()
@@ -413,8 +416,6 @@
         features.setdefault(unit.feature, []).append(unit.element)
     report = [{"location": f, "elements": e} for f, e in sorted(features.items())]
     (folder / "report.json").write_text(json.dumps(report, indent=1))
-    lines = [f"{u.wall_s:.2f}\t{u.processor_s:.2f}\t{u.location}" for u in units]
-    (folder / "times.txt").write_text("\n".join(lines) + "\n")
     return report
 
 
