Read load reports with three or four figures

A report with a fourth figure, the pace of the endpoint, was dropped entirely. Each figure is now read by itself.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -200,3 +200,11 @@
       | a lower quota is kept soon after it was set |
       | a team stays within its quota whatever happens |
       | a request that waited for its quota to be known is charged and answered once |
+
+  Scenario Outline: Paces, endpoint memory, cached prompts and data centres
+    Then the decision case "<case>" holds
+
+    Examples:
+      | case |
+      | a load report has three or four figures, and bad ones cost only themselves |
+      | load reports that can not be read cost one log line in ten seconds |
--- a/src/savorydyke/platform/_headers.py
+++ b/src/savorydyke/platform/_headers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from savorydyke._http1 import Headers, without_hop_headers
+from savorydyke._untrusted import MAX_SHOWN
 
 REQUEST_ID = b"x-savorydyke-request-id"
 DEADLINE = b"x-savorydyke-deadline-ms"
@@ -59,7 +60,10 @@
 """Headers that may appear only once. Of two values, different programs could use
 different ones."""
 
-LOAD_REPORT = re.compile(r"\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*,\s*[0-9]{1,9}\s*")
+COUNT = re.compile(r"[0-9]{1,9}")
+PACE_RANGE = (5.0, 5000.0)
+"""Paces that are believed, in per cent: a machine is at most 20 times faster or 50
+times slower than usual."""
 MAX_REQUEST_ID_BYTES = 200
 MAX_DEADLINE_MS = 86_400_000
 
@@ -204,6 +208,54 @@
     return kept
 
 
+@dataclass(frozen=True)
+class LoadReport:
+    """What an endpoint reports of its load; each figure is there or not by itself.
+
+    Attributes
+    ----------
+    running, waiting, slots : int or None
+        Requests that run and that wait, and how many can run at once.
+    pace : float or None
+        Time that work takes at present, as a multiple of the usual time.
+    error : str
+        Which figures could not be read, empty if all could.
+    """
+
+    running: int | None = None
+    waiting: int | None = None
+    slots: int | None = None
+    pace: float | None = None
+    error: str = ""
+
+
+NO_LOAD_REPORT = LoadReport()
+
+
+def parse_load_report(text: str) -> LoadReport:
+    """Return the figures of a load report: three counts and, at some pools, a pace.
+
+    A figure that can not be read costs only itself.
+
+    Examples
+    --------
+    >>> parse_load_report("3, 0, 6, 250").pace
+    2.5
+    """
+    figures = [figure.strip() for figure in text.split(",", 4)]
+    counts = [int(f) if COUNT.fullmatch(f) else None for f in figures[:3]]
+    running, waiting, slots, *_ = (*counts, None, None, None)
+    is_bad = None in {running, waiting, slots} or len(figures) > 4
+    pace = None
+    if len(figures) > 3 and COUNT.fullmatch(figures[3]):
+        least, most = PACE_RANGE
+        value = float(figures[3])
+        pace = value / 100 if least <= value <= most else None
+    is_bad = is_bad or (len(figures) > 3 and pace is None)
+    error = f"figures not understood: {text[:MAX_SHOWN]!r}" if is_bad else ""
+    return LoadReport(running, waiting, slots, pace, error)
+
+
 @dataclass(frozen=True)
 class ResponseInfo:
     """The contents of the headers of an endpoint's answer.
@@ -217,8 +269,8 @@
         answers; one without it is not passed on.
     not_executed : bool
         Whether the endpoint states that the request did not run.
-    running, waiting : int or None
-        The endpoint's load, if given.
+    load : LoadReport
+        The endpoint's load, as far as it is given.
     leaving : bool
         Whether the endpoint states that it takes no new requests from now on.
     limit : str
@@ -237,8 +289,7 @@
     request_id: str
     stamped: bool
     not_executed: bool
-    running: int | None
-    waiting: int | None
+    load: LoadReport
     leaving: bool
     limit: str
     rejection_limit: str
@@ -250,10 +301,7 @@
 def parse_response_headers(status: int, headers: Headers) -> ResponseInfo:
     """Return the contents of the headers of an endpoint's answer."""
     found = {name.lower(): value.decode("latin-1") for name, value in headers}
-    running = waiting = None
-    load = LOAD_REPORT.fullmatch(found.get(LOAD, ""))
-    if load is not None:
-        running, waiting = int(load[1]), int(load[2])
+    load = parse_load_report(found[LOAD]) if LOAD in found else NO_LOAD_REPORT
     ids = {value.decode("latin-1") for n, value in headers if n.lower() == REQUEST_ID}
     return ResponseInfo(
         # Of two ids, the caller could take the other one.
@@ -261,8 +309,7 @@
         stamped=STAMP in found,
         # An endpoint answers 421 if it is not the expected one.
         not_executed=NOT_EXECUTED in found or status == 421,
-        running=running,
-        waiting=waiting,
+        load=load,
         leaving=found.get(LEAVING, "").strip() == "1",
         limit=found.get(LIMIT, "").strip(),
         rejection_limit=found.get(REJECTION_LIMIT, "").strip(),
