Learn the kind of endpoints apart from the pace that they report

One learned factor followed an endpoint's kind, its batch and its neighbours, which change on different time scales. For endpoints that report a pace, the kind is now learned slowly with the pace divided out, tokens are modelled by the batch, and a report counts with the probability that it is still true, or not at all if predictions are no better with it. Started and Release carry the pace and its age; only peers whose records say that they know optional fields are sent them. Endpoints without reports are predicted as before.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -208,3 +208,8 @@
       | case |
       | a load report has three or four figures, and bad ones cost only themselves |
       | load reports that can not be read cost one log line in ten seconds |
+      | reported paces make the longest pauses shorter, and draw no flock |
+      | a pace counts for as long as earlier ones lasted, and not if it is worthless |
+      | an endpoint's kind is learned apart from its pace, and from its batch |
+      | an endpoint that is slower than it reports is still passed over |
+      | paces pass between builds that know them and builds that do not |
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -13,6 +13,7 @@
 from savorydyke._messages import RunningRow
 from savorydyke._rejections import FRESH_S, RejectionGuard
 from savorydyke._request_limits import RequestAllowance
+from savorydyke.scheduling import EndpointPace
 
 PREFILL_WINDOW_S = 0.3
 """Prefill time that may be queued inside an engine; beyond it the coordinator decides
@@ -127,6 +128,8 @@
         How many requests it takes, if it has named a limit.
     rejections : RejectionGuard or None
         How many requests may be sent, if it bears few rejections only.
+    pace : EndpointPace or None
+        What is known of the speed of an endpoint that reports its pace.
     parallel : bool
         Whether requests are processed side by side, as plain services do, and
         not one prompt after the other.
@@ -154,6 +157,7 @@
     allowance: RequestAllowance | None = None
     rejections: RejectionGuard | None = None
     external: deque[int] = field(default_factory=lambda: deque(maxlen=REPORTS_KEPT))
+    pace: EndpointPace | None = None
 
     @property
     def id(self) -> EndpointId:
@@ -296,12 +300,16 @@
         self.tokens += item.prompt_tokens + item.output_tokens
         if not started:
             self.unstarted_tokens += uncached
+        self.apply_pace(now)
 
     def start(self, item: Running, first_byte_s: float) -> None:
         """Learn from the first byte of an answer."""
         if item.started:
             return
         self.mark_started(item)
+        if self.pace is not None:
+            now = item.granted + first_byte_s
+            self.pace.learn_first(first_byte_s, item.expected_first_s, now)
         observed_s = first_byte_s - item.overdue_s
         self._learn(observed_s, item.expected_first_s, item.granted + first_byte_s)
 
@@ -327,10 +335,38 @@
             self.unstarted_tokens -= item.uncached_tokens
         return item
 
-    def learn_decode(self, tokens: int, seconds: float) -> None:
+    def report_pace(self, percent: int, age_ms: int, now: float) -> None:
+        """Record the pace that the endpoint reported with an answer, 0 for none."""
+        if percent <= 0:
+            if self.pace is not None:
+                self.pace.unreported += 1
+            return
+        if self.pace is None:
+            self.pace = EndpointPace()
+        self.pace.report(percent / 100, now - max(0, age_ms) / 1000)
+        self.apply_pace(now)
+
+    def apply_pace(self, now: float) -> None:
+        """Use what is known of the endpoint's pace, kind and batch, if it is of use."""
+        if self.pace is None or not self.pace.is_useful():
+            return
+        low, high = FACTOR_RANGE
+        factor = self.pace.first_factor(now)
+        if any(i.overdue_s and not i.started for i in self.running.values()):
+            # It is slower than it reports.
+            factor = max(factor, self.prefill_factor)
+        self.prefill_factor = min(high, max(low, factor))
+        speed = self.pace.tokens_per_s(len(self.running), now)
+        self.decode_tokens_per_s = speed or self.decode_tokens_per_s
+
+    def learn_decode(self, tokens: int, seconds: float, now: float = 0.0) -> None:
         """Learn from a complete answer."""
         if tokens < 2 or seconds <= 0:
             return
+        if self.pace is not None:
+            self.pace.learn_decode(tokens, seconds, len(self.running), now)
+            if self.pace.is_useful():
+                return
         speed = tokens / seconds
         self.decode_tokens_per_s += LEARNING_RATE * (speed - self.decode_tokens_per_s)
 
@@ -360,6 +396,7 @@
         low, high = FACTOR_RANGE
         ratio = (self.observed_s + PRIOR_S) / (self.expected_s + PRIOR_S)
         self.prefill_factor = min(high, max(low, ratio))
+        self.apply_pace(self.learned)
 
     def decay_if_idle(self, now: float) -> None:
         """Let the learned speed of an idle endpoint decay to the assumed one.
@@ -370,6 +407,8 @@
         if not self.running:
             self._decay(now)
             self._update_factor()
+        else:
+            self.apply_pace(now)
 
     def report(self, requests: int) -> None:
         """Record a load report, which lags behind, of the requests in the endpoint."""
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -311,6 +311,7 @@
         self.membership.listed = {r.id for r in records}
         self.membership.weights |= {r.id: r.cores for r in records}
         self.pool_host.reporting = {r.id for r in records if r.reports_quotas}
+        self.peers.reading_optional = {r.id for r in records if r.reads_optional}
 
     def _adapt_to_fleet_size(self) -> int:
         """Set intervals and timeouts according to the size of the fleet.
--- a/src/savorydyke/_grant_client.py
+++ b/src/savorydyke/_grant_client.py
@@ -413,6 +413,7 @@
         key: RequestKey,
         first_byte_s: float,
         version: SoftwareVersion = UNKNOWN_VERSION,
+        pace: tuple[int, int] = (0, 0),
     ) -> None:
         """Report to the coordinator that the first byte of an answer has arrived.
 
@@ -420,6 +421,8 @@
         ----------
         version : SoftwareVersion
             The version of the endpoint that sent it.
+        pace : (int, int)
+            The pace that the endpoint has reported, in per cent, and its age in ms.
         """
         item = self.in_flight.get(key)
         if item is None or item.started:
@@ -427,7 +430,8 @@
         item.started, item.version = True, version
         milliseconds = math.ceil(first_byte_s * 1000)
         demand = item.demand
-        message = Started(key, demand.pool, milliseconds, demand.stream, version)
+        stream = demand.stream
+        message = Started(key, demand.pool, milliseconds, stream, version, *pace)
         self._send_to_coordinator(demand.pool, message)
 
     def release(
@@ -437,6 +441,7 @@
         output_tokens: int = 0,
         decode_s: float = 0.0,
         pause_s: float = 0.0,
+        pace: tuple[int, int] = (0, 0),
     ) -> None:
         """Return a grant, and report how its request ended.
 
@@ -444,6 +449,8 @@
         ----------
         pause_s : float
             For how long the endpoint wants no other request of this instance.
+        pace : (int, int)
+            As in `started`.
         """
         item = self.in_flight.pop(key, None)
         if item is None:
@@ -457,6 +464,7 @@
             output_tokens,
             int(decode_s * 1000),
             math.ceil(pause_s * 1000),
+            *pace,
         )
         self._send_to_coordinator(item.demand.pool, message)
         is_fallback = item.granted.coordinator == FALLBACK
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -336,6 +336,9 @@
         The caller's attempt with which the stream began; empty if the answer is none.
     version : SoftwareVersion
         The version of the endpoint.
+    pace_percent, pace_age_ms : int
+        The pace that the endpoint has reported, 0 for none, and the time since.
+        Earlier builds do not know them.
     """
 
     key: RequestKey
@@ -343,6 +346,8 @@
     first_byte_ms: int
     stream: RequestKey = NO_STREAM
     version: SoftwareVersion = UNKNOWN_VERSION
+    pace_percent: int = 0
+    pace_age_ms: int = 0
 
 
 @dataclass(frozen=True)
@@ -355,6 +360,8 @@
         Tokens generated, and the time that this took after the first byte.
     pause_ms : int
         For how long the endpoint wants no other request of the sending frontend.
+    pace_percent, pace_age_ms : int
+        As in `Started`.
     """
 
     key: RequestKey
@@ -365,6 +372,8 @@
     output_tokens: int
     decode_ms: int
     pause_ms: int = 0
+    pace_percent: int = 0
+    pace_age_ms: int = 0
 
 
 @dataclass(frozen=True)
@@ -439,15 +448,31 @@
     | StreamPush
 )
 _NESTED = (MemberRow, RunningRow, LossRow, LimitRow)
+_EARLIER_FIELDS: dict[type, int] = {Started: 5, Release: 8}
+"""Numbers of fields of earlier builds. Only peers whose records say that they know
+optional fields are sent more. What is absent has its default, and what a later build
+adds is ignored."""
 _TAGS = {kind: tag for tag, kind in enumerate(get_args(Message))}
 _KINDS = {tag: kind for kind, tag in _TAGS.items()}
 
 Check = Callable[[Any], Any]
 
 
-def encode(messages: Iterable[Message]) -> bytes:
-    """Return one frame with `messages`."""
-    return cbor2.dumps([[_TAGS[type(m)], *_plain(m)] for m in messages])
+def encode(messages: Iterable[Message], optional_fields: bool = True) -> bytes:
+    """Return one frame with `messages`.
+
+    Parameters
+    ----------
+    optional_fields : bool
+        Whether the peer knows the fields that earlier builds do not have.
+    """
+    rows = []
+    for message in messages:
+        values = _plain(message)
+        if not optional_fields:
+            values = values[: _EARLIER_FIELDS.get(type(message))]
+        rows.append([_TAGS[type(message)], *values])
+    return cbor2.dumps(rows)
 
 
 def decode(frame: bytes) -> list[Message]:
@@ -488,6 +513,8 @@
 
 def _build(kind: type, values: list) -> Any:
     checks = _CHECKS[kind]
+    if kind in _EARLIER_FIELDS and len(values) >= _EARLIER_FIELDS[kind]:
+        return kind(*[check(v) for check, v in zip(checks, values, strict=False)])
     if len(values) != len(checks):
         raise ProtocolError(f"{kind.__name__} has {len(values)} fields")
     return kind(*[check(v) for check, v in zip(checks, values, strict=True)])
--- a/src/savorydyke/_peers.py
+++ b/src/savorydyke/_peers.py
@@ -130,6 +130,8 @@
         The instance that answered at each address dialled.
     listed_addresses : dict of InstanceId to str
         Instances in the platform's list.
+    reading_optional : set of InstanceId
+        Peers that know the optional fields of messages; earlier builds do not.
     """
 
     def __init__(
@@ -153,6 +155,7 @@
         self.seeds: set[str] = set()
         self.listed_addresses: dict[InstanceId, str] = {}
         self.seed_instances: dict[str, InstanceId] = {}
+        self.reading_optional: set[InstanceId] = set()
         self.traffic = Traffic()
 
     def send(self, peer: InstanceId, message: Message) -> bool:
@@ -466,7 +469,7 @@
             messages, link.queue = link.queue, []
             if not messages:
                 continue
-            frame = encode(messages)
+            frame = encode(messages, link.peer in self.reading_optional)
             self.traffic.frames_sent += 1
             self.traffic.bytes_sent += len(frame)
             try:
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -388,6 +388,12 @@
             "slowness": round(load.prefill_factor, 2),
         }
         item = load.running.get(answer.key)
+        if load.pace is not None:
+            extra |= {
+                "kind": round(load.pace.kind, 2),
+                "pace": round(load.pace.pace(now), 2),
+                "pace_used": load.pace.is_useful(),
+            }
         if item is not None:
             extra["first_ms"] = int(item.predicted_first_s * 1000)
             extra |= {"team": item.team, "quota_tokens": item.quota_tokens}
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -328,6 +328,7 @@
         load = self.endpoints.get(self.placed.get(message.key, EndpointId("")))
         if load is None:
             return []
+        load.report_pace(message.pace_percent, message.pace_age_ms, now)
         load.start(load.running[message.key], message.first_byte_ms / 1000)
         return self.grant_waiting(now)
 
@@ -359,6 +360,8 @@
             load.pause(item.frontend, message.pause_ms / 1000, now, self.rng)
         load.remove(item.key)
         self.placed.pop(item.key, None)
+        if message.pace_percent:
+            load.report_pace(message.pace_percent, message.pace_age_ms, now)
         if result in _NOT_RUN:
             self._refund(item)
             if load.allowance is not None and result is not ReleaseResult.REJECTED:
@@ -377,7 +380,7 @@
         if result is ReleaseResult.COMPLETE:
             load.record_success()
             mark_suspects(self.endpoints.values())
-            load.learn_decode(message.output_tokens, message.decode_ms / 1000)
+            load.learn_decode(message.output_tokens, message.decode_ms / 1000, now)
             self.estimates.learn_output(item, message.output_tokens)
 
     def register(self, message: Register, frontend: InstanceId, now: float) -> None:
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -581,8 +581,8 @@
         request.pause_s = 0.0
         request.result = ReleaseResult.NOT_SENT
         events = request.events
+        endpoint = self._endpoint(granted.endpoint)
         try:
-            endpoint = self._endpoint(granted.endpoint)
             if endpoint is None:
                 request.unsent += 1
                 return NotRun("the endpoint has been removed")
@@ -602,13 +602,25 @@
                     request.team, placed_by, request.quota_tokens
                 )
             self.grant_client.release(
-                key, request.result, tokens, decode_s, request.pause_s
+                key,
+                request.result,
+                tokens,
+                decode_s,
+                request.pause_s,
+                self._pace(endpoint),
             )
 
     def _endpoint(self, name: EndpointId) -> Endpoint | None:
         manifest = self.directory.manifest
         return manifest.endpoints.get(name) if manifest else None
 
+    def _pace(self, endpoint: Endpoint | None) -> tuple[int, int]:
+        """Return the pace that an endpoint has reported, for a message."""
+        if endpoint is None:
+            return 0, 0
+        now = trio.current_time()
+        return self.observer.paces.message_fields(endpoint.process, now)
+
     def _tokens_per_event(self, pool: PoolId) -> int:
         configuration = self.directory.configuration
         found = configuration.pools.get(pool) if configuration else None
@@ -814,12 +826,16 @@
         request_id = request.request_info.request_id
         if info.request_id == request_id:
             request.pause_s = self.observer.observe(endpoint, info, sent, request_id)
+            if info.load.pace is not None:
+                self.metrics.reported_pace.observe(
+                    {"pool": str(request.pool)}, info.load.pace
+                )
         result = await relay_answer(
             request,
             way.channel,
             head,
             info,
-            lambda: self._note_first_byte(request, key, endpoint.version),
+            lambda: self._note_first_byte(request, key, endpoint),
             lambda: self._on_silence(request, endpoint, way),
             self.event_steps.setdefault(request.pool, EventSteps()),
         )
@@ -859,16 +875,17 @@
         return self.ways.forwarded(outgoing, endpoint.id, way.forwarder)
 
     def _note_first_byte(
-        self, request: RoutedRequest, key: RequestKey, version: SoftwareVersion
+        self, request: RoutedRequest, key: RequestKey, endpoint: Endpoint
     ) -> None:
         if request.first_byte is not None:
             return
+        version = endpoint.version
         request.first_byte = request.last_byte = trio.current_time()
         request.version = version
         if request.stream and version:
             self.versions.record(request.pool, request.stream, version, boot_time())
         first_s = request.first_byte - request.granted_at
-        self.grant_client.started(key, first_s, version)
+        self.grant_client.started(key, first_s, version, self._pace(endpoint))
 
     # Logs and metrics
 
--- a/src/savorydyke/platform/_records.py
+++ b/src/savorydyke/platform/_records.py
@@ -100,6 +100,8 @@
         Number of processor cores that it may use.
     reports_quotas : bool
         Whether it reports to coordinators what it sends; earlier builds do not.
+    reads_optional : bool
+        Whether it knows the optional fields of messages; earlier builds do not.
     """
 
     id: InstanceId
@@ -107,6 +109,7 @@
     data_centre: DataCentreId
     cores: float = 1.0
     reports_quotas: bool = True
+    reads_optional: bool = True
 
 
 def endpoint_of_key(key: str) -> EndpointId | None:
@@ -177,6 +180,7 @@
         "data_centre": record.data_centre,
         "cores": record.cores,
         "reports_quotas": record.reports_quotas,
+        "reads_optional": record.reads_optional,
     }
     return json.dumps(value).encode()
 
@@ -198,6 +202,7 @@
         DataCentreId(_text(value, "data_centre")),
         max(MIN_CORES, _number(value, "cores", 1.0, MAX_CORES)),
         value.get("reports_quotas") is True,
+        value.get("reads_optional") is True,
     )
 
 
--- a/src/savorydyke/scheduling/__init__.py
+++ b/src/savorydyke/scheduling/__init__.py
@@ -1,5 +1,5 @@
 """State and functions behind decisions on where requests go."""
 
-from savorydyke.scheduling._pace import PaceReports
+from savorydyke.scheduling._pace import EndpointPace, PaceReports
 
-__all__ = ["PaceReports"]
+__all__ = ["EndpointPace", "PaceReports"]
