Keep what is placed at an endpoint inside its memory

An endpoint ends if its requests exceed its memory. An endpoint at which nothing ran got a request of any size, length hints were reserved as given, and fallback placement looked at slots only.

The coordinator places half of the memory that the pool's configuration states; the other half is divided among the instances for fallback placement: a half of it equally, the rest in allotments of single instances, for requests larger than an equal part. A request may fill an endpoint alone, and is refused as too large (413, not run) if it fits into none. The length of an answer is reserved by a learned 95 per cent quantile of its ratio to the hint, 4 until answers have been seen, at most the caller's limit, which Acquire carries now as an optional field. A pool without a stated memory is limited by slots only; it got one request at a time at each endpoint before.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -213,3 +213,6 @@
       | an endpoint's kind is learned apart from its pace, and from its batch |
       | an endpoint that is slower than it reports is still passed over |
       | paces pass between builds that know them and builds that do not |
+      | coordinator and fallback placement together stay within an endpoint's memory |
+      | an endpoint's memory bounds a request that runs alone, and refuses larger ones |
+      | answers longer than hinted seldom exceed an endpoint's memory |
--- a/features/steps/pace_decisions.py
+++ b/features/steps/pace_decisions.py
@@ -4,15 +4,30 @@
 import operator
 import random
 from dataclasses import replace
+from types import SimpleNamespace
 
 import cbor2
 import trio
-from decision_cases import FRONTEND, POOL, acquire, case, endpoint_of, scheduler_of
+from decision_cases import (
+    CREW,
+    FRONTEND,
+    POOL,
+    acquire,
+    case,
+    end,
+    endpoint_of,
+    granted,
+    refused,
+    scheduler_of,
+)
 from pace_simulation import Simulation
 
 from savorydyke._endpoint_observer import EndpointObserver
 from savorydyke._endpoint_states import EndpointStates
-from savorydyke._ids import ReleaseResult
+from savorydyke._fallback_placement import has_memory
+from savorydyke._grant_client import FALLBACK, Demand, Granted, InFlight
+from savorydyke._ids import Reason, ReleaseResult
+from savorydyke._membership import rendezvous_score
 from savorydyke._messages import Release, Started, decode, encode
 from savorydyke._request_limits import RequestLimits
 from savorydyke.platform import (
@@ -22,7 +37,13 @@
     read_instance,
     write_instance,
 )
-from savorydyke.scheduling import EndpointPace
+from savorydyke.scheduling import (
+    UNKNOWN_RATIO,
+    EndpointPace,
+    FallbackMemory,
+    OutputTail,
+    coordinator_tokens,
+)
 
 STAMP = (b"X-Savorydyke-Response-Stamp", b"s")
 LOAD = b"X-Savorydyke-Load-Report"
@@ -166,3 +187,81 @@
     assert read_instance("i", write_instance(row)).reads_optional
     earlier = b'{"address": "127.0.0.1:1", "data_centre": "a"}'
     assert not read_instance("i", earlier).reads_optional
+
+
+MEMORY = 100_000
+"""Tokens of the endpoints of these cases, as their configuration says."""
+
+
+@case("coordinator and fallback placement together stay within an endpoint's memory")
+def _():
+    names = [f"i{i}" for i in range(70)]
+    parts = []
+    for name in names:
+        memory = FallbackMemory(name, rendezvous_score)
+        memory.set_instances(names)
+        parts.append(memory.tokens("e1", MEMORY, 4))
+        # Placed until it is full.
+        in_flight, endpoint = [], endpoint_of("e1", 1)
+        demand = Demand("k", POOL, CREW, "", 400, 100, (), 9.0, False)
+        demand = replace(demand, max_output_tokens=300)
+        while has_memory(endpoint, demand, memory, in_flight):
+            grant = Granted(FALLBACK, "e1", 1, False, (), 0.0)
+            in_flight.append(InFlight(demand, grant))
+        assert len(in_flight) == parts[-1] // 700, len(in_flight)
+    assert coordinator_tokens(MEMORY) + sum(parts) <= MEMORY, sum(parts)
+    # A request that is larger than an equal part has instances that may place it.
+    assert sum(part > 6000 for part in parts) == 4, parts
+
+
+@case("an endpoint's memory bounds a request that runs alone, and refuses larger ones")
+def _():
+    scheduler = scheduler_of("e0")
+    whole = acquire("a", prompt_tokens=98_000, output_tokens=900)
+    assert granted(scheduler.acquire(whole, FRONTEND, 0.0)) == ["e0"]
+    assert not scheduler.acquire(acquire("b"), FRONTEND, 0.0)
+    larger = acquire("c", prompt_tokens=100_000, output_tokens=1)
+    (refusal,) = refused(scheduler.acquire(larger, FRONTEND, 0.0))
+    assert refusal.reason is Reason.TOO_LARGE and not refusal.may_have_run
+    assert len(end(scheduler, "a", "e0", 1.0)) == 1
+    load = scheduler.endpoints["e0"]
+    assert not load.has_capacity(60_000, 1, 0.5) and load.tokens > 0
+    load.remove("frontend/1/b")
+    assert load.tokens == 0 and load.unstarted_tokens == 0
+
+
+@case("answers longer than hinted seldom exceed an endpoint's memory")
+def _():
+    def exceeded(tail, seed):
+        """Return the share of time in which an endpoint holds more than it may."""
+        rng, scheduler = random.Random(seed), scheduler_of("e0", slots=64)
+        scheduler.estimates.output_tail = tail
+        lengths, running, over = {}, {}, 0
+
+        def place(decisions, now):
+            for decision in decisions:
+                if granted([decision]):
+                    key = int(decision.answer.key.rpartition("/")[2])
+                    running[key] = now + lengths[key] / 2000
+                    started = Started(decision.answer.key, POOL, 5)
+                    place(scheduler.started(started, now), now)
+
+        for i in range(4000):
+            now, hint = i / 100, rng.choice([500, 1000])
+            lengths[i] = int(hint * rng.choice([0.5, 1, 1, 1, 1, 1, 1, 2, 4, 8]))
+            sizes = {"prompt_tokens": 400, "output_tokens": hint}
+            message = acquire(i, **sizes, max_output_tokens=20_000)
+            place(scheduler.acquire(message, FRONTEND, now), now)
+            for key in [key for key, until in running.items() if until <= now]:
+                del running[key]
+                place(end(scheduler, key, "e0", now, tokens=lengths[key]), now)
+            held = sum(400 + lengths[key] for key in running)
+            # The longest answers are known only when they have ended.
+            over += i >= 1000 and held > coordinator_tokens(MEMORY)
+            assert tail.ratio == 1 or held < MEMORY, held
+        return over / 3000, tail.ratio
+
+    fixed, _ = exceeded(SimpleNamespace(reserve=lambda h, m: h, learn=min, ratio=1), 1)
+    share, ratio = exceeded(OutputTail(UNKNOWN_RATIO), 1)
+    assert 6 <= ratio <= 10, ratio
+    assert share < 0.01 and share <= fixed, (share, fixed, ratio)
--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -62,6 +62,7 @@
     streams_of_key,
     versions_of_key,
 )
+from savorydyke.scheduling import coordinator_tokens
 
 RETRY_BASE_S = 0.1
 RETRY_MAX_S = 1.0
@@ -667,6 +668,7 @@
 def _endpoint(record: EndpointRecord, configuration: RoutedConfiguration) -> Endpoint:
     pool = configuration.pools[record.pool]
     is_engine = pool.kind is PoolKind.ENGINE
+    memory = pool.memory_tokens if is_engine else 0
     call_speed = SERVICE_CALLS_PER_S * SERVICE_CALL_TOKENS
     return Endpoint(
         id=record.id,
@@ -678,10 +680,12 @@
         checks_fencing=False,
         drained=record.leaving,
         max_concurrency=record.slots,
-        max_tokens=pool.memory_tokens if is_engine else record.slots * 10**9,
+        # Without a stated memory only the slots limit what is placed.
+        max_tokens=coordinator_tokens(memory) if memory else record.slots * 10**9,
         prefill_tokens_per_s=ENGINE_PREFILL_TOKENS_PER_S if is_engine else call_speed,
         decode_tokens_per_s=ENGINE_DECODE_TOKENS_PER_S if is_engine else 1e9,
         first_s=ENGINE_FIRST_S if is_engine else 0.0,
         started_ms=record.started_ms,
         version=record.version,
+        memory_tokens=memory,
     )
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -72,6 +72,8 @@
         Time to the first byte at the assumed speed.
     overdue_s : float
         Part of the time to the first byte that has been learned from already.
+    reserved_tokens : int
+        What it takes of the endpoint's memory.
     is_verified : bool
         Whether its frontend has or will have reported its end here. False after
         another instance has been the coordinator.
@@ -93,6 +95,7 @@
     expected_first_s: float = 0.0
     overdue_s: float = 0.0
     is_verified: bool = True
+    reserved_tokens: int = 0
 
 
 @dataclass
@@ -238,6 +241,11 @@
 
     def has_capacity(self, tokens: int, uncached: int, share: float) -> bool:
         """Return whether a request of this size may be sent now."""
+        memory = self.spec.memory_tokens
+        # While several coordinators exist each may use the part of one slot.
+        part = max(share, 1 / self.spec.max_concurrency)
+        if memory and tokens > memory * part:
+            return False
         if not self.running:
             return True
         if self.suspect and len(self.running) >= SUSPECT_SLOTS:
@@ -278,6 +286,7 @@
         uncached: int,
         now: float,
         started: bool = False,
+        reserved: int = 0,
     ) -> None:
         """Take credits for a request that is granted now or was granted earlier."""
         item = Running(
@@ -291,13 +300,14 @@
             granted=now,
             predicted_first_s=self.first_byte_s(uncached),
             started=started,
+            reserved_tokens=reserved or request.prompt_tokens + request.output_tokens,
         )
         if isinstance(request, Waiting):
             item.quota_tokens = request.quota_tokens
             item.arrived = request.arrived
         item.expected_first_s = item.predicted_first_s / self.prefill_factor
         self.running[item.key] = item
-        self.tokens += item.prompt_tokens + item.output_tokens
+        self.tokens += item.reserved_tokens
         if not started:
             self.unstarted_tokens += uncached
         self.apply_pace(now)
@@ -330,7 +340,7 @@
         item = self.running.pop(key, None)
         if item is None:
             return None
-        self.tokens -= item.prompt_tokens + item.output_tokens
+        self.tokens -= item.reserved_tokens
         if not item.started:
             self.unstarted_tokens -= item.uncached_tokens
         return item
--- a/src/savorydyke/_estimates.py
+++ b/src/savorydyke/_estimates.py
@@ -11,7 +11,9 @@
 from savorydyke._endpoint_load import EndpointLoad, Running
 from savorydyke._fair_queue import Forecast, Waiting
 from savorydyke._ids import EndpointId, TeamId
+from savorydyke._messages import RunningRow
 from savorydyke._prefixes import PrefixIndex
+from savorydyke.scheduling import OutputTail
 
 MIN_OUTPUT_RATIO = 0.05
 RATIO_LEARNING_RATE = 0.1
@@ -26,6 +28,10 @@
     ----------
     output_ratio : dict of TeamId to float
         Share of the requested output tokens that the team's answers had.
+    output_tail : OutputTail
+        How much longer than hinted the answers of the pool are at most.
+    largest_memory : int
+        Tokens that fit into the largest endpoint, 0 if one's memory is not known.
     reachable : dict
         Cache of endpoints by the set of names that a team may use.
     """
@@ -33,6 +39,8 @@
     endpoints: dict[EndpointId, EndpointLoad] = field(default_factory=dict)
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     output_ratio: dict[TeamId, float] = field(default_factory=dict)
+    output_tail: OutputTail = field(default_factory=OutputTail)
+    largest_memory: int = 0
     reachable: dict[frozenset[EndpointId], list[EndpointLoad]] = field(
         default_factory=dict
     )
@@ -111,6 +119,19 @@
         ratio = self.output_ratio.get(item.team, 1.0)
         return int(item.output_tokens * ratio)
 
+    def reserved(self, request: Waiting | RunningRow) -> int:
+        """Return the tokens of an endpoint's memory to reserve for a request.
+
+        One that fits as its caller hints is not kept out by what is added to that.
+        """
+        most = request.max_output_tokens if isinstance(request, Waiting) else 0
+        hinted = request.prompt_tokens + request.output_tokens
+        tail = self.output_tail.reserve(request.output_tokens, most)
+        reserved = request.prompt_tokens + tail
+        if hinted <= self.largest_memory:
+            reserved = min(reserved, self.largest_memory)
+        return reserved
+
     def forecast(self, item: Waiting) -> Forecast:
         """Return the predicted times of a request at idle endpoints."""
         output = self.output(item)
@@ -132,6 +153,7 @@
 
     def learn_output(self, item: Running, tokens: int) -> None:
         """Learn from the length of a complete answer."""
+        self.output_tail.learn(tokens, item.output_tokens)
         if item.output_tokens <= 0:
             return
         ratio = min(1.0, max(MIN_OUTPUT_RATIO, tokens / item.output_tokens))
--- a/src/savorydyke/_fair_queue.py
+++ b/src/savorydyke/_fair_queue.py
@@ -71,6 +71,8 @@
         What in the request may crash endpoints.
     version : SoftwareVersion
         The version that the endpoint must have, empty for any one.
+    max_output_tokens : int
+        Largest size of its answer, 0 if not known.
     """
 
     key: RequestKey
@@ -94,6 +96,7 @@
     abandon_at: float = math.inf
     suspects: tuple[SuspectId, ...] = ()
     version: SoftwareVersion = UNKNOWN_VERSION
+    max_output_tokens: int = 0
 
     def is_late(self) -> bool:
         """Return whether the objective is missed or expected to be missed."""
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -12,7 +12,7 @@
 from savorydyke._endpoint_links import EndpointLinks
 from savorydyke._endpoint_states import EndpointStates
 from savorydyke._endpoint_ways import EndpointWays
-from savorydyke._fallback_placement import place_fallback
+from savorydyke._fallback_placement import has_memory, place_fallback
 from savorydyke._gateway_settings import GatewaySettings
 from savorydyke._grant_client import (
     COORDINATOR_STALLED_S,
@@ -32,7 +32,7 @@
     is_digest,
 )
 from savorydyke._log_writer import LogBuffer
-from savorydyke._membership import Membership
+from savorydyke._membership import Membership, rendezvous_score
 from savorydyke._messages import (
     Acquire,
     ConfigurationPush,
@@ -70,6 +70,7 @@
 from savorydyke._timers import TimerService
 from savorydyke._timing import watch_pause_s
 from savorydyke.platform import InstanceRecord, Store
+from savorydyke.scheduling import UNKNOWN_RATIO, FallbackMemory, OutputTail
 
 HEARTBEAT_INTERVAL_S = 0.25
 DEAD_AFTER_S = 0.9
@@ -125,6 +126,8 @@
         Transfers quota balances when a pool's coordinator changes.
     quota_reports : QuotaReports
         Reports what is sent of the quotas, and keeps what coordinators lend.
+    fallback_memory : FallbackMemory
+        What fallback placement may use of endpoints' memory.
     stopping : bool
         Whether the stop signal has been received.
     announced_version : int
@@ -165,6 +168,10 @@
     fallback_allowances: dict[EndpointId, RequestAllowance] = field(
         default_factory=dict
     )
+    fallback_memory: FallbackMemory = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.fallback_memory = FallbackMemory(self.membership.id, rendezvous_score)
 
     def deliver(self, instance: InstanceId, message: Message) -> None:
         """Send a message to an instance, possibly this one."""
@@ -520,7 +527,10 @@
                 return None
             demand = replace(demand, version=version)
         now = trio.current_time()
-        in_flight = [i.granted.endpoint for i in self.grant_client.in_flight.values()]
+        placed = self.grant_client.in_flight.values()
+        in_flight = [item.granted.endpoint for item in placed]
+        memory = self.fallback_memory
+        memory.set_instances(self.membership.listed | self.membership.members.keys())
         name = place_fallback(
             manifest,
             demand,
@@ -532,6 +542,7 @@
             in_flight,
             self.membership.id,
             self.membership.listed_count(),
+            lambda endpoint: has_memory(endpoint, demand, memory, placed),
         )
         tokens = demand.quota_tokens
         if name and not self._takes_retry(demand, now):
@@ -704,6 +715,7 @@
     bounds = gateway.settings.bounds
     scheduler.capacity.min_retry_s = MIN_RETRY_S
     scheduler.quarantine = gateway.quarantine
+    scheduler.estimates.output_tail = OutputTail(UNKNOWN_RATIO)
     scheduler.retry_budget = RetryBudget(
         bounds.retry_ratio,
         bounds.retry_slack,
--- a/src/savorydyke/_grant_client.py
+++ b/src/savorydyke/_grant_client.py
@@ -90,6 +90,8 @@
         Whether the stream, if it has begun, began in this pool.
     asked : float
         When the request came, on a clock that counts suspension.
+    max_output_tokens : int
+        Largest size of the answer, 0 if not known.
     """
 
     key: RequestKey
@@ -114,6 +116,7 @@
     version: SoftwareVersion = UNKNOWN_VERSION
     is_pool_certain: bool = True
     asked: float = 0.0
+    max_output_tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -326,6 +329,7 @@
             suspects=demand.suspects,
             stream=demand.stream if demand.has_begun else NO_STREAM,
             version=demand.version,
+            max_output_tokens=demand.max_output_tokens,
         )
 
     def _with_time_left(self, pending: Pending) -> Acquire:
--- a/src/savorydyke/_manifest.py
+++ b/src/savorydyke/_manifest.py
@@ -106,7 +106,9 @@
     max_concurrency : int
         Requests in flight at once.
     max_tokens : int
-        Prompt and output tokens in flight at once.
+        Prompt and output tokens in flight at once that coordinators may grant.
+    memory_tokens : int
+        Tokens that fit into its memory, 0 if that is not known.
     prefill_tokens_per_s, decode_tokens_per_s : float
         Speeds assumed until they have been learned; that of decoding is for a
         single stream. A call to a plain service counts as
@@ -134,6 +136,7 @@
     first_s: float = 0.0
     started_ms: int = 0
     version: SoftwareVersion = UNKNOWN_VERSION
+    memory_tokens: int = 0
 
     @property
     def process(self) -> ProcessId:
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -250,6 +250,8 @@
     version : SoftwareVersion
         The version that the endpoint must have, empty for any one or, with `stream`,
         for the one that the coordinator knows.
+    max_output_tokens : int
+        Largest size of the answer, 0 if not known. Earlier builds do not know it.
     """
 
     key: RequestKey
@@ -273,6 +275,7 @@
     suspects: tuple[SuspectId, ...] = ()
     stream: RequestKey = NO_STREAM
     version: SoftwareVersion = UNKNOWN_VERSION
+    max_output_tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -448,7 +451,7 @@
     | StreamPush
 )
 _NESTED = (MemberRow, RunningRow, LossRow, LimitRow)
-_EARLIER_FIELDS: dict[type, int] = {Started: 5, Release: 8}
+_EARLIER_FIELDS: dict[type, int] = {Acquire: 21, Started: 5, Release: 8}
 """Numbers of fields of earlier builds. Only peers whose records say that they know
 optional fields are sent more. What is absent has its default, and what a later build
 adds is ignored."""
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -177,6 +177,8 @@
             self.endpoints[name] = new_load(spec, kind)
         for name, load in self.endpoints.items():
             load.removed = name not in specs
+        memories = [spec.memory_tokens for spec in specs.values()]
+        self.estimates.largest_memory = max(memories) if all(memories or [0]) else 0
         return self._recheck_access(now) + self.grant_waiting(now)
 
     def _end_process(self, load: EndpointLoad, now: float) -> None:
@@ -401,7 +403,14 @@
                 continue
             uncached = 0 if row.started else row.prompt_tokens
             self.queue.remove(row.key)
-            load.take(row, frontend, uncached, now, started=row.started)
+            load.take(
+                row,
+                frontend,
+                uncached,
+                now,
+                started=row.started,
+                reserved=self.estimates.reserved(row),
+            )
             self.placed[row.key] = load.id
 
     def _drop_missing(
@@ -511,7 +520,7 @@
         """
         best = busy = None
         output = self.estimates.output(item)
-        tokens = item.prompt_tokens + item.output_tokens
+        tokens = self.estimates.reserved(item)
         for load in self.estimates.candidates(item, now):
             if load.id in blocked:
                 continue
@@ -554,7 +563,8 @@
         uncached = self.estimates.uncached(load, item)
         self.queue.charge(item)
         self.capacity.shares.granted.add(item.base_rank(), item.cost_s, now)
-        load.take(item, item.frontend, uncached, now)
+        reserved = self.estimates.reserved(item)
+        load.take(item, item.frontend, uncached, now, reserved=reserved)
         self.placed[item.key] = load.id
         self.estimates.prefixes.add(load.id, item.prefix)
         if load.allowance is not None:
@@ -672,6 +682,7 @@
             quota_tokens=message.quota_tokens,
             suspects=message.suspects,
             version=message.version,
+            max_output_tokens=message.max_output_tokens,
         )
         item.forecast = self.estimates.forecast(item)
         item.cost_s = item.forecast.cost_s
@@ -682,6 +693,10 @@
         if not item.allowed and not self.manifest.all_approved:
             detail = "the team is not approved for this pool"
             return self._refuse(item, Reason.NOT_APPROVED, detail, None, now)
+        memory = self.estimates.largest_memory
+        if 0 < memory < item.prompt_tokens + item.output_tokens:
+            detail = f"larger than an endpoint's memory of {memory} tokens"
+            return self._refuse(item, Reason.TOO_LARGE, detail, None, now)
         has_endpoint = self.estimates.candidates(item, now)
         if not has_endpoint and not self.estimates.awaits_limit(item, now):
             detail = "no endpoint of the pool takes new work"
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -550,6 +550,7 @@
             version=self._required_version(request),
             is_pool_certain=request.is_pool_certain,
             asked=request.asked,
+            max_output_tokens=request_info.max_output_tokens,
         )
 
     def new_key(self, request_id: str) -> RequestKey:
