Prefer endpoints that probably hold the beginning of a prompt

Routed requests entered the scheduler with an empty prefix. On routes with affinity the frontend now passes digests of the leading parts and the tokens up to each, at most four of them. The coordinator keeps by endpoint process when each part was used last and how much was placed since; a part counts within the reuse window (prefix_reuse_s) and with a probability that falls as the endpoint's memory is used up. The saved prefill counts at the endpoint's pace in its predicted time; a request waits for a busy endpoint only if that saves more than twice the wait for its next free slot. First bytes tell whether prompts were held: expectations count by the share of hits, and a miss is not taken for a slow endpoint. PrefixIndex stays for the product's own interface: its digests have implied sizes and are evicted by the engines' events.

Token counts of callers are bounded, so that they fit into a message.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -216,3 +216,8 @@
       | coordinator and fallback placement together stay within an endpoint's memory |
       | an endpoint's memory bounds a request that runs alone, and refuses larger ones |
       | answers longer than hinted seldom exceed an endpoint's memory |
+      | the parts of a prompt are passed on as a few digests, each of all before it |
+      | a part counts within the reuse window, and until it had to yield its memory |
+      | a request goes where its prompt is held, unless that takes longer |
+      | prompts that endpoints do not hold after all cost no confidence in their speed |
+      | routes with affinity name their prompts, for a time that settings bound |
--- a/features/steps/pace_decisions.py
+++ b/features/steps/pace_decisions.py
@@ -1,5 +1,6 @@
 """Decision cases of paces, endpoint memory, cached prompts and data centres."""
 
+import json
 import logging
 import operator
 import random
@@ -12,27 +13,32 @@
     CREW,
     FRONTEND,
     POOL,
+    SETTINGS,
     acquire,
     case,
+    configuration,
     end,
     endpoint_of,
     granted,
     refused,
     scheduler_of,
+    start,
 )
 from pace_simulation import Simulation
 
 from savorydyke._endpoint_observer import EndpointObserver
 from savorydyke._endpoint_states import EndpointStates
 from savorydyke._fallback_placement import has_memory
+from savorydyke._gateway_settings import check_gateway_settings
 from savorydyke._grant_client import FALLBACK, Demand, Granted, InFlight
 from savorydyke._ids import Reason, ReleaseResult
 from savorydyke._membership import rendezvous_score
-from savorydyke._messages import Release, Started, decode, encode
+from savorydyke._messages import Grant, Release, Started, decode, encode
 from savorydyke._request_limits import RequestLimits
 from savorydyke.platform import (
     InstanceRecord,
     parse_load_report,
+    parse_request_headers,
     parse_response_headers,
     read_instance,
     write_instance,
@@ -42,9 +48,20 @@
     EndpointPace,
     FallbackMemory,
     OutputTail,
+    PromptCache,
+    chained_parts,
     coordinator_tokens,
+    is_worth_waiting,
 )
 
+ROUTE = {
+    "name": "r",
+    "host": "h.example",
+    "prefix": "/a/",
+    "kind": "idempotent",
+    "service": "engines",
+    "timeout_ms": 2000,
+}
 STAMP = (b"X-Savorydyke-Response-Stamp", b"s")
 LOAD = b"X-Savorydyke-Load-Report"
 
@@ -172,6 +189,15 @@
 
 @case("paces pass between builds that know them and builds that do not")
 def _():
+    asked = acquire("a", prefix=(7, 8), prefix_tokens=(60, 900), max_output_tokens=9)
+    (known,) = decode(encode([asked], optional_fields=False))
+    assert known == replace(asked, prefix=(), prefix_tokens=(), max_output_tokens=0)
+    blocks = acquire("a", prefix=(7, 8))
+    assert decode(encode([blocks], optional_fields=False)) == [blocks]
+    grant = Grant("k", 1, "e", False, (), 5, 60)
+    assert decode(encode([asked, grant])) == [asked, grant]
+    (known,) = decode(encode([grant], optional_fields=False))
+    assert known == replace(grant, cached_tokens=0)
     started = Started("k", POOL, 5, "s", "v", 250, 3)
     release = Release("k", 1, POOL, "e", ReleaseResult.COMPLETE, 9, 8, 7, 250, 3)
     for message, length in ((started, 5), (release, 8)):
@@ -265,3 +291,98 @@
     share, ratio = exceeded(OutputTail(UNKNOWN_RATIO), 1)
     assert 6 <= ratio <= 10, ratio
     assert share < 0.01 and share <= fixed, (share, fixed, ratio)
+
+
+def session(key, turn=1, prompt=6000, **more):
+    """Return a request of a session, whose prompt is shared but for the last tokens."""
+    prefix, tokens = chained_parts("m", [("common", 60), (f"s{turn}", prompt - 60)])
+    parts = {"prefix": prefix, "prefix_tokens": tokens}
+    return acquire(key, prompt_tokens=prompt, **(parts | more))
+
+
+@case("the parts of a prompt are passed on as a few digests, each of all before it")
+def _():
+    short = chained_parts("m", [("a", 60), ("b", 600)])
+    assert short[1] == (60, 660)
+    assert chained_parts("m", [("a", 60), ("c", 600)])[0][0] == short[0][0]
+    assert chained_parts("m", [("x", 60), ("b", 600)])[0][1] != short[0][1]
+    assert chained_parts("n", [("a", 60)])[0][0] != short[0][0]
+    many = chained_parts("m", [(f"p{i}", 10) for i in range(1000)])
+    assert many[1] == (10, 20, 30, 640) and max(many[0]) < 2**64
+    info = parse_request_headers(
+        [
+            (b"X-Savorydyke-Request-Id", b"r"),
+            (b"X-Savorydyke-Prompt-Prefix", b"a:1e300,b:x,c:-5"),
+        ]
+    )
+    encode([acquire("a", prefix_tokens=chained_parts("m", info.prefix)[1])])
+
+
+@case("a part counts within the reuse window, and until it had to yield its memory")
+def _():
+    cache = PromptCache(reuse_s=10.0)
+    digests, tokens = chained_parts("m", [("a", 60), ("b", 5940)])
+    cache.add("e1", digests, 6400, MEMORY, 0.0)
+    assert cache.cached_tokens("e1", digests, tokens, MEMORY, 1.0) == 6000
+    assert cache.cached_tokens("e1", digests[:1], tokens, MEMORY, 1.0) == 60
+    assert cache.cached_tokens("e2", digests, tokens, MEMORY, 1.0) == 0
+    assert cache.cached_tokens("e1", digests, tokens, MEMORY, 10.1) == 0
+    cache.add("e1", (1, 2), 80_000, MEMORY, 2.0)
+    held = cache.cached_tokens("e1", digests, tokens, MEMORY, 2.0)
+    assert 3000 < held < 4000, held
+    cache.add("e1", (1, 3), 30_000, MEMORY, 3.0)
+    assert cache.cached_tokens("e1", digests, tokens, MEMORY, 3.0) == 0
+    assert list(cache.held["e1"].parts) == [2, 3, 1], cache.held
+    for i in range(5000):
+        cache.add("e1", (i, -i), 1, 0, 4.0)
+    assert len(cache.held["e1"].parts) <= 1024
+    cache.forget("e1")
+    assert not cache.held
+
+
+@case("a request goes where its prompt is held, unless that takes longer")
+def _():
+    scheduler = scheduler_of("e0", "e1")
+    for load in scheduler.endpoints.values():
+        load.spec = replace(load.spec, data_centre="a")
+    (first,) = granted(scheduler.acquire(session("a"), FRONTEND, 0.0))
+    other = ({"e0", "e1"} - {first}).pop()
+    # While its prompt is being read the other one is sooner.
+    assert granted(scheduler.acquire(session("b", 2), FRONTEND, 0.0)) == [other]
+    for key in ("a", "b"):
+        start(scheduler, key, 0.2, 0.14)
+    (decision,) = scheduler.acquire(session("c", 2), FRONTEND, 1.0)
+    assert decision.answer.endpoint == other and decision.answer.cached_tokens == 5999
+    start(scheduler, "c", 1.0, 0.01)
+    # A slow endpoint that saves it is no gain.
+    scheduler.endpoints[other].prefill_factor = 20.0
+    scheduler.endpoints[other].decode_tokens_per_s = 15.0
+    assert granted(scheduler.acquire(session("d", 2), FRONTEND, 2.0)) == [first]
+    scheduler.set_leaving(first, True)
+    assert first not in scheduler.estimates.prompts.held
+    assert is_worth_waiting(0.5, 1.0, 6) and not is_worth_waiting(0.1, 1.0, 6)
+
+
+@case("prompts that endpoints do not hold after all cost no confidence in their speed")
+def _():
+    scheduler = scheduler_of("e0")
+    load = scheduler.endpoints["e0"]
+    for i in range(60):
+        scheduler.acquire(session(i), FRONTEND, i / 2)
+        scheduler.tick(i / 2 + 0.1)
+        start(scheduler, i, i / 2 + 0.14, 0.14)
+        end(scheduler, i, "e0", i / 2 + 0.4)
+    assert load.prefill_factor < 1.3, load.prefill_factor
+    hits = scheduler.estimates.prompts.hits
+    assert hits < 0.3, hits
+
+
+@case("routes with affinity name their prompts, for a time that settings bound")
+def _():
+    routes = ROUTE, ROUTE | {"affinity": True}
+    for row, expected in zip(routes, (False, True), strict=True):
+        assert configuration(routes=[row]).routes[0].affinity is expected
+    for bounds, expected in (({}, 10.0), ({"prefix_reuse_s": 4}, 4.0)):
+        text = json.dumps(SETTINGS | {"bounds": bounds})
+        settings, findings = check_gateway_settings(text, "s")
+        assert not findings.items and settings.bounds.prefix_reuse_s == expected
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -72,6 +72,9 @@
         Time to the first byte at the assumed speed.
     overdue_s : float
         Part of the time to the first byte that has been learned from already.
+    held_first_s : float
+        Time to the first byte up to which the endpoint held the named parts of the
+        prompt that it may hold; 0 if these are few.
     reserved_tokens : int
         What it takes of the endpoint's memory.
     is_verified : bool
@@ -96,6 +99,7 @@
     overdue_s: float = 0.0
     is_verified: bool = True
     reserved_tokens: int = 0
+    held_first_s: float = 0.0
 
 
 @dataclass
@@ -317,6 +321,9 @@
         if item.started:
             return
         self.mark_started(item)
+        if item.held_first_s:
+            # It tells whether the prompt was held rather than how fast the endpoint is.
+            return
         if self.pace is not None:
             now = item.granted + first_byte_s
             self.pace.learn_first(first_byte_s, item.expected_first_s, now)
@@ -384,7 +391,8 @@
         """Learn from one overdue first byte before it arrives."""
         for item in self.running.values():
             waited_s = now - item.granted
-            if item.started or waited_s < OVERDUE_RATIO * item.predicted_first_s:
+            predicted_s = max(item.predicted_first_s, item.held_first_s)
+            if item.started or waited_s < OVERDUE_RATIO * predicted_s:
                 continue
             self._learn(waited_s - item.overdue_s, 0.0, now)
             item.overdue_s = waited_s
--- a/src/savorydyke/_estimates.py
+++ b/src/savorydyke/_estimates.py
@@ -13,7 +13,7 @@
 from savorydyke._ids import EndpointId, TeamId
 from savorydyke._messages import RunningRow
 from savorydyke._prefixes import PrefixIndex
-from savorydyke.scheduling import OutputTail
+from savorydyke.scheduling import OutputTail, PromptCache
 
 MIN_OUTPUT_RATIO = 0.05
 RATIO_LEARNING_RATE = 0.1
@@ -28,6 +28,8 @@
     ----------
     output_ratio : dict of TeamId to float
         Share of the requested output tokens that the team's answers had.
+    prompts : PromptCache
+        The named parts of prompts that endpoints probably hold.
     output_tail : OutputTail
         How much longer than hinted the answers of the pool are at most.
     largest_memory : int
@@ -39,6 +41,7 @@
     endpoints: dict[EndpointId, EndpointLoad] = field(default_factory=dict)
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     output_ratio: dict[TeamId, float] = field(default_factory=dict)
+    prompts: PromptCache = field(default_factory=PromptCache)
     output_tail: OutputTail = field(default_factory=OutputTail)
     largest_memory: int = 0
     reachable: dict[frozenset[EndpointId], list[EndpointLoad]] = field(
@@ -107,13 +110,36 @@
         ends = [load.paused_end(item.frontend) for load in self.open_endpoints(item)]
         return max(0.0, min(ends, default=0.0) - now)
 
-    def uncached(self, load: EndpointLoad, item: Waiting) -> int:
+    def uncached(self, load: EndpointLoad, item: Waiting, now: float) -> int:
         """Return the prompt tokens that an endpoint would have to process."""
         if not item.prefix:
             return max(1, item.prompt_tokens)
-        cached = self.prefixes.cached_tokens(load.id, item.prefix)
+        if item.prefix_tokens:
+            memory = load.spec.memory_tokens
+            cached = self.prompts.cached_tokens(
+                load.id, item.prefix, item.prefix_tokens, memory, now
+            )
+        else:
+            cached = self.prefixes.cached_tokens(load.id, item.prefix)
         return max(1, item.prompt_tokens - cached)
 
+    def record_placed(
+        self, load: EndpointLoad, item: Waiting, uncached: int, now: float
+    ) -> None:
+        """Record that an endpoint gets a request, and holds its prompt then."""
+        if item.prefix and not item.prefix_tokens:
+            self.prefixes.add(load.id, item.prefix)
+            return
+        if not item.prefix and load.id not in self.prompts.held:
+            return
+        tokens = uncached + self.output(item)
+        self.prompts.add(load.id, item.prefix, tokens, load.spec.memory_tokens, now)
+
+    def forget_cached(self, endpoint: EndpointId) -> None:
+        """Drop what an endpoint held, since its process has ended or may have."""
+        self.prefixes.forget(endpoint)
+        self.prompts.forget(endpoint)
+
     def output(self, item: Waiting) -> int:
         """Return the expected output tokens of a request."""
         ratio = self.output_ratio.get(item.team, 1.0)
@@ -139,7 +165,7 @@
         rate = 0.0
         count = 0
         for load in self.open_endpoints(item):
-            uncached = self.uncached(load, item)
+            uncached = self.uncached(load, item, item.arrived)
             prefill_s = load.prefill_s(uncached)
             decode_s = output / load.decode_tokens_per_s
             least_s = min(least_s, prefill_s + decode_s)
--- a/src/savorydyke/_fair_queue.py
+++ b/src/savorydyke/_fair_queue.py
@@ -73,6 +73,8 @@
         The version that the endpoint must have, empty for any one.
     max_output_tokens : int
         Largest size of its answer, 0 if not known.
+    prefix_tokens : tuple of int
+        Tokens up to each digest in `prefix`, if that is of named parts of the prompt.
     """
 
     key: RequestKey
@@ -97,6 +99,7 @@
     suspects: tuple[SuspectId, ...] = ()
     version: SoftwareVersion = UNKNOWN_VERSION
     max_output_tokens: int = 0
+    prefix_tokens: tuple[int, ...] = ()
 
     def is_late(self) -> bool:
         """Return whether the objective is missed or expected to be missed."""
--- a/src/savorydyke/_gateway_settings.py
+++ b/src/savorydyke/_gateway_settings.py
@@ -7,6 +7,7 @@
 from savorydyke._findings import Fields, Findings, read_document
 from savorydyke._ids import DataCentreId, InstanceId
 from savorydyke._timing import REVOKE_MARGIN_S, ApplyBounds, shortest_bound_s
+from savorydyke.scheduling import DEFAULT_REUSE_S
 
 EDGES = "routed"
 """Value of ``edges`` that identifies settings of a gateway."""
@@ -30,6 +31,8 @@
         quota, and a number of tokens on top.
     quota_window_s : float
         Length of the sliding window in which use of the quota is counted.
+    prefix_reuse_s : float
+        Time since its last use in which a prompt part counts as held by an endpoint.
     """
 
     apply: ApplyBounds
@@ -40,6 +43,7 @@
     quota_excess: float
     quota_slack: float
     quota_window_s: float
+    prefix_reuse_s: float = DEFAULT_REUSE_S
 
 
 @dataclass(frozen=True)
@@ -145,6 +149,7 @@
         quota_excess=fields.number("quota_excess", 0),
         quota_slack=fields.number("quota_slack", 0),
         quota_window_s=fields.number("quota_window_s", 8, 0.1),
+        prefix_reuse_s=fields.number("prefix_reuse_s", DEFAULT_REUSE_S),
     )
     fields.finish()
     return bounds
--- a/src/savorydyke/_grant_client.py
+++ b/src/savorydyke/_grant_client.py
@@ -92,6 +92,8 @@
         When the request came, on a clock that counts suspension.
     max_output_tokens : int
         Largest size of the answer, 0 if not known.
+    prefix_tokens : tuple of int
+        Tokens up to each digest in `prefix`, if that is of named parts of the prompt.
     """
 
     key: RequestKey
@@ -117,6 +119,7 @@
     is_pool_certain: bool = True
     asked: float = 0.0
     max_output_tokens: int = 0
+    prefix_tokens: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -131,6 +134,8 @@
         When the grant arrived, on the local monotonic clock.
     first_s : float
         Predicted time to the first byte, 0 if there is no prediction.
+    cached_tokens : int
+        Prompt tokens that the endpoint is expected to hold.
     """
 
     coordinator: InstanceId
@@ -140,6 +145,7 @@
     probe: tuple[EndpointId, ...]
     received: float
     first_s: float = 0.0
+    cached_tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -330,6 +336,7 @@
             stream=demand.stream if demand.has_begun else NO_STREAM,
             version=demand.version,
             max_output_tokens=demand.max_output_tokens,
+            prefix_tokens=demand.prefix_tokens,
         )
 
     def _with_time_left(self, pending: Pending) -> Acquire:
@@ -376,6 +383,7 @@
                 message.probe,
                 trio.current_time(),
                 message.first_ms / 1000,
+                message.cached_tokens,
             )
         else:
             retry_s = None if message.retry_ms < 0 else message.retry_ms / 1000
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -9,7 +9,7 @@
 
 import types
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, fields, replace
 from enum import Enum
 from typing import Any, NewType, Union, get_args, get_origin, get_type_hints
 
@@ -252,6 +252,9 @@
         for the one that the coordinator knows.
     max_output_tokens : int
         Largest size of the answer, 0 if not known. Earlier builds do not know it.
+    prefix_tokens : tuple of int
+        Tokens of the prompt up to each digest in `prefix`, if that is of named parts;
+        empty if it is of blocks. Earlier builds do not know it, and get no such prefix.
     """
 
     key: RequestKey
@@ -276,6 +279,7 @@
     stream: RequestKey = NO_STREAM
     version: SoftwareVersion = UNKNOWN_VERSION
     max_output_tokens: int = 0
+    prefix_tokens: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -299,6 +303,9 @@
         over too recently to know whether an earlier one dispatched it.
     first_ms : int
         Predicted time to the first byte, 0 if there is no prediction.
+    cached_tokens : int
+        Prompt tokens that the endpoint is expected to hold. Earlier builds do not know
+        it.
     """
 
     key: RequestKey
@@ -307,6 +314,7 @@
     resume: bool
     probe: tuple[EndpointId, ...]
     first_ms: int = 0
+    cached_tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -451,7 +459,7 @@
     | StreamPush
 )
 _NESTED = (MemberRow, RunningRow, LossRow, LimitRow)
-_EARLIER_FIELDS: dict[type, int] = {Acquire: 21, Started: 5, Release: 8}
+_EARLIER_FIELDS: dict[type, int] = {Acquire: 21, Grant: 6, Started: 5, Release: 8}
 """Numbers of fields of earlier builds. Only peers whose records say that they know
 optional fields are sent more. What is absent has its default, and what a later build
 adds is ignored."""
@@ -471,6 +479,8 @@
     """
     rows = []
     for message in messages:
+        if not optional_fields and isinstance(message, Acquire):
+            message = _without_parts(message)
         values = _plain(message)
         if not optional_fields:
             values = values[: _EARLIER_FIELDS.get(type(message))]
@@ -478,6 +488,11 @@
     return cbor2.dumps(rows)
 
 
+def _without_parts(message: Acquire) -> Acquire:
+    """Return a request without the digests that an earlier build would misread."""
+    return replace(message, prefix=()) if message.prefix_tokens else message
+
+
 def decode(frame: bytes) -> list[Message]:
     """Return the messages of one frame.
 
--- a/src/savorydyke/_metrics.py
+++ b/src/savorydyke/_metrics.py
@@ -18,6 +18,7 @@
 SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.82, 1.5, 3, 6, 12, 30, 60)
 EVENT_SECONDS = (0.002, 0.005, 0.01, 0.02, 0.028, 0.04, 0.06, 0.1, 0.25, 1, 5)
 
+TOKENS = (0, 30, 100, 300, 1000, 3000, 10_000, 30_000)
 PACES = (0.5, 0.75, 1.0, 1.25, 1.5, 2.0, 2.5, 3.0, 5.0)
 
 
@@ -83,6 +84,11 @@
         self.store_seconds = self._histogram(
             "savorydyke_store_call_seconds", "Time of calls of the platform's store."
         )
+        self.cached_tokens = self._histogram(
+            "savorydyke_cached_prompt_tokens",
+            "Prompt tokens that the granted endpoint was expected to hold.",
+            TOKENS,
+        )
         self.reported_pace = self._histogram(
             "savorydyke_reported_pace",
             "Paces that endpoints report with responses, 1 for as usual, by pool.",
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -388,6 +388,8 @@
             "slowness": round(load.prefill_factor, 2),
         }
         item = load.running.get(answer.key)
+        if answer.cached_tokens:
+            extra["cached_tokens"] = answer.cached_tokens
         if load.pace is not None:
             extra |= {
                 "kind": round(load.pace.kind, 2),
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -35,6 +35,7 @@
 )
 from savorydyke._quota import Quotas
 from savorydyke._retry_budget import RetryBudget
+from savorydyke.scheduling import MANY_CACHED, is_worth_waiting
 
 MAX_RECENT = 20_000
 RECENT_S = 600.0
@@ -183,7 +184,7 @@
 
     def _end_process(self, load: EndpointLoad, now: float) -> None:
         """End the grants for a process that another one has replaced."""
-        self.estimates.prefixes.forget(load.id)
+        self.estimates.forget_cached(load.id)
         for item in list(load.running.values()):
             load.remove(item.key)
             self.placed.pop(item.key, None)
@@ -208,7 +209,7 @@
             return
         load.leaving = leaving
         if leaving:
-            self.estimates.prefixes.forget(endpoint)
+            self.estimates.forget_cached(endpoint)
 
     def set_limit(self, endpoint: EndpointId, per_s: float | None, now: float) -> None:
         """Apply the limit that an endpoint has named, None for none."""
@@ -331,7 +332,10 @@
         if load is None:
             return []
         load.report_pace(message.pace_percent, message.pace_age_ms, now)
-        load.start(load.running[message.key], message.first_byte_ms / 1000)
+        item, first_s = load.running[message.key], message.first_byte_ms / 1000
+        if item.held_first_s and not item.started:
+            self.estimates.prompts.learn(first_s < item.held_first_s)
+        load.start(item, first_s)
         return self.grant_waiting(now)
 
     def release(
@@ -370,7 +374,7 @@
                 load.allowance.give_back()
             if result is ReleaseResult.UNREACHABLE:
                 load.record_connection_failure(now, self.rng)
-                self.estimates.prefixes.forget(load.id)
+                self.estimates.forget_cached(load.id)
             if result is ReleaseResult.REJECTED:
                 load.record_rejection(now)
             return
@@ -524,7 +528,7 @@
         for load in self.estimates.candidates(item, now):
             if load.id in blocked:
                 continue
-            uncached = self.estimates.uncached(load, item)
+            uncached = self.estimates.uncached(load, item, now)
             total_s = load.total_s(uncached, output)
             total_s *= 1 + FAILING_PENALTY * load.failing
             option = Option(load, uncached, total_s)
@@ -557,21 +561,32 @@
         saved_tokens = best.uncached - busy.uncached
         longest_s = max(AFFINITY_SLACK * busy.total_s, FALLBACK_SLACK * best.total_s)
         has_time = longest_s < left_s
+        if item.prefix_tokens:
+            load = busy.load
+            saved_s, answer_s = load.prefill_s(saved_tokens), busy.total_s
+            return is_worth_waiting(saved_s, answer_s, len(load.running)) and has_time
         return saved_tokens >= AFFINITY_TOKENS and has_time
 
     def _grant(self, item: Waiting, load: EndpointLoad, now: float) -> Decision:
-        uncached = self.estimates.uncached(load, item)
+        uncached = self.estimates.uncached(load, item, now)
         self.queue.charge(item)
         self.capacity.shares.granted.add(item.base_rank(), item.cost_s, now)
         reserved = self.estimates.reserved(item)
         load.take(item, item.frontend, uncached, now, reserved=reserved)
         self.placed[item.key] = load.id
-        self.estimates.prefixes.add(load.id, item.prefix)
+        self.estimates.record_placed(load, item, uncached, now)
         if load.allowance is not None:
             load.allowance.take(now)
         probe = self._probe(item, now)
         first_ms = int(load.running[item.key].predicted_first_s * 1000)
-        grant = Grant(item.key, item.attempt, load.id, False, probe, first_ms)
+        cached = max(0, item.prompt_tokens - uncached) if item.prefix_tokens else 0
+        possible = cached / self.estimates.prompts.hits
+        if possible >= MANY_CACHED * item.prompt_tokens:
+            # Half way between the times with all of these parts and with none.
+            running = load.running[item.key]
+            saved_s = load.prefill_s(cached) - load.prefill_s(int(possible)) / 2
+            running.held_first_s = running.predicted_first_s + saved_s
+        grant = Grant(item.key, item.attempt, load.id, False, probe, first_ms, cached)
         return Decision(item.frontend, grant, item.base_rank())
 
     def _probe(self, item: Waiting, now: float) -> tuple[EndpointId, ...]:
@@ -683,6 +698,7 @@
             suspects=message.suspects,
             version=message.version,
             max_output_tokens=message.max_output_tokens,
+            prefix_tokens=message.prefix_tokens[: len(message.prefix)],
         )
         item.forecast = self.estimates.forecast(item)
         item.cost_s = item.forecast.cost_s
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -104,6 +104,7 @@
     parse_response_headers,
     refusal_headers,
 )
+from savorydyke.scheduling import chained_parts
 
 MAX_UNSENT = 3
 """Number of endpoints after which a request that could not be sent is refused."""
@@ -528,6 +529,8 @@
     def _demand(self, request: RoutedRequest) -> Demand:
         request_info = request.request_info
         objective, abandon_at = request.due_times()
+        parts = request_info.prefix if request.route.affinity else ()
+        prefix, prefix_tokens = chained_parts(request_info.model, parts)
         return Demand(
             key=self.new_key(request_info.request_id),
             pool=request.pool,
@@ -536,7 +539,7 @@
             prompt_tokens=max(1, request_info.prompt_tokens or SERVICE_CALL_TOKENS),
             output_tokens=request_info.expected_output_tokens
             or request_info.max_output_tokens,
-            prefix=(),
+            prefix=prefix,
             deadline=request.expires,
             has_caller_id=False,
             urgency=request.route.urgency,
@@ -551,6 +554,7 @@
             is_pool_certain=request.is_pool_certain,
             asked=request.asked,
             max_output_tokens=request_info.max_output_tokens,
+            prefix_tokens=prefix_tokens,
         )
 
     def new_key(self, request_id: str) -> RequestKey:
@@ -583,6 +587,10 @@
         request.result = ReleaseResult.NOT_SENT
         events = request.events
         endpoint = self._endpoint(granted.endpoint)
+        if request.route.affinity:
+            tier, cached = request.tier, granted.cached_tokens
+            metrics = self.metrics
+            metrics.observe(metrics.cached_tokens, tier, request.team, cached)
         try:
             if endpoint is None:
                 request.unsent += 1
--- a/src/savorydyke/_routes.py
+++ b/src/savorydyke/_routes.py
@@ -47,6 +47,9 @@
         Rank within a calling team's tier, 0 for the highest.
     public : bool
         Whether no key is needed.
+    affinity : bool
+        Whether its requests name the parts of their prompts, and go to endpoints that
+        hold them if that is quicker.
     """
 
     name: str
@@ -62,6 +65,7 @@
     abandon_after_s: float
     urgency: int
     public: bool
+    affinity: bool = False
 
     def pools(self) -> tuple[PoolId, ...]:
         """Return the pools that get a part of its requests, each once."""
--- a/src/savorydyke/platform/_headers.py
+++ b/src/savorydyke/platform/_headers.py
@@ -60,6 +60,8 @@
 """Headers that may appear only once. Of two values, different programs could use
 different ones."""
 
+MAX_COUNT = 10**12
+"""Larger numbers of tokens count as this one. Sums of them fit into a message."""
 COUNT = re.compile(r"[0-9]{1,9}")
 PACE_RANGE = (5.0, 5000.0)
 """Paces that are believed, in per cent: a machine is at most 20 times faster or 50
@@ -171,7 +173,7 @@
 
 def _count(text: str | None) -> int:
     try:
-        return max(0, int(float(text))) if text else 0
+        return min(MAX_COUNT, max(0, int(float(text)))) if text else 0
     except (ValueError, OverflowError):
         return 0
 
--- a/src/savorydyke/platform/_records.py
+++ b/src/savorydyke/platform/_records.py
@@ -288,6 +288,7 @@
         abandon_after_s=_abandon_after_s(item, objective_s) if streaming else timeout_s,
         urgency=int(item.get("priority") or 0),
         public=bool(item.get("public", False)),
+        affinity=bool(item.get("affinity", False)),
     )
 
 
--- a/src/savorydyke/scheduling/__init__.py
+++ b/src/savorydyke/scheduling/__init__.py
@@ -7,12 +7,24 @@
     coordinator_tokens,
 )
 from savorydyke.scheduling._pace import EndpointPace, PaceReports
+from savorydyke.scheduling._prompt_cache import (
+    DEFAULT_REUSE_S,
+    MANY_CACHED,
+    PromptCache,
+    chained_parts,
+    is_worth_waiting,
+)
 
 __all__ = [
+    "DEFAULT_REUSE_S",
+    "MANY_CACHED",
     "UNKNOWN_RATIO",
     "EndpointPace",
     "FallbackMemory",
     "OutputTail",
     "PaceReports",
+    "PromptCache",
+    "chained_parts",
     "coordinator_tokens",
+    "is_worth_waiting",
 ]
