Prefer endpoints in the data centre of the frontend among equal ones

The data centre played no part in the choice. The predicted time at endpoints of other data centres than the frontend's now counts 3 per cent more, which decides only between endpoints that are about equally good.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -221,3 +221,4 @@
       | a request goes where its prompt is held, unless that takes longer |
       | prompts that endpoints do not hold after all cost no confidence in their speed |
       | routes with affinity name their prompts, for a time that settings bound |
+      | of endpoints about as good the one in the frontend's data centre is used |
--- a/features/steps/pace_decisions.py
+++ b/features/steps/pace_decisions.py
@@ -32,7 +32,7 @@
 from savorydyke._gateway_settings import check_gateway_settings
 from savorydyke._grant_client import FALLBACK, Demand, Granted, InFlight
 from savorydyke._ids import Reason, ReleaseResult
-from savorydyke._membership import rendezvous_score
+from savorydyke._membership import Membership, rendezvous_score
 from savorydyke._messages import Grant, Release, Started, decode, encode
 from savorydyke._request_limits import RequestLimits
 from savorydyke.platform import (
@@ -386,3 +386,33 @@
         text = json.dumps(SETTINGS | {"bounds": bounds})
         settings, findings = check_gateway_settings(text, "s")
         assert not findings.items and settings.bounds.prefix_reuse_s == expected
+
+
+@case("of endpoints about as good the one in the frontend's data centre is used")
+def _():
+    names = [f"e{i}" for i in range(8)]
+    scheduler = scheduler_of(*names, slots=4)
+    for i, load in enumerate(scheduler.endpoints.values()):
+        load.spec = replace(load.spec, data_centre="ab"[i % 2])
+    centres = {"fa": "a", "fb": "b"}
+    scheduler.data_centre_of = lambda frontend: centres.get(frontend, "")
+
+    def place(key, frontend, now):
+        (name,) = granted(scheduler.acquire(acquire(key), frontend, now))
+        start(scheduler, key, now, 0.03)
+        return scheduler.endpoints[name].spec.data_centre
+
+    # All slots of the data centre are used before those of the other one.
+    near = [place(f"k{i}", "fb", 0.0) for i in range(17)]
+    assert near == ["b"] * 16 + ["a"], near
+    for load in scheduler.endpoints.values():
+        for key in list(load.running):
+            load.remove(key)
+        load.prefill_factor = 1.0
+    # One that is clearly slower is no match.
+    for load in scheduler.endpoints.values():
+        load.decode_tokens_per_s = 300.0 if load.spec.data_centre == "a" else 250.0
+    assert place("x", "fb", 1.0) == "a" and place("y", "unknown", 1.0) == "a"
+    membership = Membership("i", "127.0.0.1:1", "a", 1)
+    assert membership.data_centre_of("i") == "a"
+    assert membership.data_centre_of("j") == ""
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -715,6 +715,7 @@
     bounds = gateway.settings.bounds
     scheduler.capacity.min_retry_s = MIN_RETRY_S
     scheduler.quarantine = gateway.quarantine
+    scheduler.data_centre_of = gateway.membership.data_centre_of
     scheduler.estimates.prompts.reuse_s = bounds.prefix_reuse_s
     scheduler.estimates.output_tail = OutputTail(UNKNOWN_RATIO)
     scheduler.retry_budget = RetryBudget(
--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -353,6 +353,13 @@
         """Return whether most known instances recently acknowledged a heartbeat."""
         return 2 * self._answered_count(now) > self.known_count()
 
+    def data_centre_of(self, instance: InstanceId) -> str:
+        """Return the data centre of an instance, empty if it is not known."""
+        if instance == self.id:
+            return self.data_centre
+        member = self.members.get(instance)
+        return member.data_centre if member else ""
+
     def listed_count(self) -> int:
         """Return how many instances are known or listed by the store.
 
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -11,6 +11,7 @@
 import math
 import random
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from savorydyke._capacity import MARGIN, RETRY_RANGE_S, Capacity
@@ -55,6 +56,10 @@
 multiplied by this, ends before the deadline."""
 FAILING_PENALTY = 4.0
 """Multiple of the predicted time that is added to it if all answers fail."""
+FAR_FACTOR = 1.03
+"""Factor on the predicted time at endpoints of other data centres than the frontend's.
+It decides between endpoints that are about equally good: predictions are no better than
+this, and bytes between data centres are paid for."""
 FALLBACK_SLACK = 1.5
 """Same as `AFFINITY_SLACK`, for the free endpoint, which remains the alternative."""
 
@@ -121,6 +126,9 @@
         Limits retries of requests; None for no limit.
     quarantine : Quarantine
         Requests and parts of prompts that are held back.
+    data_centre_of : callable
+        Returns the data centre of a frontend, empty if it is not known or plays no
+        part.
     placed : dict of RequestKey to EndpointId
         The endpoint of each request in flight.
     recent : OrderedDict of RequestKey to Recent
@@ -140,6 +148,7 @@
     quotas: Quotas = field(default_factory=Quotas)
     retry_budget: RetryBudget | None = None
     quarantine: Quarantine = field(default_factory=Quarantine)
+    data_centre_of: Callable[[InstanceId], str] = field(default=lambda frontend: "")
     placed: dict[RequestKey, EndpointId] = field(default_factory=dict)
     recent: OrderedDict[RequestKey, Recent] = field(default_factory=OrderedDict)
     expiry: list[tuple[float, RequestKey, int]] = field(default_factory=list)
@@ -523,6 +532,7 @@
         Endpoints without capacity for it are added to `blocked`.
         """
         best = busy = None
+        centre = self.data_centre_of(item.frontend)
         output = self.estimates.output(item)
         tokens = self.estimates.reserved(item)
         for load in self.estimates.candidates(item, now):
@@ -531,6 +541,8 @@
             uncached = self.estimates.uncached(load, item, now)
             total_s = load.total_s(uncached, output)
             total_s *= 1 + FAILING_PENALTY * load.failing
+            if centre and load.spec.data_centre != centre:
+                total_s *= FAR_FACTOR
             option = Option(load, uncached, total_s)
             if not load.has_capacity(tokens, uncached, self.capacity.share):
                 busy = _faster(busy, option)
