--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -202,3 +202,25 @@
       | a lower quota is kept soon after it was set |
       | a team stays within its quota whatever happens |
       | a request that waited for its quota to be known is charged and answered once |
+
+  Scenario Outline: Paces, endpoint memory, cached prompts and data centres
+    Then the decision case "<case>" holds
+
+    Examples:
+      | case |
+      | a load report has three or four figures, and bad ones cost only themselves |
+      | load reports that can not be read cost one log line in ten seconds |
+      | reported paces make the longest pauses shorter, and draw no flock |
+      | a pace counts for as long as earlier ones lasted, and not if it is worthless |
+      | an endpoint's kind is learned apart from its pace, and from its batch |
+      | an endpoint that is slower than it reports is still passed over |
+      | paces pass between builds that know them and builds that do not |
+      | coordinator and fallback placement together stay within an endpoint's memory |
+      | an endpoint's memory bounds a request that runs alone, and refuses larger ones |
+      | answers longer than hinted seldom exceed an endpoint's memory |
+      | the parts of a prompt are passed on as a few digests, each of all before it |
+      | a part counts within the reuse window, and until it had to yield its memory |
+      | a request goes where its prompt is held, unless that takes longer |
+      | prompts that endpoints do not hold after all cost no confidence in their speed |
+      | routes with affinity name their prompts, for a time that settings bound |
+      | of endpoints about as good the one in the frontend's data centre is used |
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -13,6 +13,7 @@
 from savorydyke._messages import RunningRow
 from savorydyke._rejections import FRESH_S, RejectionGuard
 from savorydyke._request_limits import RequestAllowance
+from savorydyke.scheduling import EndpointPace
 
 PREFILL_WINDOW_S = 0.3
 """Prefill time that may be queued inside an engine; beyond it the coordinator decides
@@ -71,6 +72,11 @@
         Time to the first byte at the assumed speed.
     overdue_s : float
         Part of the time to the first byte that has been learned from already.
+    held_first_s : float
+        Time to the first byte up to which the endpoint held the named parts of the
+        prompt that it may hold; 0 if these are few.
+    reserved_tokens : int
+        What it takes of the endpoint's memory.
     is_verified : bool
         Whether its frontend has or will have reported its end here. False after
         another instance has been the coordinator.
@@ -92,6 +98,8 @@
     expected_first_s: float = 0.0
     overdue_s: float = 0.0
     is_verified: bool = True
+    reserved_tokens: int = 0
+    held_first_s: float = 0.0
 
 
 @dataclass
@@ -127,6 +135,8 @@
         How many requests it takes, if it has named a limit.
     rejections : RejectionGuard or None
         How many requests may be sent, if it bears few rejections only.
+    pace : EndpointPace or None
+        What is known of the speed of an endpoint that reports its pace.
     parallel : bool
         Whether requests are processed side by side, as plain services do, and
         not one prompt after the other.
@@ -154,6 +164,7 @@
     allowance: RequestAllowance | None = None
     rejections: RejectionGuard | None = None
     external: deque[int] = field(default_factory=lambda: deque(maxlen=REPORTS_KEPT))
+    pace: EndpointPace | None = None
 
     @property
     def id(self) -> EndpointId:
@@ -234,6 +245,11 @@
 
     def has_capacity(self, tokens: int, uncached: int, share: float) -> bool:
         """Return whether a request of this size may be sent now."""
+        memory = self.spec.memory_tokens
+        # While several coordinators exist each may use the part of one slot.
+        part = max(share, 1 / self.spec.max_concurrency)
+        if memory and tokens > memory * part:
+            return False
         if not self.running:
             return True
         if self.suspect and len(self.running) >= SUSPECT_SLOTS:
@@ -274,6 +290,7 @@
         uncached: int,
         now: float,
         started: bool = False,
+        reserved: int = 0,
     ) -> None:
         """Take credits for a request that is granted now or was granted earlier."""
         item = Running(
@@ -287,21 +304,29 @@
             granted=now,
             predicted_first_s=self.first_byte_s(uncached),
             started=started,
+            reserved_tokens=reserved or request.prompt_tokens + request.output_tokens,
         )
         if isinstance(request, Waiting):
             item.quota_tokens = request.quota_tokens
             item.arrived = request.arrived
         item.expected_first_s = item.predicted_first_s / self.prefill_factor
         self.running[item.key] = item
-        self.tokens += item.prompt_tokens + item.output_tokens
+        self.tokens += item.reserved_tokens
         if not started:
             self.unstarted_tokens += uncached
+        self.apply_pace(now)
 
     def start(self, item: Running, first_byte_s: float) -> None:
         """Learn from the first byte of an answer."""
         if item.started:
             return
         self.mark_started(item)
+        if item.held_first_s:
+            # It tells whether the prompt was held rather than how fast the endpoint is.
+            return
+        if self.pace is not None:
+            now = item.granted + first_byte_s
+            self.pace.learn_first(first_byte_s, item.expected_first_s, now)
         observed_s = first_byte_s - item.overdue_s
         self._learn(observed_s, item.expected_first_s, item.granted + first_byte_s)
 
@@ -322,15 +347,43 @@
         item = self.running.pop(key, None)
         if item is None:
             return None
-        self.tokens -= item.prompt_tokens + item.output_tokens
+        self.tokens -= item.reserved_tokens
         if not item.started:
             self.unstarted_tokens -= item.uncached_tokens
         return item
 
-    def learn_decode(self, tokens: int, seconds: float) -> None:
+    def report_pace(self, percent: int, age_ms: int, now: float) -> None:
+        """Record the pace that the endpoint reported with an answer, 0 for none."""
+        if percent <= 0:
+            if self.pace is not None:
+                self.pace.unreported += 1
+            return
+        if self.pace is None:
+            self.pace = EndpointPace()
+        self.pace.report(percent / 100, now - max(0, age_ms) / 1000)
+        self.apply_pace(now)
+
+    def apply_pace(self, now: float) -> None:
+        """Use what is known of the endpoint's pace, kind and batch, if it is of use."""
+        if self.pace is None or not self.pace.is_useful():
+            return
+        low, high = FACTOR_RANGE
+        factor = self.pace.first_factor(now)
+        if any(i.overdue_s and not i.started for i in self.running.values()):
+            # It is slower than it reports.
+            factor = max(factor, self.prefill_factor)
+        self.prefill_factor = min(high, max(low, factor))
+        speed = self.pace.tokens_per_s(len(self.running), now)
+        self.decode_tokens_per_s = speed or self.decode_tokens_per_s
+
+    def learn_decode(self, tokens: int, seconds: float, now: float = 0.0) -> None:
         """Learn from a complete answer."""
         if tokens < 2 or seconds <= 0:
             return
+        if self.pace is not None:
+            self.pace.learn_decode(tokens, seconds, len(self.running), now)
+            if self.pace.is_useful():
+                return
         speed = tokens / seconds
         self.decode_tokens_per_s += LEARNING_RATE * (speed - self.decode_tokens_per_s)
 
@@ -338,7 +391,8 @@
         """Learn from one overdue first byte before it arrives."""
         for item in self.running.values():
             waited_s = now - item.granted
-            if item.started or waited_s < OVERDUE_RATIO * item.predicted_first_s:
+            predicted_s = max(item.predicted_first_s, item.held_first_s)
+            if item.started or waited_s < OVERDUE_RATIO * predicted_s:
                 continue
             self._learn(waited_s - item.overdue_s, 0.0, now)
             item.overdue_s = waited_s
@@ -360,6 +414,7 @@
         low, high = FACTOR_RANGE
         ratio = (self.observed_s + PRIOR_S) / (self.expected_s + PRIOR_S)
         self.prefill_factor = min(high, max(low, ratio))
+        self.apply_pace(self.learned)
 
     def decay_if_idle(self, now: float) -> None:
         """Let the learned speed of an idle endpoint decay to the assumed one.
@@ -370,6 +425,8 @@
         if not self.running:
             self._decay(now)
             self._update_factor()
+        else:
+            self.apply_pace(now)
 
     def report(self, requests: int) -> None:
         """Record a load report, which lags behind, of the requests in the endpoint."""
--- a/src/savorydyke/_estimates.py
+++ b/src/savorydyke/_estimates.py
@@ -11,7 +11,9 @@
 from savorydyke._endpoint_load import EndpointLoad, Running
 from savorydyke._fair_queue import Forecast, Waiting
 from savorydyke._ids import EndpointId, TeamId
+from savorydyke._messages import RunningRow
 from savorydyke._prefixes import PrefixIndex
+from savorydyke.scheduling import OutputTail, PromptCache
 
 MIN_OUTPUT_RATIO = 0.05
 RATIO_LEARNING_RATE = 0.1
@@ -26,6 +28,12 @@
     ----------
     output_ratio : dict of TeamId to float
         Share of the requested output tokens that the team's answers had.
+    prompts : PromptCache
+        The named parts of prompts that endpoints probably hold.
+    output_tail : OutputTail
+        How much longer than hinted the answers of the pool are at most.
+    largest_memory : int
+        Tokens that fit into the largest endpoint, 0 if one's memory is not known.
     reachable : dict
         Cache of endpoints by the set of names that a team may use.
     """
@@ -33,6 +41,9 @@
     endpoints: dict[EndpointId, EndpointLoad] = field(default_factory=dict)
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     output_ratio: dict[TeamId, float] = field(default_factory=dict)
+    prompts: PromptCache = field(default_factory=PromptCache)
+    output_tail: OutputTail = field(default_factory=OutputTail)
+    largest_memory: int = 0
     reachable: dict[frozenset[EndpointId], list[EndpointLoad]] = field(
         default_factory=dict
     )
@@ -99,18 +110,54 @@
         ends = [load.paused_end(item.frontend) for load in self.open_endpoints(item)]
         return max(0.0, min(ends, default=0.0) - now)
 
-    def uncached(self, load: EndpointLoad, item: Waiting) -> int:
+    def uncached(self, load: EndpointLoad, item: Waiting, now: float) -> int:
         """Return the prompt tokens that an endpoint would have to process."""
         if not item.prefix:
             return max(1, item.prompt_tokens)
-        cached = self.prefixes.cached_tokens(load.id, item.prefix)
+        if item.prefix_tokens:
+            memory = load.spec.memory_tokens
+            cached = self.prompts.cached_tokens(
+                load.id, item.prefix, item.prefix_tokens, memory, now
+            )
+        else:
+            cached = self.prefixes.cached_tokens(load.id, item.prefix)
         return max(1, item.prompt_tokens - cached)
 
+    def record_placed(
+        self, load: EndpointLoad, item: Waiting, uncached: int, now: float
+    ) -> None:
+        """Record that an endpoint gets a request, and holds its prompt then."""
+        if item.prefix and not item.prefix_tokens:
+            self.prefixes.add(load.id, item.prefix)
+            return
+        if not item.prefix and load.id not in self.prompts.held:
+            return
+        tokens = uncached + self.output(item)
+        self.prompts.add(load.id, item.prefix, tokens, load.spec.memory_tokens, now)
+
+    def forget_cached(self, endpoint: EndpointId) -> None:
+        """Drop what an endpoint held, since its process has ended or may have."""
+        self.prefixes.forget(endpoint)
+        self.prompts.forget(endpoint)
+
     def output(self, item: Waiting) -> int:
         """Return the expected output tokens of a request."""
         ratio = self.output_ratio.get(item.team, 1.0)
         return int(item.output_tokens * ratio)
 
+    def reserved(self, request: Waiting | RunningRow) -> int:
+        """Return the tokens of an endpoint's memory to reserve for a request.
+
+        One that fits as its caller hints is not kept out by what is added to that.
+        """
+        most = request.max_output_tokens if isinstance(request, Waiting) else 0
+        hinted = request.prompt_tokens + request.output_tokens
+        tail = self.output_tail.reserve(request.output_tokens, most)
+        reserved = request.prompt_tokens + tail
+        if hinted <= self.largest_memory:
+            reserved = min(reserved, self.largest_memory)
+        return reserved
+
     def forecast(self, item: Waiting) -> Forecast:
         """Return the predicted times of a request at idle endpoints."""
         output = self.output(item)
@@ -118,7 +165,7 @@
         rate = 0.0
         count = 0
         for load in self.open_endpoints(item):
-            uncached = self.uncached(load, item)
+            uncached = self.uncached(load, item, item.arrived)
             prefill_s = load.prefill_s(uncached)
             decode_s = output / load.decode_tokens_per_s
             least_s = min(least_s, prefill_s + decode_s)
@@ -132,6 +179,7 @@
 
     def learn_output(self, item: Running, tokens: int) -> None:
         """Learn from the length of a complete answer."""
+        self.output_tail.learn(tokens, item.output_tokens)
         if item.output_tokens <= 0:
             return
         ratio = min(1.0, max(MIN_OUTPUT_RATIO, tokens / item.output_tokens))
--- a/src/savorydyke/_grant_client.py
+++ b/src/savorydyke/_grant_client.py
@@ -90,6 +90,10 @@
         Whether the stream, if it has begun, began in this pool.
     asked : float
         When the request came, on a clock that counts suspension.
+    max_output_tokens : int
+        Largest size of the answer, 0 if not known.
+    prefix_tokens : tuple of int
+        Tokens up to each digest in `prefix`, if that is of named parts of the prompt.
     """
 
     key: RequestKey
@@ -114,6 +118,8 @@
     version: SoftwareVersion = UNKNOWN_VERSION
     is_pool_certain: bool = True
     asked: float = 0.0
+    max_output_tokens: int = 0
+    prefix_tokens: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -128,6 +134,8 @@
         When the grant arrived, on the local monotonic clock.
     first_s : float
         Predicted time to the first byte, 0 if there is no prediction.
+    cached_tokens : int
+        Prompt tokens that the endpoint is expected to hold.
     """
 
     coordinator: InstanceId
@@ -137,6 +145,7 @@
     probe: tuple[EndpointId, ...]
     received: float
     first_s: float = 0.0
+    cached_tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -326,6 +335,8 @@
             suspects=demand.suspects,
             stream=demand.stream if demand.has_begun else NO_STREAM,
             version=demand.version,
+            max_output_tokens=demand.max_output_tokens,
+            prefix_tokens=demand.prefix_tokens,
         )
 
     def _with_time_left(self, pending: Pending) -> Acquire:
@@ -372,6 +383,7 @@
                 message.probe,
                 trio.current_time(),
                 message.first_ms / 1000,
+                message.cached_tokens,
             )
         else:
             retry_s = None if message.retry_ms < 0 else message.retry_ms / 1000
@@ -413,6 +425,7 @@
         key: RequestKey,
         first_byte_s: float,
         version: SoftwareVersion = UNKNOWN_VERSION,
+        pace: tuple[int, int] = (0, 0),
     ) -> None:
         """Report to the coordinator that the first byte of an answer has arrived.
 
@@ -420,6 +433,8 @@
         ----------
         version : SoftwareVersion
             The version of the endpoint that sent it.
+        pace : (int, int)
+            The pace that the endpoint has reported, in per cent, and its age in ms.
         """
         item = self.in_flight.get(key)
         if item is None or item.started:
@@ -427,7 +442,8 @@
         item.started, item.version = True, version
         milliseconds = math.ceil(first_byte_s * 1000)
         demand = item.demand
-        message = Started(key, demand.pool, milliseconds, demand.stream, version)
+        stream = demand.stream
+        message = Started(key, demand.pool, milliseconds, stream, version, *pace)
         self._send_to_coordinator(demand.pool, message)
 
     def release(
@@ -437,6 +453,7 @@
         output_tokens: int = 0,
         decode_s: float = 0.0,
         pause_s: float = 0.0,
+        pace: tuple[int, int] = (0, 0),
     ) -> None:
         """Return a grant, and report how its request ended.
 
@@ -444,6 +461,8 @@
         ----------
         pause_s : float
             For how long the endpoint wants no other request of this instance.
+        pace : (int, int)
+            As in `started`.
         """
         item = self.in_flight.pop(key, None)
         if item is None:
@@ -457,6 +476,7 @@
             output_tokens,
             int(decode_s * 1000),
             math.ceil(pause_s * 1000),
+            *pace,
         )
         self._send_to_coordinator(item.demand.pool, message)
         is_fallback = item.granted.coordinator == FALLBACK
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -11,6 +11,7 @@
 import math
 import random
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from savorydyke._capacity import MARGIN, RETRY_RANGE_S, Capacity
@@ -35,6 +36,7 @@
 )
 from savorydyke._quota import Quotas
 from savorydyke._retry_budget import RetryBudget
+from savorydyke.scheduling import MANY_CACHED, is_worth_waiting
 
 MAX_RECENT = 20_000
 RECENT_S = 600.0
@@ -54,6 +56,10 @@
 multiplied by this, ends before the deadline."""
 FAILING_PENALTY = 4.0
 """Multiple of the predicted time that is added to it if all answers fail."""
+FAR_FACTOR = 1.03
+"""Factor on the predicted time at endpoints of other data centres than the frontend's.
+It decides between endpoints that are about equally good: predictions are no better than
+this, and bytes between data centres are paid for."""
 FALLBACK_SLACK = 1.5
 """Same as `AFFINITY_SLACK`, for the free endpoint, which remains the alternative."""
 
@@ -120,6 +126,9 @@
         Limits retries of requests; None for no limit.
     quarantine : Quarantine
         Requests and parts of prompts that are held back.
+    data_centre_of : callable
+        Returns the data centre of a frontend, empty if it is not known or plays no
+        part.
     placed : dict of RequestKey to EndpointId
         The endpoint of each request in flight.
     recent : OrderedDict of RequestKey to Recent
@@ -139,6 +148,7 @@
     quotas: Quotas = field(default_factory=Quotas)
     retry_budget: RetryBudget | None = None
     quarantine: Quarantine = field(default_factory=Quarantine)
+    data_centre_of: Callable[[InstanceId], str] = field(default=lambda frontend: "")
     placed: dict[RequestKey, EndpointId] = field(default_factory=dict)
     recent: OrderedDict[RequestKey, Recent] = field(default_factory=OrderedDict)
     expiry: list[tuple[float, RequestKey, int]] = field(default_factory=list)
@@ -177,11 +187,13 @@
             self.endpoints[name] = new_load(spec, kind)
         for name, load in self.endpoints.items():
             load.removed = name not in specs
+        memories = [spec.memory_tokens for spec in specs.values()]
+        self.estimates.largest_memory = max(memories) if all(memories or [0]) else 0
         return self._recheck_access(now) + self.grant_waiting(now)
 
     def _end_process(self, load: EndpointLoad, now: float) -> None:
         """End the grants for a process that another one has replaced."""
-        self.estimates.prefixes.forget(load.id)
+        self.estimates.forget_cached(load.id)
         for item in list(load.running.values()):
             load.remove(item.key)
             self.placed.pop(item.key, None)
@@ -206,7 +218,7 @@
             return
         load.leaving = leaving
         if leaving:
-            self.estimates.prefixes.forget(endpoint)
+            self.estimates.forget_cached(endpoint)
 
     def set_limit(self, endpoint: EndpointId, per_s: float | None, now: float) -> None:
         """Apply the limit that an endpoint has named, None for none."""
@@ -328,7 +340,11 @@
         load = self.endpoints.get(self.placed.get(message.key, EndpointId("")))
         if load is None:
             return []
-        load.start(load.running[message.key], message.first_byte_ms / 1000)
+        load.report_pace(message.pace_percent, message.pace_age_ms, now)
+        item, first_s = load.running[message.key], message.first_byte_ms / 1000
+        if item.held_first_s and not item.started:
+            self.estimates.prompts.learn(first_s < item.held_first_s)
+        load.start(item, first_s)
         return self.grant_waiting(now)
 
     def release(
@@ -359,13 +375,15 @@
             load.pause(item.frontend, message.pause_ms / 1000, now, self.rng)
         load.remove(item.key)
         self.placed.pop(item.key, None)
+        if message.pace_percent:
+            load.report_pace(message.pace_percent, message.pace_age_ms, now)
         if result in _NOT_RUN:
             self._refund(item)
             if load.allowance is not None and result is not ReleaseResult.REJECTED:
                 load.allowance.give_back()
             if result is ReleaseResult.UNREACHABLE:
                 load.record_connection_failure(now, self.rng)
-                self.estimates.prefixes.forget(load.id)
+                self.estimates.forget_cached(load.id)
             if result is ReleaseResult.REJECTED:
                 load.record_rejection(now)
             return
@@ -377,7 +395,7 @@
         if result is ReleaseResult.COMPLETE:
             load.record_success()
             mark_suspects(self.endpoints.values())
-            load.learn_decode(message.output_tokens, message.decode_ms / 1000)
+            load.learn_decode(message.output_tokens, message.decode_ms / 1000, now)
             self.estimates.learn_output(item, message.output_tokens)
 
     def register(self, message: Register, frontend: InstanceId, now: float) -> None:
@@ -398,7 +416,14 @@
                 continue
             uncached = 0 if row.started else row.prompt_tokens
             self.queue.remove(row.key)
-            load.take(row, frontend, uncached, now, started=row.started)
+            load.take(
+                row,
+                frontend,
+                uncached,
+                now,
+                started=row.started,
+                reserved=self.estimates.reserved(row),
+            )
             self.placed[row.key] = load.id
 
     def _drop_missing(
@@ -507,14 +532,17 @@
         Endpoints without capacity for it are added to `blocked`.
         """
         best = busy = None
+        centre = self.data_centre_of(item.frontend)
         output = self.estimates.output(item)
-        tokens = item.prompt_tokens + item.output_tokens
+        tokens = self.estimates.reserved(item)
         for load in self.estimates.candidates(item, now):
             if load.id in blocked:
                 continue
-            uncached = self.estimates.uncached(load, item)
+            uncached = self.estimates.uncached(load, item, now)
             total_s = load.total_s(uncached, output)
             total_s *= 1 + FAILING_PENALTY * load.failing
+            if centre and load.spec.data_centre != centre:
+                total_s *= FAR_FACTOR
             option = Option(load, uncached, total_s)
             if not load.has_capacity(tokens, uncached, self.capacity.share):
                 busy = _faster(busy, option)
@@ -545,20 +573,32 @@
         saved_tokens = best.uncached - busy.uncached
         longest_s = max(AFFINITY_SLACK * busy.total_s, FALLBACK_SLACK * best.total_s)
         has_time = longest_s < left_s
+        if item.prefix_tokens:
+            load = busy.load
+            saved_s, answer_s = load.prefill_s(saved_tokens), busy.total_s
+            return is_worth_waiting(saved_s, answer_s, len(load.running)) and has_time
         return saved_tokens >= AFFINITY_TOKENS and has_time
 
     def _grant(self, item: Waiting, load: EndpointLoad, now: float) -> Decision:
-        uncached = self.estimates.uncached(load, item)
+        uncached = self.estimates.uncached(load, item, now)
         self.queue.charge(item)
         self.capacity.shares.granted.add(item.base_rank(), item.cost_s, now)
-        load.take(item, item.frontend, uncached, now)
+        reserved = self.estimates.reserved(item)
+        load.take(item, item.frontend, uncached, now, reserved=reserved)
         self.placed[item.key] = load.id
-        self.estimates.prefixes.add(load.id, item.prefix)
+        self.estimates.record_placed(load, item, uncached, now)
         if load.allowance is not None:
             load.allowance.take(now)
         probe = self._probe(item, now)
         first_ms = int(load.running[item.key].predicted_first_s * 1000)
-        grant = Grant(item.key, item.attempt, load.id, False, probe, first_ms)
+        cached = max(0, item.prompt_tokens - uncached) if item.prefix_tokens else 0
+        possible = cached / self.estimates.prompts.hits
+        if possible >= MANY_CACHED * item.prompt_tokens:
+            # Half way between the times with all of these parts and with none.
+            running = load.running[item.key]
+            saved_s = load.prefill_s(cached) - load.prefill_s(int(possible)) / 2
+            running.held_first_s = running.predicted_first_s + saved_s
+        grant = Grant(item.key, item.attempt, load.id, False, probe, first_ms, cached)
         return Decision(item.frontend, grant, item.base_rank())
 
     def _probe(self, item: Waiting, now: float) -> tuple[EndpointId, ...]:
@@ -669,6 +709,8 @@
             quota_tokens=message.quota_tokens,
             suspects=message.suspects,
             version=message.version,
+            max_output_tokens=message.max_output_tokens,
+            prefix_tokens=message.prefix_tokens[: len(message.prefix)],
         )
         item.forecast = self.estimates.forecast(item)
         item.cost_s = item.forecast.cost_s
@@ -679,6 +721,10 @@
         if not item.allowed and not self.manifest.all_approved:
             detail = "the team is not approved for this pool"
             return self._refuse(item, Reason.NOT_APPROVED, detail, None, now)
+        memory = self.estimates.largest_memory
+        if 0 < memory < item.prompt_tokens + item.output_tokens:
+            detail = f"larger than an endpoint's memory of {memory} tokens"
+            return self._refuse(item, Reason.TOO_LARGE, detail, None, now)
         has_endpoint = self.estimates.candidates(item, now)
         if not has_endpoint and not self.estimates.awaits_limit(item, now):
             detail = "no endpoint of the pool takes new work"
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -104,6 +104,7 @@
     parse_response_headers,
     refusal_headers,
 )
+from savorydyke.scheduling import chained_parts
 
 MAX_UNSENT = 3
 """Number of endpoints after which a request that could not be sent is refused."""
@@ -528,6 +529,8 @@
     def _demand(self, request: RoutedRequest) -> Demand:
         request_info = request.request_info
         objective, abandon_at = request.due_times()
+        parts = request_info.prefix if request.route.affinity else ()
+        prefix, prefix_tokens = chained_parts(request_info.model, parts)
         return Demand(
             key=self.new_key(request_info.request_id),
             pool=request.pool,
@@ -536,7 +539,7 @@
             prompt_tokens=max(1, request_info.prompt_tokens or SERVICE_CALL_TOKENS),
             output_tokens=request_info.expected_output_tokens
             or request_info.max_output_tokens,
-            prefix=(),
+            prefix=prefix,
             deadline=request.expires,
             has_caller_id=False,
             urgency=request.route.urgency,
@@ -550,6 +553,8 @@
             version=self._required_version(request),
             is_pool_certain=request.is_pool_certain,
             asked=request.asked,
+            max_output_tokens=request_info.max_output_tokens,
+            prefix_tokens=prefix_tokens,
         )
 
     def new_key(self, request_id: str) -> RequestKey:
@@ -581,8 +586,12 @@
         request.pause_s = 0.0
         request.result = ReleaseResult.NOT_SENT
         events = request.events
+        endpoint = self._endpoint(granted.endpoint)
+        if request.route.affinity:
+            tier, cached = request.tier, granted.cached_tokens
+            metrics = self.metrics
+            metrics.observe(metrics.cached_tokens, tier, request.team, cached)
         try:
-            endpoint = self._endpoint(granted.endpoint)
             if endpoint is None:
                 request.unsent += 1
                 return NotRun("the endpoint has been removed")
@@ -602,13 +611,25 @@
                     request.team, placed_by, request.quota_tokens
                 )
             self.grant_client.release(
-                key, request.result, tokens, decode_s, request.pause_s
+                key,
+                request.result,
+                tokens,
+                decode_s,
+                request.pause_s,
+                self._pace(endpoint),
             )
 
     def _endpoint(self, name: EndpointId) -> Endpoint | None:
         manifest = self.directory.manifest
         return manifest.endpoints.get(name) if manifest else None
 
+    def _pace(self, endpoint: Endpoint | None) -> tuple[int, int]:
+        """Return the pace that an endpoint has reported, for a message."""
+        if endpoint is None:
+            return 0, 0
+        now = trio.current_time()
+        return self.observer.paces.message_fields(endpoint.process, now)
+
     def _tokens_per_event(self, pool: PoolId) -> int:
         configuration = self.directory.configuration
         found = configuration.pools.get(pool) if configuration else None
@@ -814,12 +835,16 @@
         request_id = request.request_info.request_id
         if info.request_id == request_id:
             request.pause_s = self.observer.observe(endpoint, info, sent, request_id)
+            if info.load.pace is not None:
+                self.metrics.reported_pace.observe(
+                    {"pool": str(request.pool)}, info.load.pace
+                )
         result = await relay_answer(
             request,
             way.channel,
             head,
             info,
-            lambda: self._note_first_byte(request, key, endpoint.version),
+            lambda: self._note_first_byte(request, key, endpoint),
             lambda: self._on_silence(request, endpoint, way),
             self.event_steps.setdefault(request.pool, EventSteps()),
         )
@@ -859,16 +884,17 @@
         return self.ways.forwarded(outgoing, endpoint.id, way.forwarder)
 
     def _note_first_byte(
-        self, request: RoutedRequest, key: RequestKey, version: SoftwareVersion
+        self, request: RoutedRequest, key: RequestKey, endpoint: Endpoint
     ) -> None:
         if request.first_byte is not None:
             return
+        version = endpoint.version
         request.first_byte = request.last_byte = trio.current_time()
         request.version = version
         if request.stream and version:
             self.versions.record(request.pool, request.stream, version, boot_time())
         first_s = request.first_byte - request.granted_at
-        self.grant_client.started(key, first_s, version)
+        self.grant_client.started(key, first_s, version, self._pace(endpoint))
 
     # Logs and metrics
 
