Free a slot when its endpoint is done, not when the caller has read

Cause: answers were written to the caller before the grant was released, so that callers that read slowly kept slots occupied until the time-out of their request. The time-out for a stalled stream no longer runs while its caller is slow, and a large answer is not left for another endpoint once it has begun. The fields of the line "Ended." move to serving/, so that the handler shrinks by 42 lines.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -412,6 +412,17 @@
       | a stream goes on elsewhere when its endpoint stays silent                 |
       | a stream that hangs leaves an endpoint that serves others                 |
 
+  Scenario Outline: Callers that read slowly
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                       |
+      | callers that read slowly do not keep slots from others                     |
+      | an answer that is complete is delivered after the time-out of its request  |
+      | a stream that its caller reads slowly ends its grant with its last event   |
+      | slow readers of an instance that is cut off do not keep slots either       |
+      | a stop ends the delivery to a caller that reads slowly                     |
+
   Scenario Outline: What the head of an answer says
     Then the routed case "<case>" holds
 
--- a/features/steps/routed_steps.py
+++ b/features/steps/routed_steps.py
@@ -15,6 +15,7 @@
 import retry_cases  # noqa: F401  Registers its cases.
 import route_pool_decisions  # noqa: F401  Registers its cases.
 import silent_endpoint_cases  # noqa: F401  Registers its cases.
+import slow_reader_cases  # noqa: F401  Registers its cases.
 import split_route_cases  # noqa: F401  Registers its cases.
 import spoilt_stream_cases  # noqa: F401  Registers its cases.
 import store_contact_decisions  # noqa: F401  Registers its cases.
--- a/src/savorydyke/_ingress.py
+++ b/src/savorydyke/_ingress.py
@@ -15,7 +15,8 @@
 
 from savorydyke import _logs
 from savorydyke._http1 import Headers
-from savorydyke._sockets import receive, send
+from savorydyke._sockets import receive
+from savorydyke.serving import CallerDisconnectedError, CallerWriter
 
 READ_BYTES = 65536
 PIPELINED_BYTES = 65536
@@ -74,10 +75,6 @@
         return [value for key, value in self.headers if key.lower() == name]
 
 
-class CallerDisconnectedError(Exception):
-    """Raised when a caller's connection cannot be written to."""
-
-
 @dataclass(frozen=True)
 class Rejected:
     """A request that could not be read.
@@ -101,7 +98,7 @@
     started : bool
         Whether the head has been sent.
     finished : bool
-        Whether the answer is complete.
+        Whether the answer is complete; the caller may still have to read it.
     omit_body : bool
         Whether the request was a HEAD, whose answer has no body.
     """
@@ -126,9 +123,19 @@
 
     async def end(self) -> None:
         """Complete the answer."""
-        await self.connection.write(h11.EndOfMessage())
+        await self.connection.write(h11.EndOfMessage(), is_end=True)
         self.finished = True
 
+    async def drain(self) -> None:
+        """Wait until what was sent has been written to the caller's connection.
+
+        Raises
+        ------
+        CallerDisconnectedError
+            If the caller has disconnected, or reads too slowly.
+        """
+        await self.connection.writer.drain()
+
     async def send_answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer in one write."""
         self.started = True
@@ -159,13 +166,17 @@
     http: h11.Connection
     busy: bool = False
     disconnected: bool = False
+    writer: CallerWriter = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.writer = CallerWriter(self.stream)
 
     def closing(self) -> bool:
         """Return whether the connection closes after the current answer."""
         return self.ingress.closing
 
-    async def write(self, *events: h11.Event) -> None:
-        """Send events.
+    async def write(self, *events: h11.Event, is_end: bool = False) -> None:
+        """Send events; `CallerWriter.write` describes when this waits.
 
         Raises
         ------
@@ -173,10 +184,7 @@
             If the caller has disconnected.
         """
         data = b"".join(self.http.send(event) or b"" for event in events)
-        try:
-            await send(self.stream, data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            raise CallerDisconnectedError from None
+        await self.writer.write(data, is_end)
 
     async def receive(self) -> bool:
         """Read more bytes; return False at the end of the connection."""
@@ -361,10 +369,13 @@
         """Run the handler; cancel it if the caller disconnects."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch, connection, nursery.cancel_scope)
+            connection.writer.nursery = nursery
             try:
                 await self.handler(incoming, responder)
+                await responder.drain()
             except CallerDisconnectedError:
                 connection.disconnected = True
+            connection.writer.nursery = None
             nursery.cancel_scope.cancel()
 
     async def _watch(self, connection: Connection, scope: trio.CancelScope) -> None:
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -12,7 +12,6 @@
 import trio
 
 from savorydyke import _logs
-from savorydyke._answer_kinds import RelayedAnswer
 from savorydyke._configuration_age import boot_time
 from savorydyke._directory import Directory
 from savorydyke._endpoint_observer import EndpointObserver
@@ -104,6 +103,7 @@
     parse_response_headers,
     refusal_headers,
 )
+from savorydyke.serving import end_fields
 
 MAX_UNSENT = 3
 """Number of endpoints after which a request that could not be sent is refused."""
@@ -202,6 +202,7 @@
             return
         try:
             refusal = await self._answer(request)
+            await responder.drain()
         except BaseException:
             self._record_end(request, "caller gone")
             raise
@@ -926,50 +927,7 @@
         elif request.sent_to and request.request_info.prompt_tokens:
             labels = {"tier": tier, "team": team, "result": request.result.value}
             metrics.wasted_prefill.add(labels, request.request_info.prompt_tokens)
-        log.info(
-            "Ended.",
-            extra={
-                "request": request.request_info.request_id,
-                "how": how,
-                "route": request.route.name,
-                "pool": request.pool,
-                "team": team,
-                "rank": tier,
-                "version": request.config_version,
-                "age_ms": int(request.config_age_s * 1000),
-                "endpoints": request.sent_to,
-                "versions": request.versions,
-                "forwarders": request.forwarders,
-                "resumes": request.request_info.resumes,
-                "last_event": request.request_info.last_event_id,
-                "tokens": [
-                    request.request_info.prompt_tokens,
-                    request.request_info.max_output_tokens,
-                ],
-                "waited_ms": int(request.waited_s * 1000),
-                "first_ms": int((request.first_byte - arrived) * 1000)
-                if request.first_byte
-                else -1,
-                "total_ms": int((now - arrived) * 1000),
-                "events": request.events,
-                "parts": request.parts,
-                "digest": request.digest,
-                **_relayed_fields(request.relayed),
-            },
-        )
-
-
-def _relayed_fields(relayed: RelayedAnswer | None) -> dict[str, object]:
-    """Return the log fields that state what the caller has got of an answer."""
-    if relayed is None:
-        return {"relayed": ""}
-    return {
-        "relayed": relayed.relayed_as.value,
-        "status": relayed.status,
-        "type": relayed.content_type,
-        "framing": relayed.framing.value,
-        "bytes": relayed.size,
-    }
+        log.info("Ended.", extra=end_fields(request, how, now))
 
 
 def _stream(team: TeamId, route: Route, request_info: RequestInfo) -> RequestKey:
--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -5,6 +5,7 @@
 by event, as complete events arrive.
 """
 
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import trio
@@ -189,6 +190,8 @@
         headers.append((b"Content-Length", str(head.length).encode()))
     await request.responder.start(head.status, headers)
     relayed = _record_relayed(request, head, RelayedAs.PARTS)
+    # It has begun, so that no other endpoint can go on with it.
+    channel.read_until = math.inf
     for part in parts:
         relayed.size += len(part)
         await request.responder.body(part)
@@ -199,8 +202,8 @@
             )
         relayed.size += len(part)
         await request.responder.body(part)
-    await request.responder.end()
     request.result = ReleaseResult.COMPLETE
+    await request.responder.end()
     return Done(head.status)
 
 
@@ -232,9 +235,10 @@
             on_first_byte()
             await _start(request, head)
             _count_events(request, complete, order)
+            await request.responder.body(complete)
             if is_limited:
+                # Not before, since the caller may have been slow.
                 channel.read_until = trio.current_time() + STALLED_STREAM_S
-            await request.responder.body(complete)
             if order.stray is not None:
                 raise order.stray
     except StrayEventError as error:
@@ -243,9 +247,9 @@
         raise ChannelBrokenError("the stream ended within an event")
     if not order.events and not (goes_on and head.is_delimited()):
         raise ChannelBrokenError("the stream ended without an event")
+    request.result = ReleaseResult.COMPLETE
     await _start(request, head)
     await request.responder.end()
-    request.result = ReleaseResult.COMPLETE
     return Done(head.status)
 
 
--- a/src/savorydyke/_sockets.py
+++ b/src/savorydyke/_sockets.py
@@ -9,8 +9,8 @@
 import trio
 
 
-async def send(stream: trio.SocketStream, data: bytes) -> None:
-    """Send all of `data`; wait only if the socket's send buffer is full.
+def send_some(stream: trio.SocketStream, data: bytes | memoryview) -> int:
+    """Send what the socket's send buffer takes of `data`; return how many bytes.
 
     Raises
     ------
@@ -18,11 +18,22 @@
         If the connection is closed.
     """
     try:
-        sent = os.write(stream.socket.fileno(), data)
+        return os.write(stream.socket.fileno(), data)
     except BlockingIOError:
-        sent = 0
+        return 0
     except OSError as error:
         raise trio.BrokenResourceError(str(error)) from error
+
+
+async def send(stream: trio.SocketStream, data: bytes) -> None:
+    """Send all of `data`; wait only if the socket's send buffer is full.
+
+    Raises
+    ------
+    trio.BrokenResourceError
+        If the connection is closed.
+    """
+    sent = send_some(stream, data)
     if sent < len(data):
         await stream.send_all(data[sent:])
 
