Grant short requests before a slot is free, by what endpoints report

Between two requests a slot of an endpoint waits for a release, a decision, a grant and a connection.

Endpoints that report a pace get some requests beyond their slots, as many as their load reports say are missing: up to half of the slots, none while they are brittle or after a rejection. Other endpoints are served as before.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -224,3 +224,12 @@
       | prompts that endpoints do not hold after all cost no confidence in their speed |
       | routes with affinity name their prompts, for a time that settings bound |
       | of endpoints about as good the one in the frontend's data centre is used |
+
+  Scenario Outline: Requests granted before a slot is free
+    Then the decision case "<case>" holds
+
+    Examples:
+      | case                                                                               |
+      | slots of an endpoint are not idle while a release and a grant are on their way     |
+      | an endpoint that is close has no long queue                                        |
+      | wrong load reports cost an endpoint no more than half of its slots in its queue    |
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -13,7 +13,7 @@
 from savorydyke._messages import RunningRow
 from savorydyke._rejections import FRESH_S, RejectionGuard
 from savorydyke._request_limits import RequestAllowance
-from savorydyke.scheduling import EndpointPace
+from savorydyke.scheduling import EndpointPace, SlotOverlap
 
 PREFILL_WINDOW_S = 0.3
 """Prefill time that may be queued inside an engine; beyond it the coordinator decides
@@ -135,6 +135,9 @@
         How many requests it takes, if it has named a limit.
     rejections : RejectionGuard or None
         How many requests may be sent, if it bears few rejections only.
+    overlap : SlotOverlap or None
+        How many requests it gets beyond its slots, if it reports a pace. What other
+        deployments' endpoints get is limited by their slots.
     pace : EndpointPace or None
         What is known of the speed of an endpoint that reports its pace.
     parallel : bool
@@ -165,6 +168,7 @@
     rejections: RejectionGuard | None = None
     external: deque[int] = field(default_factory=lambda: deque(maxlen=REPORTS_KEPT))
     pace: EndpointPace | None = None
+    overlap: SlotOverlap | None = None
 
     @property
     def id(self) -> EndpointId:
@@ -241,6 +245,8 @@
         """Return how many requests granted here may be in flight."""
         outside = min(self.external) if len(self.external) == REPORTS_KEPT else 0
         limit = int(self.spec.max_concurrency * share) - outside
+        if share == 1.0 and self.overlap is not None and self.rejections is None:
+            limit += self.overlap.whole()
         return max(1, limit)
 
     def has_capacity(self, tokens: int, uncached: int, share: float) -> bool:
@@ -363,6 +369,14 @@
         self.pace.report(percent / 100, now - max(0, age_ms) / 1000)
         self.apply_pace(now)
 
+    def report_counts(self, running: int, waiting: int) -> None:
+        """Record how many requests the endpoint reports, -1 for not known."""
+        if self.pace is None or min(running, waiting) < 0:
+            return
+        if self.overlap is None:
+            self.overlap = SlotOverlap(self.spec.max_concurrency)
+        self.overlap.record_report(running, waiting, len(self.running))
+
     def apply_pace(self, now: float) -> None:
         """Use what is known of the endpoint's pace, kind and batch, if it is of use."""
         if self.pace is None or not self.pace.is_useful():
@@ -456,6 +470,8 @@
     def record_rejection(self, now: float) -> None:
         """Pause a full endpoint for a moment."""
         self.open_until = max(self.open_until, now + REJECTED_PAUSE_S)
+        if self.overlap is not None:
+            self.overlap.record_rejection()
         if self.rejections is not None:
             self.rejections.record_rejection(len(self.running), now)
 
--- a/src/savorydyke/_grant_client.py
+++ b/src/savorydyke/_grant_client.py
@@ -426,6 +426,7 @@
         first_byte_s: float,
         version: SoftwareVersion = UNKNOWN_VERSION,
         pace: tuple[int, int] = (0, 0),
+        load: tuple[int, int] = (-1, -1),
     ) -> None:
         """Report to the coordinator that the first byte of an answer has arrived.
 
@@ -435,6 +436,8 @@
             The version of the endpoint that sent it.
         pace : (int, int)
             The pace that the endpoint has reported, in per cent, and its age in ms.
+        load : (int, int)
+            The requests that run and wait at the endpoint, -1 if not known.
         """
         item = self.in_flight.get(key)
         if item is None or item.started:
@@ -443,7 +446,7 @@
         milliseconds = math.ceil(first_byte_s * 1000)
         demand = item.demand
         stream = demand.stream
-        message = Started(key, demand.pool, milliseconds, stream, version, *pace)
+        message = Started(key, demand.pool, milliseconds, stream, version, *pace, *load)
         self._send_to_coordinator(demand.pool, message)
 
     def release(
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -350,6 +350,8 @@
     pace_percent, pace_age_ms : int
         The pace that the endpoint has reported, 0 for none, and the time since.
         Earlier builds do not know them.
+    endpoint_running, endpoint_waiting : int
+        The requests that run and wait by the endpoint's load report, -1 if not known.
     """
 
     key: RequestKey
@@ -359,6 +361,8 @@
     version: SoftwareVersion = UNKNOWN_VERSION
     pace_percent: int = 0
     pace_age_ms: int = 0
+    endpoint_running: int = -1
+    endpoint_waiting: int = -1
 
 
 @dataclass(frozen=True)
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -341,6 +341,7 @@
         if load is None:
             return []
         load.report_pace(message.pace_percent, message.pace_age_ms, now)
+        load.report_counts(message.endpoint_running, message.endpoint_waiting)
         item, first_s = load.running[message.key], message.first_byte_ms / 1000
         if item.held_first_s and not item.started:
             self.estimates.prompts.learn(first_s < item.held_first_s)
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -845,7 +845,7 @@
             way.channel,
             head,
             info,
-            lambda: self._note_first_byte(request, key, endpoint),
+            lambda: self._note_first_byte(request, key, endpoint, info.load.counts()),
             lambda: self._on_silence(request, endpoint, way),
             self.event_steps.setdefault(request.pool, EventSteps()),
         )
@@ -885,7 +885,11 @@
         return self.ways.forwarded(outgoing, endpoint.id, way.forwarder)
 
     def _note_first_byte(
-        self, request: RoutedRequest, key: RequestKey, endpoint: Endpoint
+        self,
+        request: RoutedRequest,
+        key: RequestKey,
+        endpoint: Endpoint,
+        load: tuple[int, int],
     ) -> None:
         if request.first_byte is not None:
             return
@@ -895,7 +899,7 @@
         if request.stream and version:
             self.versions.record(request.pool, request.stream, version, boot_time())
         first_s = request.first_byte - request.granted_at
-        self.grant_client.started(key, first_s, version, self._pace(endpoint))
+        self.grant_client.started(key, first_s, version, self._pace(endpoint), load)
 
     # Logs and metrics
 
--- a/src/savorydyke/platform/_headers.py
+++ b/src/savorydyke/platform/_headers.py
@@ -230,6 +230,11 @@
     pace: float | None = None
     error: str = ""
 
+    def counts(self) -> tuple[int, int]:
+        """Return the requests that run and that wait, -1 for what is not known."""
+        running = -1 if self.running is None else self.running
+        return running, -1 if self.waiting is None else self.waiting
+
 
 NO_LOAD_REPORT = LoadReport()
 
--- a/src/savorydyke/scheduling/__init__.py
+++ b/src/savorydyke/scheduling/__init__.py
@@ -14,6 +14,7 @@
     chained_parts,
     is_worth_waiting,
 )
+from savorydyke.scheduling._slot_overlap import SlotOverlap
 
 __all__ = [
     "DEFAULT_REUSE_S",
@@ -24,6 +25,7 @@
     "OutputTail",
     "PaceReports",
     "PromptCache",
+    "SlotOverlap",
     "chained_parts",
     "coordinator_tokens",
     "is_worth_waiting",
