--- a/src/savorydyke_bench/_main.py
+++ b/src/savorydyke_bench/_main.py
@@ -6,6 +6,7 @@
 import typer
 
 from savorydyke_bench import (
+    _coordinator_load,
     _cost,
     _cost_fleet,
     _demo,
@@ -104,6 +105,19 @@
     _cost.show(measurements, figures, report)
 
 
+@app.command()
+def coordinator(
+    endpoints: Annotated[int, typer.Option(help="Endpoints of the pool.")] = 56,
+    load: Annotated[
+        list[float] | None, typer.Option(help="Multiples of the capacity.")
+    ] = None,
+    seconds: Annotated[float, typer.Option(help="Length of the load.")] = 10.0,
+    profile: Annotated[bool, typer.Option(help="Print the dearest functions.")] = False,
+) -> None:
+    """Measure a coordinator's processor time for each message under load."""
+    _coordinator_load.show(endpoints, load or [1.0, 1.5, 2.5], seconds, profile)
+
+
 @app.command()
 def policy(
     seed: Annotated[int, typer.Option(help="Seed of the load.")] = 1,
