--- a/src/savorydyke/_capacity.py
+++ b/src/savorydyke/_capacity.py
@@ -10,11 +10,10 @@
 from savorydyke._estimates import Estimates
 from savorydyke._fair_queue import LATE_RANKS, FairQueue, Waiting
 from savorydyke._tier_shares import TierShares
+from savorydyke.scheduling import MARGIN, EndpointIndex
 
 RETRY_RANGE_S = (1.0, 60.0)
 """Range of the retry time in a refusal; `Capacity.min_retry_s` sets the lower end."""
-MARGIN = 1.2
-"""Safety factor on a predicted time that is compared with a deadline."""
 FIRST_MARGIN = 1.5
 """Factor on the time to the first byte at an idle endpoint; a busy one takes longer."""
 LEAST_FREE_SHARE = 0.05
@@ -51,23 +50,21 @@
         """Return whether most slots are free and no request is waiting."""
         if self.queue.by_key:
             return False
-        loads = [e for e in self.estimates.endpoints.values() if e.usable(now)]
-        slots = sum(load.credits(self.share) for load in loads)
-        return sum(len(load.running) for load in loads) < IDLE_SHARE * slots
+        index = self.updated_index(now)
+        return index.running < IDLE_SHARE * index.slots
+
+    def updated_index(self, now: float) -> EndpointIndex:
+        """Return the counts and orders of the endpoints, as of now."""
+        self.estimates.index.update(now, self.share)
+        return self.estimates.index
 
     def free_slots(self, now: float) -> int:
         """Return how many more requests the usable endpoints have a slot for."""
-        loads = [e for e in self.estimates.endpoints.values() if e.usable(now)]
-        return sum(
-            max(0, load.credits(self.share) - len(load.running)) for load in loads
-        )
+        return self.updated_index(now).free_slots
 
     def is_full(self, now: float) -> bool:
         """Return whether no endpoint has a slot for one more request."""
-        return not any(
-            load.usable(now) and len(load.running) < load.credits(self.share)
-            for load in self.estimates.endpoints.values()
-        )
+        return self.updated_index(now).free == 0
 
     def utilization_above(self, rank: int, now: float) -> float:
         """Return the part of the endpoints' time requested by more urgent requests."""
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -14,6 +14,8 @@
 from savorydyke._rejections import FRESH_S, RejectionGuard
 from savorydyke._request_limits import RequestAllowance
 
+FAILING_PENALTY = 4.0
+"""Multiple of the predicted time that is added to it if all answers fail."""
 PREFILL_WINDOW_S = 0.3
 """Prefill time that may be queued inside an engine; beyond it the coordinator decides
 the order."""
@@ -127,6 +129,8 @@
         How many requests it takes, if it has named a limit.
     rejections : RejectionGuard or None
         How many requests may be sent, if it bears few rejections only.
+    changed : set of EndpointId
+        Receives the endpoint's id with each change, for an index of endpoints.
     parallel : bool
         Whether requests are processed side by side, as plain services do, and
         not one prompt after the other.
@@ -154,12 +158,17 @@
     allowance: RequestAllowance | None = None
     rejections: RejectionGuard | None = None
     external: deque[int] = field(default_factory=lambda: deque(maxlen=REPORTS_KEPT))
+    changed: set[EndpointId] = field(default_factory=set)
 
     @property
     def id(self) -> EndpointId:
         """Return the endpoint's id."""
         return self.spec.id
 
+    def note_change(self) -> None:
+        """Tell the index of endpoints to look at this one again."""
+        self.changed.add(self.spec.id)
+
     def is_closed(self) -> bool:
         """Return whether the endpoint is leaving, removed or drained."""
         return self.leaving or self.removed or self.spec.drained
@@ -194,6 +203,7 @@
             self.rejections = RejectionGuard(per_s)
         else:
             self.rejections.per_s = per_s
+        self.note_change()
 
     def set_limit(self, per_s: float | None, salt: int, now: float) -> None:
         """Apply the limit that the endpoint has named, None for none."""
@@ -203,6 +213,7 @@
             self.allowance = RequestAllowance(per_s, salt, now)
         else:
             self.allowance.set_limit(per_s, now)
+        self.note_change()
 
     def pause(
         self, frontend: InstanceId, pause_s: float, now: float, rng: random.Random
@@ -211,6 +222,7 @@
         until = now + pause_s * (1 + PAUSE_SPREAD * rng.random())
         self.paused_until = {f: t for f, t in self.paused_until.items() if t > now}
         self.paused_until[frontend] = until
+        self.note_change()
 
     def is_paused(self, frontend: InstanceId | None, now: float) -> bool:
         """Return whether the endpoint wants no request of a frontend, or of any."""
@@ -260,6 +272,10 @@
         """Return the predicted time to the last byte of a new request."""
         return self.first_byte_s(uncached) + output / self.decode_tokens_per_s
 
+    def penalized(self, total_s: float) -> float:
+        """Return a predicted time for comparison, longer if the endpoint fails."""
+        return total_s * (1 + FAILING_PENALTY * self.failing)
+
     def engine_s(self, prompt: int, output: int) -> float:
         """Return the share of the endpoint's time that a request takes."""
         decode_s = output / self.decode_tokens_per_s
@@ -296,6 +312,7 @@
         self.tokens += item.prompt_tokens + item.output_tokens
         if not started:
             self.unstarted_tokens += uncached
+        self.note_change()
 
     def start(self, item: Running, first_byte_s: float) -> None:
         """Learn from the first byte of an answer."""
@@ -310,6 +327,7 @@
         if not item.started:
             item.started = True
             self.unstarted_tokens -= item.uncached_tokens
+            self.note_change()
 
     def unverify(self) -> None:
         """Mark all requests as possibly ended or begun without a report to here."""
@@ -325,6 +343,7 @@
         self.tokens -= item.prompt_tokens + item.output_tokens
         if not item.started:
             self.unstarted_tokens -= item.uncached_tokens
+        self.note_change()
         return item
 
     def learn_decode(self, tokens: int, seconds: float) -> None:
@@ -333,6 +352,7 @@
             return
         speed = tokens / seconds
         self.decode_tokens_per_s += LEARNING_RATE * (speed - self.decode_tokens_per_s)
+        self.note_change()
 
     def learn_overdue(self, now: float) -> None:
         """Learn from one overdue first byte before it arrives."""
@@ -359,7 +379,10 @@
     def _update_factor(self) -> None:
         low, high = FACTOR_RANGE
         ratio = (self.observed_s + PRIOR_S) / (self.expected_s + PRIOR_S)
-        self.prefill_factor = min(high, max(low, ratio))
+        factor = min(high, max(low, ratio))
+        if factor != self.prefill_factor:
+            self.prefill_factor = factor
+            self.note_change()
 
     def decay_if_idle(self, now: float) -> None:
         """Let the learned speed of an idle endpoint decay to the assumed one.
@@ -374,6 +397,7 @@
     def report(self, requests: int) -> None:
         """Record a load report, which lags behind, of the requests in the endpoint."""
         self.external.append(max(0, requests - len(self.running)))
+        self.note_change()
 
     def record_connection_failure(self, now: float, rng: random.Random) -> None:
         """Open the circuit after a failed connection, with back-off and jitter."""
@@ -382,6 +406,7 @@
             self.failures, CIRCUIT_BASE_S, CIRCUIT_MAX_S, rng
         )
         self.open_until = now + pause_s
+        self.note_change()
 
     def record_failed_answer(self, now: float, rng: random.Random) -> None:
         """Record an answer that was an error or was lost.
@@ -395,10 +420,12 @@
         if retests >= 0:
             pause_s = backoff_s(retests, RETEST_BASE_S, RETEST_MAX_S, rng)
             self.passed_over_until = now + RETEST_BASE_S + pause_s
+        self.note_change()
 
     def record_rejection(self, now: float) -> None:
         """Pause a full endpoint for a moment."""
         self.open_until = max(self.open_until, now + REJECTED_PAUSE_S)
+        self.note_change()
         if self.rejections is not None:
             self.rejections.record_rejection(len(self.running), now)
 
@@ -408,6 +435,7 @@
         self.failed_in_row = 0
         self.failures = 0
         self.open_until = 0.0
+        self.note_change()
 
 
 def mark_suspects(loads: Collection[EndpointLoad]) -> None:
@@ -419,7 +447,10 @@
     ranked = sorted(load.failing for load in loads)
     for load in loads:
         others = _median_without(ranked, load.failing)
-        load.suspect = load.failing > max(SUSPECT_SHARE, SUSPECT_RATIO * others)
+        suspect = load.failing > max(SUSPECT_SHARE, SUSPECT_RATIO * others)
+        if suspect != load.suspect:
+            load.suspect = suspect
+            load.note_change()
 
 
 def _median_without(ranked: list[float], value: float) -> float:
--- a/src/savorydyke/_estimates.py
+++ b/src/savorydyke/_estimates.py
@@ -12,10 +12,21 @@
 from savorydyke._fair_queue import Forecast, Waiting
 from savorydyke._ids import EndpointId, TeamId
 from savorydyke._prefixes import PrefixIndex
+from savorydyke.scheduling import EndpointIndex, GroupKey
 
 MIN_OUTPUT_RATIO = 0.05
 RATIO_LEARNING_RATE = 0.1
 MIN_COST_S = 1e-6
+MAX_FREE = 12
+MAX_FULL = 4
+"""Endpoints with and without a free slot that are compared for a request. Up to this
+number together, all are."""
+MAX_HOLDING = 4
+"""Endpoints that hold a part of the prompt and are compared too."""
+FORECAST_S = 0.1
+MAX_FORECASTS = 2_000
+SIZE_STEP = 1.1
+"""Ratio of neighbouring sizes of which the forecasts are kept."""
 
 
 @dataclass
@@ -26,61 +37,74 @@
     ----------
     output_ratio : dict of TeamId to float
         Share of the requested output tokens that the team's answers had.
-    reachable : dict
-        Cache of endpoints by the set of names that a team may use.
+    index : EndpointIndex
+        Counts and orders of the endpoints.
+    forecasts : dict
+        Recent forecasts of a large pool, by size, and when they were made.
     """
 
     endpoints: dict[EndpointId, EndpointLoad] = field(default_factory=dict)
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     output_ratio: dict[TeamId, float] = field(default_factory=dict)
-    reachable: dict[frozenset[EndpointId], list[EndpointLoad]] = field(
+    index: EndpointIndex = field(init=False)
+    forecasts: dict[tuple[GroupKey, int, int], tuple[float, Forecast]] = field(
         default_factory=dict
     )
 
+    def __post_init__(self) -> None:
+        self.index = EndpointIndex(self.endpoints)
+
     def usable_count(self) -> int:
         """Return the number of endpoints that are open to new work."""
-        return sum(not load.is_closed() for load in self.endpoints.values())
+        return self.index.open
 
     def open_endpoints(self, item: Waiting) -> list[EndpointLoad]:
         """Return the open endpoints that a request may use, now or later."""
-        return [
-            load
-            for load in self._reachable(item)
-            if not load.is_closed() and item.version in {"", load.spec.version}
-        ]
+        members = self.index.group((item.allowed, item.version)).members
+        return [load for load in members if not load.is_closed()]
 
-    def _reachable(self, item: Waiting) -> list[EndpointLoad]:
-        """Return the endpoints that a request's team may use, in order of name.
+    def candidates(self, item: Waiting, now: float) -> list[EndpointLoad]:
+        """Return the endpoints to which a request may go now.
 
-        Requests of one team share the set of names, so the sorted list is cached
-        by that set.
+        In a large pool these are the ones with the least predicted time, of those with
+        and of those without a free slot, and some that hold a part of its prompt.
         """
-        loads = self.reachable.get(item.allowed)
-        if loads is None:
-            by_id = self.endpoints
-            loads = [by_id[name] for name in sorted(item.allowed) if name in by_id]
-            self.reachable[item.allowed] = loads
-        return loads
-
-    def forget_reachable(self) -> None:
-        """Clear the cache after a change of the endpoints."""
-        self.reachable.clear()
-
-    def candidates(self, item: Waiting, now: float) -> list[EndpointLoad]:
-        """Return the endpoints to which a request may go now."""
-        open_loads = [
+        self.index.update(now, self.index.share)
+        loads = [
             load
-            for load in self.open_endpoints(item)
+            for load in self._fastest(item)
             if not (load.paused_until and load.is_paused(item.frontend, now))
-            and load.takes_request(now)
         ]
-        # If none is usable, an endpoint that may fail is better than a refusal.
-        loads = [load for load in open_loads if load.usable(now)] or open_loads
+        if not loads:
+            # If none is usable, an endpoint that may fail is better than a refusal.
+            loads = [
+                load
+                for load in self.open_endpoints(item)
+                if not (load.paused_until and load.is_paused(item.frontend, now))
+                and load.takes_request(now)
+            ]
+            loads = [load for load in loads if load.usable(now)] or loads
         if not item.avoid:
             return loads
         untried = [load for load in loads if load.id not in item.avoid]
         return untried or loads
 
+    def _fastest(self, item: Waiting) -> list[EndpointLoad]:
+        """Return the usable endpoints, or the fastest ones of a large pool."""
+        index = self.index
+        group = index.group((item.allowed, item.version))
+        if len(group.free) + len(group.full) <= MAX_FREE + MAX_FULL:
+            entries = index.entries
+            return [load for load in group.members if entries[load.id].is_usable]
+        places = (*group.free[: MAX_FREE + len(item.avoid)], *group.full[:MAX_FULL])
+        names = [name for _, name in places]
+        if item.prefix:
+            holding = self.prefixes.holding(item.prefix, MAX_HOLDING)
+            usable = (n for n in holding if n in group.names)
+            names += [n for n in usable if index.entries[n].is_usable]
+            names = list(dict.fromkeys(names))
+        return [index.endpoints[name] for name in names]
+
     def awaits_limit(self, item: Waiting, now: float) -> bool:
         """Return whether only limits of endpoints keep a request waiting."""
         return any(
@@ -111,14 +135,30 @@
         ratio = self.output_ratio.get(item.team, 1.0)
         return int(item.output_tokens * ratio)
 
-    def forecast(self, item: Waiting) -> Forecast:
-        """Return the predicted times of a request at idle endpoints."""
+    def forecast(self, item: Waiting, now: float) -> Forecast:
+        """Return the predicted times of a request at idle endpoints.
+
+        In a large pool requests of about the same size share them for a moment.
+        """
         output = self.output(item)
+        if len(self.endpoints) <= MAX_FREE + MAX_FULL or item.prefix:
+            return self._forecast(item, item.prompt_tokens, output)
+        prompt, output = _class_size(item.prompt_tokens), _class_size(output)
+        size = ((item.allowed, item.version), prompt, output)
+        made, known = self.forecasts.get(size, (-math.inf, None))
+        if known is None or now - made > FORECAST_S:
+            if len(self.forecasts) > MAX_FORECASTS:
+                self.forecasts.clear()
+            known = self._forecast(item, prompt, output)
+            self.forecasts[size] = (now, known)
+        return known
+
+    def _forecast(self, item: Waiting, prompt: int, output: int) -> Forecast:
         least_s = least_first_s = math.inf
         rate = 0.0
         count = 0
         for load in self.open_endpoints(item):
-            uncached = self.uncached(load, item)
+            uncached = self.uncached(load, item) if item.prefix else max(1, prompt)
             prefill_s = load.prefill_s(uncached)
             decode_s = output / load.decode_tokens_per_s
             least_s = min(least_s, prefill_s + decode_s)
@@ -137,3 +177,8 @@
         ratio = min(1.0, max(MIN_OUTPUT_RATIO, tokens / item.output_tokens))
         mean = self.output_ratio.get(item.team, 1.0)
         self.output_ratio[item.team] = mean + RATIO_LEARNING_RATE * (ratio - mean)
+
+
+def _class_size(tokens: int) -> int:
+    """Return the size that stands for the sizes around it."""
+    return round(SIZE_STEP ** round(math.log(max(1, tokens), SIZE_STEP)))
--- a/src/savorydyke/_fair_queue.py
+++ b/src/savorydyke/_fair_queue.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 from itertools import islice
+from typing import Any
 
 from savorydyke._ids import (
     UNKNOWN_VERSION,
@@ -71,6 +72,9 @@
         What in the request may crash endpoints.
     version : SoftwareVersion
         The version that the endpoint must have, empty for any one.
+    size : Hashable or None
+        What it has in common with requests that can share a result of the choice of
+        an endpoint, once that is known.
     """
 
     key: RequestKey
@@ -94,6 +98,7 @@
     abandon_at: float = math.inf
     suspects: tuple[SuspectId, ...] = ()
     version: SoftwareVersion = UNKNOWN_VERSION
+    size: Any = None
 
     def is_late(self) -> bool:
         """Return whether the objective is missed or expected to be missed."""
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -13,8 +13,14 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from savorydyke._capacity import MARGIN, RETRY_RANGE_S, Capacity
-from savorydyke._endpoint_load import EndpointLoad, Running, mark_suspects, new_load
+from savorydyke._capacity import RETRY_RANGE_S, Capacity
+from savorydyke._endpoint_load import (
+    SUSPECT_SHARE,
+    EndpointLoad,
+    Running,
+    mark_suspects,
+    new_load,
+)
 from savorydyke._estimates import Estimates
 from savorydyke._fair_queue import LATE_RANKS, URGENCIES, FairQueue, Waiting
 from savorydyke._ids import (
@@ -35,6 +41,7 @@
 )
 from savorydyke._quota import Quotas
 from savorydyke._retry_budget import RetryBudget
+from savorydyke.scheduling import MARGIN, EndpointChoice
 
 MAX_RECENT = 20_000
 RECENT_S = 600.0
@@ -45,17 +52,6 @@
 """Time after a takeover in which the coordinator may not know earlier request ids."""
 RETRY_SPREAD = 0.5
 """Largest part of a retry time that is randomly added to it, to spread the retries."""
-MAX_WAIT_RATIO = 1.5
-"""Largest factor by which a free endpoint may be slower than the best busy one."""
-AFFINITY_TOKENS = 2048
-"""Length of a cached prefix for which a request waits for a busy endpoint."""
-AFFINITY_SLACK = 3.0
-"""A request waits for its cached prefix only if the busy endpoint's predicted time,
-multiplied by this, ends before the deadline."""
-FAILING_PENALTY = 4.0
-"""Multiple of the predicted time that is added to it if all answers fail."""
-FALLBACK_SLACK = 1.5
-"""Same as `AFFINITY_SLACK`, for the free endpoint, which remains the alternative."""
 
 
 @dataclass(frozen=True)
@@ -81,23 +77,6 @@
     ended: float
 
 
-@dataclass(frozen=True)
-class Option:
-    """An endpoint to which a request could go.
-
-    Attributes
-    ----------
-    uncached : int
-        Prompt tokens that the endpoint would have to process.
-    total_s : float
-        Predicted time to the last byte.
-    """
-
-    load: EndpointLoad
-    uncached: int
-    total_s: float
-
-
 @dataclass
 class PoolScheduler:
     """Waiting requests, credits and speeds of one pool.
@@ -127,6 +106,11 @@
     expiry : list of tuple
         Heap of the times at which waiting requests expire, each with the key
         and the attempt.
+    has_failing : bool
+        Whether an endpoint is suspect, or fails often enough to become suspect when
+        others recover.
+    choice : EndpointChoice
+        Chooses the endpoint of each request.
     """
 
     pool: PoolId
@@ -142,6 +126,11 @@
     placed: dict[RequestKey, EndpointId] = field(default_factory=dict)
     recent: OrderedDict[RequestKey, Recent] = field(default_factory=OrderedDict)
     expiry: list[tuple[float, RequestKey, int]] = field(default_factory=list)
+    has_failing: bool = False
+    choice: EndpointChoice = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.choice = EndpointChoice(self.capacity)
 
     @property
     def queue(self) -> FairQueue:
@@ -166,7 +155,6 @@
         specs = {e.id: e for e in manifest.endpoints.values() if e.pool == self.pool}
         pool = manifest.pools.get(self.pool)
         kind = pool.kind if pool else PoolKind.ENGINE
-        self.estimates.forget_reachable()
         for name, spec in specs.items():
             known = self.endpoints.get(name)
             if known is not None and known.spec.process == spec.process:
@@ -177,6 +165,8 @@
             self.endpoints[name] = new_load(spec, kind)
         for name, load in self.endpoints.items():
             load.removed = name not in specs
+        self.estimates.index.clear()
+        self.capacity.updated_index(now)
         return self._recheck_access(now) + self.grant_waiting(now)
 
     def _end_process(self, load: EndpointLoad, now: float) -> None:
@@ -205,6 +195,7 @@
         if load is None or load.leaving == leaving:
             return
         load.leaving = leaving
+        load.note_change()
         if leaving:
             self.estimates.prefixes.forget(endpoint)
 
@@ -372,14 +363,20 @@
         self._remember_finished(item.key, load.id, now)
         if result in {ReleaseResult.TRUNCATED, ReleaseResult.FAILED}:
             load.record_failed_answer(now, self.rng)
-            mark_suspects(self.endpoints.values())
+            self._mark_suspects()
             return
         if result is ReleaseResult.COMPLETE:
             load.record_success()
-            mark_suspects(self.endpoints.values())
+            if self.has_failing:
+                self._mark_suspects()
             load.learn_decode(message.output_tokens, message.decode_ms / 1000)
             self.estimates.learn_output(item, message.output_tokens)
 
+    def _mark_suspects(self) -> None:
+        loads = self.endpoints.values()
+        mark_suspects(loads)
+        self.has_failing = any(e.suspect or e.failing > SUSPECT_SHARE for e in loads)
+
     def register(self, message: Register, frontend: InstanceId, now: float) -> None:
         """Record the requests that a frontend has in flight."""
         if message.full:
@@ -475,19 +472,20 @@
         """Grant waiting requests while credits last, in order of tier and fairness."""
         if not self.grants_enabled or not self.queue.by_key:
             return []
-        usable = sum(load.usable(now) for load in self.endpoints.values())
-        if usable and self.capacity.is_full(now):
+        if self.capacity.is_full(now) and self.estimates.index.usable:
             return []
         decisions: list[Decision] = []
+        self.choice.begin()
         while True:
-            decision = self._grant_next(usable, now)
+            decision = self._grant_next(now)
             if decision is None:
                 return decisions
             decisions.append(decision)
 
-    def _grant_next(self, usable: int, now: float) -> Decision | None:
+    def _grant_next(self, now: float) -> Decision | None:
         """Grant the first request in order for which an endpoint has capacity."""
         blocked: set[EndpointId] = set()
+        index = self.capacity.updated_index(now)
         owed = self.capacity.owed_ranks(now)
         for item in self.queue.heads(owed):
             # A more urgent request may use an endpoint that has no capacity for one
@@ -495,57 +493,15 @@
             load = self._choose(item, set() if item.rank in owed else blocked, now)
             if load is not None:
                 return self._grant(item, load, now)
-            if len(blocked) >= usable:
+            if index.free_names <= blocked or self.choice.is_exhausted(item):
                 return None
         return None
 
     def _choose(
         self, item: Waiting, blocked: set[EndpointId], now: float
     ) -> EndpointLoad | None:
-        """Return the endpoint for a request, or None if it has to wait.
-
-        Endpoints without capacity for it are added to `blocked`.
-        """
-        best = busy = None
-        output = self.estimates.output(item)
-        tokens = item.prompt_tokens + item.output_tokens
-        for load in self.estimates.candidates(item, now):
-            if load.id in blocked:
-                continue
-            uncached = self.estimates.uncached(load, item)
-            total_s = load.total_s(uncached, output)
-            total_s *= 1 + FAILING_PENALTY * load.failing
-            option = Option(load, uncached, total_s)
-            if not load.has_capacity(tokens, uncached, self.capacity.share):
-                busy = _faster(busy, option)
-                blocked.add(load.id)
-            else:
-                best = _faster(best, option)
-        if best is None or self._is_worth_waiting(item, best, busy, now):
-            return None
-        return best.load
-
-    def _is_worth_waiting(
-        self, item: Waiting, best: Option, busy: Option | None, now: float
-    ) -> bool:
-        """Return whether a request should wait instead of using a free endpoint.
-
-        Requests behind it, also of lower tiers, may then use the free endpoint, but
-        not the busy one.
-        """
-        left_s = item.deadline - now
-        if MARGIN * best.total_s > left_s:
-            # The answer would be late. The request is refused when no endpoint can
-            # answer in time any more.
-            return True
-        if busy is None:
-            return False
-        if best.total_s > MAX_WAIT_RATIO * busy.total_s:
-            return True
-        saved_tokens = best.uncached - busy.uncached
-        longest_s = max(AFFINITY_SLACK * busy.total_s, FALLBACK_SLACK * best.total_s)
-        has_time = longest_s < left_s
-        return saved_tokens >= AFFINITY_TOKENS and has_time
+        """Return the endpoint for a request, or None if it has to wait."""
+        return self.choice.choose(item, blocked, now)
 
     def _grant(self, item: Waiting, load: EndpointLoad, now: float) -> Decision:
         uncached = self.estimates.uncached(load, item)
@@ -670,7 +626,7 @@
             suspects=message.suspects,
             version=message.version,
         )
-        item.forecast = self.estimates.forecast(item)
+        item.forecast = self.estimates.forecast(item, now)
         item.cost_s = item.forecast.cost_s
         return item
 
@@ -810,12 +766,6 @@
 }
 
 
-def _faster(best: Option | None, option: Option) -> Option:
-    if best is None or option.total_s < best.total_s:
-        return option
-    return best
-
-
 def _deny(
     message: Acquire,
     frontend: InstanceId,
--- a/src/savorydyke/_prefixes.py
+++ b/src/savorydyke/_prefixes.py
@@ -6,6 +6,7 @@
 
 import hashlib
 from collections import OrderedDict
+from itertools import islice
 
 from savorydyke._ids import EndpointId
 
@@ -49,6 +50,7 @@
     def __init__(self, max_entries: int = MAX_ENTRIES) -> None:
         self.max_entries = max_entries
         self.cached: dict[EndpointId, OrderedDict[int, None]] = {}
+        self.holders: dict[int, dict[EndpointId, None]] = {}
 
     def cached_tokens(self, endpoint: EndpointId, prefix: tuple[int, ...]) -> int:
         """Return how many leading tokens `endpoint` probably has cached."""
@@ -60,21 +62,39 @@
                 return prefix_tokens(depth)
         return 0
 
+    def holding(self, prefix: tuple[int, ...], limit: int) -> list[EndpointId]:
+        """Return some endpoints with the longest part of a prefix, the latest first."""
+        for digest in reversed(prefix):
+            if digest in self.holders:
+                return list(islice(reversed(self.holders[digest]), limit))
+        return []
+
     def add(self, endpoint: EndpointId, prefix: tuple[int, ...]) -> None:
         """Record that `endpoint` processed a prompt with this prefix."""
         cached = self.cached.setdefault(endpoint, OrderedDict())
         for digest in prefix:
             cached[digest] = None
             cached.move_to_end(digest)
+            holders = self.holders.setdefault(digest, {})
+            holders.pop(endpoint, None)
+            holders[endpoint] = None
         while len(cached) > self.max_entries:
-            cached.popitem(last=False)
+            self._remove_holder(cached.popitem(last=False)[0], endpoint)
 
     def evict(self, endpoint: EndpointId, digests: tuple[int, ...]) -> None:
         """Remove digests that `endpoint` reported as evicted."""
         cached = self.cached.get(endpoint, OrderedDict())
         for digest in digests:
             cached.pop(digest, None)
+            self._remove_holder(digest, endpoint)
 
     def forget(self, endpoint: EndpointId) -> None:
         """Remove all digests of an endpoint, after a restart or a gap in its events."""
-        self.cached.pop(endpoint, None)
+        for digest in self.cached.pop(endpoint, ()):
+            self._remove_holder(digest, endpoint)
+
+    def _remove_holder(self, digest: int, endpoint: EndpointId) -> None:
+        holders = self.holders.get(digest, {})
+        holders.pop(endpoint, None)
+        if not holders:
+            self.holders.pop(digest, None)
--- /dev/null
+++ b/src/savorydyke/scheduling/_endpoint_choice.py
@@ -0,0 +1,265 @@
+"""The choice of an endpoint for a waiting request.
+
+It answers the load in which hundreds of requests of few sizes wait and every message
+would compare each of them with every endpoint. A bounded number of the endpoints with
+the least predicted time is compared, and requests of a size for which no endpoint was
+good enough are compared only with endpoints that changed for the better since.
+"""
+
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from savorydyke._endpoint_load import EndpointLoad
+from savorydyke._fair_queue import Waiting
+from savorydyke._ids import EndpointId, RequestKey
+from savorydyke.scheduling._endpoint_index import GroupKey
+
+if TYPE_CHECKING:
+    from savorydyke._capacity import Capacity
+
+MARGIN = 1.2
+"""Safety factor on a predicted time that is compared with a deadline."""
+MAX_WAIT_RATIO = 1.5
+"""Largest factor by which a free endpoint may be slower than the best busy one."""
+AFFINITY_TOKENS = 2048
+"""Length of a cached prefix for which a request waits for a busy endpoint."""
+AFFINITY_SLACK = 3.0
+"""A request waits for its cached prefix only if the busy endpoint's predicted time,
+multiplied by this, ends before the deadline."""
+FALLBACK_SLACK = 1.5
+"""Same as `AFFINITY_SLACK`, for the free endpoint, which remains the alternative."""
+MAX_CLOSE_LOOKS = 16
+"""Waiting requests for which endpoints are compared after one message, so that a
+message takes a bounded time. Those left over are considered after the next ones."""
+MAX_BETTER = 4
+"""Endpoints that changed for the better, beyond which all are compared again."""
+MAX_RESULTS = 2_000
+RESULT_S = 0.05
+"""Time after which a result is not used again, since busy endpoints get slower."""
+
+LARGE_POOL = 16
+"""Number of usable endpoints up to which all are compared, by the exact sizes."""
+CLASSES_PER_DOUBLING = 4
+"""Requests of a large pool whose sizes differ by less than a fifth share results."""
+
+Size = tuple[GroupKey, int, int] | RequestKey
+
+
+@dataclass(frozen=True)
+class Option:
+    """An endpoint to which a request could go.
+
+    Attributes
+    ----------
+    uncached : int
+        Prompt tokens that the endpoint would have to process.
+    total_s : float
+        Predicted time to the last byte.
+    """
+
+    load: EndpointLoad
+    uncached: int
+    total_s: float
+
+
+@dataclass(frozen=True)
+class Result:
+    """Why requests of one size wait.
+
+    Attributes
+    ----------
+    mark : int
+        State of the index.
+    busy : Option or None
+        The best endpoint without capacity.
+    blocked : frozenset of EndpointId
+        Endpoints without capacity.
+    ignored : frozenset of EndpointId
+        Endpoints that were left out, since others wait for them.
+    deadline : float
+        It holds for requests with this deadline or an earlier one.
+    has_option : bool
+        Whether an endpoint had capacity, but was not good enough.
+    """
+
+    made: float
+    mark: int
+    busy: Option | None
+    blocked: frozenset[EndpointId]
+    ignored: frozenset[EndpointId]
+    deadline: float
+    has_option: bool
+
+
+@dataclass
+class EndpointChoice:
+    """Chooses endpoints for the waiting requests after one message.
+
+    Attributes
+    ----------
+    results : dict
+        Sizes of requests that wait, and why.
+    looks : int
+        Requests for which endpoints were compared after this message.
+    without_capacity : set
+        Sizes for which no endpoint has capacity, since the latest grant.
+    """
+
+    capacity: "Capacity"
+    results: dict[Size, Result] = field(default_factory=dict)
+    looks: int = 0
+    without_capacity: set[Size] = field(default_factory=set)
+
+    def begin(self) -> None:
+        """Begin with the waiting requests after a message."""
+        self.looks = 0
+        self.without_capacity.clear()
+        if len(self.results) > MAX_RESULTS:
+            self.results.clear()
+
+    def choose(
+        self, item: Waiting, blocked: set[EndpointId], now: float
+    ) -> EndpointLoad | None:
+        """Return the endpoint for a request, or None if it has to wait.
+
+        Endpoints without capacity for it are added to `blocked`.
+        """
+        size = self._size(item)
+        if size in self.without_capacity:
+            return None
+        known = self.results.get(size)
+        loads = self._to_compare_again(known, item, blocked, now) if known else None
+        if known is None or loads is None:
+            known = None
+            if self.looks >= MAX_CLOSE_LOOKS:
+                return None
+            self.looks += 1
+            loads = self.capacity.estimates.candidates(item, now)
+        ignored = frozenset(blocked)
+        best, busy, full = self._compare(item, loads, blocked)
+        if known is not None:
+            busy = _faster(busy, known.busy) if known.busy else busy
+            full |= known.blocked.difference([load.id for load in loads])
+        blocked |= full
+        if best is not None and not _is_worth_waiting(item, best, busy, now):
+            self.without_capacity.clear()
+            return best.load
+        if best is None and not (known and known.has_option):
+            self.without_capacity.add(size)
+        if known is not None and not loads:
+            return None
+        is_late = best is not None and MARGIN * best.total_s > item.deadline - now
+        self.results[size] = Result(
+            known.made if known else now,
+            self.capacity.estimates.index.mark,
+            busy,
+            frozenset(full),
+            known.ignored if known else ignored,
+            item.deadline if is_late else math.inf,
+            best is not None or (known is not None and known.has_option),
+        )
+        return None
+
+    def _size(self, item: Waiting) -> Size:
+        """Return what requests that can share a result have in common."""
+        if item.size is None:
+            item.size = self._new_size(item)
+        return item.size
+
+    def _new_size(self, item: Waiting) -> Size:
+        if item.prefix or item.avoid:
+            return item.key
+        prompt, output = item.prompt_tokens, self.capacity.estimates.output(item)
+        key = (item.allowed, item.version)
+        if self.capacity.estimates.index.usable <= LARGE_POOL:
+            return key, prompt, output + item.output_tokens * 1_000_000
+        return key, _size_class(prompt), _size_class(output)
+
+    def _to_compare_again(
+        self, known: Result, item: Waiting, blocked: set[EndpointId], now: float
+    ) -> list[EndpointLoad] | None:
+        """Return the endpoints to compare again, None if it has to be all."""
+        if now - known.made > RESULT_S or item.deadline > known.deadline:
+            return None
+        if not known.ignored <= blocked:
+            return None
+        if known.busy is not None and known.busy.load.id in blocked:
+            # Others wait for it.
+            return None
+        index = self.capacity.estimates.index
+        better = index.better_since(known.mark)
+        if better is None or len(better) > MAX_BETTER:
+            return None
+        return [
+            index.endpoints[name]
+            for name in dict.fromkeys(better)
+            if name in item.allowed
+            and index.entries[name].is_usable
+            and item.version in {"", index.endpoints[name].spec.version}
+            and name not in item.avoid
+            and not index.endpoints[name].is_paused(item.frontend, now)
+        ]
+
+    def _compare(
+        self, item: Waiting, loads: list[EndpointLoad], blocked: set[EndpointId]
+    ) -> tuple[Option | None, Option | None, set[EndpointId]]:
+        """Return the best endpoint, the best one without capacity, and all of these."""
+        estimates = self.capacity.estimates
+        output = estimates.output(item)
+        tokens = item.prompt_tokens + item.output_tokens
+        best = busy = None
+        full = set()
+        for load in loads:
+            if load.id in blocked:
+                continue
+            uncached = estimates.uncached(load, item)
+            total_s = load.penalized(load.total_s(uncached, output))
+            option = Option(load, uncached, total_s)
+            if load.has_capacity(tokens, uncached, self.capacity.share):
+                best = _faster(best, option)
+            else:
+                busy = _faster(busy, option)
+                full.add(load.id)
+        return best, busy, full
+
+    def is_exhausted(self, item: Waiting) -> bool:
+        """Return whether no endpoint of a large pool has capacity for a request."""
+        index = self.capacity.estimates.index
+        if index.usable <= LARGE_POOL or len(item.allowed) < len(index.endpoints):
+            return False
+        return not item.version and self._size(item) in self.without_capacity
+
+
+def _is_worth_waiting(
+    item: Waiting, best: Option, busy: Option | None, now: float
+) -> bool:
+    """Return whether a request should wait instead of using a free endpoint.
+
+    Requests behind it, also of lower tiers, may then use the free endpoint, but
+    not the busy one.
+    """
+    left_s = item.deadline - now
+    if MARGIN * best.total_s > left_s:
+        # The answer would be late. The request is refused when no endpoint can
+        # answer in time any more.
+        return True
+    if busy is None:
+        return False
+    if best.total_s > MAX_WAIT_RATIO * busy.total_s:
+        return True
+    saved_tokens = best.uncached - busy.uncached
+    longest_s = max(AFFINITY_SLACK * busy.total_s, FALLBACK_SLACK * best.total_s)
+    has_time = longest_s < left_s
+    return saved_tokens >= AFFINITY_TOKENS and has_time
+
+
+def _faster(best: Option | None, option: Option) -> Option:
+    if best is None or option.total_s < best.total_s:
+        return option
+    return best
+
+
+def _size_class(tokens: int) -> int:
+    """Return the class of a size; classes grow geometrically."""
+    return int(CLASSES_PER_DOUBLING * math.log2(max(1, tokens)))
--- a/src/savorydyke_bench/_coordinator_load.py
+++ b/src/savorydyke_bench/_coordinator_load.py
@@ -20,7 +20,14 @@
 import typer
 
 from savorydyke import read_manifest
-from savorydyke._ids import InstanceId, PoolId, ReleaseResult, RequestKey, TeamId
+from savorydyke._ids import (
+    EndpointId,
+    InstanceId,
+    PoolId,
+    ReleaseResult,
+    RequestKey,
+    TeamId,
+)
 from savorydyke._messages import Acquire, Grant, Refuse, Release, Started
 from savorydyke._pool_scheduler import Decision, PoolScheduler, new_pool_scheduler
 from savorydyke_bench._cost import manifest_value
@@ -75,7 +82,7 @@
 
     scheduler: PoolScheduler
     rng: random.Random
-    factor: dict[str, float]
+    factor: dict[EndpointId, float]
     events: list[tuple[float, int, str, Any]] = field(default_factory=list)
     sequence: Any = field(default_factory=itertools.count)
     spent_s: defaultdict[str, list[float]] = field(
