--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -15,6 +15,8 @@
 from savorydyke._request_limits import RequestAllowance
 from savorydyke.scheduling import EndpointPace, SlotOverlap
 
+FAILING_PENALTY = 4.0
+"""Multiple of the predicted time that is added to it if all answers fail."""
 PREFILL_WINDOW_S = 0.3
 """Prefill time that may be queued inside an engine; beyond it the coordinator decides
 the order."""
@@ -140,6 +142,8 @@
         deployments' endpoints get is limited by their slots.
     pace : EndpointPace or None
         What is known of the speed of an endpoint that reports its pace.
+    changed : set of EndpointId
+        Receives the endpoint's id with each change, for an index of endpoints.
     parallel : bool
         Whether requests are processed side by side, as plain services do, and
         not one prompt after the other.
@@ -169,12 +173,17 @@
     external: deque[int] = field(default_factory=lambda: deque(maxlen=REPORTS_KEPT))
     pace: EndpointPace | None = None
     overlap: SlotOverlap | None = None
+    changed: set[EndpointId] = field(default_factory=set)
 
     @property
     def id(self) -> EndpointId:
         """Return the endpoint's id."""
         return self.spec.id
 
+    def note_change(self) -> None:
+        """Tell the index of endpoints to look at this one again."""
+        self.changed.add(self.spec.id)
+
     def is_closed(self) -> bool:
         """Return whether the endpoint is leaving, removed or drained."""
         return self.leaving or self.removed or self.spec.drained
@@ -209,6 +218,7 @@
             self.rejections = RejectionGuard(per_s)
         else:
             self.rejections.per_s = per_s
+        self.note_change()
 
     def set_limit(self, per_s: float | None, salt: int, now: float) -> None:
         """Apply the limit that the endpoint has named, None for none."""
@@ -218,6 +228,7 @@
             self.allowance = RequestAllowance(per_s, salt, now)
         else:
             self.allowance.set_limit(per_s, now)
+        self.note_change()
 
     def pause(
         self, frontend: InstanceId, pause_s: float, now: float, rng: random.Random
@@ -226,6 +237,7 @@
         until = now + pause_s * (1 + PAUSE_SPREAD * rng.random())
         self.paused_until = {f: t for f, t in self.paused_until.items() if t > now}
         self.paused_until[frontend] = until
+        self.note_change()
 
     def is_paused(self, frontend: InstanceId | None, now: float) -> bool:
         """Return whether the endpoint wants no request of a frontend, or of any."""
@@ -282,6 +294,10 @@
         """Return the predicted time to the last byte of a new request."""
         return self.first_byte_s(uncached) + output / self.decode_tokens_per_s
 
+    def penalized(self, total_s: float) -> float:
+        """Return a predicted time for comparison, longer if the endpoint fails."""
+        return total_s * (1 + FAILING_PENALTY * self.failing)
+
     def engine_s(self, prompt: int, output: int) -> float:
         """Return the share of the endpoint's time that a request takes."""
         decode_s = output / self.decode_tokens_per_s
@@ -321,6 +337,7 @@
         if not started:
             self.unstarted_tokens += uncached
         self.apply_pace(now)
+        self.note_change()
 
     def start(self, item: Running, first_byte_s: float) -> None:
         """Learn from the first byte of an answer."""
@@ -341,6 +358,7 @@
         if not item.started:
             item.started = True
             self.unstarted_tokens -= item.uncached_tokens
+            self.note_change()
 
     def unverify(self) -> None:
         """Mark all requests as possibly ended or begun without a report to here."""
@@ -356,6 +374,7 @@
         self.tokens -= item.reserved_tokens
         if not item.started:
             self.unstarted_tokens -= item.uncached_tokens
+        self.note_change()
         return item
 
     def report_pace(self, percent: int, age_ms: int, now: float) -> None:
@@ -375,7 +394,10 @@
             return
         if self.overlap is None:
             self.overlap = SlotOverlap(self.spec.max_concurrency)
+        before = self.overlap.whole()
         self.overlap.record_report(running, waiting, len(self.running))
+        if self.overlap.whole() != before:
+            self.note_change()
 
     def apply_pace(self, now: float) -> None:
         """Use what is known of the endpoint's pace, kind and batch, if it is of use."""
@@ -386,9 +408,12 @@
         if any(i.overdue_s and not i.started for i in self.running.values()):
             # It is slower than it reports.
             factor = max(factor, self.prefill_factor)
+        before = (self.prefill_factor, self.decode_tokens_per_s)
         self.prefill_factor = min(high, max(low, factor))
         speed = self.pace.tokens_per_s(len(self.running), now)
         self.decode_tokens_per_s = speed or self.decode_tokens_per_s
+        if (self.prefill_factor, self.decode_tokens_per_s) != before:
+            self.note_change()
 
     def learn_decode(self, tokens: int, seconds: float, now: float = 0.0) -> None:
         """Learn from a complete answer."""
@@ -400,6 +425,7 @@
                 return
         speed = tokens / seconds
         self.decode_tokens_per_s += LEARNING_RATE * (speed - self.decode_tokens_per_s)
+        self.note_change()
 
     def learn_overdue(self, now: float) -> None:
         """Learn from one overdue first byte before it arrives."""
@@ -427,7 +453,10 @@
     def _update_factor(self) -> None:
         low, high = FACTOR_RANGE
         ratio = (self.observed_s + PRIOR_S) / (self.expected_s + PRIOR_S)
-        self.prefill_factor = min(high, max(low, ratio))
+        factor = min(high, max(low, ratio))
+        if factor != self.prefill_factor:
+            self.prefill_factor = factor
+            self.note_change()
         self.apply_pace(self.learned)
 
     def decay_if_idle(self, now: float) -> None:
@@ -445,6 +474,7 @@
     def report(self, requests: int) -> None:
         """Record a load report, which lags behind, of the requests in the endpoint."""
         self.external.append(max(0, requests - len(self.running)))
+        self.note_change()
 
     def record_connection_failure(self, now: float, rng: random.Random) -> None:
         """Open the circuit after a failed connection, with back-off and jitter."""
@@ -453,6 +483,7 @@
             self.failures, CIRCUIT_BASE_S, CIRCUIT_MAX_S, rng
         )
         self.open_until = now + pause_s
+        self.note_change()
 
     def record_failed_answer(self, now: float, rng: random.Random) -> None:
         """Record an answer that was an error or was lost.
@@ -466,12 +497,14 @@
         if retests >= 0:
             pause_s = backoff_s(retests, RETEST_BASE_S, RETEST_MAX_S, rng)
             self.passed_over_until = now + RETEST_BASE_S + pause_s
+        self.note_change()
 
     def record_rejection(self, now: float) -> None:
         """Pause a full endpoint for a moment."""
         self.open_until = max(self.open_until, now + REJECTED_PAUSE_S)
         if self.overlap is not None:
             self.overlap.record_rejection()
+        self.note_change()
         if self.rejections is not None:
             self.rejections.record_rejection(len(self.running), now)
 
@@ -481,6 +514,7 @@
         self.failed_in_row = 0
         self.failures = 0
         self.open_until = 0.0
+        self.note_change()
 
 
 def mark_suspects(loads: Collection[EndpointLoad]) -> None:
@@ -492,7 +526,10 @@
     ranked = sorted(load.failing for load in loads)
     for load in loads:
         others = _median_without(ranked, load.failing)
-        load.suspect = load.failing > max(SUSPECT_SHARE, SUSPECT_RATIO * others)
+        suspect = load.failing > max(SUSPECT_SHARE, SUSPECT_RATIO * others)
+        if suspect != load.suspect:
+            load.suspect = suspect
+            load.note_change()
 
 
 def _median_without(ranked: list[float], value: float) -> float:
--- a/src/savorydyke/_fair_queue.py
+++ b/src/savorydyke/_fair_queue.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 from itertools import islice
+from typing import Any
 
 from savorydyke._ids import (
     UNKNOWN_VERSION,
@@ -75,6 +76,9 @@
         Largest size of its answer, 0 if not known.
     prefix_tokens : tuple of int
         Tokens up to each digest in `prefix`, if that is of named parts of the prompt.
+    size : Hashable or None
+        What it has in common with requests that can share a result of the choice of
+        an endpoint, once that is known.
     """
 
     key: RequestKey
@@ -100,6 +104,7 @@
     version: SoftwareVersion = UNKNOWN_VERSION
     max_output_tokens: int = 0
     prefix_tokens: tuple[int, ...] = ()
+    size: Any = None
 
     def is_late(self) -> bool:
         """Return whether the objective is missed or expected to be missed."""
--- a/src/savorydyke/scheduling/__init__.py
+++ b/src/savorydyke/scheduling/__init__.py
@@ -1,5 +1,7 @@
-"""State and functions behind decisions on where requests go."""
+"""Decisions about where requests go and when, at the coordinator of a pool."""
 
+from savorydyke.scheduling._endpoint_choice import MARGIN, EndpointChoice
+from savorydyke.scheduling._endpoint_index import EndpointIndex, GroupKey
 from savorydyke.scheduling._endpoint_memory import (
     UNKNOWN_RATIO,
     FallbackMemory,
@@ -19,9 +21,13 @@
 __all__ = [
     "DEFAULT_REUSE_S",
     "MANY_CACHED",
+    "MARGIN",
     "UNKNOWN_RATIO",
+    "EndpointChoice",
+    "EndpointIndex",
     "EndpointPace",
     "FallbackMemory",
+    "GroupKey",
     "OutputTail",
     "PaceReports",
     "PromptCache",
--- a/src/savorydyke/scheduling/_prompt_cache.py
+++ b/src/savorydyke/scheduling/_prompt_cache.py
@@ -18,8 +18,12 @@
 """Parts of a prompt in a message: the first ones, and the whole prompt."""
 MAX_CHAINED = 64
 """Parts of a prompt that are read; a caller may name any number."""
+LEAST_TOKENS = 256
+"""Tokens below which a beginning of a prompt is not looked for: it is processed within
+a few ms, and would keep requests of about the same size from sharing decisions."""
 MAX_ENTRIES = 1024
 """Parts remembered for each endpoint; it gets fewer within the reuse window."""
+MAX_LATEST = 20_000
 UNSURE_SHARE = 0.25
 """Last part of an endpoint's memory, in which it is less and less probable that a part
 is still held, since lengths of answers are estimates."""
@@ -41,14 +45,15 @@
     Examples
     --------
     >>> chained_parts("m", [("a1", 60), ("b2", 600)])[1]
-    (60, 660)
+    (660,)
     """
     digest = hashlib.blake2b(model.encode(), digest_size=8)
     rows, total = [], 0
     for name, tokens in parts[:MAX_CHAINED]:
         digest.update(f"|{name}:{tokens}".encode())
         total += tokens
-        rows.append((int.from_bytes(digest.copy().digest(), "big"), total))
+        if total >= LEAST_TOKENS:
+            rows.append((int.from_bytes(digest.copy().digest(), "big"), total))
     kept = rows[: MAX_PARTS - 1] + rows[MAX_PARTS - 1 :][-1:]
     return tuple(d for d, _ in kept), tuple(t for _, t in kept)
 
@@ -81,11 +86,22 @@
     hits : float
         Share of prompts expected to be held whose first bytes showed that they were.
         What is expected counts only by it.
+    latest : OrderedDict of int to EndpointId
+        Where each part was placed last, the part placed longest ago first.
     """
 
     reuse_s: float = DEFAULT_REUSE_S
     hits: float = 1.0
     held: dict[EndpointId, HeldParts] = field(default_factory=dict)
+    latest: OrderedDict[int, EndpointId] = field(default_factory=OrderedDict)
+
+    def holding(self, digests: Sequence[int]) -> list[EndpointId]:
+        """Return where the longest known beginning of a prompt was placed last."""
+        for digest in reversed(digests):
+            endpoint = self.latest.get(digest)
+            if endpoint in self.held and digest in self.held[endpoint].parts:
+                return [endpoint]
+        return []
 
     def add(
         self,
@@ -110,6 +126,10 @@
         for digest in reversed(digests):
             held.parts[digest] = (now, held.placed)
             held.parts.move_to_end(digest)
+            self.latest[digest] = endpoint
+            self.latest.move_to_end(digest)
+        while len(self.latest) > MAX_LATEST:
+            self.latest.popitem(last=False)
         while held.parts:
             used, placed = next(iter(held.parts.values()))
             is_gone = now - used > self.reuse_s or held.placed - placed > memory > 0
