Let a request that needs an endpoint alone not stop the others

A request larger than the coordinator's half of the memory needs an endpoint at which nothing runs. While it waited, all endpoints counted as blocked for what came behind it, so that the whole pool would have drained for it.

--- a/features/steps/pace_decisions.py
+++ b/features/steps/pace_decisions.py
@@ -246,13 +246,20 @@
     whole = acquire("a", prompt_tokens=98_000, output_tokens=900)
     assert granted(scheduler.acquire(whole, FRONTEND, 0.0)) == ["e0"]
     assert not scheduler.acquire(acquire("b"), FRONTEND, 0.0)
+    start(scheduler, "a", 0.0, 2.0)
     larger = acquire("c", prompt_tokens=100_000, output_tokens=1)
     (refusal,) = refused(scheduler.acquire(larger, FRONTEND, 0.0))
     assert refusal.reason is Reason.TOO_LARGE and not refusal.may_have_run
     assert len(end(scheduler, "a", "e0", 1.0)) == 1
     load = scheduler.endpoints["e0"]
     assert not load.has_capacity(60_000, 1, 0.5) and load.tokens > 0
+    # One that has to wait until nothing runs does not stop the others.
+    start(scheduler, "b", 1.0, 0.1)
+    alone = acquire("d", prompt_tokens=90_000, output_tokens=900)
+    assert not scheduler.acquire(alone, FRONTEND, 1.0)
+    assert granted(scheduler.acquire(acquire("e"), FRONTEND, 1.0)) == ["e0"]
     load.remove("frontend/1/b")
+    load.remove("frontend/1/e")
     assert load.tokens == 0 and load.unstarted_tokens == 0
 
 
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -247,8 +247,8 @@
         """Return whether a request of this size may be sent now."""
         memory = self.spec.memory_tokens
         # While several coordinators exist each may use the part of one slot.
-        part = max(share, 1 / self.spec.max_concurrency)
-        if memory and tokens > memory * part:
+        slots = self.spec.max_concurrency
+        if memory and tokens > memory * share and tokens > memory / slots:
             return False
         if not self.running:
             return True
@@ -262,6 +262,10 @@
             return True
         return self.prefill_s(self.unstarted_tokens + uncached) <= PREFILL_WINDOW_S
 
+    def needs_alone(self, tokens: int) -> bool:
+        """Return whether a request of this size fits only if nothing else runs."""
+        return 0 < self.spec.max_tokens < tokens and self.spec.memory_tokens > 0
+
     def prefill_s(self, tokens: int) -> float:
         """Return the predicted time to process `tokens` of prompt."""
         return tokens * self.prefill_factor / self.spec.prefill_tokens_per_s
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -546,7 +546,9 @@
             option = Option(load, uncached, total_s)
             if not load.has_capacity(tokens, uncached, self.capacity.share):
                 busy = _faster(busy, option)
-                blocked.add(load.id)
+                # The others do not wait until an endpoint is empty for a large one.
+                if not load.needs_alone(tokens):
+                    blocked.add(load.id)
             else:
                 best = _faster(best, option)
         if best is None or self._is_worth_waiting(item, best, busy, now):
