--- a/src/savorydyke/scheduling/_endpoint_choice.py
+++ b/src/savorydyke/scheduling/_endpoint_choice.py
@@ -240,7 +240,9 @@
                 best = _faster(best, option)
             else:
                 busy = _faster(busy, option)
-                full.add(load.id)
+                # The others do not wait until an endpoint is empty for a large one.
+                if not load.needs_alone(tokens):
+                    full.add(load.id)
         return best, busy, full
 
     def is_exhausted(self, item: Waiting) -> bool:
