Bound the bytes that an instance holds for callers and endpoints

Cause: what slow readers leave unread, and bodies that endpoints do not read, counted nowhere; a process over its memory is killed with all its requests. Change: one object counts request bodies, buffered answers, data waiting in writers and the full send buffers of sockets, with bounds in total, for a calling team and for a connection that follow from the new optional setting memory_mb. The relay stops reading an answer when 256 KB of it wait for its caller. At a bound the reader whose bytes have waited longest gives way: by a refusal that says whether the request has run, or by the end of its connection. The head of a stream or large answer goes out with its first bytes.

Replayed without I/O: one in ten of 100 callers a second reads 1 KB/s, for 152 and 200 MB; only these give way, the first ones first. With real processes: slow readers, endpoints that do not read bodies, the coordinator killed meanwhile.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -200,3 +200,13 @@
       | a lower quota is kept soon after it was set |
       | a team stays within its quota whatever happens |
       | a request that waited for its quota to be known is charged and answered once |
+
+  Scenario Outline: Bytes that an instance holds
+    Then the decision case "<case>" holds
+
+    Examples:
+      | case                                                              |
+      | slow readers give way before sound callers, the slowest first     |
+      | one team's slow readers leave room for the readers of others      |
+      | requests that wait for endpoints give way after unread answers    |
+      | without a known memory nothing gives way                          |
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -422,6 +422,9 @@
       | a stream that its caller reads slowly ends its grant with its last event   |
       | slow readers of an instance that is cut off do not keep slots either       |
       | a stop ends the delivery to a caller that reads slowly                     |
+      | slow readers give way when an instance holds too much                      |
+      | requests to endpoints that do not read give way with true refusals         |
+      | slow readers give way while their coordinator is killed                    |
 
   Scenario Outline: What the head of an answer says
     Then the routed case "<case>" holds
--- a/features/steps/slow_reader_cases.py
+++ b/features/steps/slow_reader_cases.py
@@ -169,3 +169,87 @@
         await site.wait_until(lambda: daemon.process.poll() is not None, 4.0)
         nursery.cancel_scope.cancel()
     assert daemon.process.poll() == 0
+
+
+SMALL_MB = 70
+"""Memory of which 4 MB may be held."""
+
+
+def gave_way(daemon):
+    """Return the log records of readers that gave way."""
+    records = daemon.log_records()
+    return [one for one in records if one["message"] == "request: Reader gives way."]
+
+
+async def crowd_out(site, daemons, disturb=lambda: None):
+    """Let slow readers exceed what may be held, and check that others are served."""
+    without = late_share(await latencies(site, daemons, 40))
+    async with trio.open_nursery() as nursery:
+        for _ in range(40):
+            nursery.start_soon(read_slowly, site, daemons[0], "/lookup/large")
+            await trio.sleep(0.01)
+        await trio.sleep(TAKEN_S)
+        disturb()
+        times = await latencies(site, daemons)
+        nursery.cancel_scope.cancel()
+    await trio.sleep(0.2)
+    records = gave_way(daemons[0])
+    assert records and all(one["is_unread"] for one in records), records
+    assert late_share(times) <= without + 0.02, (without, times[-20:])
+
+
+@case("slow readers give way when an instance holds too much")
+async def _(site):
+    for name in ("e1", "e2"):
+        await site.endpoint(name, "desk", answer_by_path)
+    daemon = await site.daemon(memory_mb=SMALL_MB)
+    await crowd_out(site, [daemon])
+    caller = await site.connect(daemon.metrics)
+    page = await caller.request("GET", "/metrics", [(b"Host", b"x")])
+    assert b"savorydyke_readers_gave_way_total{" in page.body
+    assert b'savorydyke_held_bytes{kind="writer"}' in page.body
+
+
+@case("slow readers give way while their coordinator is killed")
+async def _(site):
+    for name in ("e1", "e2"):
+        await site.endpoint(name, "desk", answer_by_path)
+    frontend = await site.daemon("instance-1", memory_mb=SMALL_MB)
+    other = await site.daemon("instance-2")
+    third = await site.daemon("instance-3")
+    await trio.sleep(1.0)
+
+    def kill():
+        for daemon in (other, third):
+            if any("Pool hosted" in one["message"] for one in daemon.log_records()):
+                daemon.process.kill()
+                return
+
+    await crowd_out(site, [frontend], kill)
+
+
+@case("requests to endpoints that do not read give way with true refusals")
+async def _(site):
+    async def no_answer(exchange):
+        await trio.sleep_forever()
+
+    endpoint = await site.endpoint("e1", "desk", no_answer, slots=8)
+    endpoint.read_body = False
+    daemon = await site.daemon(memory_mb=SMALL_MB)
+    answers = []
+
+    async def ask():
+        answers.append(await site.ask("/claim/1", body=b"b" * 190_000))
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(40):
+            nursery.start_soon(ask)
+            await trio.sleep(0.005)
+    records = gave_way(daemon)
+    assert records and not any(one["is_unread"] for one in records), records
+    sent = {
+        one.headers[b"x-savorydyke-request-id"] for one in endpoint.received_requests
+    }
+    for answer in answers:
+        ran = answer.headers[b"x-savorydyke-request-id"] in sent
+        assert answer.status in ({502, 504} if ran else {503}), answer
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -32,6 +32,7 @@
 from savorydyke._send_check import SendCheck
 from savorydyke._store_records import read_or_create_fleet_key
 from savorydyke.platform import READINESS_PATH, open_store
+from savorydyke.serving import HeldBytes, new_held_bytes
 
 DRAIN_NOTICE_S = 2.6
 """The balancer checks readiness once a second and removes an instance after two
@@ -82,10 +83,12 @@
             incarnation=gateway.membership.incarnation,
         )
         gateway.directory.listeners.append(handler.activity.keep)
+        held = new_held_bytes(settings.memory_mb, gateway.metrics)
         ingress = Ingress(
             handler.handle,
             handler.refuse_unreadable,
             lambda: _limits(gateway.directory),
+            held=held,
         )
         readiness = Ingress(
             lambda request, responder: _answer_ready(gateway, request, responder),
@@ -99,7 +102,9 @@
         nursery.start_soon(_listen, settings.readiness, readiness)
         if settings.metrics:
             pages = Ingress(
-                lambda request, responder: _answer_metrics(gateway, request, responder),
+                lambda request, responder: _answer_metrics(
+                    gateway, held, request, responder
+                ),
                 handler.refuse_unreadable,
                 IngressLimits,
             )
@@ -108,7 +113,7 @@
         nursery.start_soon(gateway.timers.run)
         nursery.start_soon(gateway.directory.watch_store)
         nursery.start_soon(gateway.directory.confirm_views)
-        nursery.start_soon(_join, gateway, forwarded)
+        nursery.start_soon(_join, gateway, forwarded, held)
         log.info(
             "Started.",
             extra={"callers": settings.callers, "build": build_digest()},
@@ -120,13 +125,15 @@
     return 0
 
 
-async def _join(gateway: Gateway, forwarded: ForwardedRequests) -> None:
+async def _join(
+    gateway: Gateway, forwarded: ForwardedRequests, held: HeldBytes
+) -> None:
     """Join the fleet and run the tasks that need peers until cancelled."""
     secret = await read_or_create_fleet_key(gateway.store, gateway.rng)
     gateway.peers.shared_key = secret.encode()
     async with trio.open_nursery() as nursery:
         await nursery.start(gateway.peers.listen, gateway.settings.peers)
-        nursery.start_soon(_listen_for_forwarded, gateway, forwarded)
+        nursery.start_soon(_listen_for_forwarded, gateway, forwarded, held)
         nursery.start_soon(probe_failed_links, gateway.ways, gateway.directory)
         nursery.start_soon(gateway.store_records.keep_instance_record)
         nursery.start_soon(gateway.store_records.rewrite_fleet_records)
@@ -162,7 +169,9 @@
     )
 
 
-async def _listen_for_forwarded(gateway: Gateway, forwarded: ForwardedRequests) -> None:
+async def _listen_for_forwarded(
+    gateway: Gateway, forwarded: ForwardedRequests, held: HeldBytes
+) -> None:
     """Take requests of instances that do not reach their endpoints."""
 
     def limits() -> IngressLimits:
@@ -170,12 +179,13 @@
         head_bytes = found.max_head_bytes + MORE_HEAD_BYTES
         return replace(found, max_head_bytes=head_bytes)
 
-    ingress = Ingress(forwarded.handle, forwarded.refuse_unreadable, limits)
+    ingress = Ingress(forwarded.handle, forwarded.refuse_unreadable, limits, held=held)
     await _listen(forwarding_address(gateway.settings.peers), ingress)
 
 
 async def _listen(address: str, ingress: Ingress) -> None:
-    await trio.serve_listeners(ingress.serve, [open_listener(address)])
+    send_buffer = ingress.held.bounds.socket
+    await trio.serve_listeners(ingress.serve, [open_listener(address, send_buffer)])
 
 
 def _limits(directory: Directory) -> IngressLimits:
@@ -200,12 +210,14 @@
 
 
 async def _answer_metrics(
-    gateway: Gateway, request: IncomingRequest, responder: Responder
+    gateway: Gateway, held: HeldBytes, request: IncomingRequest, responder: Responder
 ) -> None:
     if request.target.partition(b"?")[0] != METRICS_PATH:
         await responder.send_answer(404, [], b"")
         return
     gateway.update_gauges()
+    for kind, size in held.sizes.items():
+        gateway.metrics.held_bytes.set({"kind": kind.value}, size)
     content, headers = gateway.metrics.render(["text/plain"])
     pairs = [(name.encode(), value.encode()) for name, value in headers.items()]
     await responder.send_answer(200, pairs, content)
--- a/src/savorydyke/_gateway_settings.py
+++ b/src/savorydyke/_gateway_settings.py
@@ -57,6 +57,8 @@
         CPU that the instance may use, in cores of nominal speed.
     endpoint_heartbeat_s : float
         Interval at which endpoints write their records.
+    memory_mb : float
+        Memory that the instance may use, in MB; 0 if it is not known.
     """
 
     instance: InstanceId
@@ -70,6 +72,7 @@
     cores: float
     endpoint_heartbeat_s: float
     bounds: Bounds
+    memory_mb: float = 0.0
 
 
 def is_gateway(text: str, file: str) -> bool:
@@ -114,6 +117,7 @@
         cores=_cores(top.object("processor")),
         endpoint_heartbeat_s=top.number("endpoint_heartbeat_ms", 1200, 50) / 1000,
         bounds=_bounds(top.object("bounds")),
+        memory_mb=top.number("memory_mb", 0.0),
     )
     if settings.log_level not in {"debug", "info", "warning", "error"}:
         findings.add(("log_level",), "expected debug, info, warning or error")
--- a/src/savorydyke/_ingress.py
+++ b/src/savorydyke/_ingress.py
@@ -16,7 +16,13 @@
 from savorydyke import _logs
 from savorydyke._http1 import Headers
 from savorydyke._sockets import receive
-from savorydyke.serving import CallerDisconnectedError, CallerWriter
+from savorydyke.serving import (
+    CallerDisconnectedError,
+    CallerWriter,
+    HeldBytes,
+    Holder,
+    Kind,
+)
 
 READ_BYTES = 65536
 PIPELINED_BYTES = 65536
@@ -101,29 +107,49 @@
         Whether the answer is complete; the caller may still have to read it.
     omit_body : bool
         Whether the request was a HEAD, whose answer has no body.
+    on_give_way : callable or None
+        Ends the request with a refusal, as long as nothing has been sent.
+    unsent : tuple of h11.Event
+        The head, if it waits for the first part of the body.
     """
 
     connection: "Connection"
     started: bool = False
     finished: bool = False
     omit_body: bool = False
+    on_give_way: Callable[[], None] | None = None
+    unsent: tuple[h11.Event, ...] = ()
+
+    def hold_answer(self, size: int) -> None:
+        """Record the size of the part of an answer that is buffered."""
+        self.connection.hold(Kind.ANSWER, size)
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and headers."""
+        self.begin(status, headers)
+        head, self.unsent = self.unsent, ()
+        await self.connection.write(*head)
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Send status and headers with what follows, in one write."""
         self.started = True
         if self.connection.closing():
             headers = [*headers, (b"Connection", b"close")]
-        response = h11.Response(status_code=status, headers=headers, reason=b"")
-        await self.connection.write(response)
+        head = h11.Response(status_code=status, headers=headers, reason=b"")
+        self.unsent = (head,)
 
     async def body(self, data: bytes) -> None:
         """Send a part of the body."""
+        unsent, self.unsent = self.unsent, ()
         if not self.omit_body:
-            await self.connection.write(h11.Data(data=data))
+            unsent = (*unsent, h11.Data(data=data))
+        if unsent:
+            await self.connection.write(*unsent)
 
     async def end(self) -> None:
         """Complete the answer."""
-        await self.connection.write(h11.EndOfMessage(), is_end=True)
+        unsent, self.unsent = self.unsent, ()
+        await self.connection.write(*unsent, h11.EndOfMessage(), is_end=True)
         self.finished = True
 
     async def drain(self) -> None:
@@ -166,10 +192,36 @@
     http: h11.Connection
     busy: bool = False
     disconnected: bool = False
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    reading: trio.CancelScope | None = None
+    responder: Responder | None = None
     writer: CallerWriter = field(init=False)
+    holder: Holder = field(init=False)
 
     def __post_init__(self) -> None:
-        self.writer = CallerWriter(self.stream)
+        bounds = self.ingress.held.bounds
+        self.writer = CallerWriter(self.stream, limit_bytes=bounds.connection)
+        self.writer.on_size = self._hold_waiting
+        self.holder = Holder(self.writer.unread_since, self._give_way)
+
+    def hold(self, kind: Kind, size: int) -> None:
+        """Record how many bytes of a kind are held for this connection."""
+        self.ingress.held.set_size(self.holder, kind, size, trio.current_time())
+
+    def _hold_waiting(self, size: int) -> None:
+        """Record what waits for the caller; its socket's buffer is full meanwhile."""
+        self.hold(Kind.SOCKET, self.ingress.held.socket_bytes() if size else 0)
+        self.hold(Kind.WRITER, size)
+
+    def _give_way(self) -> None:
+        """End the request; its caller is told so if nothing has been sent."""
+        responder = self.responder
+        if self.reading is not None:
+            self.reading.cancel()
+        elif responder and not responder.started and responder.on_give_way:
+            responder.on_give_way()
+        else:
+            self.scope.cancel()
 
     def closing(self) -> bool:
         """Return whether the connection closes after the current answer."""
@@ -204,6 +256,8 @@
     ----------
     closing : bool
         Whether each connection closes after its next answer.
+    held : HeldBytes
+        Counts what is held for callers.
     active : int
         Requests being handled or refused, without those still being read.
     """
@@ -212,6 +266,7 @@
     refuse: Callable[[Responder, Rejected], Awaitable[None]]
     limits: Callable[[], IngressLimits]
     closing: bool = False
+    held: HeldBytes = field(default_factory=HeldBytes)
     active: int = 0
     connections: dict[Connection, trio.CancelScope] = field(default_factory=dict)
 
@@ -229,12 +284,13 @@
             h11.SERVER, max_incomplete_event_size=self.limits().max_head_bytes
         )
         connection = Connection(stream, self, http)
-        with trio.CancelScope() as scope:
+        with connection.scope as scope:
             self.connections[connection] = scope
             try:
                 await self._serve_requests(connection)
             finally:
                 del self.connections[connection]
+                self.held.forget(connection.holder)
         stream.socket.close()
 
     def close_idle(self) -> None:
@@ -248,7 +304,7 @@
             incoming = await self._read(connection)
             if incoming is None:
                 return
-            responder = Responder(connection)
+            responder = connection.responder = Responder(connection)
             self.active += 1
             try:
                 if isinstance(incoming, Rejected):
@@ -261,6 +317,7 @@
             finally:
                 self.active -= 1
                 connection.busy = False
+                self.held.reset(connection.holder)
             if connection.disconnected or not responder.finished:
                 # Closing the connection before the end of the answer tells the
                 # caller that the answer is incomplete.
@@ -309,12 +366,16 @@
             if not connection.http.trailing_data[0]:
                 return None
             connection.busy = True
-            with trio.move_on_after(limits.head_timeout_s):
+            with trio.move_on_after(limits.head_timeout_s) as connection.reading:
                 return await self._read_request(connection, limits)
+            if connection.holder.gave_way:
+                return Rejected(503, "this instance holds too much for its callers")
             return Rejected(408, "the request did not arrive in time")
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
             return Rejected(status if status == 431 else 400, str(error))
+        finally:
+            connection.reading = None
 
     async def _read_request(
         self, connection: Connection, limits: IngressLimits
@@ -340,6 +401,7 @@
                 body += event.data
                 if len(body) > limits.max_body_bytes:
                     return Rejected(413, "the body is too large")
+                connection.hold(Kind.REQUEST, len(body))
             elif isinstance(event, h11.EndOfMessage):
                 break
             else:
@@ -408,12 +470,21 @@
     return ""
 
 
-def open_listener(address: str) -> trio.SocketListener:
-    """Return a listener on `address`, an IP number and a port."""
+def open_listener(address: str, send_buffer: int = 0) -> trio.SocketListener:
+    """Return a listener on `address`, an IP number and a port.
+
+    Parameters
+    ----------
+    send_buffer : int
+        Size of the connections' send buffers to ask for, in bytes; 0 for the
+        system's choice.
+    """
     host, _, port = address.rpartition(":")
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, STALLED_CALLER_MS)
+    if send_buffer:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer)
     listener.bind((host, int(port)))
     listener.listen(BACKLOG)
     return trio.SocketListener(trio.socket.from_stdlib_socket(listener))
--- a/src/savorydyke/_metrics.py
+++ b/src/savorydyke/_metrics.py
@@ -81,6 +81,13 @@
         self.store_seconds = self._histogram(
             "savorydyke_store_call_seconds", "Time of calls of the platform's store."
         )
+        self.held_bytes = self._gauge(
+            "savorydyke_held_bytes", "Bytes held for callers and endpoints, by kind."
+        )
+        self.gave_way = self._counter(
+            "savorydyke_readers_gave_way_total",
+            "Requests that were ended because too much was held.",
+        )
         self.state = self._gauge(
             "savorydyke_state",
             "Revision, members, waiting, in flight and peer traffic, by kind.",
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -103,7 +103,7 @@
     parse_response_headers,
     refusal_headers,
 )
-from savorydyke.serving import end_fields
+from savorydyke.serving import end_fields, hold, refusal_of_ended
 
 MAX_UNSENT = 3
 """Number of endpoints after which a request that could not be sent is refused."""
@@ -216,12 +216,15 @@
 
     async def refuse_unreadable(self, responder: Responder, rejected: Rejected) -> None:
         """Answer a request that could not be read."""
-        refusal = Refusal(Reason.BAD_REQUEST, rejected.detail)
+        is_full = rejected.status == 503
+        reason = Reason.OVERLOADED if is_full else Reason.BAD_REQUEST
+        refusal = Refusal(reason, rejected.detail)
         log.info(
             "Request unreadable.",
             extra={"status": rejected.status, "why": rejected.detail},
         )
-        headers = [*refusal_headers("", None), (b"Connection", b"close")]
+        retry_s = MIN_RETRY_S if is_full else None
+        headers = [*refusal_headers("", retry_s), (b"Connection", b"close")]
         await responder.send_answer(rejected.status, headers, refusal.body(""))
 
     async def _refuse_unread(
@@ -338,6 +341,7 @@
         """Answer a request before it expires; return a refusal if that fails."""
         scope = trio.CancelScope(deadline=request.expires)
         self.scopes.add(scope)
+        hold(request, scope)
         try:
             with scope:
                 return await self._run_attempts(request)
@@ -347,17 +351,7 @@
                 self.grant_client.release(request.reserved.key, ReleaseResult.NOT_SENT)
         if request.responder.started:
             return None
-        ran = bool(request.sent_to) and request.may_have_run
-        if self.aborting and ran:
-            # 503 would promise that it has not run.
-            detail = "this instance stopped before the endpoint answered"
-            return Refusal(Reason.ABORTED, detail, Outcome.MAY_HAVE_RUN)
-        if self.aborting:
-            return Refusal(Reason.STOPPING, "this instance has stopped")
-        if ran:
-            detail = "the endpoint did not answer in time"
-            return Refusal(Reason.TIMEOUT, detail, Outcome.MAY_HAVE_RUN)
-        return Refusal(Reason.DEADLINE, "no endpoint came free in time")
+        return refusal_of_ended(request, self.aborting)
 
     def stop_taking(self) -> None:
         """Refuse new requests, and those that wait and may take until after the stop.
--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -160,6 +160,7 @@
             channel.read_until = trio.current_time() + STALLED_STREAM_S
         parts.append(part)
         size += len(part)
+        request.responder.hold_answer(size)
         if size > BUFFER_BYTES:
             if head.status >= 500 or head.status in NOT_RUN_STATUSES:
                 # It can not be passed on before all of it is known.
@@ -188,7 +189,8 @@
     headers = response_headers(head.headers)
     if head.length is not None:
         headers.append((b"Content-Length", str(head.length).encode()))
-    await request.responder.start(head.status, headers)
+    request.responder.hold_answer(0)
+    request.responder.begin(head.status, headers)
     relayed = _record_relayed(request, head, RelayedAs.PARTS)
     # It has begun, so that no other endpoint can go on with it.
     channel.read_until = math.inf
@@ -233,7 +235,7 @@
             if not complete:
                 continue
             on_first_byte()
-            await _start(request, head)
+            _start(request, head)
             _count_events(request, complete, order)
             await request.responder.body(complete)
             if is_limited:
@@ -248,16 +250,16 @@
     if not order.events and not (goes_on and head.is_delimited()):
         raise ChannelBrokenError("the stream ended without an event")
     request.result = ReleaseResult.COMPLETE
-    await _start(request, head)
+    _start(request, head)
     await request.responder.end()
     return Done(head.status)
 
 
-async def _start(request: RoutedRequest, head: AnswerHead) -> None:
+def _start(request: RoutedRequest, head: AnswerHead) -> None:
     """Begin the caller's answer, unless an earlier endpoint's answer has."""
     if not request.responder.started:
         _record_relayed(request, head, RelayedAs.EVENTS)
-        await request.responder.start(head.status, response_headers(head.headers))
+        request.responder.begin(head.status, response_headers(head.headers))
 
 
 def _record_relayed(
@@ -290,6 +292,7 @@
     if head.status not in NOT_RUN_STATUSES:
         _record_relayed(request, head, RelayedAs.WHOLE, len(body))
         headers = response_headers(head.headers)
+        request.responder.hold_answer(0)
         await request.responder.send_answer(head.status, headers, body)
         return
     # The request has run; this status would tell the caller that it has not.
--- a/src/savorydyke/_routed_request.py
+++ b/src/savorydyke/_routed_request.py
@@ -120,6 +120,8 @@
         Grant for the next attempt, if one has been reserved.
     relayed : RelayedAnswer or None
         What the caller has got, if that is an endpoint's answer.
+    gave_way : bool
+        Whether it was ended because too much was held.
     """
 
     incoming: IncomingRequest
@@ -163,6 +165,7 @@
     late_answer: Channel | None = None
     reserved: ReservedGrant | None = None
     relayed: RelayedAnswer | None = None
+    gave_way: bool = False
 
     def has_begun(self) -> bool:
         """Return whether the caller has events of the stream, of any attempt."""
--- a/src/savorydyke/serving/_caller_writer.py
+++ b/src/savorydyke/serving/_caller_writer.py
@@ -7,15 +7,14 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
 
 from savorydyke._sockets import send, send_some
+from savorydyke.serving._held_bytes import MAX_CONNECTION_BYTES
 
-BUFFER_BYTES = 262_144
-"""Data waiting for a caller above which no more is read for it. The largest answer that
-is relayed as a whole fits."""
 DELIVERY_S = 30.0
 """Time for a caller to read the rest of a complete answer. It is about twice the
 longest deadline that callers state."""
@@ -36,6 +35,8 @@
         waits until the socket has taken everything.
     limit_bytes : int
         Size of `waiting` from which writing waits.
+    on_size : callable
+        Called with the size of `waiting` when that has changed.
     waiting : deque of (float, memoryview)
         Data that the socket has not taken, and since when it waits.
     waiting_bytes : int
@@ -50,7 +51,8 @@
 
     stream: trio.SocketStream
     nursery: trio.Nursery | None = None
-    limit_bytes: int = BUFFER_BYTES
+    limit_bytes: int = MAX_CONNECTION_BYTES
+    on_size: Callable[[int], None] = field(default=lambda size: None)
     waiting: deque[tuple[float, memoryview]] = field(default_factory=deque)
     waiting_bytes: int = 0
     is_broken: bool = False
@@ -90,6 +92,11 @@
         if not self.is_flushing:
             self.is_flushing = True
             self.nursery.start_soon(self._flush)
+        self.on_size(self.waiting_bytes)
+
+    def unread_since(self) -> float | None:
+        """Return since when the oldest data waits, None if there is none."""
+        return self.waiting[0][0] if self.waiting else None
 
     async def drain(self) -> None:
         """Wait until the socket has taken everything.
@@ -139,6 +146,7 @@
         if sent < len(data):
             self.waiting.appendleft((since, data[sent:]))
         self.waiting_bytes -= sent
+        self.on_size(self.waiting_bytes)
         self._note_progress()
 
     def _note_progress(self) -> None:
