--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -233,3 +233,13 @@
       | slots of an endpoint are not idle while a release and a grant are on their way     |
       | an endpoint that is close has no long queue                                        |
       | wrong load reports cost an endpoint no more than half of its slots in its queue    |
+
+  Scenario Outline: Bytes that an instance holds
+    Then the decision case "<case>" holds
+
+    Examples:
+      | case                                                              |
+      | slow readers give way before sound callers, the slowest first     |
+      | one team's slow readers leave room for the readers of others      |
+      | requests that wait for endpoints give way after unread answers    |
+      | without a known memory nothing gives way                          |
