Wake an instance at rest less often, and format log lines at less cost

Cause: at rest, each timer, the poll of the log writer and each frame woke the process by itself; wake-ups and writes to links are most of what an instance costs, and there are 108. Change: ticks that are due within a fifth of their period share a wake-up, at the same rates; subscribers read ticks from their channel; the log writer waits for lines; plain log records are encoded without the library's formatter and without a walk of the stack.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -210,3 +210,11 @@
       | one team's slow readers leave room for the readers of others      |
       | requests that wait for endpoints give way after unread answers    |
       | without a known memory nothing gives way                          |
+
+  Scenario Outline: Cost of an instance
+    Then the decision case "<case>" holds
+
+    Examples:
+      | case                                                              |
+      | ticks of several subscribers share wake-ups and keep their rates  |
+      | log lines are those of the library's formatter                    |
--- a/features/steps/held_bytes_decisions.py
+++ b/features/steps/held_bytes_decisions.py
@@ -1,8 +1,17 @@
-"""Decision cases for the bytes that an instance holds; the load is replayed."""
+"""Decision cases for what an instance holds and what it costs; load is replayed."""
 
+import logging
+import random
+from datetime import date
+
+import trio
 from decision_cases import case
+from pythonjsonlogger.json import JsonFormatter
+from trio.testing import MockClock
 
 from savorydyke._ids import TeamId, TierId
+from savorydyke._logs import FIELD_NAMES, LineFormatter
+from savorydyke._timers import TimerService
 from savorydyke.serving import HeldBytes, Holder, Kind, bounds_of
 
 ANSWER = 250_000
@@ -79,3 +88,51 @@
     held, readers = replay(0, [TeamId("a")], 20)
     assert not any(one.gave_way for one in readers)
     assert not held.bounds.socket
+
+
+@case("ticks of several subscribers share wake-ups and keep their rates")
+def _():
+    periods, counts, wakes = (0.1, 0.1, 0.2, 0.25), {}, []
+
+    async def play():
+        timers = TimerService(random.Random(7))
+        timers.delay_listeners.append(lambda delay_s, now: wakes.append(now))
+
+        async def count(number, period_s):
+            async with timers.every(period_s) as ticks:
+                async for _ in ticks:
+                    counts[number] = counts.get(number, 0) + 1
+
+        async with trio.open_nursery() as nursery:
+            for number, period_s in enumerate(periods):
+                nursery.start_soon(count, number, period_s)
+            nursery.start_soon(timers.run)
+            await trio.sleep(100)
+            nursery.cancel_scope.cancel()
+
+    trio.run(play, clock=MockClock(autojump_threshold=0))
+    for number, period_s in enumerate(periods):
+        assert 0.97 < counts[number] * period_s / 100 < 1.03, counts
+    # Each for itself, they would wake the process 29 times a second.
+    assert len(wakes) < 0.75 * sum(100 / period_s for period_s in periods), len(wakes)
+
+
+@case("log lines are those of the library's formatter")
+def _():
+    library = JsonFormatter(
+        "%(asctime)s %(levelname)s %(message)s",
+        rename_fields=FIELD_NAMES,
+        static_fields={"instance": "i"},
+    )
+    own = LineFormatter("i")
+    failure = (ValueError, ValueError("x"), None)
+    for message, extra, error in (
+        ("request: Ended.", {"request": 'ř"1', "parts": ("a",), "n": None}, None),
+        ("home: Granted.", {"kind": Kind.REQUEST, "at": date(2020, 1, 1)}, None),
+        ("home: Granted.", {"first_ms": 1.5, "s": {1}, "big": float("inf")}, None),
+        ("peers: Message failed.", {"part": "peers"}, failure),
+    ):
+        record = logging.getLogger("x").makeRecord(
+            "x", logging.INFO, "file", 1, message, (), error, extra=extra
+        )
+        assert own.format(record) == library.format(record)
--- a/src/savorydyke/_log_writer.py
+++ b/src/savorydyke/_log_writer.py
@@ -23,6 +23,7 @@
 SAMPLE_EVERY = 20
 WRITE_BYTES = 65536
 POLL_S = 0.05
+"""Time between two writes."""
 STOP_FLUSH_S = 0.3
 
 
@@ -47,6 +48,8 @@
         their message was sampled.
     rates : dict
         Rate of each routine message.
+    filled : trio.Event or None
+        Set when a line is added while `write_lines` waits for one.
     """
 
     lines: deque[bytes] = field(default_factory=deque)
@@ -54,6 +57,7 @@
     dropped: int = 0
     sampled: int = 0
     rates: dict[str, MessageRate] = field(default_factory=dict)
+    filled: trio.Event | None = None
 
     def add(self, line: bytes, routine: bool) -> None:
         """Add a line, or drop it if the buffer is full."""
@@ -63,6 +67,9 @@
             return
         self.lines.append(line)
         self.size += len(line)
+        if self.filled is not None:
+            self.filled.set()
+            self.filled = None
 
     def is_sample(self, message: str, now: float) -> bool:
         """Return whether to write a routine line, and count it for its message."""
@@ -122,7 +129,7 @@
             )
         rest = rest or buffer.take()
         if not rest:
-            await trio.sleep(POLL_S)
+            await _wait_for_lines(buffer)
             continue
         try:
             rest = rest[os.write(descriptor, rest) :]
@@ -135,6 +142,13 @@
             await trio.sleep(1.0)
 
 
+async def _wait_for_lines(buffer: LogBuffer) -> None:
+    """Wait for a line, and for those that follow it at once."""
+    buffer.filled = trio.Event()
+    await buffer.filled.wait()
+    await trio.sleep(POLL_S)
+
+
 def flush(buffer: LogBuffer) -> None:
     """Write the remaining lines before the process exits.
 
--- a/src/savorydyke/_logs.py
+++ b/src/savorydyke/_logs.py
@@ -1,7 +1,9 @@
 """Structured logs: one JSON object per line, with a fixed prefix per component."""
 
+import json
 import logging
 import sys
+import time
 from typing import Any
 
 from pythonjsonlogger.json import JsonFormatter
@@ -11,6 +13,8 @@
 
 ROOT = "savorydyke"
 FIELD_NAMES = {"asctime": "time", "levelname": "level"}
+RECORD_FIELDS = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
+"""What the library states of each record. The other fields are those of `extra`."""
 
 
 def configure(level: str, instance: InstanceId) -> None:
@@ -26,13 +30,10 @@
 
 
 def _install(handler: logging.Handler, level: str, instance: InstanceId) -> None:
-    handler.setFormatter(
-        JsonFormatter(
-            "%(asctime)s %(levelname)s %(message)s",
-            rename_fields=FIELD_NAMES,
-            static_fields={"instance": instance},
-        )
-    )
+    handler.setFormatter(LineFormatter(instance))
+    # Nothing reads these, and the caller of each line takes a walk of the stack.
+    logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
+    logging._srcfile = ""
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel("WARNING")
@@ -49,6 +50,51 @@
     return _PrefixAdapter(logging.getLogger(f"{ROOT}.{name}"), {"part": name})
 
 
+class LineFormatter(JsonFormatter):
+    """Formats plain records at a third of the library's cost.
+
+    The library's formatter, which knows more types and exceptions, takes the rest.
+    """
+
+    def __init__(self, instance: InstanceId) -> None:
+        super().__init__(
+            "%(asctime)s %(levelname)s %(message)s",
+            rename_fields=FIELD_NAMES,
+            static_fields={"instance": instance},
+        )
+        self.instance = instance
+        self.encode = json.JSONEncoder().encode
+        self.second = 0
+        self.second_text = ""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line of a record."""
+        if record.exc_info or record.exc_text or record.stack_info or record.args:
+            return super().format(record)
+        line = {
+            "time": self._time(record),
+            "level": record.levelname,
+            "message": record.msg,
+            "instance": self.instance,
+        }
+        for name, value in vars(record).items():
+            if name not in RECORD_FIELDS:
+                line[name] = value
+        try:
+            return self.encode(line)
+        except (TypeError, ValueError):
+            return super().format(record)
+
+    def _time(self, record: logging.LogRecord) -> str:
+        """Return the time of a record; its second is formatted once."""
+        second = int(record.created)
+        if second != self.second:
+            self.second = second
+            parts = time.localtime(second)
+            self.second_text = time.strftime(self.default_time_format, parts)
+        return f"{self.second_text},{int(record.msecs):03d}"
+
+
 class _PrefixAdapter(logging.LoggerAdapter):
     def process(self, msg: Any, kwargs: Any) -> tuple[Any, Any]:
         extra = kwargs.setdefault("extra", {})
--- a/src/savorydyke/_timers.py
+++ b/src/savorydyke/_timers.py
@@ -8,13 +8,20 @@
 import itertools
 import math
 import random
-from collections.abc import AsyncGenerator, AsyncIterator, Callable
-from contextlib import aclosing, asynccontextmanager
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 
 import trio
 
 JITTER = 0.1
 """Largest random shift of a tick, as a share of the period."""
+EARLY = 0.2
+"""Part of its period by which a tick may come early, so that those of several
+subscribers share a wake-up. At rest, wake-ups are a large part of an instance's
+processor time."""
+
+
+_Subscriber = trio.MemorySendChannel[None]
 
 
 class TimerService:
@@ -34,7 +41,7 @@
 
     def __init__(self, rng: random.Random | None = None) -> None:
         self.rng = rng or random.Random()
-        self.heap: list[tuple[float, int, float, trio.MemorySendChannel[None]]] = []
+        self.heap: list[tuple[float, int, float, _Subscriber]] = []
         self.serial = itertools.count()
         self.changed = trio.Event()
         self.delay_listeners: list[Callable[[float, float], None]] = []
@@ -47,8 +54,8 @@
         heapq.heappush(self.heap, (first, next(self.serial), period_s, send))
         self.changed.set()
         try:
-            async with receive, aclosing(_iterate(receive)) as ticks:
-                yield ticks
+            async with receive:
+                yield receive
         finally:
             send.close()
 
@@ -68,18 +75,30 @@
         if self.heap and self.heap[0][0] <= now:
             for listener in self.delay_listeners:
                 listener(now - self.heap[0][0], now)
-        while self.heap and self.heap[0][0] <= now:
-            _, _, period_s, send = heapq.heappop(self.heap)
+        for expected, period_s, send in self._take_due(now):
             try:
                 send.send_nowait(None)
             except trio.WouldBlock:
                 pass
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 continue
-            due = now + self._jittered(period_s)
+            # From when it was due, so that early ticks are not more ticks.
+            due = max(now, expected) + self._jittered(period_s)
             heapq.heappush(self.heap, (due, next(self.serial), period_s, send))
 
-
-async def _iterate(receive: trio.MemoryReceiveChannel[None]) -> AsyncGenerator[None]:
-    async for tick in receive:
-        yield tick
+    def _take_due(self, now: float) -> list[tuple[float, float, _Subscriber]]:
+        """Remove and return the subscribers whose ticks are due, or nearly so."""
+        if not self.heap or self.heap[0][0] > now:
+            return []
+        due = []
+        left = []
+        for entry in self.heap:
+            if entry[0] - EARLY * entry[2] <= now:
+                due.append(entry)
+            else:
+                left.append(entry)
+        self.heap = left
+        heapq.heapify(left)
+        return [
+            (expected, period_s, send) for expected, _, period_s, send in sorted(due)
+        ]
