--- a/features/steps/pace_decisions.py
+++ b/features/steps/pace_decisions.py
@@ -28,7 +28,7 @@
 
 from savorydyke._endpoint_observer import EndpointObserver
 from savorydyke._endpoint_states import EndpointStates
-from savorydyke._fallback_placement import has_memory
+from savorydyke._fallback_placement import has_memory, own_tokens
 from savorydyke._gateway_settings import check_gateway_settings
 from savorydyke._grant_client import FALLBACK, Demand, Granted, InFlight
 from savorydyke._ids import Reason, ReleaseResult
@@ -231,7 +231,7 @@
         in_flight, endpoint = [], endpoint_of("e1", 1)
         demand = Demand("k", POOL, CREW, "", 400, 100, (), 9.0, False)
         demand = replace(demand, max_output_tokens=300)
-        while has_memory(endpoint, demand, memory, in_flight):
+        while has_memory(endpoint, demand, memory, own_tokens(in_flight)):
             grant = Granted(FALLBACK, "e1", 1, False, (), 0.0)
             in_flight.append(InFlight(demand, grant))
         assert len(in_flight) == parts[-1] // 700, len(in_flight)
--- a/src/savorydyke/_fallback_placement.py
+++ b/src/savorydyke/_fallback_placement.py
@@ -66,26 +66,30 @@
     return demand.prompt_tokens + max(hinted, most)
 
 
+def own_tokens(in_flight: Iterable[InFlight]) -> Counter[EndpointId]:
+    """Return the memory by endpoint of the requests that this instance has placed."""
+    used: Counter[EndpointId] = Counter()
+    for item in in_flight:
+        if item.granted.coordinator == FALLBACK:
+            used[item.granted.endpoint] += reserved_tokens(item.demand)
+    return used
+
+
 def has_memory(
     endpoint: Endpoint,
     demand: Demand,
     memory: FallbackMemory,
-    in_flight: Iterable[InFlight],
+    used: Counter[EndpointId],
 ) -> bool:
     """Return whether a request fits into this instance's part of an endpoint's memory.
 
     Parameters
     ----------
-    in_flight : iterable of InFlight
-        The requests of this instance; those that it placed itself count.
+    used : Counter of EndpointId
+        What this instance has placed itself, by endpoint.
     """
     if not endpoint.memory_tokens:
         return True
-    used = sum(
-        reserved_tokens(item.demand)
-        for item in in_flight
-        if item.granted.coordinator == FALLBACK and item.granted.endpoint == endpoint.id
-    )
     slots = endpoint.max_concurrency
     most = memory.tokens(endpoint.id, endpoint.memory_tokens, slots)
-    return used + reserved_tokens(demand) <= most
+    return used[endpoint.id] + reserved_tokens(demand) <= most
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -12,7 +12,7 @@
 from savorydyke._endpoint_links import EndpointLinks
 from savorydyke._endpoint_states import EndpointStates
 from savorydyke._endpoint_ways import EndpointWays
-from savorydyke._fallback_placement import has_memory, place_fallback
+from savorydyke._fallback_placement import has_memory, own_tokens, place_fallback
 from savorydyke._gateway_settings import GatewaySettings
 from savorydyke._grant_client import (
     COORDINATOR_STALLED_S,
@@ -529,7 +529,7 @@
         now = trio.current_time()
         placed = self.grant_client.in_flight.values()
         in_flight = [item.granted.endpoint for item in placed]
-        memory = self.fallback_memory
+        memory, used = self.fallback_memory, own_tokens(placed)
         memory.set_instances(self.membership.listed | self.membership.members.keys())
         name = place_fallback(
             manifest,
@@ -542,7 +542,7 @@
             in_flight,
             self.membership.id,
             self.membership.listed_count(),
-            lambda endpoint: has_memory(endpoint, demand, memory, placed),
+            lambda endpoint: has_memory(endpoint, demand, memory, used),
         )
         tokens = demand.quota_tokens
         if name and not self._takes_retry(demand, now):
