--- a/features/steps/pace_decisions.py
+++ b/features/steps/pace_decisions.py
@@ -23,6 +23,7 @@
     refused,
     scheduler_of,
     start,
+    streaming_request,
 )
 from pace_simulation import Simulation
 
@@ -35,6 +36,7 @@
 from savorydyke._membership import Membership, rendezvous_score
 from savorydyke._messages import Grant, Release, Started, decode, encode
 from savorydyke._request_limits import RequestLimits
+from savorydyke._routed_handler import RoutedHandler
 from savorydyke.platform import (
     InstanceRecord,
     parse_load_report,
@@ -388,7 +390,17 @@
 def _():
     routes = ROUTE, ROUTE | {"affinity": True}
     for row, expected in zip(routes, (False, True), strict=True):
-        assert configuration(routes=[row]).routes[0].affinity is expected
+        route = configuration(routes=[row]).routes[0]
+        assert route.affinity is expected
+        head = [(b"X-Savorydyke-Prompt-Prefix", b"a1:60,b2:640")]
+        head.append((b"X-Savorydyke-Request-Id", b"r"))
+        head.append((b"X-Savorydyke-Token-Count", b"700,50"))
+        info = parse_request_headers(head)
+        request = replace(streaming_request(), route=route, request_info=info)
+        demand = RoutedHandler("i", *[None] * 15)._demand(request)
+        assert demand.prefix_tokens == ((60, 700) if expected else ())
+        assert len(demand.prefix) == len(demand.prefix_tokens)
+        assert demand.max_output_tokens == 50
     for bounds, expected in (({}, 10.0), ({"prefix_reuse_s": 4}, 4.0)):
         text = json.dumps(SETTINGS | {"bounds": bounds})
         settings, findings = check_gateway_settings(text, "s")
