--- a/src/savorydyke/_fair_queue.py
+++ b/src/savorydyke/_fair_queue.py
@@ -75,6 +75,8 @@
     size : Hashable or None
         What it has in common with requests that can share a result of the choice of
         an endpoint, once that is known.
+    waited_s : float
+        Time from its arrival at the frontend until its arrival in the queue.
     """
 
     key: RequestKey
@@ -99,11 +101,16 @@
     suspects: tuple[SuspectId, ...] = ()
     version: SoftwareVersion = UNKNOWN_VERSION
     size: Any = None
+    waited_s: float = 0.0
 
     def is_late(self) -> bool:
         """Return whether the objective is missed or expected to be missed."""
         return self.rank >= LATE_RANKS
 
+    def age_s(self, now: float) -> float:
+        """Return the time since its arrival at the frontend."""
+        return now - self.arrived + self.waited_s
+
     def base_rank(self) -> int:
         """Return the rank by tier and urgency alone."""
         return self.rank % LATE_RANKS
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -52,7 +52,7 @@
 from savorydyke._metrics import Metrics
 from savorydyke._overload import Overload
 from savorydyke._peers import Peers
-from savorydyke._pool_host import PoolHost
+from savorydyke._pool_host import PoolHost, tier_of
 from savorydyke._pool_scheduler import PoolScheduler
 from savorydyke._quarantine import Quarantine
 from savorydyke._quota import Quotas, Tolerance, fallback_quota
@@ -592,6 +592,9 @@
         endpoints_report=False,
         configure_scheduler=lambda scheduler: _configure_scheduler(gateway, scheduler),
         on_takeover=lambda scheduler: _on_takeover(gateway, scheduler),
+        on_decided=lambda scheduler, decision: metrics.observe_decision(
+            tier_of(scheduler, decision.rank or 0), decision.age_s
+        ),
     )
     quota_balances = QuotaBalances(
         store,
--- a/src/savorydyke/_grant_client.py
+++ b/src/savorydyke/_grant_client.py
@@ -164,12 +164,15 @@
 
     Attributes
     ----------
+    asked : float
+        When the request came.
     acknowledged : bool
         Whether the current coordinator has confirmed that it has the request.
     """
 
     demand: Demand
     message: Acquire
+    asked: float = field(default_factory=trio.current_time)
     answer: Granted | Refused | None = None
     acknowledged: bool = False
     answered: trio.Event = field(default_factory=trio.Event)
@@ -336,6 +339,7 @@
             deadline_ms=_left_ms(demand.deadline, now),
             objective_ms=_left_ms(demand.objective, now),
             abandon_after_ms=_left_ms(demand.abandon_at, now),
+            waited_ms=int((now - pending.asked) * 1000),
         )
 
     def _withdraw(self, demand: Demand) -> None:
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -250,6 +250,8 @@
     version : SoftwareVersion
         The version that the endpoint must have, empty for any one or, with `stream`,
         for the one that the coordinator knows.
+    waited_ms : int
+        Time from the request's arrival at the frontend until the message was sent.
     """
 
     key: RequestKey
@@ -273,6 +275,7 @@
     suspects: tuple[SuspectId, ...] = ()
     stream: RequestKey = NO_STREAM
     version: SoftwareVersion = UNKNOWN_VERSION
+    waited_ms: int = 0
 
 
 @dataclass(frozen=True)
@@ -438,6 +441,14 @@
     | QuotaPush
     | StreamPush
 )
+_FIRST_FIELDS: dict[type, int] = {
+    Acquire: 21,
+    Grant: 6,
+    Refuse: 6,
+    Started: 5,
+    Release: 8,
+}
+"""Number of fields that the builds know which do not ignore others."""
 _NESTED = (MemberRow, RunningRow, LossRow, LimitRow)
 _TAGS = {kind: tag for tag, kind in enumerate(get_args(Message))}
 _KINDS = {tag: kind for kind, tag in _TAGS.items()}
@@ -445,9 +456,19 @@
 Check = Callable[[Any], Any]
 
 
-def encode(messages: Iterable[Message]) -> bytes:
-    """Return one frame with `messages`."""
-    return cbor2.dumps([[_TAGS[type(m)], *_plain(m)] for m in messages])
+def encode(messages: Iterable[Message], is_extensible: bool = True) -> bytes:
+    """Return one frame with `messages`.
+
+    Parameters
+    ----------
+    is_extensible : bool
+        Whether the peer ignores fields that it does not know; to earlier builds, which
+        refuse them, later fields are not sent.
+    """
+    rows = [[_TAGS[type(m)], *_plain(m)] for m in messages]
+    if not is_extensible:
+        rows = [row[: 1 + _FIRST_FIELDS.get(_KINDS[row[0]], len(row))] for row in rows]
+    return cbor2.dumps(rows)
 
 
 def decode(frame: bytes) -> list[Message]:
@@ -488,9 +509,11 @@
 
 def _build(kind: type, values: list) -> Any:
     checks = _CHECKS[kind]
-    if len(values) != len(checks):
+    least = _FIRST_FIELDS.get(kind, len(checks))
+    if len(values) < least or (len(values) > len(checks) and kind in _NESTED):
         raise ProtocolError(f"{kind.__name__} has {len(values)} fields")
-    return kind(*[check(v) for check, v in zip(checks, values, strict=True)])
+    # Later fields may be absent, and those of later builds are ignored.
+    return kind(*[check(v) for check, v in zip(checks, values, strict=False)])
 
 
 def _exactly(expected: type) -> Check:
--- a/src/savorydyke/_metrics.py
+++ b/src/savorydyke/_metrics.py
@@ -46,6 +46,10 @@
         self.waiting = self._histogram(
             "savorydyke_waiting_seconds", "Time until a grant or a refusal."
         )
+        self.decision_age = self._histogram(
+            "savorydyke_decision_age_seconds",
+            "Time from a request's arrival at its frontend until its decision here.",
+        )
         self.first_token = self._histogram(
             "savorydyke_first_token_seconds", "Time from arrival to the first byte."
         )
@@ -104,6 +108,12 @@
         """Add one observation for a tier and a team."""
         histogram.observe({"tier": tier, "team": team}, float(seconds))
 
+    def observe_decision(self, tier: str, age_s: float | None) -> None:
+        """Add the age of a coordinator's decision, if it is known."""
+        if age_s is None:
+            return
+        self.decision_age.observe({"tier": tier}, age_s)
+
     def observe_store_call(self, name: str, seconds: float, result: str) -> None:
         """Count a call of the platform's store and observe its duration."""
         self.platform_calls.inc({"kind": name, "result": result})
--- a/src/savorydyke/_peers.py
+++ b/src/savorydyke/_peers.py
@@ -15,6 +15,7 @@
 
 import trio
 from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.http11 import Request, Response
 from websockets.trio.client import connect
 from websockets.trio.connection import Connection
 from websockets.trio.server import ServerConnection, serve
@@ -48,6 +49,9 @@
 UNUSED_LINK_S = 8.0
 """Twice the interval at which frontends register with a coordinator, so that links to
 coordinators are kept."""
+EXTENSIBLE_HEADER = "X-Savorydyke-Extensible"
+"""States in the WebSocket handshake that fields which are not known are ignored.
+Earlier builds ignore the header, and refuse such fields."""
 LINK_SILENT_S = 2.5
 """Five heartbeats. A connection may stop carrying data without being reset, so a
 silent one is closed."""
@@ -84,6 +88,8 @@
     dialler : InstanceId
         The instance that opened it. Of two links between the same pair, the one
         opened by the instance with the smaller id is kept.
+    is_extensible : bool
+        Whether the peer ignores fields that it does not know.
     last_used_at : float
         When the latest message other than a heartbeat was sent or received.
     """
@@ -92,6 +98,7 @@
     dialler: InstanceId
     websocket: Connection
     scope: trio.CancelScope
+    is_extensible: bool = False
     queue: list[Message] = field(default_factory=list)
     wake: trio.Event = field(default_factory=trio.Event)
     last_received_at: float = field(default_factory=trio.current_time)
@@ -181,6 +188,7 @@
             max_size=MAX_FRAME_BYTES,
             ping_interval=None,
             open_timeout=HANDSHAKE_TIMEOUT_S,
+            process_response=_state_extensible,
             task_status=task_status,
         )
 
@@ -262,6 +270,7 @@
                         open_timeout=HANDSHAKE_TIMEOUT_S,
                         close_timeout=0.2,
                         proxy=None,
+                        additional_headers={EXTENSIBLE_HEADER: "1"},
                     ) as websocket:
                         with trio.fail_after(HANDSHAKE_TIMEOUT_S):
                             peer = await self._handshake_as_dialler(websocket)
@@ -394,7 +403,7 @@
         self, websocket: Connection, peer: InstanceId, dialler: InstanceId
     ) -> None:
         with trio.CancelScope() as scope:
-            link = Link(peer, dialler, websocket, scope)
+            link = Link(peer, dialler, websocket, scope, _is_extensible(websocket))
             if not self._add_link(link):
                 return
             log.info("Link opened.", extra={"peer": peer})
@@ -466,7 +475,7 @@
             messages, link.queue = link.queue, []
             if not messages:
                 continue
-            frame = encode(messages)
+            frame = encode(messages, link.is_extensible)
             self.traffic.frames_sent += 1
             self.traffic.bytes_sent += len(frame)
             try:
@@ -480,3 +489,17 @@
         raise HandshakeError(
             f"peer uses protocol version {version}, not {PROTOCOL_VERSION}"
         )
+
+
+def _state_extensible(
+    websocket: ServerConnection, request: Request, response: Response
+) -> None:
+    """Add the header to the answer of the accepting side."""
+    response.headers[EXTENSIBLE_HEADER] = "1"
+
+
+def _is_extensible(websocket: Connection) -> bool:
+    """Return whether the peer stated that it ignores fields that it does not know."""
+    is_server = isinstance(websocket, ServerConnection)
+    stated = websocket.request if is_server else websocket.response
+    return stated is not None and EXTENSIBLE_HEADER in stated.headers
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -18,6 +18,7 @@
 from savorydyke._configuration_age import boot_time
 from savorydyke._endpoint_load import Running
 from savorydyke._endpoint_states import EndpointStates
+from savorydyke._fair_queue import URGENCIES
 from savorydyke._ids import (
     EndpointId,
     InstanceId,
@@ -32,7 +33,6 @@
 from savorydyke._messages import (
     Acquire,
     Grant,
-    Message,
     Queued,
     Refuse,
     Register,
@@ -47,12 +47,16 @@
 from savorydyke._stream_versions import UNKNOWN_DETAIL, StreamVersions
 from savorydyke._timers import TimerService
 from savorydyke._timing import VIEW_WAIT_S
+from savorydyke._untrusted import shown
+from savorydyke.scheduling import Inbox, PoolMessage, Received
 
 TICK_S = 0.1
 REGISTRATION_TIMEOUT_S = 1.5
 IDLE_S = 10.0
 STALL_S = 1.0
 UNKNOWN_STREAM_RETRY_MS = 500
+TURN_S = 0.005
+"""Time after which other tasks run, also those that receive messages."""
 QUOTA_WAIT_S = 0.5
 """Time for which a request waits until its quota is known."""
 
@@ -160,6 +164,10 @@
     awaits_reports : trio.Event
         Set when grants wait for the reports of endpoints; replaced by whoever asks
         these for them.
+    on_decided : callable
+        Called with each decision.
+    inbox : Inbox
+        Messages that wait to be processed, while `run` runs.
     """
 
     membership: Membership
@@ -184,18 +192,55 @@
     reporting: set[InstanceId] = field(default_factory=set)
     awaits_reports: trio.Event = field(default_factory=trio.Event)
     last_tick: float = field(default_factory=trio.current_time)
+    on_decided: Callable[[PoolScheduler, Decision], None] = field(
+        default=lambda scheduler, decision: None
+    )
+    inbox: Inbox = field(default_factory=Inbox)
+    has_messages: trio.Event = field(default_factory=trio.Event)
+    is_running: bool = False
 
     # Messages
 
-    def handle(self, sender: InstanceId, message: Message) -> None:
-        """Process a message of a frontend."""
+    def handle(self, sender: InstanceId, message: PoolMessage) -> None:
+        """Process a message of a frontend, at once or after others."""
+        if not self.is_running:
+            self._process(sender, message, 0.0)
+            return
+        self.inbox.put(sender, message, trio.current_time())
+        self.has_messages.set()
+
+    async def work(self) -> None:
+        """Process the messages in the inbox until cancelled."""
+        while True:
+            await self.has_messages.wait()
+            until = trio.current_time() + TURN_S
+            while (now := trio.current_time()) < until:
+                received = self.inbox.take()
+                if received is None:
+                    self.has_messages = trio.Event()
+                    break
+                self._process_received(received, now)
+            await trio.lowlevel.checkpoint()
+
+    def _process_received(self, received: Received, now: float) -> None:
+        """Process a message; one that can not be processed costs itself only."""
+        try:
+            self._process(received.sender, received.message, now - received.at)
+        except Exception as error:
+            kind = type(received.message).__name__
+            extra = {"peer": received.sender, "kind": kind, "error": shown(error)}
+            log.exception("Message failed.", extra=extra)
+
+    def _process(
+        self, sender: InstanceId, message: PoolMessage, inbox_s: float
+    ) -> None:
         now = trio.current_time()
         self._check_stall(now)
         if isinstance(message, Started | Register):
             self._record_streams(message, boot_time())
         match message:
             case Acquire():
-                self._acquire(sender, message, now)
+                self._acquire(sender, message, now, inbox_s=inbox_s)
             case Register():
                 self._register(sender, message, now)
             case Release() | Started() | Withdraw():
@@ -235,6 +280,7 @@
         now: float,
         since: float | None = None,
         asked: float | None = None,
+        inbox_s: float = 0.0,
     ) -> None:
         """Process a request, which has waited for its quota since a time.
 
@@ -242,6 +288,8 @@
         ----------
         asked : float or None
             When it came, on a clock that counts suspension; None for now.
+        inbox_s : float
+            Time since it was received.
         """
         hosted = self._host(message.pool, now)
         if hosted is None:
@@ -258,7 +306,7 @@
                 self._defer_unknown(hosted, Unresolved(sender, message, asked))
                 return
             message = replace(message, version=version)
-        decisions = hosted.scheduler.acquire(message, sender, now)
+        decisions = hosted.scheduler.acquire(message, sender, now, inbox_s)
         if any(_is_quota_refusal(d) for d in decisions) and self._defer_unknown_quota(
             hosted, Deferred(now if since is None else since, now, sender, message)
         ):
@@ -361,6 +409,7 @@
         now = trio.current_time()
         for decision in decisions:
             self._log(scheduler, decision, now)
+            self.on_decided(scheduler, decision)
             self.answer(decision.frontend, decision.answer)
 
     def _log(self, scheduler: PoolScheduler, decision: Decision, now: float) -> None:
@@ -548,12 +597,17 @@
 
     async def run(self, timers: TimerService) -> None:
         """Run the periodic work of all schedulers until cancelled."""
-        async with timers.every(TICK_S) as ticks:
-            async for _ in ticks:
-                now = trio.current_time()
-                self._check_stall(now)
-                for pool, hosted in list(self.hosted.items()):
-                    self._tick(pool, hosted, now)
+        async with trio.open_nursery() as nursery, timers.every(TICK_S) as ticks:
+            nursery.start_soon(self.work)
+            self.is_running = True
+            try:
+                async for _ in ticks:
+                    now = trio.current_time()
+                    self._check_stall(now)
+                    for pool, hosted in list(self.hosted.items()):
+                        self._tick(pool, hosted, now)
+            finally:
+                self.is_running = False
 
     def _check_stall(self, now: float) -> None:
         """Treat all schedulers as new after a pause of this process.
@@ -619,3 +673,10 @@
         fields["utilization_above"] = round(capacity.utilization_above(rank, now), 2)
         fields["granted_share"] = round(capacity.shares.granted_share(rank, now), 2)
     return fields
+
+
+def tier_of(scheduler: PoolScheduler, rank: int) -> str:
+    """Return the tier of a rank by tier and urgency."""
+    place = rank // URGENCIES
+    tiers = scheduler.manifest.tiers.values()
+    return next((tier.id for tier in tiers if tier.rank == place), "")
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -41,7 +41,7 @@
 )
 from savorydyke._quota import Quotas
 from savorydyke._retry_budget import RetryBudget
-from savorydyke.scheduling import MARGIN, EndpointChoice
+from savorydyke.scheduling import MARGIN, EndpointChoice, is_stale
 
 MAX_RECENT = 20_000
 RECENT_S = 600.0
@@ -62,11 +62,14 @@
     ----------
     rank : int or None
         Rank of the request by tier and urgency; None if it did not wait.
+    age_s : float or None
+        Time from the request's arrival at its frontend until the decision.
     """
 
     frontend: InstanceId
     answer: Grant | Refuse
     rank: int | None = None
+    age_s: float | None = None
 
 
 @dataclass(frozen=True)
@@ -109,6 +112,8 @@
     has_failing : bool
         Whether an endpoint is suspect, or fails often enough to become suspect when
         others recover.
+    latest_cost_s : dict of int to float
+        Cost of the latest request by rank, for those that are refused unseen.
     choice : EndpointChoice
         Chooses the endpoint of each request.
     """
@@ -127,6 +132,7 @@
     recent: OrderedDict[RequestKey, Recent] = field(default_factory=OrderedDict)
     expiry: list[tuple[float, RequestKey, int]] = field(default_factory=list)
     has_failing: bool = False
+    latest_cost_s: dict[int, float] = field(default_factory=dict)
     choice: EndpointChoice = field(init=False)
 
     def __post_init__(self) -> None:
@@ -220,9 +226,12 @@
     # Requests
 
     def acquire(
-        self, message: Acquire, frontend: InstanceId, now: float
+        self, message: Acquire, frontend: InstanceId, now: float, inbox_s: float = 0.0
     ) -> list[Decision]:
-        """Queue a request; return the decisions that are possible at once."""
+        """Queue a request; return the decisions that are possible at once.
+
+        `inbox_s` is the time since it was received here.
+        """
         decisions = self._answer_known(message, frontend)
         if decisions is not None:
             return decisions
@@ -234,8 +243,11 @@
             ]
         if message.team not in self.manifest.teams:
             return [_deny(message, frontend, Reason.NOT_APPROVED, "unknown team")]
-        item = self._new_waiting(message, frontend, now)
+        if is_stale(message, inbox_s):
+            return [self._refuse_stale(message, frontend, now, inbox_s)]
+        item = self._new_waiting(message, frontend, now, inbox_s)
         self.capacity.shares.offered.add(item.rank, item.cost_s, now)
+        self.latest_cost_s[item.rank] = item.cost_s
         refusal = (
             self._hold_back(item, now)
             or self._admit(item, now)
@@ -245,7 +257,29 @@
             return [refusal]
         self.capacity.demand.add(item.rank, item.cost_s, now)
         self._enqueue(item)
-        return self._shed_excess(now) + self.grant_waiting(now)
+        decisions = self._shed_excess(now)
+        if self.choice.must_wait(item, now):
+            return decisions
+        return decisions + self.grant_waiting(now)
+
+    def _refuse_stale(
+        self, message: Acquire, frontend: InstanceId, now: float, inbox_s: float
+    ) -> Decision:
+        """Refuse a request that a coordinator which lags could not look at in time."""
+        ran = message.has_caller_id and self._is_warming_up(now)
+        retry_s = self.capacity.min_retry_s * (1 + RETRY_SPREAD * self.rng.random())
+        detail = "the coordinator has more requests than it can decide in time"
+        retry_ms = int(retry_s * 1000)
+        reason = Reason.OVERLOADED
+        refusal = Refuse(message.key, message.attempt, reason, detail, retry_ms, ran)
+        age_s = inbox_s + message.waited_ms / 1000
+        rank = self._rank(message)
+        self.capacity.shares.offered.add(rank, self.latest_cost_s.get(rank, 0.0), now)
+        return Decision(frontend, refusal, rank, age_s)
+
+    def _rank(self, message: Acquire) -> int:
+        urgency = min(message.urgency, URGENCIES - 1)
+        return self.manifest.rank(message.team) * URGENCIES + urgency
 
     def _hold_back(self, item: Waiting, now: float) -> Decision | None:
         """Refuse a request with a part that is held back, unless it is a trial."""
@@ -475,7 +509,7 @@
         if self.capacity.is_full(now) and self.estimates.index.usable:
             return []
         decisions: list[Decision] = []
-        self.choice.begin()
+        self.choice.begin(now)
         while True:
             decision = self._grant_next(now)
             if decision is None:
@@ -515,7 +549,7 @@
         probe = self._probe(item, now)
         first_ms = int(load.running[item.key].predicted_first_s * 1000)
         grant = Grant(item.key, item.attempt, load.id, False, probe, first_ms)
-        return Decision(item.frontend, grant, item.base_rank())
+        return Decision(item.frontend, grant, item.base_rank(), item.age_s(now))
 
     def _probe(self, item: Waiting, now: float) -> tuple[EndpointId, ...]:
         """Return the endpoints to check for an earlier run, during the warm-up."""
@@ -545,7 +579,7 @@
             retry_s *= 1 + RETRY_SPREAD * self.rng.random()
         retry_ms = -1 if retry_s is None else int(retry_s * 1000)
         refusal = Refuse(item.key, item.attempt, reason, detail, retry_ms, ran)
-        return Decision(item.frontend, refusal, item.base_rank())
+        return Decision(item.frontend, refusal, item.base_rank(), item.age_s(now))
 
     def _answer_known(
         self, message: Acquire, frontend: InstanceId
@@ -592,30 +626,30 @@
     # Admission
 
     def _new_waiting(
-        self, message: Acquire, frontend: InstanceId, now: float
+        self, message: Acquire, frontend: InstanceId, now: float, inbox_s: float
     ) -> Waiting:
         team = self.manifest.teams[message.team]
+        sent = now - inbox_s
         item = Waiting(
             key=message.key,
             attempt=message.attempt,
             frontend=frontend,
             team=message.team,
-            rank=self.manifest.rank(message.team) * URGENCIES
-            + min(message.urgency, URGENCIES - 1),
+            rank=self._rank(message),
             weight=team.weight,
             prompt_tokens=message.prompt_tokens,
             output_tokens=message.output_tokens,
             prefix=message.prefix,
             allowed=self.manifest.reachable(message.team, self.pool),
             avoid=frozenset(message.avoid),
-            deadline=now + message.deadline_ms / 1000,
+            deadline=sent + message.deadline_ms / 1000,
             arrived=now,
             cost_s=0.0,
             has_caller_id=message.has_caller_id,
             objective=math.inf
             if message.objective_ms < 0
-            else now + message.objective_ms / 1000,
-            abandon_at=now
+            else sent + message.objective_ms / 1000,
+            abandon_at=sent
             + (
                 message.deadline_ms
                 if message.abandon_after_ms < 0
@@ -625,6 +659,7 @@
             quota_tokens=message.quota_tokens,
             suspects=message.suspects,
             version=message.version,
+            waited_s=inbox_s + message.waited_ms / 1000,
         )
         item.forecast = self.estimates.forecast(item, now)
         item.cost_s = item.forecast.cost_s
--- a/src/savorydyke/scheduling/_endpoint_choice.py
+++ b/src/savorydyke/scheduling/_endpoint_choice.py
@@ -7,13 +7,13 @@
 """
 
 import math
-from dataclasses import dataclass, field
+from collections.abc import Hashable
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from savorydyke._endpoint_load import EndpointLoad
 from savorydyke._fair_queue import Waiting
 from savorydyke._ids import EndpointId, RequestKey
-from savorydyke.scheduling._endpoint_index import GroupKey
 
 if TYPE_CHECKING:
     from savorydyke._capacity import Capacity
@@ -43,7 +43,7 @@
 CLASSES_PER_DOUBLING = 4
 """Requests of a large pool whose sizes differ by less than a fifth share results."""
 
-Size = tuple[GroupKey, int, int] | RequestKey
+Size = tuple[Hashable, ...] | RequestKey
 
 
 @dataclass(frozen=True)
@@ -104,20 +104,42 @@
         Requests for which endpoints were compared after this message.
     without_capacity : set
         Sizes for which no endpoint has capacity, since the latest grant.
+    waiting : dict of Size to float
+        Sizes that wait although nothing is blocked for them, with the latest deadline
+        for which that holds, since the latest grant.
+    scanned, scanned_mark : float and int
+        When the waiting requests were considered last, and the state of the index.
     """
 
     capacity: "Capacity"
     results: dict[Size, Result] = field(default_factory=dict)
     looks: int = 0
     without_capacity: set[Size] = field(default_factory=set)
+    waiting: dict[Size, float] = field(default_factory=dict)
+    scanned: float = -math.inf
+    scanned_mark: int = -1
 
-    def begin(self) -> None:
+    def must_wait(self, item: Waiting, now: float) -> bool:
+        """Return whether a new request waits because those of its size do already."""
+        if now - self.scanned > RESULT_S:
+            return False
+        if self.capacity.updated_index(now).mark != self.scanned_mark:
+            return False
+        return self._size(item) in self.without_capacity
+
+    def begin(self, now: float) -> None:
         """Begin with the waiting requests after a message."""
         self.looks = 0
-        self.without_capacity.clear()
+        self.scanned = now
+        self.scanned_mark = self.capacity.updated_index(now).mark
+        self._forget_scan()
         if len(self.results) > MAX_RESULTS:
             self.results.clear()
 
+    def _forget_scan(self) -> None:
+        self.without_capacity.clear()
+        self.waiting.clear()
+
     def choose(
         self, item: Waiting, blocked: set[EndpointId], now: float
     ) -> EndpointLoad | None:
@@ -128,39 +150,69 @@
         size = self._size(item)
         if size in self.without_capacity:
             return None
+        if self.capacity.estimates.index.usable <= LARGE_POOL:
+            load = self._choose_of_all(item, size, blocked, now)
+        else:
+            load = self._choose_of_some(item, size, blocked, now)
+        if load is not None:
+            self._forget_scan()
+        return load
+
+    def _choose_of_all(
+        self, item: Waiting, size: Size, blocked: set[EndpointId], now: float
+    ) -> EndpointLoad | None:
+        """Return the best endpoint of a small pool, or None."""
+        loads = self.capacity.estimates.candidates(item, now)
+        best, busy, full = self._compare(item, loads, blocked)
+        blocked |= full
+        if best is None:
+            self.without_capacity.add(size)
+            return None
+        return None if _is_worth_waiting(item, best, busy, now) else best.load
+
+    def _choose_of_some(
+        self, item: Waiting, size: Size, blocked: set[EndpointId], now: float
+    ) -> EndpointLoad | None:
+        """Return a good endpoint of a large pool, or None."""
+        is_first = not blocked
+        if is_first and item.deadline <= self.waiting.get(size, -math.inf):
+            return None
         known = self.results.get(size)
         loads = self._to_compare_again(known, item, blocked, now) if known else None
-        if known is None or loads is None:
+        if loads is None:
             known = None
             if self.looks >= MAX_CLOSE_LOOKS:
                 return None
             self.looks += 1
             loads = self.capacity.estimates.candidates(item, now)
-        ignored = frozenset(blocked)
+        result = known or Result(
+            now, -1, None, frozenset(), frozenset(blocked), math.inf, False
+        )
         best, busy, full = self._compare(item, loads, blocked)
-        if known is not None:
-            busy = _faster(busy, known.busy) if known.busy else busy
-            full |= known.blocked.difference([load.id for load in loads])
+        if result.busy is not None:
+            busy = _faster(busy, result.busy)
+        full |= result.blocked.difference([load.id for load in loads])
         blocked |= full
         if best is not None and not _is_worth_waiting(item, best, busy, now):
-            self.without_capacity.clear()
             return best.load
-        if best is None and not (known and known.has_option):
-            self.without_capacity.add(size)
-        if known is not None and not loads:
-            return None
-        is_late = best is not None and MARGIN * best.total_s > item.deadline - now
-        self.results[size] = Result(
-            known.made if known else now,
-            self.capacity.estimates.index.mark,
-            busy,
-            frozenset(full),
-            known.ignored if known else ignored,
-            item.deadline if is_late else math.inf,
-            best is not None or (known is not None and known.has_option),
-        )
+        if best is not None:
+            is_late = MARGIN * best.total_s > item.deadline - now
+            deadline = item.deadline if is_late else math.inf
+            deadline = min(result.deadline, deadline)
+            result = replace(result, deadline=deadline, has_option=True)
+        if loads:
+            mark = self.capacity.estimates.index.mark
+            result = replace(result, mark=mark, busy=busy, blocked=frozenset(full))
+        self._keep(size, result, is_first)
         return None
 
+    def _keep(self, size: Size, result: Result, is_first: bool) -> None:
+        self.results[size] = result
+        if not result.has_option:
+            self.without_capacity.add(size)
+        if is_first:
+            self.waiting[size] = result.deadline
+
     def _size(self, item: Waiting) -> Size:
         """Return what requests that can share a result have in common."""
         if item.size is None:
@@ -173,7 +225,7 @@
         prompt, output = item.prompt_tokens, self.capacity.estimates.output(item)
         key = (item.allowed, item.version)
         if self.capacity.estimates.index.usable <= LARGE_POOL:
-            return key, prompt, output + item.output_tokens * 1_000_000
+            return key, prompt, output, item.output_tokens, item.frontend
         return key, _size_class(prompt), _size_class(output)
 
     def _to_compare_again(
--- /dev/null
+++ b/src/savorydyke/scheduling/_inbox.py
@@ -0,0 +1,101 @@
+"""Messages of frontends that wait for the processor of their coordinator.
+
+It answers a coordinator that gets more messages than it can process, in a burst of
+twice its load for some seconds: without an order each decision comes later than the
+one before, until all are too late. What frees slots goes first, and requests that have
+waited here for too great a part of their objective are refused without being looked at.
+
+Times are seconds on the local monotonic clock and are passed in.
+"""
+
+import heapq
+from collections import deque
+from dataclasses import dataclass, field
+
+from savorydyke._ids import InstanceId, RequestKey
+from savorydyke._messages import Acquire, Register, Release, Started, Withdraw
+
+STALE_SHARE = 0.1
+"""Part of a request's objective after which it is refused if the coordinator lags. A
+refusal has to reach its caller within a quarter of the objective."""
+LAG_S = 0.02
+"""Time in the inbox from which the coordinator lags."""
+
+PoolMessage = Acquire | Register | Release | Started | Withdraw
+
+
+@dataclass(frozen=True)
+class Received:
+    """A message, its sender and when it was received."""
+
+    at: float
+    sender: InstanceId
+    message: PoolMessage
+
+
+@dataclass
+class Inbox:
+    """Messages that were received and not processed yet.
+
+    Attributes
+    ----------
+    reports : deque of Received
+        All messages but requests for grants, in order.
+    acquires : dict of RequestKey to Received
+        Requests for grants.
+    due : list of tuple
+        Heap of the times at which these become stale, with a number and the key.
+    """
+
+    reports: deque[Received] = field(default_factory=deque)
+    acquires: dict[RequestKey, Received] = field(default_factory=dict)
+    due: list[tuple[float, int, RequestKey]] = field(default_factory=list)
+    number: int = 0
+
+    def __len__(self) -> int:
+        return len(self.reports) + len(self.acquires)
+
+    def put(self, sender: InstanceId, message: PoolMessage, now: float) -> None:
+        """Add a message; a withdrawal also removes its request from here."""
+        received = Received(now, sender, message)
+        if isinstance(message, Acquire):
+            self.number += 1
+            self.acquires[message.key] = received
+            due = (now + stale_after_s(message), self.number, message.key)
+            heapq.heappush(self.due, due)
+            return
+        if isinstance(message, Withdraw):
+            waiting = self.acquires.get(message.key)
+            if waiting is not None and waiting.sender == sender:
+                del self.acquires[message.key]
+        self.reports.append(received)
+
+    def take(self) -> Received | None:
+        """Return the message to process next, None if there is none.
+
+        Requests come in the order in which they become stale.
+        """
+        if self.reports:
+            return self.reports.popleft()
+        while self.due:
+            _, _, key = heapq.heappop(self.due)
+            received = self.acquires.pop(key, None)
+            if received is not None:
+                return received
+        return None
+
+
+def stale_after_s(message: Acquire) -> float:
+    """Return the time after which a request has waited too long."""
+    left_ms = message.objective_ms
+    if left_ms < 0:
+        left_ms = message.deadline_ms
+    waited_s = message.waited_ms / 1000
+    return STALE_SHARE * (left_ms / 1000 + waited_s) - waited_s
+
+
+def is_stale(message: Acquire, inbox_s: float) -> bool:
+    """Return whether a request has waited too long at a coordinator that lags."""
+    if inbox_s < LAG_S or message.resume_only:
+        return False
+    return inbox_s > stale_after_s(message)
--- a/src/savorydyke_bench/_coordinator_load.py
+++ b/src/savorydyke_bench/_coordinator_load.py
@@ -13,7 +13,9 @@
 import pstats
 import random
 import time
+import zlib
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -78,6 +80,8 @@
         Processor time of each message, by kind.
     returned : set of RequestKey
         Requests whose callers have come back after a refusal.
+    first_at : dict of RequestKey to float
+        When the first event of each granted request comes.
     """
 
     scheduler: PoolScheduler
@@ -90,7 +94,8 @@
     )
     kinds: dict[RequestKey, Kind] = field(default_factory=dict)
     returned: set[RequestKey] = field(default_factory=set)
-    in_time: int = 0
+    first_at: dict[RequestKey, float] = field(default_factory=dict)
+    granted: int = 0
     refused: int = 0
 
     def schedule(self, at: float, what: str, value: Any) -> None:
@@ -98,11 +103,11 @@
         heapq.heappush(self.events, (at, next(self.sequence), what, value))
 
 
-def _frontend(key: RequestKey) -> InstanceId:
-    return InstanceId(f"instance-{hash(key) % FRONTENDS}")
+def frontend(key: RequestKey) -> InstanceId:
+    return InstanceId(f"instance-{zlib.crc32(key.encode()) % FRONTENDS}")
 
 
-def _acquire(key: RequestKey, kind: Kind, left_s: float) -> Acquire:
+def acquire(key: RequestKey, kind: Kind, left_s: float) -> Acquire:
     return Acquire(
         key=key,
         attempt=1,
@@ -122,8 +127,22 @@
     )
 
 
-def new_load(endpoints: int, load: float, seconds: float, seed: int) -> Load:
-    """Return a coordinator and the arrivals of a load."""
+def new_load(
+    endpoints: int,
+    load: float,
+    seconds: float,
+    seed: int,
+    burst: Callable[[float], float] = lambda at: 1.0,
+) -> Load:
+    """Return a coordinator and the arrivals of a load.
+
+    Parameters
+    ----------
+    load : float
+        Multiple of what the endpoints can answer.
+    burst : callable
+        Returns a further multiple at a time.
+    """
     value = manifest_value(TEAMS, 1, endpoints)
     value["tiers"] = [{"name": "tier-0"}]
     for team in value["teams"]:
@@ -143,7 +162,7 @@
     scale = load * capacity / sum(kind.per_s for kind in KINDS)
     for index, kind in enumerate(KINDS):
         at = 0.0
-        while (at := at + rng.expovariate(kind.per_s * scale)) < seconds:
+        while (at := at + rng.expovariate(kind.per_s * scale * burst(at))) < seconds:
             # A few teams send most requests.
             team = int(TEAMS * rng.random() ** 2)
             key = RequestKey(f"team-{team}/{index}-{at:.9f}")
@@ -176,21 +195,22 @@
         started = clock()
         if what == "acquire":
             key, left_s = value
-            message = _acquire(key, load.kinds[key], left_s)
+            message = acquire(key, load.kinds[key], left_s)
             started = clock()
-            decisions = scheduler.acquire(message, _frontend(key), now)
+            decisions = scheduler.acquire(message, frontend(key), now)
         elif what == "started":
             decisions = scheduler.started(value, now)
         elif what == "release":
-            decisions = scheduler.release(value, _frontend(value.key), now)
+            decisions = scheduler.release(value, frontend(value.key), now)
         else:
             decisions = scheduler.tick(now)
         load.spent_s[what].append(clock() - started)
         for decision in decisions:
-            _follow(load, decision, now)
+            follow(load, decision, now)
 
 
-def _follow(load: Load, decision: Decision, now: float) -> None:
+def follow(load: Load, decision: Decision, now: float) -> None:
+    """Send a granted request to its endpoint; let a refused caller come back."""
     answer = decision.answer
     kind = load.kinds[answer.key]
     if isinstance(answer, Refuse):
@@ -204,7 +224,8 @@
     assert isinstance(answer, Grant)
     factor = load.factor[answer.endpoint] * load.rng.uniform(0.8, 1.25)
     first_s, decode_s = _first_s(kind, factor), _decode_s(kind, factor)
-    load.in_time += 1
+    load.first_at[answer.key] = now + first_s
+    load.granted += 1
     started = Started(answer.key, POOL, int(first_s * 1000))
     load.schedule(now + first_s, "started", started)
     release = Release(
@@ -237,7 +258,7 @@
         total_s = sum(map(sum, load.spent_s.values()))
         typer.echo(
             f"{endpoints} endpoints, load {factor}: {'; '.join(parts)}; "
-            f"{total_s / seconds:.3f} core; granted {load.in_time},"
+            f"{total_s / seconds:.3f} core; granted {load.granted},"
             f" refused {load.refused}"
         )
         if profile:
