--- a/src/savorydyke/_estimates.py
+++ b/src/savorydyke/_estimates.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from savorydyke._endpoint_load import EndpointLoad, Running
 from savorydyke._fair_queue import Forecast, Waiting
@@ -141,23 +141,43 @@
         In a large pool requests of about the same size share them for a moment.
         """
         output = self.output(item)
-        if len(self.endpoints) <= MAX_FREE + MAX_FULL or item.prefix:
-            return self._forecast(item, item.prompt_tokens, output)
+        if len(self.endpoints) <= MAX_FREE + MAX_FULL:
+            loads = self.open_endpoints(item)
+            return self._forecast(item, loads, item.prompt_tokens, output)
+        known = self._known_forecast(item, output, now)
+        holding = self.prefixes.holding(item.prefix, MAX_HOLDING)
+        names = self.index.group((item.allowed, item.version)).names
+        loads = [self.endpoints[name] for name in holding if name in names]
+        loads = [load for load in loads if not load.is_closed()]
+        if not loads:
+            return known
+        best = self._forecast(item, loads, item.prompt_tokens, output)
+        return Forecast(
+            min(known.least_s, best.least_s),
+            min(known.least_first_s, best.least_first_s),
+            known.cost_s,
+        )
+
+    def _known_forecast(self, item: Waiting, output: int, now: float) -> Forecast:
+        """Return the forecast for a size, without what is kept of a prompt."""
         prompt, output = _class_size(item.prompt_tokens), _class_size(output)
         size = ((item.allowed, item.version), prompt, output)
         made, known = self.forecasts.get(size, (-math.inf, None))
         if known is None or now - made > FORECAST_S:
             if len(self.forecasts) > MAX_FORECASTS:
                 self.forecasts.clear()
-            known = self._forecast(item, prompt, output)
+            loads = self.open_endpoints(item)
+            known = self._forecast(replace(item, prefix=()), loads, prompt, output)
             self.forecasts[size] = (now, known)
         return known
 
-    def _forecast(self, item: Waiting, prompt: int, output: int) -> Forecast:
+    def _forecast(
+        self, item: Waiting, loads: list[EndpointLoad], prompt: int, output: int
+    ) -> Forecast:
         least_s = least_first_s = math.inf
         rate = 0.0
         count = 0
-        for load in self.open_endpoints(item):
+        for load in loads:
             uncached = self.uncached(load, item) if item.prefix else max(1, prompt)
             prefill_s = load.prefill_s(uncached)
             decode_s = output / load.decode_tokens_per_s
