--- a/features/decisions_under_load.feature
+++ b/features/decisions_under_load.feature
@@ -12,6 +12,10 @@
     Given an inbox with a request, a release and another request that is stale first
     Then the release is taken first and the request that is stale first next
 
+  Scenario: Requests of two frontends with one key are both answered
+    Given an inbox with requests of two frontends with one key, of which one withdraws
+    Then only the request of the other is taken, after the withdrawal
+
   Scenario: Earlier builds get no fields that they refuse
     Given a request for a grant with the time that it has waited
     Then a frame for an earlier build has only the fields that it knows
--- a/features/steps/decisions_under_load_steps.py
+++ b/features/steps/decisions_under_load_steps.py
@@ -14,6 +14,7 @@
     Refuse,
     Release,
     Started,
+    Withdraw,
     decode,
     encode,
 )
@@ -163,6 +164,24 @@
     assert context.inbox.take() is None
 
 
+@given("an inbox with requests of two frontends with one key, of which one withdraws")
+def same_key(context):
+    context.inbox = Inbox()
+    message = acquire(RequestKey("team-0/a"), KINDS[0], 10.0)
+    for entry in ("a", "b"):
+        context.inbox.put(InstanceId(entry), message, 1.0)
+    context.inbox.put(InstanceId("b"), Withdraw(message.key, POOL), 1.0)
+
+
+@then("only the request of the other is taken, after the withdrawal")
+def other_taken(context):
+    # Guards against a request that replaces that of another frontend, unanswered.
+    taken = [context.inbox.take() for _ in range(3)]
+    assert isinstance(taken[0].message, Withdraw)
+    assert taken[1].sender == "a"
+    assert taken[2] is None
+
+
 @given("a request for a grant with the time that it has waited")
 def waited_request(context):
     message = acquire(RequestKey("team-0/a"), KINDS[0], 10.0)
--- a/src/savorydyke/scheduling/_inbox.py
+++ b/src/savorydyke/scheduling/_inbox.py
@@ -21,6 +21,7 @@
 LAG_S = 0.02
 """Time in the inbox from which the coordinator lags."""
 
+Place = tuple[InstanceId, RequestKey]
 PoolMessage = Acquire | Register | Release | Started | Withdraw
 
 
@@ -41,15 +42,15 @@
     ----------
     reports : deque of Received
         All messages but requests for grants, in order.
-    acquires : dict of RequestKey to Received
-        Requests for grants.
+    acquires : dict
+        Requests for grants, by sender and key. Two frontends may ask for one key.
     due : list of tuple
-        Heap of the times at which these become stale, with a number and the key.
+        Heap of the times at which these become stale, with a number and their place.
     """
 
     reports: deque[Received] = field(default_factory=deque)
-    acquires: dict[RequestKey, Received] = field(default_factory=dict)
-    due: list[tuple[float, int, RequestKey]] = field(default_factory=list)
+    acquires: dict[Place, Received] = field(default_factory=dict)
+    due: list[tuple[float, int, Place]] = field(default_factory=list)
     number: int = 0
 
     def __len__(self) -> int:
@@ -60,14 +61,13 @@
         received = Received(now, sender, message)
         if isinstance(message, Acquire):
             self.number += 1
-            self.acquires[message.key] = received
-            due = (now + stale_after_s(message), self.number, message.key)
+            place = (sender, message.key)
+            self.acquires[place] = received
+            due = (now + stale_after_s(message), self.number, place)
             heapq.heappush(self.due, due)
             return
         if isinstance(message, Withdraw):
-            waiting = self.acquires.get(message.key)
-            if waiting is not None and waiting.sender == sender:
-                del self.acquires[message.key]
+            self.acquires.pop((sender, message.key), None)
         self.reports.append(received)
 
     def take(self) -> Received | None:
@@ -78,8 +78,8 @@
         if self.reports:
             return self.reports.popleft()
         while self.due:
-            _, _, key = heapq.heappop(self.due)
-            received = self.acquires.pop(key, None)
+            _, _, place = heapq.heappop(self.due)
+            received = self.acquires.pop(place, None)
             if received is not None:
                 return received
         return None
