--- a/features/steps/pace_decisions.py
+++ b/features/steps/pace_decisions.py
@@ -38,12 +38,9 @@
 from savorydyke._request_limits import RequestLimits
 from savorydyke._routed_handler import RoutedHandler
 from savorydyke.platform import (
-    InstanceRecord,
     parse_load_report,
     parse_request_headers,
     parse_response_headers,
-    read_instance,
-    write_instance,
 )
 from savorydyke.scheduling import (
     UNKNOWN_RATIO,
@@ -192,29 +189,25 @@
 @case("paces pass between builds that know them and builds that do not")
 def _():
     asked = acquire("a", prefix=(7, 8), prefix_tokens=(60, 900), max_output_tokens=9)
-    (known,) = decode(encode([asked], optional_fields=False))
+    (known,) = decode(encode([asked], is_extensible=False))
     assert known == replace(asked, prefix=(), prefix_tokens=(), max_output_tokens=0)
     blocks = acquire("a", prefix=(7, 8))
-    assert decode(encode([blocks], optional_fields=False)) == [blocks]
+    assert decode(encode([blocks], is_extensible=False)) == [blocks]
     grant = Grant("k", 1, "e", False, (), 5, 60)
     assert decode(encode([asked, grant])) == [asked, grant]
-    (known,) = decode(encode([grant], optional_fields=False))
+    (known,) = decode(encode([grant], is_extensible=False))
     assert known == replace(grant, cached_tokens=0)
     started = Started("k", POOL, 5, "s", "v", 250, 3)
     release = Release("k", 1, POOL, "e", ReleaseResult.COMPLETE, 9, 8, 7, 250, 3)
     for message, length in ((started, 5), (release, 8)):
         assert decode(encode([message])) == [message]
-        ((_, *fields),) = cbor2.loads(encode([message], optional_fields=False))
+        ((_, *fields),) = cbor2.loads(encode([message], is_extensible=False))
         assert len(fields) == length
-        (known,) = decode(encode([message], optional_fields=False))
+        (known,) = decode(encode([message], is_extensible=False))
         assert known == replace(message, pace_percent=0, pace_age_ms=0)
         ((tag, *fields),) = cbor2.loads(encode([message]))
         # From a later build.
         assert decode(cbor2.dumps([[tag, *fields, "more"]])) == [message]
-    row = InstanceRecord("i", "127.0.0.1:1", "a")
-    assert read_instance("i", write_instance(row)).reads_optional
-    earlier = b'{"address": "127.0.0.1:1", "data_centre": "a"}'
-    assert not read_instance("i", earlier).reads_optional
 
 
 MEMORY = 100_000
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -52,7 +52,7 @@
 from savorydyke._metrics import Metrics
 from savorydyke._overload import Overload
 from savorydyke._peers import Peers
-from savorydyke._pool_host import PoolHost
+from savorydyke._pool_host import PoolHost, tier_of
 from savorydyke._pool_scheduler import PoolScheduler
 from savorydyke._quarantine import Quarantine
 from savorydyke._quota import Quotas, Tolerance, fallback_quota
@@ -318,7 +318,6 @@
         self.membership.listed = {r.id for r in records}
         self.membership.weights |= {r.id: r.cores for r in records}
         self.pool_host.reporting = {r.id for r in records if r.reports_quotas}
-        self.peers.reading_optional = {r.id for r in records if r.reads_optional}
 
     def _adapt_to_fleet_size(self) -> int:
         """Set intervals and timeouts according to the size of the fleet.
@@ -604,6 +603,9 @@
         endpoints_report=False,
         configure_scheduler=lambda scheduler: _configure_scheduler(gateway, scheduler),
         on_takeover=lambda scheduler: _on_takeover(gateway, scheduler),
+        on_decided=lambda scheduler, decision: metrics.observe_decision(
+            tier_of(scheduler, decision.rank or 0), decision.age_s
+        ),
     )
     quota_balances = QuotaBalances(
         store,
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -255,6 +255,8 @@
     prefix_tokens : tuple of int
         Tokens of the prompt up to each digest in `prefix`, if that is of named parts;
         empty if it is of blocks. Earlier builds do not know it, and get no such prefix.
+    waited_ms : int
+        Time from the request's arrival at the frontend until the message was sent.
     """
 
     key: RequestKey
@@ -280,6 +282,7 @@
     version: SoftwareVersion = UNKNOWN_VERSION
     max_output_tokens: int = 0
     prefix_tokens: tuple[int, ...] = ()
+    waited_ms: int = 0
 
 
 @dataclass(frozen=True)
@@ -462,33 +465,39 @@
     | QuotaPush
     | StreamPush
 )
+_FIRST_FIELDS: dict[type, int] = {
+    Acquire: 21,
+    Grant: 6,
+    Refuse: 6,
+    Started: 5,
+    Release: 8,
+}
+"""Number of fields that the builds know which do not ignore others."""
 _NESTED = (MemberRow, RunningRow, LossRow, LimitRow)
-_EARLIER_FIELDS: dict[type, int] = {Acquire: 21, Grant: 6, Started: 5, Release: 8}
-"""Numbers of fields of earlier builds. Only peers whose records say that they know
-optional fields are sent more. What is absent has its default, and what a later build
-adds is ignored."""
 _TAGS = {kind: tag for tag, kind in enumerate(get_args(Message))}
 _KINDS = {tag: kind for kind, tag in _TAGS.items()}
 
 Check = Callable[[Any], Any]
 
 
-def encode(messages: Iterable[Message], optional_fields: bool = True) -> bytes:
+def encode(messages: Iterable[Message], is_extensible: bool = True) -> bytes:
     """Return one frame with `messages`.
 
     Parameters
     ----------
-    optional_fields : bool
-        Whether the peer knows the fields that earlier builds do not have.
+    is_extensible : bool
+        Whether the peer ignores fields that it does not know; to earlier builds, which
+        refuse them, later fields are not sent.
     """
     rows = []
     for message in messages:
-        if not optional_fields and isinstance(message, Acquire):
+        kind = type(message)
+        if is_extensible:
+            rows.append([_TAGS[kind], *_plain(message)])
+            continue
+        if isinstance(message, Acquire):
             message = _without_parts(message)
-        values = _plain(message)
-        if not optional_fields:
-            values = values[: _EARLIER_FIELDS.get(type(message))]
-        rows.append([_TAGS[type(message)], *values])
+        rows.append([_TAGS[kind], *_plain(message)[: _FIRST_FIELDS.get(kind)]])
     return cbor2.dumps(rows)
 
 
@@ -515,7 +524,11 @@
 
 
 def _plain(message: Any) -> list[Any]:
-    return [_plain_value(value) for value in message.__dict__.values()]
+    plan = _PLANS[type(message)]
+    values = [*message.__dict__.values()]
+    for index in plan.special:
+        values[index] = _plain_value(values[index])
+    return values
 
 
 def _plain_value(value: Any) -> Any:
@@ -534,12 +547,25 @@
 
 
 def _build(kind: type, values: list) -> Any:
-    checks = _CHECKS[kind]
-    if kind in _EARLIER_FIELDS and len(values) >= _EARLIER_FIELDS[kind]:
-        return kind(*[check(v) for check, v in zip(checks, values, strict=False)])
-    if len(values) != len(checks):
-        raise ProtocolError(f"{kind.__name__} has {len(values)} fields")
-    return kind(*[check(v) for check, v in zip(checks, values, strict=True)])
+    plan = _PLANS[kind]
+    count, known = len(values), len(plan.names)
+    if count != known:
+        least = _FIRST_FIELDS.get(kind, known)
+        if count < least or (count > known and kind in _NESTED):
+            raise ProtocolError(f"{kind.__name__} has {count} fields")
+        # Later fields may be absent, and those of later builds are ignored.
+        values = [*values[:known], *plan.defaults[count:]]
+    if [*map(type, values)] != plan.types:
+        raise ProtocolError(f"{kind.__name__} has a field of the wrong type")
+    for index in plan.integers:
+        if abs(values[index]) > MAX_INTEGER:
+            raise ProtocolError("an integer of more than 64 bits")
+    for index, check in plan.special.items():
+        values[index] = check(values[index])
+    # A frozen dataclass sets its fields one by one, which takes most of the time.
+    message: Any = object.__new__(kind)
+    message.__dict__.update(zip(plan.names, values, strict=True))
+    return message
 
 
 def _exactly(expected: type) -> Check:
@@ -596,11 +622,52 @@
     return _exactly(hint)
 
 
-def _checks_of(kind: type) -> list[Check]:
-    hints = get_type_hints(kind)
-    return [_check_for(hints[item.name]) for item in fields(kind)]
+@dataclass(frozen=True)
+class Plan:
+    """How the fields of a message are checked and converted.
+
+    Attributes
+    ----------
+    types : list of type
+        Types of the fields as they are decoded.
+    integers : list of int
+        Places of the integers.
+    special : dict of int to callable
+        Places of arrays and values of enumerations, and how they are read.
+    defaults : list
+        Values of the fields that may be absent, as they are encoded.
+    """
 
+    names: list[str]
+    types: list[type]
+    integers: list[int]
+    special: dict[int, Check]
+    defaults: list[Any]
 
-_CHECKS: dict[type, list[Check]] = {
-    kind: _checks_of(kind) for kind in (*get_args(Message), *_NESTED)
+
+def _plan_of(kind: type) -> Plan:
+    hints = get_type_hints(kind)
+    plan = Plan([], [], [], {}, [])
+    for index, item in enumerate(fields(kind)):
+        hint = _base_type(hints[item.name])
+        is_array = get_origin(hint) is tuple or hint in _NESTED
+        is_member = isinstance(hint, type) and issubclass(hint, Enum)
+        plan.names.append(item.name)
+        plan.types.append(list if is_array else str if is_member else hint)
+        plan.defaults.append([] if is_array else item.default)
+        if is_array or is_member:
+            plan.special[index] = _check_for(hint)
+        elif hint is int:
+            plan.integers.append(index)
+    return plan
+
+
+def _base_type(hint: Any) -> Any:
+    while isinstance(hint, NewType):
+        hint = hint.__supertype__
+    return hint
+
+
+_PLANS: dict[type, Plan] = {
+    kind: _plan_of(kind) for kind in (*get_args(Message), *_NESTED)
 }
--- a/src/savorydyke/scheduling/__init__.py
+++ b/src/savorydyke/scheduling/__init__.py
@@ -8,6 +8,7 @@
     OutputTail,
     coordinator_tokens,
 )
+from savorydyke.scheduling._inbox import Inbox, PoolMessage, Received, is_stale
 from savorydyke.scheduling._pace import EndpointPace, PaceReports
 from savorydyke.scheduling._prompt_cache import (
     DEFAULT_REUSE_S,
@@ -28,11 +29,15 @@
     "EndpointPace",
     "FallbackMemory",
     "GroupKey",
+    "Inbox",
     "OutputTail",
     "PaceReports",
+    "PoolMessage",
     "PromptCache",
+    "Received",
     "SlotOverlap",
     "chained_parts",
     "coordinator_tokens",
+    "is_stale",
     "is_worth_waiting",
 ]
