Judge endpoint versions on trial, within a bounded allowance

This adds the control without I/O: a judge that compares both versions by route (failures, late first events, slowness beside the machines of the old version), an allowance that is reserved before it is used, the stages, and the hooks in the pool scheduler.

--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -684,4 +684,5 @@
         first_s=ENGINE_FIRST_S if is_engine else 0.0,
         started_ms=record.started_ms,
         version=record.version,
+        warm_up_s=record.warm_up_s,
     )
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -1,5 +1,6 @@
 """State of one endpoint at the coordinator of its pool: credits, speed, health."""
 
+import math
 import random
 from bisect import bisect_left
 from collections import deque
@@ -8,7 +9,13 @@
 
 from savorydyke._backoff import backoff_s
 from savorydyke._fair_queue import Waiting
-from savorydyke._ids import EndpointId, InstanceId, RequestKey, TeamId
+from savorydyke._ids import (
+    EndpointId,
+    InstanceId,
+    RequestKey,
+    SoftwareVersion,
+    TeamId,
+)
 from savorydyke._manifest import Endpoint, PoolKind
 from savorydyke._messages import RunningRow
 from savorydyke._rejections import FRESH_S, RejectionGuard
@@ -74,6 +81,8 @@
     is_verified : bool
         Whether its frontend has or will have reported its end here. False after
         another instance has been the coordinator.
+    objective : float
+        Time by which the first byte is due, if it was granted here.
     """
 
     key: RequestKey
@@ -92,6 +101,7 @@
     expected_first_s: float = 0.0
     overdue_s: float = 0.0
     is_verified: bool = True
+    objective: float = math.inf
 
 
 @dataclass
@@ -119,6 +129,9 @@
         Until when it gets nothing if it is suspect.
     suspect : bool
         Whether that share is high, and higher than at most other endpoints.
+    held, ended : bool
+        Whether a roll-out gives it nothing new, and whether no streams go on there
+        either.
     external : deque of int
         Requests in recent load reports beyond those granted here.
     paused_until : dict of InstanceId to float
@@ -153,6 +166,8 @@
     paused_until: dict[InstanceId, float] = field(default_factory=dict)
     allowance: RequestAllowance | None = None
     rejections: RejectionGuard | None = None
+    held: bool = False
+    ended: bool = False
     external: deque[int] = field(default_factory=lambda: deque(maxlen=REPORTS_KEPT))
 
     @property
@@ -164,8 +179,24 @@
         """Return whether the endpoint is leaving, removed or drained."""
         return self.leaving or self.removed or self.spec.drained
 
+    def takes(self, version: SoftwareVersion) -> bool:
+        """Return whether a roll-out lets a request go to this endpoint.
+
+        Parameters
+        ----------
+        version : SoftwareVersion
+            The one that the request must have, as its stream goes on; else empty.
+        """
+        if not version:
+            return not self.held
+        return version == self.spec.version and not self.ended
+
     def usable(self, now: float) -> bool:
         """Return whether new work may go to this endpoint."""
+        return not self.held and self.is_serving(now)
+
+    def is_serving(self, now: float) -> bool:
+        """Return whether the endpoint itself takes new work."""
         if self.is_closed():
             return False
         if now < self.open_until or self.is_paused(None, now):
@@ -291,6 +322,7 @@
         if isinstance(request, Waiting):
             item.quota_tokens = request.quota_tokens
             item.arrived = request.arrived
+            item.objective = request.objective
         item.expected_first_s = item.predicted_first_s / self.prefill_factor
         self.running[item.key] = item
         self.tokens += item.prompt_tokens + item.output_tokens
--- a/src/savorydyke/_estimates.py
+++ b/src/savorydyke/_estimates.py
@@ -39,14 +39,15 @@
 
     def usable_count(self) -> int:
         """Return the number of endpoints that are open to new work."""
-        return sum(not load.is_closed() for load in self.endpoints.values())
+        loads = self.endpoints.values()
+        return sum(not load.is_closed() and not load.held for load in loads)
 
     def open_endpoints(self, item: Waiting) -> list[EndpointLoad]:
         """Return the open endpoints that a request may use, now or later."""
         return [
             load
             for load in self._reachable(item)
-            if not load.is_closed() and item.version in {"", load.spec.version}
+            if not load.is_closed() and load.takes(item.version)
         ]
 
     def _reachable(self, item: Waiting) -> list[EndpointLoad]:
@@ -75,7 +76,7 @@
             and load.takes_request(now)
         ]
         # If none is usable, an endpoint that may fail is better than a refusal.
-        loads = [load for load in open_loads if load.usable(now)] or open_loads
+        loads = [load for load in open_loads if load.is_serving(now)] or open_loads
         if not item.avoid:
             return loads
         untried = [load for load in loads if load.id not in item.avoid]
--- a/src/savorydyke/_manifest.py
+++ b/src/savorydyke/_manifest.py
@@ -117,6 +117,8 @@
         Start of its process in Unix milliseconds, 0 if unknown.
     version : SoftwareVersion
         Version of its software. Streams go on only at the one that began them.
+    warm_up_s : float
+        For how much longer it was slow when it was listed, since it had just started.
     """
 
     id: EndpointId
@@ -134,6 +136,7 @@
     first_s: float = 0.0
     started_ms: int = 0
     version: SoftwareVersion = UNKNOWN_VERSION
+    warm_up_s: float = 0.0
 
     @property
     def process(self) -> ProcessId:
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -35,6 +35,7 @@
 )
 from savorydyke._quota import Quotas
 from savorydyke._retry_budget import RetryBudget
+from savorydyke.rollouts import RolloutControl
 
 MAX_RECENT = 20_000
 RECENT_S = 600.0
@@ -118,6 +119,8 @@
         Tokens that the calling teams may use.
     retry_budget : RetryBudget or None
         Limits retries of requests; None for no limit.
+    rollout : RolloutControl or None
+        Decides which software versions get requests; None without an order.
     quarantine : Quarantine
         Requests and parts of prompts that are held back.
     placed : dict of RequestKey to EndpointId
@@ -138,6 +141,7 @@
     request_trials_enabled: bool = True
     quotas: Quotas = field(default_factory=Quotas)
     retry_budget: RetryBudget | None = None
+    rollout: RolloutControl | None = None
     quarantine: Quarantine = field(default_factory=Quarantine)
     placed: dict[RequestKey, EndpointId] = field(default_factory=dict)
     recent: OrderedDict[RequestKey, Recent] = field(default_factory=OrderedDict)
@@ -177,6 +181,8 @@
             self.endpoints[name] = new_load(spec, kind)
         for name, load in self.endpoints.items():
             load.removed = name not in specs
+        if self.rollout is not None:
+            self.rollout.observe(self.endpoints.values(), now)
         return self._recheck_access(now) + self.grant_waiting(now)
 
     def _end_process(self, load: EndpointLoad, now: float) -> None:
@@ -328,7 +334,10 @@
         load = self.endpoints.get(self.placed.get(message.key, EndpointId("")))
         if load is None:
             return []
-        load.start(load.running[message.key], message.first_byte_ms / 1000)
+        item, first_byte_s = load.running[message.key], message.first_byte_ms / 1000
+        if self.rollout is not None and not item.started:
+            self.rollout.record_first(load, item, first_byte_s, now)
+        load.start(item, first_byte_s)
         return self.grant_waiting(now)
 
     def release(
@@ -359,8 +368,12 @@
             load.pause(item.frontend, message.pause_ms / 1000, now, self.rng)
         load.remove(item.key)
         self.placed.pop(item.key, None)
+        if self.rollout is not None and result not in _NOT_RUN:
+            self.rollout.record_end(load, item, message, now)
         if result in _NOT_RUN:
             self._refund(item)
+            if self.rollout is not None and result is not ReleaseResult.REJECTED:
+                self.rollout.record_unsent(load, now)
             if load.allowance is not None and result is not ReleaseResult.REJECTED:
                 load.allowance.give_back()
             if result is ReleaseResult.UNREACHABLE:
@@ -506,10 +519,26 @@
 
         Endpoints without capacity for it are added to `blocked`.
         """
+        rollout = self.rollout
+        if rollout is not None and not item.version and rollout.draws_new(now):
+            loads = rollout.new_loads(item.avoid, now)
+            load = self._choose_of(item, loads, set(), now)
+            if load is not None:
+                return load
+        return self._choose_of(item, self.estimates.candidates(item, now), blocked, now)
+
+    def _choose_of(
+        self,
+        item: Waiting,
+        loads: list[EndpointLoad],
+        blocked: set[EndpointId],
+        now: float,
+    ) -> EndpointLoad | None:
+        """Return the best of some endpoints, or None if the request has to wait."""
         best = busy = None
         output = self.estimates.output(item)
         tokens = item.prompt_tokens + item.output_tokens
-        for load in self.estimates.candidates(item, now):
+        for load in loads:
             if load.id in blocked:
                 continue
             uncached = self.estimates.uncached(load, item)
@@ -556,6 +585,8 @@
         self.estimates.prefixes.add(load.id, item.prefix)
         if load.allowance is not None:
             load.allowance.take(now)
+        if self.rollout is not None:
+            self.rollout.record_granted(load, now)
         probe = self._probe(item, now)
         first_ms = int(load.running[item.key].predicted_first_s * 1000)
         grant = Grant(item.key, item.attempt, load.id, False, probe, first_ms)
