Keep roll-outs in the store and follow them at all instances

Orders, statuses and our records are watched by every instance. The coordinator of a pool changes the record by compare-and-swap; frontends that place requests themselves send nothing to a version on trial and, from the drain on, nothing to the old ones.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -33,3 +33,18 @@
       | in a burst that slows both        |
       | of three endpoints                |
       | with few requests                 |
+
+  Scenario Outline: Instances and endpoints as processes
+    Then the roll-out case "<case>" holds
+
+    Examples:
+      | case |
+      | a good version gets everything in time, the old one nothing |
+      | a version that fails is reverted |
+      | a version that is slow is reverted |
+      | a version that no endpoint runs is reverted at the deadline |
+      | a roll-out goes on when its coordinator is killed in the trial |
+      | a bad version is reverted when its coordinator is killed in the trial |
+      | a roll-out goes on when its coordinator is killed in the drain |
+      | a roll-out goes on when the store is restored from a copy |
+      | a version whose order is withdrawn is reverted |
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -2,10 +2,15 @@
 
 import os
 
+import trio
 from behave import then
+from rollout_cases import CASES
 from rollout_simulation import Simulation
 
 from savorydyke.rollouts import Stage
+from savorydyke_standins._routed_site import open_site
+
+CASE_TIMEOUT_S = 40
 
 SEEDS = int(os.environ.get("ROLLOUT_SEEDS", "2"))
 """Seeds of each kind of version; thousands are played before a change of the judge."""
@@ -94,3 +99,13 @@
         assert play.ended_at < play.within_s - 0.5, detail(play)
         assert play.over_limit == 0, detail(play)
         assert play.old_running_at_end == 0, detail(play)
+
+
+@then('the roll-out case "{name}" holds')
+def process_case(context, name):
+    async def play():
+        with trio.fail_after(CASE_TIMEOUT_S):
+            async with open_site(name) as site:
+                await CASES[name](site)
+
+    trio.run(play)
--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -56,6 +56,7 @@
     endpoint_of_key,
     evidence_of_key,
     instance_of_key,
+    pool_of_rollout_key,
     read_configuration,
     read_endpoint,
     read_instance,
@@ -156,6 +157,10 @@
         Called with an instance and the evidence that it has written.
     version_listeners, stream_listeners : list of callable
         Called with a pool and a record of its software versions, or of streams.
+    rollout_keys : set of str
+        Keys of roll-outs that the store holds.
+    rollout_listeners : list of callable
+        Called with each change of such a key.
     """
 
     store: Store
@@ -197,6 +202,8 @@
     stream_listeners: list[Callable[[PoolId, bytes], None]] = field(
         default_factory=list
     )
+    rollout_keys: set[str] = field(default_factory=set)
+    rollout_listeners: list[Callable[[Change], None]] = field(default_factory=list)
 
     @property
     def version(self) -> int:
@@ -254,6 +261,8 @@
         instances = {instance_of_key(item.key) for item in listing.items}
         for instance in self.instances.keys() - instances:
             del self.instances[instance]
+        for key in self.rollout_keys - {item.key for item in listing.items}:
+            self._apply_rollout(Change(key, None, listing.revision))
         self._confirm(sent)
         self.loaded = True
         for listener in self.listing_listeners:
@@ -455,9 +464,21 @@
         if instance is not None:
             self._apply_instance(instance, change.value)
             return
+        if pool_of_rollout_key(change.key) is not None:
+            self._apply_rollout(change)
+            return
         if change.value is not None:
             self._apply_shared_record(change.key, change.value)
 
+    def _apply_rollout(self, change: Change) -> None:
+        """Pass on a change of an order, a status or a record of a roll-out."""
+        if change.value is None:
+            self.rollout_keys.discard(change.key)
+        else:
+            self.rollout_keys.add(change.key)
+        for listener in self.rollout_listeners:
+            listener(change)
+
     def _apply_shared_record(self, key: str, value: bytes) -> None:
         """Pass on what an instance has written for all others."""
         writer = evidence_of_key(key)
--- a/src/savorydyke/_forwarded_requests.py
+++ b/src/savorydyke/_forwarded_requests.py
@@ -198,7 +198,7 @@
         except BadRequestHeadError:
             channel.close()
             return ForwardResult.REJECTED
-        if why := self.check.why_not(endpoint):
+        if why := self.check.why_not(endpoint, bool(info.last_event_id)):
             channel.close()
             log.info("Not sent.", extra={"endpoint": endpoint.id, "why": why})
             return ForwardResult.UNUSABLE
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -52,7 +52,7 @@
 from savorydyke._metrics import Metrics
 from savorydyke._overload import Overload
 from savorydyke._peers import Peers
-from savorydyke._pool_host import PoolHost
+from savorydyke._pool_host import HostedPool, PoolHost
 from savorydyke._pool_scheduler import PoolScheduler
 from savorydyke._quarantine import Quarantine
 from savorydyke._quota import Quotas, Tolerance, fallback_quota
@@ -70,6 +70,7 @@
 from savorydyke._timers import TimerService
 from savorydyke._timing import watch_pause_s
 from savorydyke.platform import InstanceRecord, Store
+from savorydyke.rollouts._keeper import Rollouts
 
 HEARTBEAT_INTERVAL_S = 0.25
 DEAD_AFTER_S = 0.9
@@ -103,6 +104,8 @@
         Writes the records of this instance and of the fleet.
     stream_records : StreamRecords
         Keeps the software versions of streams in the store.
+    rollouts : Rollouts
+        The roll-outs of endpoint versions that operators order.
     fallback_quotas : Quotas
         This instance's part of what may be used without a loan, for requests that it
         places because the coordinator does not respond.
@@ -158,6 +161,7 @@
     overload: Overload
     store_records: StoreRecords
     stream_records: StreamRecords
+    rollouts: Rollouts
     stopping: bool = False
     announced_version: int = 0
     announced_evidence: tuple[int, ...] = ()
@@ -527,6 +531,7 @@
             lambda endpoint: (
                 self.states.is_unusable(endpoint, now)
                 or not self._allows_fallback(endpoint, now)
+                or self.rollouts.bars_fallback(manifest.endpoints[endpoint], manifest)
             ),
             in_flight,
             self.membership.id,
@@ -660,7 +665,18 @@
         overload,
         store_records,
         StreamRecords(store, pool_host.versions, pool_host.route_pools, membership),
+        Rollouts(
+            store,
+            membership,
+            settings.bounds.trial,
+            rng,
+            metrics,
+            lambda pool: _scheduler(pool_host.host(pool)),
+            lambda pool: _scheduler(pool_host.hosted.get(pool)),
+            directory.is_store_complete,
+        ),
     )
+    directory.rollout_listeners.append(gateway.rollouts.receive)
     links.listeners.append(lambda is_cut_off: _note_cut_off(gateway, is_cut_off))
     limits.listeners.append(gateway.apply_limit)
     rejections.listeners.append(gateway.apply_rejection_limit)
@@ -698,6 +714,10 @@
     return gateway
 
 
+def _scheduler(hosted: HostedPool | None) -> PoolScheduler | None:
+    return hosted.scheduler if hosted is not None else None
+
+
 def _configure_scheduler(gateway: Gateway, scheduler: PoolScheduler) -> None:
     """Set a new scheduler's quotas and retry budget from the settings."""
     bounds = gateway.settings.bounds
@@ -713,6 +733,7 @@
     scheduler.quotas.tolerance = _tolerance(gateway)
     scheduler.quotas.limits = _limits_of_teams(gateway.directory)
     gateway.quota_balances.hosted.set()
+    gateway.rollouts.attach(scheduler)
 
 
 def _note_cut_off(gateway: Gateway, is_cut_off: bool) -> None:
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -60,7 +60,7 @@
     gateway = new_gateway(settings, store, log_buffer)
     async with trio.open_nursery() as nursery:
         observer = EndpointObserver(gateway.states, gateway.limits, gateway.rejections)
-        check = SendCheck(gateway.states, gateway.directory)
+        check = SendCheck(gateway.states, gateway.directory, gateway.rollouts)
         late_answers = LateAnswers(observer, nursery)
         handler = RoutedHandler(
             settings.instance,
@@ -134,6 +134,8 @@
         nursery.start_soon(gateway.quota_reports.run, gateway.timers)
         nursery.start_soon(gateway.shared_evidence.run, gateway.timers)
         nursery.start_soon(gateway.stream_records.run, gateway.timers)
+        nursery.start_soon(gateway.rollouts.run_ticks, gateway.timers)
+        nursery.start_soon(gateway.rollouts.run_writes)
         nursery.start_soon(gateway.run_heartbeats)
         nursery.start_soon(gateway.tell_next_coordinators)
         nursery.start_soon(gateway.peers.maintain_links)
--- a/src/savorydyke/_gateway_settings.py
+++ b/src/savorydyke/_gateway_settings.py
@@ -7,6 +7,7 @@
 from savorydyke._findings import Fields, Findings, read_document
 from savorydyke._ids import DataCentreId, InstanceId
 from savorydyke._timing import REVOKE_MARGIN_S, ApplyBounds, shortest_bound_s
+from savorydyke.rollouts import TrialBounds
 
 EDGES = "routed"
 """Value of ``edges`` that identifies settings of a gateway."""
@@ -30,6 +31,8 @@
         quota, and a number of tokens on top.
     quota_window_s : float
         Length of the sliding window in which use of the quota is counted.
+    trial : TrialBounds
+        What a bad version may get in a roll-out.
     """
 
     apply: ApplyBounds
@@ -40,6 +43,7 @@
     quota_excess: float
     quota_slack: float
     quota_window_s: float
+    trial: TrialBounds
 
 
 @dataclass(frozen=True)
@@ -145,6 +149,11 @@
         quota_excess=fields.number("quota_excess", 0),
         quota_slack=fields.number("quota_slack", 0),
         quota_window_s=fields.number("quota_window_s", 8, 0.1),
+        trial=TrialBounds(
+            share=fields.number("trial_share", 0.1),
+            slack=fields.number("trial_slack", 50),
+            rollback_s=fields.number("rollback_ms", 5000, 100) / 1000,
+        ),
     )
     fields.finish()
     return bounds
--- a/src/savorydyke/_metrics.py
+++ b/src/savorydyke/_metrics.py
@@ -16,6 +16,7 @@
 from savorydyke._ids import Outcome, Reason, TeamId, TierId
 
 SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.82, 1.5, 3, 6, 12, 30, 60)
+SLOWNESS = (0.25, 0.5, 0.75, 1, 1.5, 2, 3, 4, 6, 8, 12, 20, 50)
 EVENT_SECONDS = (0.002, 0.005, 0.01, 0.02, 0.028, 0.04, 0.06, 0.1, 0.25, 1, 5)
 
 
@@ -75,6 +76,15 @@
             "savorydyke_quota_tokens_total",
             "Tokens of requests that were sent, by who placed them.",
         )
+        self.version_answers = self._counter(
+            "savorydyke_version_answers_total",
+            "Answers during roll-outs, by pool, version and result.",
+        )
+        self.version_slowness = self._histogram(
+            "savorydyke_version_slowness",
+            "Times during roll-outs, divided by those expected.",
+            SLOWNESS,
+        )
         self.platform_calls = self._counter(
             "savorydyke_platform_calls_total", "Calls of the platform's service."
         )
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -104,6 +104,7 @@
     parse_response_headers,
     refusal_headers,
 )
+from savorydyke.rollouts import route_tag
 
 MAX_UNSENT = 3
 """Number of endpoints after which a request that could not be sent is refused."""
@@ -529,7 +530,7 @@
         request_info = request.request_info
         objective, abandon_at = request.due_times()
         return Demand(
-            key=self.new_key(request_info.request_id),
+            key=self.new_key(request_info.request_id, self._route_tag(request)),
             pool=request.pool,
             team=request.team,
             model=request_info.model,
@@ -552,10 +553,16 @@
             asked=request.asked,
         )
 
-    def new_key(self, request_id: str) -> RequestKey:
+    def _route_tag(self, request: RoutedRequest) -> str:
+        """Return the name of the route for the coordinator, if a roll-out needs it."""
+        if not self.check.rollouts.is_running(request.pool):
+            return ""
+        return f".{route_tag(request.route.name)}"
+
+    def new_key(self, request_id: str, tag: str = "") -> RequestKey:
         """Return a key that no other attempt of any instance has."""
         self.serial += 1
-        attempt = f"{self.incarnation}.{self.serial}"
+        attempt = f"{self.incarnation}.{self.serial}{tag}"
         return RequestKey(f"{self.instance}/{attempt}/{request_id}")
 
     def _required_version(self, request: RoutedRequest) -> SoftwareVersion:
@@ -626,7 +633,7 @@
         since = trio.current_time()
         while True:
             # Saves a connection; the check that counts is made when it is open.
-            if why := self.check.why_not(endpoint):
+            if why := self.check.why_not(endpoint, request.has_begun()):
                 request.unsent += 1
                 return NotRun(why)
             try:
@@ -682,7 +689,7 @@
             return "the endpoint has refused the request before"
         if self._held_back(request) is not None:
             return HELD_BACK_DETAIL
-        return self.check.why_not(endpoint)
+        return self.check.why_not(endpoint, request.has_begun())
 
     async def _send_by(
         self,
--- a/src/savorydyke/_send_check.py
+++ b/src/savorydyke/_send_check.py
@@ -12,6 +12,7 @@
 from savorydyke._directory import Directory
 from savorydyke._endpoint_states import EndpointStates
 from savorydyke._manifest import Endpoint
+from savorydyke.rollouts._keeper import Rollouts
 
 
 @dataclass
@@ -20,14 +21,17 @@
 
     states: EndpointStates
     directory: Directory
+    rollouts: Rollouts
 
-    def why_not(self, endpoint: Endpoint) -> str:
+    def why_not(self, endpoint: Endpoint, goes_on: bool) -> str:
         """Return why no request may be sent to an endpoint now, empty if one may.
 
         Parameters
         ----------
         endpoint : Endpoint
             As it was when it was chosen.
+        goes_on : bool
+            Whether the request takes up a stream that began at its version.
         """
         manifest = self.directory.manifest
         known = manifest.endpoints.get(endpoint.id) if manifest else None
@@ -39,4 +43,4 @@
             return "the endpoint leaves"
         if self.states.is_paused(endpoint.id, trio.current_time()):
             return "the endpoint has asked for a pause"
-        return ""
+        return self.rollouts.why_not(endpoint, goes_on, manifest) if manifest else ""
--- a/src/savorydyke/platform/_records.py
+++ b/src/savorydyke/platform/_records.py
@@ -2,6 +2,7 @@
 
 import json
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any
 
 from savorydyke._ids import (
@@ -32,6 +33,7 @@
     parse_json,
     shown,
 )
+from savorydyke.rollouts._records import Order, Record, Stage
 
 CONFIGURATION_KEY = "op/config"
 ENDPOINT_PREFIX = "servers/"
@@ -39,6 +41,10 @@
 EVIDENCE_PREFIX = "savorydyke/evidence/"
 STREAMS_PREFIX = "savorydyke/streams/"
 VERSIONS_PREFIX = "savorydyke/versions/"
+ORDER_PREFIX = "op/rollout/"
+STATUS_PREFIX = "status/rollout/"
+ROLLOUT_PREFIX = "savorydyke/rollouts/"
+MAX_WITHIN_S = 86_400.0
 FLEET_KEY = "savorydyke/fleet-key"
 READINESS_PATH = b"/savorydyke/readyz"
 DEFAULT_TOKENS_PER_EVENT = 1
@@ -55,6 +61,14 @@
 its longest pause between events."""
 
 
+class RolloutKey(Enum):
+    """The prefixes of keys about roll-outs, each followed by the name of a pool."""
+
+    ORDER = ORDER_PREFIX
+    STATUS = STATUS_PREFIX
+    RECORD = ROLLOUT_PREFIX
+
+
 class BadRecordError(Exception):
     """Raised when a record is invalid."""
 
@@ -165,6 +179,53 @@
     return PoolId(key[len(VERSIONS_PREFIX) :])
 
 
+def rollout_key(pool: PoolId) -> str:
+    """Return the key of our record of a pool's roll-out."""
+    return ROLLOUT_PREFIX + pool
+
+
+def rollout_status_key(pool: PoolId) -> str:
+    """Return the key of the status that operators read."""
+    return STATUS_PREFIX + pool
+
+
+def pool_of_rollout_key(key: str) -> tuple[RolloutKey, PoolId] | None:
+    """Return what a key holds of which pool's roll-out, None if it is another key."""
+    for kind in RolloutKey:
+        if key.startswith(kind.value):
+            return kind, PoolId(key[len(kind.value) :])
+    return None
+
+
+def read_order(pool: PoolId, data: bytes, order_id: str) -> Order:
+    """Return an operator's order.
+
+    Raises
+    ------
+    BadRecordError
+        If it is invalid.
+    """
+    value = _object(data)
+    if value.get("service", pool) != pool:
+        raise BadRecordError("the order names another service than its key")
+    to = value.get("to")
+    version = _version(value | {"version": to})
+    if version == UNKNOWN_VERSION:
+        raise BadRecordError("the order names no version")
+    within_s = _number(value, "within_s", 0.0, MAX_WITHIN_S)
+    if within_s <= 0:
+        raise BadRecordError("the order names no time")
+    return Order(order_id, version, within_s)
+
+
+def write_rollout_status(record: Record) -> bytes:
+    """Return the status that operators read."""
+    state = "running"
+    if record.stage.is_final():
+        state = "complete" if record.stage is Stage.COMPLETE else "reverted"
+    return json.dumps({"state": state, "to": record.to}).encode()
+
+
 def instance_key(instance: InstanceId) -> str:
     """Return the key of an instance's record."""
     return INSTANCE_PREFIX + instance
--- a/src/savorydyke/platform/_store.py
+++ b/src/savorydyke/platform/_store.py
@@ -229,6 +229,24 @@
             return LeaseExpired()
         return Written(_decode(lambda v: int(v["revision"]), answer))
 
+    async def replace(
+        self, key: str, value: bytes, revision: int
+    ) -> Written | Item | None:
+        """Write a value if the key still has a revision, 0 for no value.
+
+        Otherwise return the existing item, None if there is none.
+        """
+        item = {"key": key, "value": base64.b64encode(value).decode(), "lease": 0}
+        condition = {"key": key, "revision": revision}
+        body = {"if_rev": [condition], "writes": [item], "remove": []}
+        status, answer = await self._call(
+            "transact", "POST", "/savorydyke/kv-txn", body
+        )
+        if status == 412:
+            items = _decode(lambda v: [_item(i) for i in v["items"]], answer)
+            return items[0] if items else None
+        return Written(_decode(lambda v: int(v["revision"]), answer))
+
     async def _transact(self, body: dict[str, Any]) -> Written | LeaseExpired:
         status, value = await self._call("transact", "POST", "/savorydyke/kv-txn", body)
         if status == 404:
--- a/src/savorydyke/rollouts/_control.py
+++ b/src/savorydyke/rollouts/_control.py
@@ -17,6 +17,7 @@
 from savorydyke._endpoint_load import EndpointLoad, Running
 from savorydyke._ids import (
     EndpointId,
+    PoolId,
     ProcessId,
     ReleaseResult,
     RequestKey,
@@ -70,6 +71,8 @@
 """Least number of tokens of an answer whose pace is judged."""
 MIN_EXPECTED_S = 0.001
 
+UNKNOWN_POOL = PoolId("")
+
 log = _logs.component_logger("rollout")
 
 
@@ -124,6 +127,7 @@
     bounds: TrialBounds
     rng: random.Random
     wall_offset: float
+    pool: PoolId = UNKNOWN_POOL
     judge: Judge = field(default_factory=Judge)
     allowance: Allowance = field(init=False)
     is_withdrawn: bool = False
@@ -309,7 +313,8 @@
             Whether all frontends have told what they have in flight.
         """
         if self.record.stage.is_final():
-            self.mark(now)
+            if now - self._stage_since() < 2 * self.bounds.rollback_s:
+                self.mark(now)
             return
         if self.has_new():
             self.seen_at = now
@@ -408,6 +413,7 @@
         log.info(
             "Stage changed.",
             extra={
+                "pool": self.pool,
                 "to": self.record.to,
                 "stage": stage.value,
                 "before": before.value,
@@ -449,12 +455,26 @@
     def adopt(self, stored: Record, now: float) -> None:
         """Heed what another coordinator has stored for the same order."""
         self.allowance.adopt(stored.sent, stored.reserved)
-        if stored.begun_at and not self.record.begun_at:
-            self.record = replace(self.record, begun_at=stored.begun_at)
+        known = self.record
+        self.record = replace(
+            known,
+            ordered_at=min(known.ordered_at, stored.ordered_at),
+            begun_at=stored.begun_at or known.begun_at,
+            old=tuple(sorted({*known.old, *stored.old})),
+        )
         if stored.stage.is_after(self.record.stage):
-            self.enter(stored.stage, stored.why, now)
-            self.record = replace(self.record, stage_at=stored.stage_at)
+            before = self.record.stage
+            self.record = replace(
+                self.record,
+                stage=stored.stage,
+                stage_at=stored.stage_at,
+                why=stored.why,
+            )
+            self._set_measure()
             self.mark(now)
+            extra = {"pool": self.pool, "to": self.record.to}
+            extra |= {"stage": stored.stage.value, "before": before.value}
+            log.info("Stage followed.", extra=extra | {"why": stored.why})
 
     # State
 
--- a/src/savorydyke/rollouts/_records.py
+++ b/src/savorydyke/rollouts/_records.py
@@ -7,7 +7,7 @@
 
 import json
 import math
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from enum import Enum
 
 from savorydyke._ids import SoftwareVersion
@@ -130,6 +130,9 @@
         if before.stage is Stage.COMPLETE:
             barred.update(before.old)
     barred.discard(order.to)
+    if before is not None and before.to == order.to and not before.stage.is_final():
+        # A repeated order has a new deadline and no new allowance.
+        return replace(before, order=order, ordered_at=now, begun_at=0.0)
     return Record(order, now, Stage.TRIAL, now, barred=tuple(sorted(barred)))
 
 
