Reserve requests of a trial in small parts, and leave no trial in doubt

Cause: the first reservation took all of the allowance, so that a coordinator that was killed took most of it along; the next one saw 10 answers and moved on although 3 were bad. Now about a second's requests are reserved ahead, and a trial is not left while something speaks against the version.

--- a/features/steps/rollout_simulation.py
+++ b/features/steps/rollout_simulation.py
@@ -24,6 +24,7 @@
 SLOTS = 7
 TICK_S = 0.1
 WRITE_S = 1.0
+RESERVE_S = 0.2
 WRITE_DELAY_S = 0.03
 NOISE = 0.25
 WALL = 1_700_000_000.0
@@ -114,6 +115,7 @@
         self._push(0.0, self._arrive)
         self._push(0.0, self._tick)
         self._push(0.0, self._write)
+        self._push(0.0, self._reserve)
         while self.events and self.events[0][0] < self.within_s + 1:
             now, _, action, *what = heapq.heappop(self.events)
             action(now, *what)
@@ -139,6 +141,11 @@
         self._write_once(now)
         self._push(now + WRITE_S, self._write)
 
+    def _reserve(self, now):
+        if self.control.needs_more():
+            self._write_once(now)
+        self._push(now + RESERVE_S, self._reserve)
+
     def _write_once(self, now):
         self._push(now + WRITE_DELAY_S, self._written, self.control.proposal())
 
--- a/src/savorydyke/rollouts/_control.py
+++ b/src/savorydyke/rollouts/_control.py
@@ -46,6 +46,10 @@
 TRIAL_REQUESTS_OF_FEW = 0.6
 """Part of the requests that try the version while the allowance lasts, usually and if
 there are too few of them to judge it in time."""
+AHEAD_S = 1.0
+LEAST_AHEAD = 8
+"""Time for which requests to the version are reserved in the store, and their least
+number. What is reserved is lost when the coordinator changes."""
 SHIFT_REQUESTS = (0.3, 0.6, 1.0)
 """Parts of the requests that prefer the version, in thirds of the shift."""
 SLOW_FACTORS = {Stage.TRIAL: 1.6, Stage.SHIFT: 2.0, Stage.DRAIN: 3.0}
@@ -161,15 +165,13 @@
         """Return whether the next new request is to try the new version first."""
         stage = self.record.stage
         if stage is Stage.TRIAL:
-            part = self._trial_part(now)
+            part = self._trial_part()
             return self.allowance.allows(goes_on=False) and self.rng.random() < part
         return stage is Stage.SHIFT and self.rng.random() < self._shift_share(now)
 
-    def _trial_part(self, now: float) -> float:
+    def _trial_part(self) -> float:
         """Return the part of the requests that try the new version in the trial."""
-        passed_s = max(0.5, now + self.wall_offset - self.record.ordered_at)
-        expected = TRIAL_REQUESTS * self.allowance.sent / passed_s
-        expected *= TRIAL_SHARE_OF_TIME * self._time()
+        expected = TRIAL_REQUESTS * self._rate() * TRIAL_SHARE_OF_TIME * self._time()
         return TRIAL_REQUESTS if expected > ENOUGH_ANSWERS else TRIAL_REQUESTS_OF_FEW
 
     def _shift_share(self, now: float) -> float:
@@ -385,7 +387,7 @@
             for route, count in judge.old_by_route.items()
             if count >= BUSY_ROUTE
         )
-        if self._may_doubt(passed_s, TRIAL_SHARE_OF_TIME):
+        if judge.is_in_doubt():
             return Stage.TRIAL, ""
         if judge.answers >= MANY_ANSWERS and has_routes:
             return Stage.SHIFT, f"good: {detail}"
@@ -434,9 +436,7 @@
     def proposal(self) -> Record:
         """Return the record to store, with what is to be reserved next."""
         allowance = self.allowance
-        reserved = allowance.reserved
-        if self.record.stage is Stage.TRIAL and self.record.begun_at:
-            reserved += allowance.wanted()
+        reserved = allowance.reserved + self.reserves_next()
         score, _ = self.judge.worst()
         return replace(
             self.record,
@@ -446,6 +446,22 @@
             score=round(min(score, ALARM), 2),
         )
 
+    def reserves_next(self) -> int:
+        """Return how many requests to the version to reserve in the store now."""
+        if self.record.stage is not Stage.TRIAL or not self.record.begun_at:
+            return 0
+        ahead = max(LEAST_AHEAD, int(AHEAD_S * TRIAL_REQUESTS * self._rate()))
+        return min(self.allowance.wanted(), max(0, ahead - self.allowance.left))
+
+    def needs_more(self) -> bool:
+        """Return whether so little is left that more is to be reserved soon."""
+        return self.reserves_next() > max(LEAST_AHEAD, self.allowance.left) / 2
+
+    def _rate(self) -> float:
+        """Return the pool's requests a second since the order."""
+        latest = max(self.seen_at + self.wall_offset, self.record.ordered_at)
+        return self.allowance.sent / max(0.5, latest - self.record.ordered_at)
+
     def accept(self, stored: Record, now: float) -> None:
         """Note that a proposal has been stored, so that its reservation counts."""
         if self.record.order.id == stored.order.id:
--- a/src/savorydyke/rollouts/_keeper.py
+++ b/src/savorydyke/rollouts/_keeper.py
@@ -330,6 +330,8 @@
             state.stored.old
         ):
             return True
+        if state.control is not None and state.control.needs_more():
+            return True
         is_due = trio.current_time() - state.written_at >= COUNT_INTERVAL_S
         return is_due and not proposal.stage.is_final() and proposal != state.stored
 
