--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -48,3 +48,20 @@
       | a roll-out goes on when its coordinator is killed in the drain |
       | a roll-out goes on when the store is restored from a copy |
       | a version whose order is withdrawn is reverted |
+      | a roll-out goes on when the store is out for a while |
+      | a roll-out goes on when its coordinator stands still |
+      | streams go on at the version that began them |
+
+  Scenario Outline: Orders, records and counts
+    Then the roll-out decision "<decision>" holds
+
+    Examples:
+      | decision |
+      | a record is read as it was written |
+      | a record or an order that is garbage is rejected |
+      | several coordinators together stay within the bound |
+      | an end in the store wins over one in memory |
+      | a stage never goes back to one in a copy of the store |
+      | a changed order leaves a version on trial without requests |
+      | a repeated order has no new allowance |
+      | the route of a request stands in its key |
--- a/features/steps/rollout_cases.py
+++ b/features/steps/rollout_cases.py
@@ -3,10 +3,14 @@
 import base64
 import json
 import random
+import signal
 
 import trio
+from routed_cases import StreamTraffic, versioned
 from upgrade_cases import ask_at, names_by_score, wait_linked
 
+from savorydyke_standins._store import Mode
+
 WITHIN_S = 8.0
 PAUSE_S = 0.12
 """Pause of each caller; twelve callers make about 60 requests a second."""
@@ -106,7 +110,7 @@
             path = paths[number % len(paths)]
             try:
                 answer = await ask_at(self.site, daemon, path)
-            except (OSError, trio.BrokenResourceError):
+            except (OSError, trio.BrokenResourceError, trio.TooSlowError):
                 continue
             self.answered += answer.status == 200
             # A busy machine makes instances refuse requests, with or without orders.
@@ -257,3 +261,60 @@
     await rollout.play(withdraw)
     rollout.check_reverted()
     assert rollout.read_record()["why"] == "the order was withdrawn"
+
+
+@rollout_case("a roll-out goes on when the store is out for a while")
+async def _(site):
+    rollout = Rollout(site)
+    await rollout.start(working())
+
+    async def outage():
+        await rollout.reach("trial")
+        await trio.sleep(1.0)
+        site.store.mode = Mode.SILENT
+        await trio.sleep(1.5)
+        site.store.mode = Mode.OK
+
+    await rollout.play(outage)
+    rollout.check_complete()
+
+
+@rollout_case("a roll-out goes on when its coordinator stands still")
+async def _(site):
+    rollout = Rollout(site)
+    await rollout.start(working())
+
+    async def pause():
+        await rollout.reach("trial")
+        await trio.sleep(0.5)
+        process = site.daemons[0].process
+        process.send_signal(signal.SIGSTOP)
+        await rollout.reach("complete")
+        process.send_signal(signal.SIGCONT)
+        await trio.sleep(1.0)
+
+    await rollout.play(pause)
+    rollout.refused.clear()
+    rollout.check_complete()
+    assert rollout.stage() == "complete"
+
+
+@rollout_case("streams go on at the version that began them")
+async def _(site):
+    for version in ("v1", "v2"):
+        for number in range(2):
+            script = versioned(version)
+            name = f"{version}-{number}"
+            await site.endpoint(name, "engines", script, version=version)
+    value = {"service": "engines", "to": "v2", "within_s": WITHIN_S}
+    site.store.put("op/rollout/engines", value)
+    for number in range(2):
+        await site.daemon(f"instance-{number}")
+    traffic = StreamTraffic(site)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(traffic.run, 30)
+        await trio.sleep(2.0)
+        site.endpoints["v1-0"].crash()
+    mixed = [versions for versions, _, _ in traffic.streams if len(versions) > 1]
+    assert not mixed, mixed
+    assert any(taken_up for _, _, taken_up in traffic.streams)
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -5,6 +5,7 @@
 import trio
 from behave import then
 from rollout_cases import CASES
+from rollout_decisions import DECISIONS
 from rollout_simulation import Simulation
 
 from savorydyke.rollouts import Stage
@@ -109,3 +110,8 @@
                 await CASES[name](site)
 
     trio.run(play)
+
+
+@then('the roll-out decision "{name}" holds')
+def decision_case(context, name):
+    DECISIONS[name]()
--- a/src/savorydyke/rollouts/_control.py
+++ b/src/savorydyke/rollouts/_control.py
@@ -326,6 +326,9 @@
             for item in load.running.values():
                 self._judge_overdue(load, item, now)
         self._note_idle(now, is_settled)
+        is_due = now >= self._deadline() - END_MARGIN_S
+        if not is_settled and not is_due:
+            return
         stage, why = self._next_stage(now)
         if stage is not self.record.stage:
             self.enter(stage, why, now)
@@ -478,7 +481,10 @@
             begun_at=stored.begun_at or known.begun_at,
             old=tuple(sorted({*known.old, *stored.old})),
         )
-        if stored.stage.is_after(self.record.stage):
+        # What the store holds as the end was decided first, for instance while this
+        # process stood still.
+        is_other_end = stored.stage.is_final() and stored.stage is not self.record.stage
+        if is_other_end or stored.stage.is_after(self.record.stage):
             before = self.record.stage
             self.record = replace(
                 self.record,
