Run the tasks of roll-outs only while there is one; add gauges

Without an order the keeper waits for one, and the candidates of a request cost no call per endpoint. savorydyke_rollout shows stage, counts and evidence by pool.

--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -179,16 +179,8 @@
         """Return whether the endpoint is leaving, removed or drained."""
         return self.leaving or self.removed or self.spec.drained
 
-    def takes(self, version: SoftwareVersion) -> bool:
-        """Return whether a roll-out lets a request go to this endpoint.
-
-        Parameters
-        ----------
-        version : SoftwareVersion
-            The one that the request must have, as its stream goes on; else empty.
-        """
-        if not version:
-            return not self.held
+    def continues(self, version: SoftwareVersion) -> bool:
+        """Return whether streams that began at a version may go on here."""
         return version == self.spec.version and not self.ended
 
     def usable(self, now: float) -> bool:
--- a/src/savorydyke/_estimates.py
+++ b/src/savorydyke/_estimates.py
@@ -44,11 +44,11 @@
 
     def open_endpoints(self, item: Waiting) -> list[EndpointLoad]:
         """Return the open endpoints that a request may use, now or later."""
-        return [
-            load
-            for load in self._reachable(item)
-            if not load.is_closed() and load.takes(item.version)
-        ]
+        loads = self._reachable(item)
+        if item.version:
+            loads = [load for load in loads if load.continues(item.version)]
+            return [load for load in loads if not load.is_closed()]
+        return [load for load in loads if not load.held and not load.is_closed()]
 
     def _reachable(self, item: Waiting) -> list[EndpointLoad]:
         """Return the endpoints that a request's team may use, in order of name.
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -410,6 +410,7 @@
         }
         for kind, value in values.items():
             self.metrics.state.set({"kind": kind}, value)
+        self.rollouts.update_gauges()
 
     def pools(self) -> list[PoolId]:
         """Return the pools of the configuration."""
--- a/src/savorydyke/_metrics.py
+++ b/src/savorydyke/_metrics.py
@@ -91,6 +91,10 @@
         self.store_seconds = self._histogram(
             "savorydyke_store_call_seconds", "Time of calls of the platform's store."
         )
+        self.rollout = self._gauge(
+            "savorydyke_rollout",
+            "Stage, counts and evidence of the pool's latest roll-out, by kind.",
+        )
         self.state = self._gauge(
             "savorydyke_state",
             "Revision, members, waiting, in flight and peer traffic, by kind.",
--- a/src/savorydyke/rollouts/_keeper.py
+++ b/src/savorydyke/rollouts/_keeper.py
@@ -119,6 +119,8 @@
         Whether the store has all changes that it acknowledged.
     wakeup : trio.Event
         Set when something is to be written.
+    changed : trio.Event
+        Set when the store has something new, and replaced then.
     """
 
     store: Store
@@ -131,6 +133,7 @@
     is_store_complete: Callable[[], bool]
     pools: dict[PoolId, PoolState] = field(default_factory=dict)
     wakeup: trio.Event = field(default_factory=trio.Event)
+    changed: trio.Event = field(default_factory=trio.Event)
 
     # What the store holds
 
@@ -152,6 +155,8 @@
             extra = {"key": change.key[:MAX_SHOWN], "error": shown(error)}
             log.warning("Roll-out unreadable.", extra=extra)
         self.wakeup.set()
+        self.changed.set()
+        self.changed = trio.Event()
 
     def _receive_order(self, pool: PoolId, state: PoolState, change: Change) -> None:
         if change.value is None:
@@ -248,10 +253,25 @@
 
     async def run_ticks(self, timers: TimerService) -> None:
         """Change stages when it is time, until cancelled."""
-        async with timers.every(TICK_S) as ticks:
-            async for _ in ticks:
-                for pool, state in list(self.pools.items()):
-                    self._tick(pool, state, trio.current_time())
+        while True:
+            while not self._is_active():
+                await self.changed.wait()
+            async with timers.every(TICK_S) as ticks:
+                async for _ in ticks:
+                    for pool, state in list(self.pools.items()):
+                        self._tick(pool, state, trio.current_time())
+                    if not self._is_active():
+                        break
+
+    def _is_active(self) -> bool:
+        """Return whether a roll-out has not ended, or has ended only just now."""
+        return any(
+            not record.stage.is_final()
+            or time.time() - record.stage_at < 3 * self.bounds.rollback_s
+            or not self._is_stored(state)
+            for state in self.pools.values()
+            if (record := state.latest()) is not None
+        )
 
     def _tick(self, pool: PoolId, state: PoolState, now: float) -> None:
         record = state.latest()
@@ -277,6 +297,8 @@
         """Write records and statuses of the pools coordinated here, until cancelled."""
         is_failing = False
         while True:
+            while not self._is_active():
+                await self.changed.wait()
             with trio.move_on_after(RETRY_S):
                 await self.wakeup.wait()
             self.wakeup = trio.Event()
@@ -311,6 +333,10 @@
     def _is_stored(self, state: PoolState) -> bool:
         record = state.latest()
         assert record is not None
+        is_cleared = state.order is None or state.is_order_gone
+        if is_cleared and record.stage.is_final() and not state.status:
+            # Operators may remove what has ended.
+            return True
         status = write_rollout_status(record)
         return self._has_stage(state, record) and state.status == status
 
@@ -358,6 +384,25 @@
             self._receive_record(pool, state, change)
         log.info("Roll-out changed elsewhere.", extra={"pool": pool})
 
+    def update_gauges(self) -> None:
+        """Set the gauges of roll-outs to the current values."""
+        for pool, state in self.pools.items():
+            record = state.latest()
+            if record is None:
+                continue
+            values: dict[str, float] = {
+                stage.value: int(record.stage is stage) for stage in Stage
+            }
+            control = state.control
+            if control is not None:
+                values["requests"] = control.allowance.sent
+                values["reserved"] = control.allowance.reserved
+                values["answers"] = control.judge.answers
+                values["bad"] = control.judge.bad
+                values["score"], _ = control.judge.worst()
+            for kind, value in values.items():
+                self.metrics.rollout.set({"pool": pool, "kind": kind}, value)
+
     # What other parts ask
 
     def is_running(self, pool: PoolId) -> bool:
