--- a/src/savorydyke/_estimates.py
+++ b/src/savorydyke/_estimates.py
@@ -71,7 +71,10 @@
     def open_endpoints(self, item: Waiting) -> list[EndpointLoad]:
         """Return the open endpoints that a request may use, now or later."""
         members = self.index.group((item.allowed, item.version)).members
-        return [load for load in members if not load.is_closed()]
+        if item.version:
+            members = [load for load in members if load.continues(item.version)]
+            return [load for load in members if not load.is_closed()]
+        return [load for load in members if not load.held and not load.is_closed()]
 
     def candidates(self, item: Waiting, now: float) -> list[EndpointLoad]:
         """Return the endpoints to which a request may go now.
@@ -93,7 +96,7 @@
                 if not (load.paused_until and load.is_paused(item.frontend, now))
                 and load.takes_request(now)
             ]
-            loads = [load for load in loads if load.usable(now)] or loads
+            loads = [load for load in loads if load.is_serving(now)] or loads
         if not item.avoid:
             return loads
         untried = [load for load in loads if load.id not in item.avoid]
--- a/src/savorydyke/_gateway_settings.py
+++ b/src/savorydyke/_gateway_settings.py
@@ -7,6 +7,7 @@
 from savorydyke._findings import Fields, Findings, read_document
 from savorydyke._ids import DataCentreId, InstanceId
 from savorydyke._timing import REVOKE_MARGIN_S, ApplyBounds, shortest_bound_s
+from savorydyke.rollouts import TrialBounds
 from savorydyke.scheduling import DEFAULT_REUSE_S
 
 EDGES = "routed"
@@ -33,6 +34,8 @@
         Length of the sliding window in which use of the quota is counted.
     prefix_reuse_s : float
         Time since its last use in which a prompt part counts as held by an endpoint.
+    trial : TrialBounds
+        What a bad version may get in a roll-out.
     """
 
     apply: ApplyBounds
@@ -43,6 +46,7 @@
     quota_excess: float
     quota_slack: float
     quota_window_s: float
+    trial: TrialBounds
     prefix_reuse_s: float = DEFAULT_REUSE_S
 
 
@@ -154,6 +158,11 @@
         quota_slack=fields.number("quota_slack", 0),
         quota_window_s=fields.number("quota_window_s", 8, 0.1),
         prefix_reuse_s=fields.number("prefix_reuse_s", DEFAULT_REUSE_S),
+        trial=TrialBounds(
+            share=fields.number("trial_share", 0.1),
+            slack=fields.number("trial_slack", 50),
+            rollback_s=fields.number("rollback_ms", 5000, 100) / 1000,
+        ),
     )
     fields.finish()
     return bounds
--- a/src/savorydyke/_manifest.py
+++ b/src/savorydyke/_manifest.py
@@ -119,6 +119,8 @@
         Start of its process in Unix milliseconds, 0 if unknown.
     version : SoftwareVersion
         Version of its software. Streams go on only at the one that began them.
+    warm_up_s : float
+        For how much longer it was slow when it was listed, since it had just started.
     """
 
     id: EndpointId
@@ -137,6 +139,7 @@
     started_ms: int = 0
     version: SoftwareVersion = UNKNOWN_VERSION
     memory_tokens: int = 0
+    warm_up_s: float = 0.0
 
     @property
     def process(self) -> ProcessId:
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -42,6 +42,7 @@
 )
 from savorydyke._quota import Quotas
 from savorydyke._retry_budget import RetryBudget
+from savorydyke.rollouts import RolloutControl
 from savorydyke.scheduling import MANY_CACHED, MARGIN, EndpointChoice, is_stale
 
 MAX_RECENT = 20_000
@@ -101,6 +102,8 @@
         Tokens that the calling teams may use.
     retry_budget : RetryBudget or None
         Limits retries of requests; None for no limit.
+    rollout : RolloutControl or None
+        Decides which software versions get requests; None without an order.
     quarantine : Quarantine
         Requests and parts of prompts that are held back.
     data_centre_of : callable
@@ -131,6 +134,7 @@
     request_trials_enabled: bool = True
     quotas: Quotas = field(default_factory=Quotas)
     retry_budget: RetryBudget | None = None
+    rollout: RolloutControl | None = None
     quarantine: Quarantine = field(default_factory=Quarantine)
     data_centre_of: Callable[[InstanceId], str] = field(default=lambda frontend: "")
     placed: dict[RequestKey, EndpointId] = field(default_factory=dict)
@@ -180,6 +184,8 @@
             load.removed = name not in specs
         memories = [spec.memory_tokens for spec in specs.values()]
         self.estimates.largest_memory = max(memories) if all(memories or [0]) else 0
+        if self.rollout is not None:
+            self.rollout.observe(self.endpoints.values(), now)
         self.estimates.index.clear()
         self.capacity.updated_index(now)
         return self._recheck_access(now) + self.grant_waiting(now)
@@ -367,6 +373,8 @@
         item, first_s = load.running[message.key], message.first_byte_ms / 1000
         if item.held_first_s and not item.started:
             self.estimates.prompts.learn(first_s < item.held_first_s)
+        if self.rollout is not None and not item.started:
+            self.rollout.record_first(load, item, first_s, now)
         load.start(item, first_s)
         return self.grant_waiting(now)
 
@@ -401,15 +409,10 @@
         if message.pace_percent:
             load.report_pace(message.pace_percent, message.pace_age_ms, now)
         if result in _NOT_RUN:
-            self._refund(item)
-            if load.allowance is not None and result is not ReleaseResult.REJECTED:
-                load.allowance.give_back()
-            if result is ReleaseResult.UNREACHABLE:
-                load.record_connection_failure(now, self.rng)
-                self.estimates.forget_cached(load.id)
-            if result is ReleaseResult.REJECTED:
-                load.record_rejection(now)
+            self._finish_not_run(load, item, now, result)
             return
+        if self.rollout is not None:
+            self.rollout.record_end(load, item, message, now)
         self._remember_finished(item.key, load.id, now)
         if result in {ReleaseResult.TRUNCATED, ReleaseResult.FAILED}:
             load.record_failed_answer(now, self.rng)
@@ -422,6 +425,21 @@
             load.learn_decode(message.output_tokens, message.decode_ms / 1000, now)
             self.estimates.learn_output(item, message.output_tokens)
 
+    def _finish_not_run(
+        self, load: EndpointLoad, item: Running, now: float, result: ReleaseResult
+    ) -> None:
+        self._refund(item)
+        if result is ReleaseResult.REJECTED:
+            load.record_rejection(now)
+            return
+        if self.rollout is not None:
+            self.rollout.record_unsent(load, now)
+        if load.allowance is not None:
+            load.allowance.give_back()
+        if result is ReleaseResult.UNREACHABLE:
+            load.record_connection_failure(now, self.rng)
+            self.estimates.forget_cached(load.id)
+
     def _mark_suspects(self) -> None:
         loads = self.endpoints.values()
         mark_suspects(loads)
@@ -558,6 +576,12 @@
         self, item: Waiting, blocked: set[EndpointId], now: float
     ) -> EndpointLoad | None:
         """Return the endpoint for a request, or None if it has to wait."""
+        rollout = self.rollout
+        if rollout is not None and not item.version and rollout.draws_new(now):
+            loads = rollout.new_loads(item.avoid, now)
+            load = self.choice.choose_of(item, loads, now)
+            if load is not None:
+                return load
         return self.choice.choose(item, blocked, now)
 
     def _grant(self, item: Waiting, load: EndpointLoad, now: float) -> Decision:
@@ -570,6 +594,8 @@
         self.estimates.record_placed(load, item, uncached, now)
         if load.allowance is not None:
             load.allowance.take(now)
+        if self.rollout is not None:
+            self.rollout.record_granted(load, now)
         probe = self._probe(item, now)
         first_ms = int(load.running[item.key].predicted_first_s * 1000)
         cached = max(0, item.prompt_tokens - uncached) if item.prefix_tokens else 0
--- a/src/savorydyke/scheduling/_endpoint_choice.py
+++ b/src/savorydyke/scheduling/_endpoint_choice.py
@@ -168,6 +168,15 @@
             self._forget_scan()
         return load
 
+    def choose_of(
+        self, item: Waiting, loads: list[EndpointLoad], now: float
+    ) -> EndpointLoad | None:
+        """Return the best of some endpoints, or None if none is good enough."""
+        best, busy, _ = self._compare(item, loads, set(), now)
+        if best is None or _is_worth_waiting(item, best, busy, now):
+            return None
+        return best.load
+
     def _choose_of_all(
         self, item: Waiting, size: Size, blocked: set[EndpointId], now: float
     ) -> EndpointLoad | None:
--- a/src/savorydyke/scheduling/_endpoint_index.py
+++ b/src/savorydyke/scheduling/_endpoint_index.py
@@ -190,7 +190,7 @@
                 heapq.heappush(self.wakeups, (due, load.id))
         time_s = load.total_s(int(self.usual_uncached), int(self.usual_output))
         return Entry(
-            not load.is_closed(),
+            not load.is_closed() and not load.held,
             is_usable,
             load.credits(self.share),
             len(load.running),
