--- a/features/steps/routed_cases.py
+++ b/features/steps/routed_cases.py
@@ -682,6 +682,8 @@
         await site.endpoint("e1", "desk")
         site.store.mode = mode
         daemon = await site.daemon(wait=False)
+        # It listens later on a busy machine.
+        await site.wait_until(lambda: "Started." in daemon.log.read_text(), 10.0)
         await trio.sleep(1.5)
         assert not await site.is_ready(daemon)
         if mode is not Mode.SILENT:
