Refuse the least urgent requests first at a coordinator that lags

Requests come by rank now. Acknowledgements of waiting requests are sent with the tick, so that a request that is decided soon costs no frame for it.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -233,6 +233,8 @@
       | slots of an endpoint are not idle while a release and a grant are on their way     |
       | an endpoint that is close has no long queue                                        |
       | wrong load reports cost an endpoint no more than half of its slots in its queue    |
+      | endpoints get requests beyond their slots only where the settings say so           |
+      | a coordinator that lags refuses the least urgent requests first                    |
 
   Scenario Outline: Bytes that an instance holds
     Then the decision case "<case>" holds
--- a/features/steps/overlap_decisions.py
+++ b/features/steps/overlap_decisions.py
@@ -1,12 +1,16 @@
 """Decision cases for requests that are granted before a slot is free."""
 
 import heapq
+import json
 from collections import deque
 from itertools import count
 
 from decision_cases import case
+from pace_decisions import SETTINGS, acquire
 
-from savorydyke.scheduling import SlotOverlap
+from savorydyke._gateway_settings import check_gateway_settings
+from savorydyke._ids import InstanceId
+from savorydyke.scheduling import Inbox, SlotOverlap, is_stale
 from savorydyke.scheduling._slot_overlap import WANTED_QUEUE
 
 SLOTS = 6
@@ -86,3 +90,29 @@
     without, _ = completed(learns=False)
     ended, queued = completed(lie=100)
     assert queued == 0 and ended >= 0.99 * without
+
+
+@case("endpoints get requests beyond their slots only where the settings say so")
+def _():
+    for text, expected in (("[]", False), ('["base", "pressure"]', True)):
+        settings = SETTINGS | {"terms": json.loads(text)}
+        read, findings = check_gateway_settings(json.dumps(settings), "s")
+        assert not findings.items and read.overlaps_slots is expected
+
+
+@case("a coordinator that lags refuses the least urgent requests first")
+def _():
+    # In order of staleness alone, the most valuable requests were refused as well.
+    inbox = Inbox()
+    for number in range(100):
+        urgency = number % 3
+        message = acquire(number, urgency=urgency, objective_ms=600 - 150 * urgency)
+        inbox.put(InstanceId("f"), message, 0.0, rank=urgency)
+    now, refused = 0.0, []
+    while (received := inbox.take()) is not None:
+        # Of a processor that takes 1 ms for a decision.
+        if is_stale(received.message, now):
+            refused.append(received.message.urgency)
+        else:
+            now += 0.001
+    assert refused and 0 not in refused, refused
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -151,8 +151,7 @@
     rejections : RejectionGuard or None
         How many requests may be sent, if it bears few rejections only.
     overlap : SlotOverlap or None
-        How many requests it gets beyond its slots, if it reports a pace. What other
-        deployments' endpoints get is limited by their slots.
+        How many requests it gets beyond its slots, if it may get any.
     pace : EndpointPace or None
         What is known of the speed of an endpoint that reports its pace.
     changed : set of EndpointId
@@ -424,7 +423,7 @@
 
     def report_counts(self, running: int, waiting: int) -> None:
         """Record how many requests the endpoint reports, -1 for not known."""
-        if self.pace is None or min(running, waiting) < 0:
+        if min(running, waiting) < 0:
             return
         if self.overlap is None:
             self.overlap = SlotOverlap(self.spec.max_concurrency)
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -740,6 +740,7 @@
     scheduler.quarantine = gateway.quarantine
     scheduler.data_centre_of = gateway.membership.data_centre_of
     scheduler.estimates.prompts.reuse_s = bounds.prefix_reuse_s
+    scheduler.overlaps_slots = gateway.settings.overlaps_slots
     scheduler.estimates.output_tail = OutputTail(UNKNOWN_RATIO)
     scheduler.retry_budget = RetryBudget(
         bounds.retry_ratio,
--- a/src/savorydyke/_gateway_settings.py
+++ b/src/savorydyke/_gateway_settings.py
@@ -7,6 +7,7 @@
 from savorydyke._findings import Fields, Findings, read_document
 from savorydyke._ids import DataCentreId, InstanceId
 from savorydyke._timing import REVOKE_MARGIN_S, ApplyBounds, shortest_bound_s
+from savorydyke.platform import is_contended
 from savorydyke.rollouts import TrialBounds
 from savorydyke.scheduling import DEFAULT_REUSE_S
 
@@ -67,6 +68,8 @@
         Interval at which endpoints write their records.
     memory_mb : float
         Memory that the instance may use, in MB; 0 if it is not known.
+    overlaps_slots : bool
+        Whether endpoints may get requests before a slot is free.
     """
 
     instance: InstanceId
@@ -81,6 +84,7 @@
     endpoint_heartbeat_s: float
     bounds: Bounds
     memory_mb: float = 0.0
+    overlaps_slots: bool = False
 
 
 def is_gateway(text: str, file: str) -> bool:
@@ -126,6 +130,7 @@
         endpoint_heartbeat_s=top.number("endpoint_heartbeat_ms", 1200, 50) / 1000,
         bounds=_bounds(top.object("bounds")),
         memory_mb=top.number("memory_mb", 0.0),
+        overlaps_slots=is_contended(top.texts("terms", ())),
     )
     if settings.log_level not in {"debug", "info", "warning", "error"}:
         findings.add(("log_level",), "expected debug, info, warning or error")
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -51,6 +51,8 @@
 from savorydyke.scheduling import Inbox, PoolMessage, Received
 
 TICK_S = 0.1
+"""Also the time until a waiting request is acknowledged. It is less than the silence
+after which frontends place requests themselves."""
 REGISTRATION_TIMEOUT_S = 1.5
 IDLE_S = 10.0
 STALL_S = 1.0
@@ -114,6 +116,8 @@
         Requests whose streams are not known yet.
     deferred : dict of RequestKey to Deferred
         Requests that wait for their quotas to be known.
+    unacknowledged : dict
+        Frontends and attempts of waiting requests that have no acknowledgement yet.
     """
 
     scheduler: PoolScheduler
@@ -124,6 +128,9 @@
     is_coordinator: bool = False
     unresolved: list[Unresolved] = field(default_factory=list)
     deferred: dict[RequestKey, Deferred] = field(default_factory=dict)
+    unacknowledged: dict[RequestKey, tuple[InstanceId, int]] = field(
+        default_factory=dict
+    )
 
     def is_complete(self) -> bool:
         """Return whether all frontends have registered and all endpoints reported."""
@@ -206,9 +213,17 @@
         if not self.is_running:
             self._process(sender, message, 0.0)
             return
-        self.inbox.put(sender, message, trio.current_time())
+        self.inbox.put(sender, message, trio.current_time(), self._rank(message))
         self.has_messages.set()
 
+    def _rank(self, message: PoolMessage) -> int:
+        """Return the rank of a request by tier and urgency."""
+        manifest = self.manifest()
+        if not isinstance(message, Acquire) or manifest is None:
+            return 0
+        tier = manifest.rank(message.team) if message.team in manifest.teams else 0
+        return tier * URGENCIES + min(message.urgency, URGENCIES - 1)
+
     async def work(self) -> None:
         """Process the messages in the inbox until cancelled."""
         while True:
@@ -316,7 +331,18 @@
             hosted.scheduler.grants_enabled
             and message.key in hosted.scheduler.queue.by_key
         ):
-            self.answer(sender, Queued(message.key, message.attempt))
+            hosted.unacknowledged[message.key] = (sender, message.attempt)
+
+    def _acknowledge(self, hosted: HostedPool) -> None:
+        """Tell frontends which of their recent requests wait here.
+
+        Most requests are decided before that, so that a burst costs fewer frames.
+        """
+        waiting, hosted.unacknowledged = hosted.unacknowledged, {}
+        for key, (sender, attempt) in waiting.items():
+            item = hosted.scheduler.queue.by_key.get(key)
+            if item is not None and (item.frontend, item.attempt) == (sender, attempt):
+                self.answer(sender, Queued(key, attempt))
 
     def _defer_unknown_quota(self, hosted: HostedPool, deferred: Deferred) -> bool:
         """Keep a request until it is known here what is left of its quota.
@@ -650,6 +676,7 @@
             log.info("Coordinator changed.", extra=extra)
         hosted.is_coordinator = is_coordinator
         self._retry_deferred(hosted, now)
+        self._acknowledge(hosted)
         if not is_coordinator:
             scheduler.suspend(now)
         for endpoint, item in scheduler.release_orphans(now - self.orphan_grace_s, now):
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -95,6 +95,8 @@
     grants_enabled : bool
         Whether grants may be given; false until the frontends have registered
         their requests in flight.
+    overlaps_slots : bool
+        Whether endpoints get requests before a slot is free, by their load reports.
     request_trials_enabled : bool
         Whether a request that is held back itself may be sent as a trial; false
         while other coordinators may do the same.
@@ -131,6 +133,7 @@
     rng: random.Random
     capacity: Capacity = field(default_factory=Capacity)
     grants_enabled: bool = True
+    overlaps_slots: bool = False
     request_trials_enabled: bool = True
     quotas: Quotas = field(default_factory=Quotas)
     retry_budget: RetryBudget | None = None
@@ -369,7 +372,8 @@
         if load is None:
             return []
         load.report_pace(message.pace_percent, message.pace_age_ms, now)
-        load.report_counts(message.endpoint_running, message.endpoint_waiting)
+        if self.overlaps_slots:
+            load.report_counts(message.endpoint_running, message.endpoint_waiting)
         item, first_s = load.running[message.key], message.first_byte_ms / 1000
         if item.held_first_s and not item.started:
             self.estimates.prompts.learn(first_s < item.held_first_s)
--- a/src/savorydyke/platform/__init__.py
+++ b/src/savorydyke/platform/__init__.py
@@ -57,6 +57,7 @@
     Written,
     open_store,
 )
+from savorydyke.platform._terms import is_contended
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -87,6 +88,7 @@
     "evidence_of_key",
     "instance_key",
     "instance_of_key",
+    "is_contended",
     "open_store",
     "parse_load_report",
     "parse_request_headers",
--- a/src/savorydyke/scheduling/_inbox.py
+++ b/src/savorydyke/scheduling/_inbox.py
@@ -45,25 +45,34 @@
     acquires : dict
         Requests for grants, by sender and key. Two frontends may ask for one key.
     due : list of tuple
-        Heap of the times at which these become stale, with a number and their place.
+        Heap of their ranks and the times at which they become stale, with a number and
+        their place.
     """
 
     reports: deque[Received] = field(default_factory=deque)
     acquires: dict[Place, Received] = field(default_factory=dict)
-    due: list[tuple[float, int, Place]] = field(default_factory=list)
+    due: list[tuple[int, float, int, Place]] = field(default_factory=list)
     number: int = 0
 
     def __len__(self) -> int:
         return len(self.reports) + len(self.acquires)
 
-    def put(self, sender: InstanceId, message: PoolMessage, now: float) -> None:
-        """Add a message; a withdrawal also removes its request from here."""
+    def put(
+        self, sender: InstanceId, message: PoolMessage, now: float, rank: int = 0
+    ) -> None:
+        """Add a message; a withdrawal also removes its request from here.
+
+        Parameters
+        ----------
+        rank : int
+            Rank of a request by tier and urgency, 0 for the highest.
+        """
         received = Received(now, sender, message)
         if isinstance(message, Acquire):
             self.number += 1
             place = (sender, message.key)
             self.acquires[place] = received
-            due = (now + stale_after_s(message), self.number, place)
+            due = (rank, now + stale_after_s(message), self.number, place)
             heapq.heappush(self.due, due)
             return
         if isinstance(message, Withdraw):
@@ -73,12 +82,13 @@
     def take(self) -> Received | None:
         """Return the message to process next, None if there is none.
 
-        Requests come in the order in which they become stale.
+        Requests come by rank, so that the least urgent ones are refused in an overload,
+        and then in the order in which they become stale.
         """
         if self.reports:
             return self.reports.popleft()
         while self.due:
-            _, _, place = heapq.heappop(self.due)
+            *_, place = heapq.heappop(self.due)
             received = self.acquires.pop(place, None)
             if received is not None:
                 return received
