--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -55,6 +55,10 @@
 RETRY_SPREAD = 0.5
 """Largest part of a retry time that is randomly added to it, to spread the retries."""
 
+STALE_RETRY_S = 1.0
+"""Least retry time while the coordinator lags. Callers with one retry that came back at
+once would lose it to the same burst, and add to it."""
+
 
 @dataclass(frozen=True)
 class Decision:
@@ -285,13 +289,14 @@
     ) -> Decision:
         """Refuse a request that a coordinator which lags could not look at in time."""
         ran = message.has_caller_id and self._is_warming_up(now)
-        retry_s = self.capacity.min_retry_s * (1 + RETRY_SPREAD * self.rng.random())
+        rank = self._rank(message)
+        retry_s = max(STALE_RETRY_S, self.capacity.retry_s(rank, now))
+        retry_s *= 1 + RETRY_SPREAD * self.rng.random()
         detail = "the coordinator has more requests than it can decide in time"
         retry_ms = int(retry_s * 1000)
         reason = Reason.OVERLOADED
         refusal = Refuse(message.key, message.attempt, reason, detail, retry_ms, ran)
         age_s = inbox_s + message.waited_ms / 1000
-        rank = self._rank(message)
         self.capacity.shares.offered.add(rank, self.latest_cost_s.get(rank, 0.0), now)
         return Decision(frontend, refusal, rank, age_s)
 
