Count a pause of the stand-in from the time at which it begins to answer

By the logs the instance read the answer at 18.023 s and sent the next request after 20.523 s. The stand-in noted the time only after it had written the answer, when it ran again.

--- a/features/steps/pause_cases.py
+++ b/features/steps/pause_cases.py
@@ -22,8 +22,9 @@
         with trio.CancelScope(shield=True):
             await trio.sleep(seconds)
             pause = (b"Retry-After", b"%.1f" % PAUSE_S)
+            answered_at = trio.current_time()
             await exchange.send_complete(503, b"", NOT_RUN, pause)
-            exchange.endpoint.paused_at = trio.current_time()
+            exchange.endpoint.paused_at = answered_at
 
     return reject
 
