--- a/src/savorydyke/_peers.py
+++ b/src/savorydyke/_peers.py
@@ -49,7 +49,7 @@
 UNUSED_LINK_S = 8.0
 """Twice the interval at which frontends register with a coordinator, so that links to
 coordinators are kept."""
-EXTENSIBLE_HEADER = "X-Savorydyke-Extensible"
+EXTENSIBLE_HEADER = "Savorydyke-Extensible"
 """States in the WebSocket handshake that fields which are not known are ignored.
 Earlier builds ignore the header, and refuse such fields."""
 LINK_SILENT_S = 2.5
