--- a/features/routed.feature
+++ b/features/routed.feature
@@ -384,6 +384,7 @@
       | an answer that begins with nothing is not relayed                         |
       | streams whose ids increase by more than one are relayed and go on         |
 
+  @alone
   Scenario Outline: Endpoints that end within a head
     Then the routed case "<case>" holds
 
@@ -394,6 +395,7 @@
       | an answer whose head is cut is not relayed by another instance            |
       | an answer whose head is cut is lost on the product's own interface        |
 
+  @alone
   Scenario Outline: Requests during a planned stop
     Then the routed case "<case>" holds
 
@@ -413,6 +415,7 @@
       | a stream goes on elsewhere when its endpoint stays silent                 |
       | a stream that hangs leaves an endpoint that serves others                 |
 
+  @alone
   Scenario Outline: Callers that read slowly
     Then the routed case "<case>" holds
 
