--- a/src/savorydyke_bench/_main.py
+++ b/src/savorydyke_bench/_main.py
@@ -14,6 +14,7 @@
     _first_grant,
     _histories,
     _policy_bench,
+    _rest,
     _soak,
 )
 from savorydyke_bench._sites import SITES
@@ -118,6 +119,21 @@
     _coordinator_load.show(endpoints, load or [1.0, 1.5, 2.5], seconds, profile)
 
 
+@app.command()
+def rest(
+    instances: Annotated[
+        list[int] | None, typer.Argument(help="Sizes of the fleet; 8 to 32 if none.")
+    ] = None,
+    endpoints: Annotated[int, typer.Option(help="Endpoints in the store.")] = 60,
+    seconds: Annotated[
+        float, typer.Option(help="Time from the start.", min=5, max=_rest.LONGEST_REST_S)
+    ] = 24.0,
+) -> None:
+    """Measure the processor time of fleets that start and get no request."""
+    for count in instances or [8, 16, 32]:
+        _rest.show(trio.run(_rest.measure, count, endpoints, seconds))
+
+
 @app.command()
 def policy(
     seed: Annotated[int, typer.Option(help="Seed of the load.")] = 1,
