Count the processor time of tasks by kind

On the untouched code neither logs nor metrics tell links, watches, timers and relaying apart: an instance that rests takes 24 to 64 ms of each second, and only a profiler shows for what. With count_tasks an instrument of the event loop adds up steps and processor time by kind of task, for a log line every 10 s and two gauges. It is off by default, and then not installed.

--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -31,6 +31,7 @@
 from savorydyke._routed_handler import RoutedHandler
 from savorydyke._send_check import SendCheck
 from savorydyke._store_records import read_or_create_fleet_key
+from savorydyke._task_costs import TaskCosts, install_task_costs
 from savorydyke.platform import READINESS_PATH, open_store
 from savorydyke.serving import HeldBytes, new_held_bytes
 
@@ -59,6 +60,7 @@
 async def _run(settings: GatewaySettings, path: str, log_buffer: LogBuffer) -> int:
     store = open_store(settings.store)
     gateway = new_gateway(settings, store, log_buffer)
+    costs = install_task_costs() if settings.counts_tasks else None
     async with trio.open_nursery() as nursery:
         observer = EndpointObserver(gateway.states, gateway.limits, gateway.rejections)
         check = SendCheck(gateway.states, gateway.directory, gateway.rollouts)
@@ -98,12 +100,14 @@
         forwarded = _new_forwarded_requests(
             gateway, observer, late_answers, check, nursery
         )
+        if costs is not None:
+            nursery.start_soon(costs.log_regularly)
         nursery.start_soon(write_lines, log_buffer, sys.stdout.fileno())
         nursery.start_soon(_listen, settings.readiness, readiness)
         if settings.metrics:
             pages = Ingress(
                 lambda request, responder: _answer_metrics(
-                    gateway, held, request, responder
+                    gateway, held, costs, request, responder
                 ),
                 handler.refuse_unreadable,
                 IngressLimits,
@@ -212,7 +216,11 @@
 
 
 async def _answer_metrics(
-    gateway: Gateway, held: HeldBytes, request: IncomingRequest, responder: Responder
+    gateway: Gateway,
+    held: HeldBytes,
+    costs: TaskCosts | None,
+    request: IncomingRequest,
+    responder: Responder,
 ) -> None:
     if request.target.partition(b"?")[0] != METRICS_PATH:
         await responder.send_answer(404, [], b"")
@@ -220,6 +228,10 @@
     gateway.update_gauges()
     for kind, size in held.sizes.items():
         gateway.metrics.held_bytes.set({"kind": kind.value}, size)
+    if costs is not None:
+        for name, seconds in costs.seconds.items():
+            gateway.metrics.task_seconds.set({"kind": name}, seconds)
+            gateway.metrics.task_steps.set({"kind": name}, costs.steps[name])
     content, headers = gateway.metrics.render(["text/plain"])
     pairs = [(name.encode(), value.encode()) for name, value in headers.items()]
     await responder.send_answer(200, pairs, content)
--- a/src/savorydyke/_gateway_settings.py
+++ b/src/savorydyke/_gateway_settings.py
@@ -70,6 +70,8 @@
         Memory that the instance may use, in MB; 0 if it is not known.
     overlaps_slots : bool
         Whether endpoints may get requests before a slot is free.
+    counts_tasks : bool
+        Whether the processor time of tasks is counted by kind.
     """
 
     instance: InstanceId
@@ -85,6 +87,7 @@
     bounds: Bounds
     memory_mb: float = 0.0
     overlaps_slots: bool = False
+    counts_tasks: bool = False
 
 
 def is_gateway(text: str, file: str) -> bool:
@@ -131,6 +134,7 @@
         bounds=_bounds(top.object("bounds")),
         memory_mb=top.number("memory_mb", 0.0),
         overlaps_slots=is_contended(top.texts("terms", ())),
+        counts_tasks=top.flag("count_tasks", False),
     )
     if settings.log_level not in {"debug", "info", "warning", "error"}:
         findings.add(("log_level",), "expected debug, info, warning or error")
--- a/src/savorydyke/_metrics.py
+++ b/src/savorydyke/_metrics.py
@@ -115,6 +115,12 @@
             "savorydyke_readers_gave_way_total",
             "Requests that were ended because too much was held.",
         )
+        self.task_seconds = self._gauge(
+            "savorydyke_task_seconds", "Processor time of tasks by kind, if counted."
+        )
+        self.task_steps = self._gauge(
+            "savorydyke_task_steps", "Steps of tasks by kind, if counted."
+        )
         self.rollout = self._gauge(
             "savorydyke_rollout",
             "Stage, counts and evidence of the pool's latest roll-out, by kind.",
--- a/src/savorydyke_bench/_main.py
+++ b/src/savorydyke_bench/_main.py
@@ -126,12 +126,14 @@
     ] = None,
     endpoints: Annotated[int, typer.Option(help="Endpoints in the store.")] = 60,
     seconds: Annotated[
-        float, typer.Option(help="Time from the start.", min=5, max=_rest.LONGEST_REST_S)
+        float,
+        typer.Option(help="Time from the start.", min=5, max=_rest.LONGEST_REST_S),
     ] = 24.0,
+    tasks: Annotated[bool, typer.Option(help="Also by kind of task.")] = False,
 ) -> None:
     """Measure the processor time of fleets that start and get no request."""
     for count in instances or [8, 16, 32]:
-        _rest.show(trio.run(_rest.measure, count, endpoints, seconds))
+        _rest.show(trio.run(_rest.measure, count, endpoints, seconds, tasks))
 
 
 @app.command()
--- a/src/savorydyke_bench/_rest.py
+++ b/src/savorydyke_bench/_rest.py
@@ -31,11 +31,15 @@
     samples : list of tuple
         Seconds since the start, and the processor time in seconds that each instance
         has used by then, by name.
+    tasks : dict of str to tuple
+        Steps, and processor time in seconds, of all instances by kind of task, if
+        they are counted.
     """
 
     instances: int
     endpoints: int
     samples: list[tuple[float, dict[str, float]]] = field(default_factory=list)
+    tasks: dict[str, tuple[int, float]] = field(default_factory=dict)
 
     def total_s(self, sample: int = -1) -> float:
         """Return the processor time of all instances up to a sample, in seconds."""
@@ -53,7 +57,9 @@
         return found
 
 
-async def measure(instances: int, endpoints: int, seconds: float) -> RestCost:
+async def measure(
+    instances: int, endpoints: int, seconds: float, count_tasks: bool = False
+) -> RestCost:
     """Start a deployment, and measure what its instances use without a request.
 
     Parameters
@@ -62,6 +68,8 @@
         Their numbers.
     seconds : float
         Time from the start to the last sample, in seconds.
+    count_tasks : bool
+        Whether the instances count what their tasks take.
     """
     cost = RestCost(instances, endpoints)
     async with open_site("rest") as site:
@@ -72,13 +80,16 @@
         site.nursery.start_soon(_write_heartbeats, site, names)
         began = trio.current_time()
         for number in range(instances):
-            await site.daemon(f"instance-{number}", wait=False)
+            name = f"instance-{number}"
+            await site.daemon(name, wait=False, count_tasks=count_tasks)
             await trio.sleep(START_SPREAD_S / instances)
         ends = sorted({*(s for s in SAMPLES_S if s < seconds), seconds})
         for end in ends:
             await trio.sleep_until(began + end)
             used = {d.name: processor_s(d.process.pid) for d in site.daemons}
             cost.samples.append((trio.current_time() - began, used))
+        if count_tasks:
+            cost.tasks = _sum_tasks(site)
     return cost
 
 
@@ -92,6 +103,24 @@
             await trio.sleep(ENDPOINT_HEARTBEAT_S / len(names))
 
 
+def _sum_tasks(site: Site) -> dict[str, tuple[int, float]]:
+    """Return what tasks took since the first of two log lines of each instance."""
+    totals: dict[str, tuple[int, float]] = {}
+    for daemon in site.daemons:
+        lines = [
+            r for r in daemon.log_records() if r["message"] == "tasks: Task costs."
+        ]
+        if len(lines) < 2:
+            continue
+        first, last = lines[0]["kinds"], lines[-1]["kinds"]
+        for kind, (steps, milliseconds) in last.items():
+            steps_before, before = first.get(kind, (0, 0.0))
+            known = totals.get(kind, (0, 0.0))
+            used_s = (milliseconds - before) / 1000
+            totals[kind] = (known[0] + steps - steps_before, known[1] + used_s)
+    return totals
+
+
 def show(cost: RestCost) -> None:
     """Print what a fleet used until each sample, and its rates between them."""
     size = f"{cost.instances} instances, {cost.endpoints} endpoints"
@@ -106,3 +135,5 @@
             f"{size}: {before:.0f} to {after:.0f} s: {1000 * mean:.1f} ms a second "
             f"of each instance, most {1000 * most:.1f}"
         )
+    for kind, (steps, used_s) in sorted(cost.tasks.items(), key=lambda t: -t[1][1]):
+        typer.echo(f"{used_s:8.3f} s {steps:8d} steps  {kind}")
