Show what answers without end cost other callers

A faulty endpoint that sends chunks of one byte, blank lines or comments as fast as they are read keeps the one thread of an instance busy until the time-out. Memory stays bounded (24 MB of growth allowed), but the requests of others are lost or late.

On the product's own interface chunks of one byte are read until the time-out, and the body of an answer to a control call to its end.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -202,6 +202,21 @@
       | an endpoint sends a failure without end                                     |
       | a report without end is not read to its end                                 |
 
+  @alone
+  Scenario Outline: Answers without end beside other requests
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                     |
+      | chunks of one byte without end cost their own request only               |
+      | chunk extensions without end cost their own request only                 |
+      | a stream in chunks of one byte without end cost their own request only   |
+      | blank lines without end cost their own request only                      |
+      | comments without end cost their own request only                         |
+      | sound events without end cost their own request only                     |
+      | answers without end on the product's own interface leave time for others |
+      | the body of an answer to a control call is not read                      |
+
   Scenario Outline: Endpoints that limit the requests that they take
     Then the routed case "<case>" holds
 
