Let answers without end cost their own request only

Callers whose instance read an answer that leads nowhere (chunks of one byte, blank lines, comments) were served late or not at all until that answer's time-out.

Cause: what was read, parsed and thrown away was bounded in memory and by the request's time-out, but not against what it brought, and up to 64 KB were parsed in one step of the event loop, some 11,000 chunks. A body may now come in 1000 small parts beyond one for each 8 bytes, with 256 KB of framing beyond its own size; a stream may have 64 KB beside its events. Beyond that the answer counts as garbage, so that its endpoint is left and passed over by the rule for those. Reading takes 16 KB at a time and other tasks run after 32 parts, also in callers' bodies. Events are relayed at 1000 a second at most after the first 1000.

The same cause elsewhere: the product's own interface reads through the same budget; the body of an answer to a control call is not read any more; an answer of the store may have 16 MB, before it was read to its end.

Chunk extensions on the product's own interface are not seen by its library's reader, so that only the time-out bounds them.

--- a/features/steps/endless_answer_cases.py
+++ b/features/steps/endless_answer_cases.py
@@ -25,6 +25,7 @@
     memory_mb,
 )
 
+from savorydyke._answer_budget import WastefulAnswerError
 from savorydyke._dispatch import _events_after
 from savorydyke._endpoint_client import EndpointClient
 from savorydyke._event_order import StrayEventError
@@ -193,7 +194,7 @@
         nursery.start_soon(watch)
         ended = False
         with trio.move_on_after(READING_S):
-            with suppress(httpx.HTTPError, StrayEventError):
+            with suppress(httpx.HTTPError, StrayEventError, WastefulAnswerError):
                 async for _ in parts:
                     pass
             ended = True
--- a/src/savorydyke/_dispatch.py
+++ b/src/savorydyke/_dispatch.py
@@ -11,6 +11,7 @@
 import trio
 
 from savorydyke import _logs
+from savorydyke._answer_budget import EventPace, WastefulAnswerError
 from savorydyke._calls import Call, not_approved
 from savorydyke._configuration import Configuration
 from savorydyke._endpoint_client import (
@@ -297,7 +298,7 @@
                     await self._start_reply(dispatch, opened)
                     await dispatch.reply.body(new_bytes)
                     last = new_bytes
-        except (httpx.HTTPError, StrayEventError) as error:
+        except (httpx.HTTPError, StrayEventError, WastefulAnswerError) as error:
             log.warning(
                 "Answer interrupted.",
                 extra={
@@ -453,9 +454,11 @@
     order = EventOrder(
         str(last), EventSteps({1}), has_fixed_steps=True, needs_ids=needs_ids
     )
+    pace = EventPace()
     async for chunk in chunks:
         if events := order.feed(chunk):
             yield events
+            await pace.wait(order.events)
         if order.stray is not None:
             raise order.stray
 
--- a/src/savorydyke/_endpoint_client.py
+++ b/src/savorydyke/_endpoint_client.py
@@ -12,6 +12,7 @@
 import httpx
 import trio
 
+from savorydyke._answer_budget import WastefulAnswerError, bounded_parts
 from savorydyke._answer_kinds import stated_types, why_not_stream
 from savorydyke._manifest import Endpoint
 from savorydyke._untrusted import parse_json
@@ -62,7 +63,7 @@
     ----------
     chunks : AsyncIterator of bytes
         The body as it arrives. It raises `httpx.HTTPError` if the endpoint
-        ends it early.
+        ends it early, and `WastefulAnswerError` if it costs too much to read.
     """
 
     status: int
@@ -200,21 +201,26 @@
     async def _control(
         self, endpoint: Endpoint, method: str, target: str
     ) -> int | None:
+        """Return the status of an answer, whose body is not read."""
+        url = f"http://{endpoint.address}{target}"
         try:
             with trio.fail_after(CONTROL_TIMEOUT_S):
-                response = await self.control.request(
-                    method, f"http://{endpoint.address}{target}"
-                )
+                async with self.control.stream(method, url) as response:
+                    return response.status_code
         except (httpx.HTTPError, trio.TooSlowError):
             return None
-        return response.status_code
 
     async def get_json(self, endpoint: Endpoint, target: str) -> dict | None:
         """Return the JSON object at a path of an endpoint, or None."""
         try:
             with trio.fail_after(CONTROL_TIMEOUT_S):
                 value = parse_json(await self._read_report(endpoint, target))
-        except (httpx.HTTPError, trio.TooSlowError, ValueError):
+        except (
+            httpx.HTTPError,
+            trio.TooSlowError,
+            ValueError,
+            WastefulAnswerError,
+        ):
             return None
         return value if isinstance(value, dict) else None
 
@@ -229,7 +235,7 @@
         body = b""
         url = f"http://{endpoint.address}{target}"
         async with self.control.stream("GET", url) as response:
-            async for part in response.aiter_bytes():
+            async for part in bounded_parts(response.aiter_bytes()):
                 body += part
                 if len(body) > MAX_REPORT_BYTES:
                     raise ValueError(f"a report of over {MAX_REPORT_BYTES} bytes")
@@ -243,7 +249,7 @@
     return Opened(
         response.status_code,
         forwarded_headers(response.headers.raw),
-        stream.__aiter__(),
+        bounded_parts(stream.__aiter__()),
         response,
         pooled,
     )
--- a/src/savorydyke/_event_order.py
+++ b/src/savorydyke/_event_order.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass, field
 from functools import cache
 
+from savorydyke._answer_budget import MAX_IGNORED_BYTES
+
 EVENT_END = b"\n\n"
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 COMMENT = re.compile(rb"^:[^\n]*(?:\n|\Z)", re.MULTILINE)
@@ -104,6 +106,8 @@
         break, and its events are not put in order.
     events : int
         Complete events of this answer.
+    event_bytes, ignored_bytes : int
+        Size of these, and of comments and empty lines.
     stray : StrayEventError or None
         What came after the last of them, if it was no event.
     """
@@ -114,6 +118,8 @@
     more_fields: tuple[bytes, ...] = ()
     needs_ids: bool = True
     events: int = 0
+    event_bytes: int = 0
+    ignored_bytes: int = 0
     stray: StrayEventError | None = None
     rest: bytearray = field(default_factory=bytearray)
     line_ends: LineEnds = field(default_factory=LineEnds)
@@ -145,12 +151,20 @@
                     self._check(event)
                     self.events += 1
                     events.append(event + EVENT_END)
+            self._count(end + len(EVENT_END), sum(map(len, events)))
         except StrayEventError as error:
             if not events:
                 raise
             self.stray = error
         return b"".join(events)
 
+    def _count(self, consumed: int, event_bytes: int) -> None:
+        """Count bytes of which some are events, and the others mean nothing."""
+        self.event_bytes += event_bytes
+        self.ignored_bytes += consumed - event_bytes
+        if self.ignored_bytes > MAX_IGNORED_BYTES + self.event_bytes:
+            raise StrayEventError(f"{self.ignored_bytes} bytes beside the events")
+
     def is_within_event(self) -> bool:
         """Return whether the body has ended within an event."""
         if self.line_ends.held:
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -16,9 +16,11 @@
 import h11
 import trio
 
+from savorydyke._answer_budget import AnswerBudget, WastefulAnswerError
 from savorydyke._sockets import receive, send
 
-READ_BYTES = 65536
+READ_BYTES = 16384
+"""What is read at a time, so that other tasks run in between."""
 INLINE_BODY_BYTES = 8192
 """Largest body sent before the answer is read; fits an empty socket buffer."""
 KEEPALIVE_S = 1
@@ -145,6 +147,8 @@
         Called when bytes have come.
     head : bytearray
         What was received until the head of the answer was complete.
+    budget : AnswerBudget
+        What the answer has cost and brought.
     """
 
     stream: trio.SocketStream
@@ -156,6 +160,7 @@
     read_until: float = math.inf
     on_receive: Callable[[], None] = field(default=lambda: None)
     head: bytearray = field(default_factory=bytearray)
+    budget: AnswerBudget = field(default_factory=AnswerBudget)
 
     async def send(
         self, request: OutgoingRequest, nursery: trio.Nursery | None
@@ -248,12 +253,19 @@
         Raises
         ------
         ChannelBrokenError
-            If the body ends before it is complete.
+            If the body ends before it is complete, or costs too much to read.
         """
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
-                yield bytes(event.data)
+                part = bytes(event.data)
+                try:
+                    self.budget.count(part)
+                except WastefulAnswerError as error:
+                    raise ChannelBrokenError(f"wasteful answer: {error}") from None
+                yield part
+                if self.budget.is_turn_over():
+                    await trio.lowlevel.checkpoint()
             elif isinstance(event, h11.EndOfMessage):
                 return
             else:
@@ -291,6 +303,7 @@
         if data is None:
             raise ChannelTimeoutError("no progress in time")
         self.on_receive()
+        self.budget.received_bytes += len(data)
         return data
 
     def close(self) -> None:
--- a/src/savorydyke/_ingress.py
+++ b/src/savorydyke/_ingress.py
@@ -14,6 +14,7 @@
 import trio
 
 from savorydyke import _logs
+from savorydyke._answer_budget import TURN_PARTS
 from savorydyke._http1 import Headers
 from savorydyke._sockets import receive
 from savorydyke.serving import (
@@ -392,6 +393,7 @@
         if ambiguity:
             return Rejected(400, ambiguity)
         body = bytearray()
+        parts = 0
         if http.they_are_waiting_for_100_continue:
             await connection.write(
                 h11.InformationalResponse(status_code=100, headers=[])
@@ -403,6 +405,9 @@
                 if len(body) > limits.max_body_bytes:
                     return Rejected(413, "the body is too large")
                 connection.hold(Kind.REQUEST, len(body))
+                parts += 1
+                if parts % TURN_PARTS == 0:
+                    await trio.lowlevel.checkpoint()
             elif isinstance(event, h11.EndOfMessage):
                 break
             else:
--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from savorydyke._answer_budget import EventPace
 from savorydyke._answer_kinds import (
     MAX_LOGGED_CHARS,
     RelayedAnswer,
@@ -228,6 +229,7 @@
     if is_limited:
         channel.read_until = trio.current_time() + STALLED_STREAM_S
     order = EventOrder(request.last_event_id, steps, more_fields=EVENT_FIELDS)
+    pace = EventPace()
     goes_on = bool(request.last_event_id)
     try:
         async for part in _body_parts(channel, on_silence):
@@ -238,6 +240,7 @@
             _start(request, head)
             _count_events(request, complete, order)
             await request.responder.body(complete)
+            await pace.wait(order.events)
             if is_limited:
                 # Not before, since the caller may have been slow.
                 channel.read_until = trio.current_time() + STALLED_STREAM_S
--- a/src/savorydyke/platform/_store.py
+++ b/src/savorydyke/platform/_store.py
@@ -22,6 +22,7 @@
 from savorydyke import _logs
 from savorydyke._http1 import (
     AnswerHead,
+    Channel,
     ChannelBrokenError,
     OutgoingRequest,
     open_channel,
@@ -36,6 +37,9 @@
 """Time beyond the requested wait after which a watch counts as lost."""
 GENERATION_HEADER = b"store-era"
 MAX_GENERATION_DIGITS = 18
+MAX_ANSWER_BYTES = 16_777_216
+"""Largest answer that is read. A page of a listing has about 1 MB, and a watch what was
+written since the one before."""
 
 
 log = _logs.component_logger("store")
@@ -299,7 +303,7 @@
             with trio.fail_after(timeout_s):
                 await channel.send(self._outgoing(method, target, body), None)
                 head = await channel.read_head()
-                data = b"".join([part async for part in channel.read_body()])
+                data = await _read_whole(channel)
         except (ChannelBrokenError, trio.TooSlowError) as error:
             raise StoreError(StoreFault.ANSWER_LOST, repr(error)) from None
         finally:
@@ -351,6 +355,22 @@
         return OutgoingRequest(method.encode(), target.encode(), headers, data)
 
 
+async def _read_whole(channel: Channel) -> bytes:
+    """Return the body of an answer.
+
+    Raises
+    ------
+    ChannelBrokenError
+        If it is cut, or too large.
+    """
+    data = bytearray()
+    async for part in channel.read_body():
+        data += part
+        if len(data) > MAX_ANSWER_BYTES:
+            raise ChannelBrokenError(f"an answer of over {MAX_ANSWER_BYTES} bytes")
+    return bytes(data)
+
+
 def open_store(address: str) -> Store:
     """Return a client of the store at `address`."""
     return Store(address)
