Wake up only while there is something to do, and spend less on links

Cause, by the counts of tasks: periods at which most instances have nothing to do (pools that they do not host, quotas, streams, evidence, fleet records, probes), three to four steps of the event loop for each frame, since the trio connection of websockets passes it between tasks and through locks, links to instances that turn out to be no neighbours, and checks of all links four times a second.

Ticks now come only while a gate is open: while a pool is hosted, an endpoint is not reached, something has changed. Pools of which nothing is known are hosted for 1 s instead of 10 s after another instance took them. Links carry frames by websockets' protocol objects, one step a frame. An instance that starts waits up to 1.5 s with links while the list of instances grows; a link that is asked for is opened at once, before within 0.25 s; unused ones are closed after 5 s instead of 8. From 10 instances up, others than coordinators hear of each other at every second heartbeat, as in large fleets before. How soon a dead or slow instance is noticed is unchanged: the timeouts are the same, and an own timer of 0.1 s tells how late the process is.

--- a/src/savorydyke/_endpoint_links.py
+++ b/src/savorydyke/_endpoint_links.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from savorydyke._ids import EndpointId
+from savorydyke._timers import Gate
 
 CUT_OFF_ENDPOINTS = 2
 """Endpoints that fail in a row from which on the links count as the fault."""
@@ -30,6 +31,8 @@
         When any endpoint was reached last.
     is_cut_off : bool
         Whether the links to all endpoints count as failed.
+    failing : Gate
+        Open while there are such endpoints.
     listeners : list of callable
         Called with whether the instance is cut off, when that changes.
     """
@@ -37,6 +40,7 @@
     failed_at: dict[EndpointId, float] = field(default_factory=dict)
     opened_at: float = -math.inf
     is_cut_off: bool = False
+    failing: Gate = field(default_factory=Gate)
     listeners: list[Callable[[bool], None]] = field(default_factory=list)
 
     # Observations
@@ -71,6 +75,7 @@
         return len(failed) >= CUT_OFF_ENDPOINTS
 
     def _notify(self) -> None:
+        self.failing.set(bool(self.failed_at))
         is_cut_off = self._fail_together()
         if is_cut_off == self.is_cut_off:
             return
--- a/src/savorydyke/_endpoint_probes.py
+++ b/src/savorydyke/_endpoint_probes.py
@@ -18,6 +18,7 @@
 async def probe_failed_links(ways: EndpointWays, directory: Directory) -> None:
     """Try endpoints that were not reached again and again, until cancelled."""
     while True:
+        await ways.links.failing.opened.wait()
         await trio.sleep(PROBE_INTERVAL_S * (0.75 + 0.5 * ways.rng.random()))
         was_cut_off = ways.links.is_cut_off
         if not ways.links.failed_at:
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -77,6 +77,8 @@
 DEAD_AFTER_S = 0.9
 """A dead coordinator delays its requests by about twice the shortest objective, which
 is 0.4 s."""
+MAX_CLOSE_FLEET = 9
+"""Largest fleet in which all instances hear of each other at each interval."""
 LARGE_FLEET_TICKS = 3
 """Factor by which heartbeats and timeouts are slower in a large fleet."""
 FALLBACK_LIMIT_SHARE = 0.5
@@ -87,6 +89,8 @@
 free."""
 STREAM_TELL_S = 0.1
 """Streams that began later than this before their coordinator ended do not go on."""
+DELAY_CHECK_S = 0.1
+"""Two late timers in a row tell that an instance is slow, also one at rest."""
 READY_AGE_SHARE = 0.8
 """Age of the configuration, as a share of the bound on revoked keys, above which
 the instance reports that it is not ready."""
@@ -240,6 +244,11 @@
                 self.quarantine.review(now)
                 self.limits.drop_old(now)
                 self.rejections.drop_old(now)
+                self.pool_host.versions.drop_old(boot_time())
+                if not self.pool_host.hosting.is_open():
+                    self._tell_streams()
+                self.shared_evidence.check(now)
+                self.store_records.check_fleet_records()
                 has_evidence = self._has_new_evidence()
                 has_changed = any(
                     (
@@ -260,13 +269,18 @@
 
     async def tell_next_coordinators(self) -> None:
         """Tell the next coordinators which streams began, until cancelled."""
-        async with self.timers.every(STREAM_TELL_S) as ticks:
+        await self.timers.run_while(
+            self.pool_host.hosting, STREAM_TELL_S, self._tell_streams
+        )
+
+    async def observe_delays(self) -> None:
+        """Let a timer tell often how late this process is, until cancelled."""
+        async with self.timers.every(DELAY_CHECK_S) as ticks:
             async for _ in ticks:
-                self._tell_streams()
+                pass
 
     def _tell_streams(self) -> None:
         versions = self.pool_host.versions
-        versions.drop_old(boot_time())
         for pool in list(versions.untold):
             messages = versions.take_untold(pool)
             follower = self.membership.next_coordinator(pool)
@@ -318,7 +332,7 @@
         Weights are therefore kept, so that coordinators do not change.
         """
         records = self.directory.instances.values()
-        self.peers.listed_addresses = {r.id: r.address for r in records}
+        self.peers.set_listed({r.id: r.address for r in records})
         self.membership.listed = {r.id for r in records}
         self.membership.weights |= {r.id: r.cores for r in records}
         self.pool_host.reporting = {r.id for r in records if r.reports_quotas}
@@ -343,12 +357,12 @@
     def _due_peers(self, counter: int, has_changed: bool) -> list[InstanceId]:
         """Return the peers to send a heartbeat to.
 
-        In a large fleet each instance and the coordinators hear of each other at each
-        interval, others at every second one, which is still within the timeout.
+        In all but small fleets each instance and the coordinators hear of each other
+        at each interval, others at every second one, which is still within the timeout.
         """
         peers = list(self.peers.links)
         is_due = counter % 2 == 0 or has_changed
-        if is_due or not self.membership.is_large_fleet():
+        if is_due or self.membership.alive_count < MAX_CLOSE_FLEET:
             return peers
         coordinators = {self.membership.coordinator(pool) for pool in self.pools()}
         if self.membership.id in coordinators:
@@ -642,9 +656,7 @@
         settings.instance, settings.peers, settings.data_centre, settings.cores
     )
     timers, overload = TimerService(rng), Overload()
-    store_records = StoreRecords(
-        store, record, directory, membership, peers, timers, rng
-    )
+    store_records = StoreRecords(store, record, directory, membership, peers, rng)
     timers.delay_listeners.append(overload.observe_delay)
     gateway = Gateway(
         settings,
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -123,6 +123,7 @@
             extra={"callers": settings.callers, "build": build_digest()},
         )
         gc.freeze()
+        gc.enable()
         await _wait_for_stop(gateway, handler, ingress, path)
         nursery.cancel_scope.cancel()
     log.info("Stopped.", extra={"active": ingress.active})
@@ -143,12 +144,15 @@
         nursery.start_soon(gateway.store_records.rewrite_fleet_records)
         nursery.start_soon(gateway.quota_balances.run)
         nursery.start_soon(gateway.quota_reports.run, gateway.timers)
-        nursery.start_soon(gateway.shared_evidence.run, gateway.timers)
-        nursery.start_soon(gateway.stream_records.run, gateway.timers)
+        nursery.start_soon(gateway.shared_evidence.run)
+        nursery.start_soon(
+            gateway.stream_records.run, gateway.timers, gateway.pool_host.hosting
+        )
         nursery.start_soon(gateway.rollouts.run_ticks, gateway.timers)
         nursery.start_soon(gateway.rollouts.run_writes)
         nursery.start_soon(gateway.run_heartbeats)
         nursery.start_soon(gateway.tell_next_coordinators)
+        nursery.start_soon(gateway.observe_delays)
         nursery.start_soon(gateway.peers.maintain_links)
         nursery.start_soon(gateway.pool_host.run, gateway.timers)
         nursery.start_soon(gateway.grant_client.reconcile, gateway.timers)
--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -92,6 +92,8 @@
         Capacity of the instances relative to each other; 1 if unknown.
     alive_count : int
         Number of other instances that are not dead.
+    changes : int
+        Number of changes of the known members and of their states.
     listeners : list of callable
         Called after each change of a member's state.
     loss_listeners : list of callable
@@ -110,6 +112,7 @@
     cut_off: bool = False
     next_row: int = 0
     alive_count: int = 0
+    changes: int = 0
     members: dict[InstanceId, Member] = field(default_factory=dict)
     weights: dict[InstanceId, float] = field(default_factory=dict)
     listed: set[InstanceId] = field(default_factory=set)
@@ -144,6 +147,7 @@
     def _add(self, row: MemberRow, now: float, earlier: Member | None) -> None:
         if earlier is not None:
             self._report_lost(row.instance)
+        self.changes += 1
         self.members[row.instance] = Member(
             id=row.instance,
             address=row.address,
@@ -201,6 +205,7 @@
             and states.get(name, MemberState.DEAD) is MemberState.DEAD
         ]
         changed = states != self.states
+        self.changes += changed
         self.states = states
         self.alive_count = len(states) - len(self._dead_members())
         for name in died:
--- a/src/savorydyke/_peers.py
+++ b/src/savorydyke/_peers.py
@@ -6,6 +6,7 @@
 
 import hashlib
 import hmac
+import math
 import random
 import secrets
 import ssl
@@ -14,15 +15,12 @@
 from typing import Any, TypeVar
 
 import trio
-from websockets.exceptions import ConnectionClosed, WebSocketException
-from websockets.http11 import Request, Response
-from websockets.trio.client import connect
-from websockets.trio.connection import Connection
-from websockets.trio.server import ServerConnection, serve
+from websockets.exceptions import WebSocketException
 
 from savorydyke import _logs
 from savorydyke._backoff import backoff_s
 from savorydyke._exceptions import HandshakeError, ProtocolError
+from savorydyke._frame_stream import FrameStream, accept_frames, connect_frames
 from savorydyke._ids import InstanceId
 from savorydyke._membership import MAX_FULL_MESH, Membership, ring_neighbours
 from savorydyke._messages import (
@@ -46,12 +44,19 @@
 DIAL_BASE_S = 0.2
 DIAL_MAX_S = 5.0
 LINK_CHECK_INTERVAL_S = 0.25
-UNUSED_LINK_S = 8.0
-"""Twice the interval at which frontends register with a coordinator, so that links to
-coordinators are kept."""
+UNUSED_LINK_S = 5.0
+"""Longer than the interval at which frontends register with a coordinator, so that
+links to coordinators are kept."""
+JOIN_S = 1.5
+"""Time after its start in which an instance waits for a view that grows. Of the links
+that it would open to a part of a fleet that starts, few are kept."""
+STEADY_S = 0.5
+"""Time without new instances after which a view counts as complete: a pause between
+two watches of the store, and a check."""
 EXTENSIBLE_HEADER = "Savorydyke-Extensible"
 """States in the WebSocket handshake that fields which are not known are ignored.
 Earlier builds ignore the header, and refuse such fields."""
+HANDSHAKE_HEADERS = {EXTENSIBLE_HEADER: "1"}
 LINK_SILENT_S = 2.5
 """Five heartbeats. A connection may stop carrying data without being reset, so a
 silent one is closed."""
@@ -79,6 +84,31 @@
     refused: int = 0
 
 
+@dataclass
+class GrowingView:
+    """The number of instances that are known after a start.
+
+    Attributes
+    ----------
+    known : int or None
+        Their number at the latest check.
+    grown_at : float
+        When it last grew, after the first check.
+    """
+
+    started_at: float
+    known: int | None = None
+    grown_at: float = -math.inf
+
+    def is_steady(self, known: int, now: float) -> bool:
+        """Return whether links may be opened, with as many instances known."""
+        if self.known is not None and known > self.known:
+            self.grown_at = now
+        self.known = known
+        is_joining = now - self.started_at < JOIN_S
+        return not is_joining or now - self.grown_at >= STEADY_S
+
+
 @dataclass(eq=False)
 class Link:
     """An open connection to one peer.
@@ -96,7 +126,7 @@
 
     peer: InstanceId
     dialler: InstanceId
-    websocket: Connection
+    frames: FrameStream
     scope: trio.CancelScope
     is_extensible: bool = False
     queue: list[Message] = field(default_factory=list)
@@ -137,6 +167,12 @@
         The instance that answered at each address dialled.
     listed_addresses : dict of InstanceId to str
         Instances in the platform's list.
+    wanted : trio.Event
+        Set when a peer is added to `requested`, and replaced then.
+    changes : int
+        Number of changes of links and of the list.
+    wanted_peers : tuple or None
+        Peers to keep links to, and the number of changes of the membership then.
     """
 
     def __init__(
@@ -161,6 +197,9 @@
         self.listed_addresses: dict[InstanceId, str] = {}
         self.seed_instances: dict[str, InstanceId] = {}
         self.traffic = Traffic()
+        self.wanted = trio.Event()
+        self.changes = 0
+        self.wanted_peers: tuple[int, set[InstanceId]] | None = None
 
     def send(self, peer: InstanceId, message: Message) -> bool:
         """Queue a message for `peer`.
@@ -169,40 +208,54 @@
         """
         link = self.links.get(peer)
         if link is None:
-            self.requested.add(peer)
+            self._request(peer)
             return False
         link.send(message)
         return True
 
+    def _request(self, peer: InstanceId) -> None:
+        """Let a link be opened, unless that is being done."""
+        member = self.membership.members.get(peer)
+        if member is not None and member.address not in self.dialling:
+            self.requested.add(peer)
+            self.wanted.set()
+
+    def set_listed(self, addresses: dict[InstanceId, str]) -> None:
+        """Set which instances the platform lists, and where they take links."""
+        if addresses != self.listed_addresses:
+            self.listed_addresses = addresses
+            self.changes += 1
+
     # Accepting and dialling
 
     async def listen(self, address: str, task_status: trio.TaskStatus[Any]) -> None:
         """Accept links on `address` until cancelled."""
         host, _, port = address.rpartition(":")
-        await serve(
-            self._accept,
-            int(port),
-            host=host.strip("[]"),
-            ssl=self.server_tls,
-            compression=None,
-            max_size=MAX_FRAME_BYTES,
-            ping_interval=None,
-            open_timeout=HANDSHAKE_TIMEOUT_S,
-            process_response=_state_extensible,
-            task_status=task_status,
-        )
+        listeners = await trio.open_tcp_listeners(int(port), host=host.strip("[]"))
+        await trio.serve_listeners(self._accept, listeners, task_status=task_status)
 
     async def maintain_links(self) -> None:
         """Open missing links and close silent ones, until cancelled."""
+        view = GrowingView(trio.current_time())
+        checked: tuple[int, int] | None = None
         async with trio.open_nursery() as nursery:
             while True:
-                for address in self._missing_addresses():
-                    self.dialling.add(address)
-                    nursery.start_soon(self._dial, address)
-                self._close_silent_links(trio.current_time())
-                for link in self._unused_links(trio.current_time()):
-                    nursery.start_soon(link.websocket.aclose)
-                await trio.sleep(LINK_CHECK_INTERVAL_S)
+                now = trio.current_time()
+                known = len(self.membership.members.keys() | self.listed_addresses)
+                state = (self.changes, self.membership.changes)
+                is_changed = state != checked or bool(self.requested)
+                if is_changed and view.is_steady(known, now):
+                    checked = state
+                    for address in self._missing_addresses():
+                        self.dialling.add(address)
+                        nursery.start_soon(self._dial, address)
+                self._close_silent_links(now)
+                for link in self._unused_links(now):
+                    self.membership.expect_no_heartbeats(link.peer)
+                    link.scope.cancel()
+                with trio.move_on_after(LINK_CHECK_INTERVAL_S):
+                    await self.wanted.wait()
+                self.wanted = trio.Event()
 
     def _close_silent_links(self, now: float) -> None:
         """Close links that carry no data any more, so that new ones are opened."""
@@ -219,14 +272,24 @@
         """
         if not self.membership.is_large_fleet():
             return []
-        wanted = {member.id for member in self.membership.wanted_links()}
-        return [
+        unused = [
             link
             for link in self.links.values()
             if link.dialler == self.membership.id
-            and link.peer not in wanted
             and now - link.last_used_at > UNUSED_LINK_S
         ]
+        if not unused:
+            return []
+        wanted = self._wanted_peers()
+        return [link for link in unused if link.peer not in wanted]
+
+    def _wanted_peers(self) -> set[InstanceId]:
+        """Return the peers to which this instance should keep links."""
+        changes = self.membership.changes
+        if self.wanted_peers is None or self.wanted_peers[0] != changes:
+            wanted = {member.id for member in self.membership.wanted_links()}
+            self.wanted_peers = (changes, wanted)
+        return self.wanted_peers[1]
 
     def _missing_addresses(self) -> list[str]:
         members = self.membership.members
@@ -257,27 +320,17 @@
 
     async def _dial(self, address: str) -> None:
         attempt = 0
-        scheme = "wss" if self.client_tls else "ws"
         try:
             while attempt < 3:
                 try:
-                    async with connect(
-                        f"{scheme}://{address}",
-                        ssl=self.client_tls,
-                        compression=None,
-                        max_size=MAX_FRAME_BYTES,
-                        ping_interval=None,
-                        open_timeout=HANDSHAKE_TIMEOUT_S,
-                        close_timeout=0.2,
-                        proxy=None,
-                        additional_headers={EXTENSIBLE_HEADER: "1"},
-                    ) as websocket:
-                        with trio.fail_after(HANDSHAKE_TIMEOUT_S):
-                            peer = await self._handshake_as_dialler(websocket)
-                        self.seed_instances[address] = peer
-                        if peer == self.membership.id:
-                            return
-                        await self._run(websocket, peer, self.membership.id)
+                    with trio.fail_after(HANDSHAKE_TIMEOUT_S):
+                        frames = await connect_frames(
+                            address,
+                            self.client_tls,
+                            MAX_FRAME_BYTES,
+                            HANDSHAKE_HEADERS,
+                        )
+                    await self._serve_dialled(frames, address)
                     return
                 except (
                     OSError,
@@ -296,22 +349,53 @@
                 await trio.sleep(backoff_s(attempt, DIAL_BASE_S, DIAL_MAX_S, self.rng))
         finally:
             self.dialling.discard(address)
+            self.changes += 1
+
+    async def _serve_dialled(self, frames: FrameStream, address: str) -> None:
+        """Serve a connection that this instance has opened, until it ends."""
+        try:
+            with trio.fail_after(HANDSHAKE_TIMEOUT_S):
+                peer = await self._handshake_as_dialler(frames)
+            self.seed_instances[address] = peer
+            if peer != self.membership.id:
+                await self._run(frames, peer, self.membership.id)
+        finally:
+            await frames.close()
 
     def _record_dial_failure(self, address: str) -> None:
         for member in self.membership.members.values():
             if member.address == address:
                 member.dial_failed_at = trio.current_time()
 
-    async def _accept(self, websocket: ServerConnection) -> None:
+    async def _accept(self, stream: trio.SocketStream) -> None:
+        """Serve a connection that a peer has opened, until it ends."""
+        tls = self.server_tls
+        secured = (
+            stream
+            if tls is None
+            else trio.SSLStream(stream, tls, server_side=True, https_compatible=True)
+        )
+        try:
+            with trio.fail_after(HANDSHAKE_TIMEOUT_S):
+                frames = await accept_frames(
+                    secured, MAX_FRAME_BYTES, HANDSHAKE_HEADERS
+                )
+            await self._serve_accepted(frames)
+        except (OSError, WebSocketException, trio.TooSlowError) as error:
+            log.debug("Handshake failed.", extra={"error": repr(error)})
+        except Exception:
+            # An error on one link must not affect the others.
+            log.exception("Link failed.")
+
+    async def _serve_accepted(self, frames: FrameStream) -> None:
         try:
             with trio.fail_after(HANDSHAKE_TIMEOUT_S):
-                peer = await self._handshake_as_acceptor(websocket)
+                peer = await self._handshake_as_acceptor(frames)
+            await self._run(frames, peer, peer)
         except (HandshakeError, ProtocolError, trio.TooSlowError) as error:
             self._record_refusal(str(error) or "handshake timed out")
-            return
-        except WebSocketException:
-            return
-        await self._run(websocket, peer, peer)
+        finally:
+            await frames.close()
 
     def _record_refusal(self, error: str) -> None:
         self.traffic.refused += 1
@@ -319,55 +403,50 @@
 
     # Handshake
 
-    async def _handshake_as_dialler(self, websocket: Connection) -> InstanceId:
+    async def _handshake_as_dialler(self, frames: FrameStream) -> InstanceId:
         """Authenticate on the dialling side and return the peer's id."""
-        challenge = await self._receive(websocket, Challenge)
+        challenge = await self._receive(frames, Challenge)
         _check_version(challenge.version)
         me = self.membership
         nonce = secrets.token_bytes(NONCE_BYTES)
         signature = self._sign(b"hello", challenge.nonce, me.id)
-        await websocket.send(
-            encode(
-                [
-                    Hello(
-                        PROTOCOL_VERSION,
-                        me.id,
-                        me.address,
-                        me.data_centre,
-                        me.incarnation,
-                        nonce,
-                        signature,
-                    )
-                ]
-            )
+        hello = Hello(
+            PROTOCOL_VERSION,
+            me.id,
+            me.address,
+            me.data_centre,
+            me.incarnation,
+            nonce,
+            signature,
         )
+        await _send(frames, hello)
         if challenge.instance == me.id:
             return me.id
-        welcome = await self._receive(websocket, Welcome)
+        welcome = await self._receive(frames, Welcome)
         self._check(welcome.signature, b"welcome", nonce, challenge.instance)
         self._add_member(challenge.instance, welcome)
         return challenge.instance
 
-    async def _handshake_as_acceptor(self, websocket: Connection) -> InstanceId:
+    async def _handshake_as_acceptor(self, frames: FrameStream) -> InstanceId:
         """Authenticate on the accepting side and return the peer's id."""
         me = self.membership
         nonce = secrets.token_bytes(NONCE_BYTES)
-        await websocket.send(encode([Challenge(PROTOCOL_VERSION, me.id, nonce)]))
-        hello = await self._receive(websocket, Hello)
+        await _send(frames, Challenge(PROTOCOL_VERSION, me.id, nonce))
+        hello = await self._receive(frames, Hello)
         _check_version(hello.version)
         self._check(hello.signature, b"hello", nonce, hello.instance)
         if hello.instance == me.id:
             raise HandshakeError("the peer uses this instance's id")
         signature = self._sign(b"welcome", hello.nonce, me.id)
         welcome = Welcome(me.address, me.data_centre, me.incarnation, signature)
-        await websocket.send(encode([welcome]))
+        await _send(frames, welcome)
         self._add_member(hello.instance, hello)
         return hello.instance
 
-    async def _receive(self, websocket: Connection, kind: type[M]) -> M:
-        frame = await websocket.recv()
-        if not isinstance(frame, bytes):
-            raise ProtocolError("expected a binary frame")
+    async def _receive(self, frames: FrameStream, kind: type[M]) -> M:
+        frame = await frames.receive()
+        if frame is None:
+            raise ConnectionError(f"closed before {kind.__name__}")
         messages = decode(frame)
         if len(messages) != 1 or not isinstance(messages[0], kind):
             raise HandshakeError(f"expected {kind.__name__}")
@@ -400,10 +479,10 @@
     # One link
 
     async def _run(
-        self, websocket: Connection, peer: InstanceId, dialler: InstanceId
+        self, frames: FrameStream, peer: InstanceId, dialler: InstanceId
     ) -> None:
         with trio.CancelScope() as scope:
-            link = Link(peer, dialler, websocket, scope, _is_extensible(websocket))
+            link = Link(peer, dialler, frames, scope, _is_extensible(frames))
             if not self._add_link(link):
                 return
             log.info("Link opened.", extra={"peer": peer})
@@ -437,26 +516,24 @@
         member = self.membership.members.get(peer)
         if member is not None:
             member.linked = linked
+        self.changes += 1
         self.membership.update(trio.current_time())
         self.membership.notify()
 
     async def _read(self, link: Link) -> None:
         try:
-            async for frame in link.websocket:
+            while (frame := await link.frames.receive()) is not None:
                 link.last_received_at = trio.current_time()
                 self.traffic.frames_received += 1
                 self.traffic.bytes_received += len(frame)
-                if not isinstance(frame, bytes):
-                    raise ProtocolError("expected a binary frame")
                 for message in decode(frame):
                     link.note_use(message)
                     self._handle(link.peer, message)
-        except ConnectionClosed:
-            return
         except ProtocolError as error:
             self._record_refusal(f"{link.peer}: {error}")
-        else:
-            # Closed because it is not needed; the peer goes on elsewhere.
+            return
+        if link.frames.is_closed_normally():
+            # It is not needed; the peer goes on elsewhere.
             self.membership.expect_no_heartbeats(link.peer)
 
     def _handle(self, peer: InstanceId, message: Message) -> None:
@@ -469,19 +546,21 @@
             log.exception("Message failed.", extra=extra)
 
     async def _write(self, link: Link) -> None:
-        while True:
-            await link.wake.wait()
-            link.wake = trio.Event()
-            messages, link.queue = link.queue, []
-            if not messages:
-                continue
-            frame = encode(messages, link.is_extensible)
-            self.traffic.frames_sent += 1
-            self.traffic.bytes_sent += len(frame)
-            try:
-                await link.websocket.send(frame)
-            except ConnectionClosed:
-                return
+        try:
+            while True:
+                await link.wake.wait()
+                link.wake = trio.Event()
+                messages, link.queue = link.queue, []
+                if not messages:
+                    continue
+                frame = encode(messages, link.is_extensible)
+                self.traffic.frames_sent += 1
+                self.traffic.bytes_sent += len(frame)
+                link.frames.queue(frame)
+                await link.frames.flush()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # Reading ends too.
+            return
 
 
 def _check_version(version: int) -> None:
@@ -491,15 +570,21 @@
         )
 
 
-def _state_extensible(
-    websocket: ServerConnection, request: Request, response: Response
-) -> None:
-    """Add the header to the answer of the accepting side."""
-    response.headers[EXTENSIBLE_HEADER] = "1"
+async def _send(frames: FrameStream, message: Message) -> None:
+    """Send one message of a handshake.
+
+    Raises
+    ------
+    ConnectionError
+        If the connection is lost.
+    """
+    frames.queue(encode([message]))
+    try:
+        await frames.flush()
+    except trio.BrokenResourceError as error:
+        raise ConnectionError(f"connection lost: {error}") from None
 
 
-def _is_extensible(websocket: Connection) -> bool:
+def _is_extensible(frames: FrameStream) -> bool:
     """Return whether the peer stated that it ignores fields that it does not know."""
-    is_server = isinstance(websocket, ServerConnection)
-    stated = websocket.request if is_server else websocket.response
-    return stated is not None and EXTENSIBLE_HEADER in stated.headers
+    return EXTENSIBLE_HEADER in frames.peer_headers
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -45,7 +45,7 @@
 from savorydyke._request_limits import RequestLimits
 from savorydyke._route_pools import RoutePools
 from savorydyke._stream_versions import UNKNOWN_DETAIL, StreamVersions
-from savorydyke._timers import TimerService
+from savorydyke._timers import Gate, TimerService
 from savorydyke._timing import VIEW_WAIT_S
 from savorydyke._untrusted import shown
 from savorydyke.scheduling import Inbox, PoolMessage, Received
@@ -55,6 +55,10 @@
 after which frontends place requests themselves."""
 REGISTRATION_TIMEOUT_S = 1.5
 IDLE_S = 10.0
+"""Time for which a pool is hosted on that another instance coordinates."""
+EMPTY_IDLE_S = 1.0
+"""Same if nothing is known of its requests. While a fleet starts, each instance is the
+coordinator of all pools for a moment."""
 STALL_S = 1.0
 UNKNOWN_STREAM_RETRY_MS = 500
 TURN_S = 0.005
@@ -132,6 +136,10 @@
         default_factory=dict
     )
 
+    def is_empty(self) -> bool:
+        """Return whether no request is known, waiting or in flight."""
+        return not (self.scheduler.placed or self.unresolved or self.deferred)
+
     def is_complete(self) -> bool:
         """Return whether all frontends have registered and all endpoints reported."""
         return not self.unregistered and not self.unreported
@@ -173,6 +181,8 @@
         these for them.
     on_decided : callable
         Called with each decision.
+    hosting : Gate
+        Open while a pool is hosted here.
     inbox : Inbox
         Messages that wait to be processed, while `run` runs.
     """
@@ -202,6 +212,7 @@
     on_decided: Callable[[PoolScheduler, Decision], None] = field(
         default=lambda scheduler, decision: None
     )
+    hosting: Gate = field(default_factory=Gate)
     inbox: Inbox = field(default_factory=Inbox)
     has_messages: trio.Event = field(default_factory=trio.Event)
     is_running: bool = False
@@ -513,6 +524,7 @@
             scheduler.set_rejection_limit(endpoint, known.per_s)
         self.set_share(scheduler)
         self.hosted[pool] = hosted
+        self.hosting.set(True)
         log.info("Pool hosted.", extra={"pool": pool})
         if unreported:
             self.awaits_reports.set()
@@ -631,18 +643,20 @@
 
     async def run(self, timers: TimerService) -> None:
         """Run the periodic work of all schedulers until cancelled."""
-        async with trio.open_nursery() as nursery, timers.every(TICK_S) as ticks:
+        async with trio.open_nursery() as nursery:
             nursery.start_soon(self.work)
             self.is_running = True
             try:
-                async for _ in ticks:
-                    now = trio.current_time()
-                    self._check_stall(now)
-                    for pool, hosted in list(self.hosted.items()):
-                        self._tick(pool, hosted, now)
+                await timers.run_while(self.hosting, TICK_S, self._tick_all)
             finally:
                 self.is_running = False
 
+    def _tick_all(self) -> None:
+        now = trio.current_time()
+        self._check_stall(now)
+        for pool, hosted in list(self.hosted.items()):
+            self._tick(pool, hosted, now)
+
     def _check_stall(self, now: float) -> None:
         """Treat all schedulers as new after a pause of this process.
 
@@ -684,8 +698,9 @@
         self._send(scheduler, scheduler.tick(now))
         if is_coordinator or len(scheduler.queue) > 0:
             hosted.used = now
-        elif now - hosted.used > IDLE_S:
+        elif now - hosted.used > (EMPTY_IDLE_S if hosted.is_empty() else IDLE_S):
             del self.hosted[pool]
+            self.hosting.set(bool(self.hosted))
             log.info("Pool no longer hosted.", extra={"pool": pool})
 
 
--- a/src/savorydyke/_quota_balances.py
+++ b/src/savorydyke/_quota_balances.py
@@ -83,6 +83,7 @@
         """Send balances to other instances, also while the store does not answer."""
         coordinated: set[PoolId] = set()
         while True:
+            await self.pool_host.hosting.opened.wait()
             hosted = {p: h.scheduler.quotas for p, h in self.pool_host.hosted.items()}
             for pool, quotas in hosted.items():
                 if not self.membership.is_coordinator(pool):
@@ -105,7 +106,8 @@
             try:
                 await self._exchange()
                 failures = 0
-                with trio.move_on_after(CHECK_S):
+                is_hosting = self.pool_host.hosting.is_open()
+                with trio.move_on_after(CHECK_S if is_hosting else math.inf):
                     await self.hosted.wait()
                     self.hosted = trio.Event()
             except StoreError as error:
--- a/src/savorydyke/_quota_reports.py
+++ b/src/savorydyke/_quota_reports.py
@@ -144,7 +144,9 @@
     async def run(self, timers: TimerService) -> None:
         """Report until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._exchange, timers)
+            nursery.start_soon(
+                timers.run_while, self.pool_host.hosting, EXCHANGE_S, self._exchange
+            )
             async with timers.every(REPORT_S) as ticks:
                 async for _ in ticks:
                     self.reports += 1
@@ -282,12 +284,10 @@
             answer = {"at": value["at"], "teams": lent}
             self._send(sender, LOAN, pool, answer)
 
-    async def _exchange(self, timers: TimerService) -> None:
+    def _exchange(self) -> None:
         """Tell the coordinators of other pools what was admitted here."""
-        async with timers.every(EXCHANGE_S) as ticks:
-            async for _ in ticks:
-                for pool, hosted in list(self.pool_host.hosted.items()):
-                    self._tell_others(pool, hosted.scheduler.quotas)
+        for pool, hosted in list(self.pool_host.hosted.items()):
+            self._tell_others(pool, hosted.scheduler.quotas)
 
     def _tell_all(self) -> None:
         """Tell a new coordinator all that coordinators here have admitted."""
--- a/src/savorydyke/_shared_evidence.py
+++ b/src/savorydyke/_shared_evidence.py
@@ -8,7 +8,7 @@
 import json
 import math
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import trio
@@ -19,7 +19,6 @@
 from savorydyke._messages import LimitRow, LossRow
 from savorydyke._quarantine import Quarantine
 from savorydyke._request_limits import NO_LIMIT_ROW, RequestLimits
-from savorydyke._timers import TimerService
 from savorydyke._untrusted import MAX_INTEGER, MAX_SHOWN, parse_json, shown
 from savorydyke.platform import LeaseExpired, Store, StoreError, evidence_key
 
@@ -57,6 +56,8 @@
         When the lease was opened or last renewed.
     has_record : bool
         Whether the store may hold a record of this instance that has rows.
+    changed : trio.Event
+        Set when there may be something to write, and replaced then.
     """
 
     store: Store
@@ -68,15 +69,28 @@
     lease: int = 0
     renewed: float = -math.inf
     has_record: bool = False
+    changed: trio.Event = field(default_factory=trio.Event)
 
-    async def run(self, timers: TimerService) -> None:
+    async def run(self) -> None:
         """Write what has changed until cancelled."""
-        async with timers.every(WRITE_INTERVAL_S) as ticks:
-            async for _ in ticks:
-                try:
-                    await self.write()
-                except StoreError as error:
-                    log.info("Evidence not written.", extra={"error": str(error)})
+        while True:
+            await self.changed.wait()
+            self.changed = trio.Event()
+            try:
+                await self.write()
+            except StoreError as error:
+                log.info("Evidence not written.", extra={"error": str(error)})
+            await trio.sleep(WRITE_INTERVAL_S)
+
+    def check(self, now: float) -> None:
+        """Let `run` write if something has changed, or the lease is to be renewed."""
+        is_lease_due = self.has_record and now - self.renewed > LEASE_RENEWAL_S
+        if is_lease_due or self._state() != self.written:
+            self.changed.set()
+
+    def _state(self) -> tuple[int, ...]:
+        changes = (self.limits.changes, self.rejections.changes)
+        return (self.quarantine.changes, *changes, self.store.generation)
 
     async def write(self) -> None:
         """Write what has changed, if this instance is to write.
@@ -88,8 +102,7 @@
         """
         now = trio.current_time()
         generation = self.store.generation
-        changes = (self.limits.changes, self.rejections.changes)
-        state = (self.quarantine.changes, *changes, generation)
+        state = self._state()
         if state == self.written:
             if self.has_record and now - self.renewed > LEASE_RENEWAL_S:
                 await self._renew_lease(now)
--- a/src/savorydyke/_store_records.py
+++ b/src/savorydyke/_store_records.py
@@ -4,7 +4,7 @@
 """
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 
@@ -14,7 +14,6 @@
 from savorydyke._membership import Membership
 from savorydyke._peers import Peers
 from savorydyke._store_restores import GENERATION_KEY, write_generation
-from savorydyke._timers import TimerService
 from savorydyke.platform import (
     FLEET_KEY,
     InstanceRecord,
@@ -47,6 +46,8 @@
     ----------
     record : InstanceRecord
         The record of this instance.
+    incomplete : trio.Event
+        Set when the store may lack a record of the fleet, and replaced then.
     """
 
     store: Store
@@ -54,8 +55,8 @@
     directory: Directory
     membership: Membership
     peers: Peers
-    timers: TimerService
     rng: random.Random
+    incomplete: trio.Event = field(default_factory=trio.Event)
 
     async def keep_instance_record(self) -> None:
         """Write this instance's record and renew its lease until cancelled.
@@ -96,22 +97,29 @@
 
         Runs until cancelled.
         """
-        async with self.timers.every(REWRITE_CHECK_S) as ticks:
-            async for _ in ticks:
-                try:
-                    await self._rewrite_fleet_records()
-                except StoreError as error:
-                    extra = {"error": str(error)}
-                    log.warning("Fleet records not written.", extra=extra)
+        while True:
+            await self.incomplete.wait()
+            self.incomplete = trio.Event()
+            try:
+                await self._rewrite_fleet_records()
+            except StoreError as error:
+                extra = {"error": str(error)}
+                log.warning("Fleet records not written.", extra=extra)
+            await trio.sleep(REWRITE_CHECK_S)
 
-    async def _rewrite_fleet_records(self) -> None:
+    def check_fleet_records(self) -> None:
+        """Let `rewrite_fleet_records` write what the store lacks, if anything."""
         directory = self.directory
         if directory.restores.generation != self.store.generation:
             # What the store lacks is known after the next listing.
             return
         self.peers.shared_key = directory.fleet_key or self.peers.shared_key
-        is_incomplete = not directory.fleet_key or directory.should_note_generation()
-        if not is_incomplete or not self.membership.is_chosen("fleet records", 1):
+        if not directory.fleet_key or directory.should_note_generation():
+            self.incomplete.set()
+
+    async def _rewrite_fleet_records(self) -> None:
+        directory = self.directory
+        if not self.membership.is_chosen("fleet records", 1):
             return
         if not directory.fleet_key:
             await self.store.create(FLEET_KEY, self.peers.shared_key)
--- a/src/savorydyke/_stream_records.py
+++ b/src/savorydyke/_stream_records.py
@@ -15,7 +15,7 @@
 from savorydyke._membership import Membership
 from savorydyke._route_pools import RoutePools
 from savorydyke._stream_versions import KEPT_S, StreamVersions
-from savorydyke._timers import TimerService
+from savorydyke._timers import Gate, TimerService
 from savorydyke._untrusted import MAX_SHOWN, parse_json, shown
 from savorydyke.platform import (
     LeaseExpired,
@@ -69,14 +69,18 @@
     lease_opened: float = 0.0
     lease_generation: int = 0
 
-    async def run(self, timers: TimerService) -> None:
-        """Write what has changed until cancelled."""
-        async with timers.every(WRITE_INTERVAL_S) as ticks:
-            async for _ in ticks:
-                try:
-                    await self.write(boot_time())
-                except StoreError as error:
-                    log.info("Streams not stored.", extra={"error": str(error)})
+    async def run(self, timers: TimerService, hosting: Gate) -> None:
+        """Write what has changed while pools are hosted here, until cancelled."""
+        while True:
+            await hosting.opened.wait()
+            async with timers.every(WRITE_INTERVAL_S) as ticks:
+                async for _ in ticks:
+                    if not hosting.is_open():
+                        break
+                    try:
+                        await self.write(boot_time())
+                    except StoreError as error:
+                        log.info("Streams not stored.", extra={"error": str(error)})
 
     async def write(self, now: float) -> None:
         """Write what has changed in the pools that are coordinated here.
--- a/src/savorydyke/_timers.py
+++ b/src/savorydyke/_timers.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
 
 import trio
 
@@ -24,6 +25,30 @@
 _Subscriber = trio.MemorySendChannel[None]
 
 
+@dataclass(eq=False)
+class Gate:
+    """Whether ticks are needed; while it is closed nothing wakes up for them.
+
+    Attributes
+    ----------
+    opened : trio.Event
+        Set while the gate is open, and replaced when it closes.
+    """
+
+    opened: trio.Event = field(default_factory=trio.Event)
+
+    def is_open(self) -> bool:
+        """Return whether ticks are needed."""
+        return self.opened.is_set()
+
+    def set(self, is_open: bool) -> None:
+        """Open or close the gate."""
+        if is_open:
+            self.opened.set()
+        elif self.is_open():
+            self.opened = trio.Event()
+
+
 class TimerService:
     """Delivers ticks to subscribers.
 
@@ -59,6 +84,21 @@
         finally:
             send.close()
 
+    async def run_while(
+        self, gate: Gate, period_s: float, act: Callable[[], None]
+    ) -> None:
+        """Call a function every `period_s` seconds while a gate is open.
+
+        Runs until cancelled.
+        """
+        while True:
+            await gate.opened.wait()
+            async with self.every(period_s) as ticks:
+                async for _ in ticks:
+                    if not gate.is_open():
+                        break
+                    act()
+
     def _jittered(self, period_s: float) -> float:
         return period_s * (1 + JITTER * (2 * self.rng.random() - 1))
 
