Do not read an endpoint's record again if only its heartbeat has changed

Each endpoint writes its record every 1.2 s, and each instance reads all of them: 98 a second with 118 endpoints, at 46 us each (JSON, addresses, comparison). The stored bytes without the digits of the heartbeat's number are kept with the record; if they are the same, only the number is taken. A record in which the number can not be told from the rest is read in full as before.

--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -390,7 +390,8 @@
         if known is None or change.value is None:
             return True
         try:
-            return not _same_endpoint(known, read_endpoint(endpoint, change.value))
+            record = read_endpoint(endpoint, change.value, known)
+            return not _same_endpoint(known, record)
         except BadRecordError:
             # `_apply_endpoint` reports it.
             return True
@@ -500,7 +501,7 @@
             self._handle_missing_endpoint(endpoint)
             return
         try:
-            record = read_endpoint(endpoint, data)
+            record = read_endpoint(endpoint, data, self.endpoints.get(endpoint))
         except BadRecordError as error:
             extra = {"endpoint": endpoint[:MAX_SHOWN], "error": shown(error)}
             log.warning("Endpoint record unreadable.", extra=extra)
@@ -631,6 +632,8 @@
 
 def _same_endpoint(one: EndpointRecord, other: EndpointRecord) -> bool:
     """Return whether two records differ only in what each heartbeat changes."""
+    if one.constant and one.constant == other.constant and one.id == other.id:
+        return True
     same = replace(other, warm_up_s=one.warm_up_s, heartbeat=one.heartbeat)
     return one == same
 
--- a/src/savorydyke/platform/_records.py
+++ b/src/savorydyke/platform/_records.py
@@ -1,7 +1,8 @@
 """Conversion between records in the platform's store and this system's types."""
 
 import json
-from dataclasses import dataclass
+import re
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Any
 
@@ -45,6 +46,8 @@
 STATUS_PREFIX = "status/rollout/"
 ROLLOUT_PREFIX = "savorydyke/rollouts/"
 MAX_WITHIN_S = 86_400.0
+HEARTBEAT_FIELD = b'"seq"'
+HEARTBEAT_NUMBER = re.compile(rb'"seq":[ ]?(0|[1-9][0-9]{0,17})(?=[,}])')
 FLEET_KEY = "savorydyke/fleet-key"
 READINESS_PATH = b"/savorydyke/readyz"
 DEFAULT_TOKENS_PER_EVENT = 1
@@ -88,6 +91,9 @@
         Version of its software, not of the model's weights.
     warm_up_s : float
         For how much longer it is slow because it has only just started.
+    constant : bytes
+        The record as stored, without the digits of the heartbeat's number; empty if
+        these can not be told from the rest.
     """
 
     id: EndpointId
@@ -100,6 +106,7 @@
     started_ms: int
     heartbeat: int = 0
     version: SoftwareVersion = UNKNOWN_VERSION
+    constant: bytes = field(default=b"", compare=False, repr=False)
 
 
 @dataclass(frozen=True)
@@ -262,14 +269,28 @@
     )
 
 
-def read_endpoint(endpoint: EndpointId, data: bytes) -> EndpointRecord:
+def read_endpoint(
+    endpoint: EndpointId, data: bytes, known: EndpointRecord | None = None
+) -> EndpointRecord:
     """Return an endpoint's record.
 
+    Parameters
+    ----------
+    known : EndpointRecord or None
+        Its record before. Mostly only the number of the heartbeat has changed, and the
+        rest need not be read again.
+
     Raises
     ------
     BadRecordError
         If a field is missing, of another type or has an unknown value.
     """
+    number = HEARTBEAT_NUMBER.search(data)
+    constant = b""
+    if number is not None and data.count(HEARTBEAT_FIELD) == 1:
+        constant = data[: number.start(1)] + data[number.end(1) :]
+        if known is not None and known.id == endpoint and known.constant == constant:
+            return replace(known, heartbeat=int(number[1]))
     value = _object(data)
     state = _text(value, "state")
     if state not in {"ready", "draining"}:
@@ -287,6 +308,7 @@
         started_ms=_integer(value, "born", 0),
         heartbeat=_integer(value, "seq", 0),
         version=_version(value),
+        constant=constant,
     )
 
 
