--- a/src/savorydyke/_daemon.py
+++ b/src/savorydyke/_daemon.py
@@ -334,6 +334,7 @@
             extra={"callers": settings.callers, "build": build_digest()},
         )
         gc.freeze()
+        gc.enable()
         status = await _wait_for_stop(instance, callers, claims)
         stopped.set()
         await trio.sleep(GRACE_AFTER_STOP_S)
--- a/src/savorydyke/_main.py
+++ b/src/savorydyke/_main.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import gc
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -19,6 +20,8 @@
 
 def main() -> None:
     """Run the daemon's command line."""
+    # What is made during a start stays; looking for garbage in it would be wasted.
+    gc.disable()
     parser = argparse.ArgumentParser(
         prog="savorydyked", description="Run one instance of the scheduler."
     )
