Hold a fleet at rest to what control may take of a core

The case starts 24 instances and 60 endpoints and reads processor time from the 16th to the 22nd second: less than 1.6 per cent of a core for each, the target for control. Two decision cases hold the gate of ticks, and that an instance which starts alone opens links at once.

savorydyke-bench request-cost measures what a request takes by how it ends.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -26,6 +26,8 @@
       | a pool does not move to weak instances when the strong ones are slow       |
       | an instance is slow if its timers are late, not after one pause            |
       | timers of a process with too much work are late each time                  |
+      | ticks come only while they are needed                                      |
+      | an instance that starts alone opens links at once                          |
       | a coordinator that returns does not count what ended or began meanwhile    |
       | a lost report of a first byte is corrected by a registration               |
       | a bound that can not be met is refused at the start                        |
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -202,6 +202,14 @@
       | an endpoint sends a failure without end                                     |
       | a report without end is not read to its end                                 |
 
+  @alone
+  Scenario Outline: A fleet at rest
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                     |
+      | a fleet at rest takes no more of its cores than control may |
+
   @alone
   Scenario Outline: Answers without end beside other requests
     Then the routed case "<case>" holds
--- a/src/savorydyke_bench/_main.py
+++ b/src/savorydyke_bench/_main.py
@@ -14,6 +14,7 @@
     _first_grant,
     _histories,
     _policy_bench,
+    _request_cost,
     _rest,
     _soak,
 )
@@ -119,6 +120,16 @@
     _coordinator_load.show(endpoints, load or [1.0, 1.5, 2.5], seconds, profile)
 
 
+@app.command("request-cost")
+def request_cost(
+    instances: Annotated[int, typer.Option(help="Size of the fleet.", min=1)] = 4,
+    requests: Annotated[int, typer.Option(help="Requests of a kind.", min=24)] = 600,
+) -> None:
+    """Measure the processor time of requests that are served and refused."""
+    costs = trio.run(_request_cost.measure, instances, requests)
+    _request_cost.show(instances, costs)
+
+
 @app.command()
 def rest(
     instances: Annotated[
