--- a/src/savorydyke/_frame_stream.py
+++ b/src/savorydyke/_frame_stream.py
@@ -115,7 +115,7 @@
             self.protocol.receive_eof()
         return self.protocol.events_received()
 
-    def _take(self, event: Request | Response | Frame | None) -> None:
+    def _take(self, event: Request | Response | Frame) -> None:
         """Keep a frame with data; the protocol has seen to the others."""
         if not isinstance(event, Frame):
             return
@@ -133,12 +133,12 @@
             If it is no handshake, or none comes.
         """
         while True:
-            first, *others = await self._receive_events() or [None]
-            if isinstance(first, Request | Response):
-                self.peer_headers = first.headers
-                for event in others:
+            events = await self._receive_events()
+            if events and isinstance(events[0], Request | Response):
+                self.peer_headers = events[0].headers
+                for event in events[1:]:
                     self._take(event)
-                return first
+                return events[0]
             failure = self.protocol.handshake_exc or self.protocol.parser_exc
             if failure is not None or self._is_closed():
                 raise InvalidHandshake("no handshake") from failure
