Refuse at the frontend what a coordinator that lags has just refused

More urgent ones, streams that go on and second tries are asked for as before, and a grant opens the rank at once. Nothing of such a request has been sent, so that the refusal is true.

--- a/src/savorydyke/_fair_queue.py
+++ b/src/savorydyke/_fair_queue.py
@@ -30,6 +30,11 @@
 """Added to the rank of a late request; those that can still be on time go first."""
 
 
+def request_rank(tier_rank: int, urgency: int) -> int:
+    """Return the rank of a request by tier and urgency, 0 for the highest."""
+    return tier_rank * URGENCIES + min(urgency, URGENCIES - 1)
+
+
 @dataclass(frozen=True)
 class Forecast:
     """Predicted times of a request at the endpoints that it may go to.
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -12,6 +12,7 @@
 from savorydyke._endpoint_links import EndpointLinks
 from savorydyke._endpoint_states import EndpointStates
 from savorydyke._endpoint_ways import EndpointWays
+from savorydyke._fair_queue import request_rank
 from savorydyke._fallback_placement import has_memory, own_tokens, place_fallback
 from savorydyke._gateway_settings import GatewaySettings
 from savorydyke._grant_client import (
@@ -485,6 +486,13 @@
         draw = self.membership.position(team)
         return self.fallback_quotas.take_fraction(team, tokens, now, draw)
 
+    def rank_of(self, demand: Demand) -> int:
+        """Return the rank of a request by tier and urgency, 0 for the highest."""
+        manifest = self.directory.manifest
+        if manifest is None or demand.team not in manifest.teams:
+            return 0
+        return request_rank(manifest.rank(demand.team), demand.urgency)
+
     def note_use(self, demand: Demand, granted: Granted) -> None:
         """Count a request that goes to an endpoint."""
         self.quota_reports.record_sent(
@@ -651,6 +659,7 @@
         pools=lambda: gateway.pools(),
         place_fallback=lambda demand, avoid: gateway.place_fallback(demand, avoid),
         on_use=lambda demand, granted: gateway.note_use(demand, granted),
+        rank_of=lambda demand: gateway.rank_of(demand),
     )
     record = InstanceRecord(
         settings.instance, settings.peers, settings.data_centre, settings.cores
--- a/src/savorydyke/_grant_client.py
+++ b/src/savorydyke/_grant_client.py
@@ -40,6 +40,7 @@
     Withdraw,
 )
 from savorydyke._timers import TimerService
+from savorydyke.scheduling import CLOSED_DETAIL, ClosedRanks
 
 RECONCILE_S = 4.0
 """Interval at which coordinators are sent the complete list of requests in flight."""
@@ -221,6 +222,11 @@
         this instance's fixed share; None if such requests must wait.
     on_use : callable
         Called with each request and its grant.
+    rank_of : callable or None
+        Returns the rank of a request by tier and urgency. None if requests are left to
+        a coordinator also while it lags.
+    closed : ClosedRanks
+        What is refused here since a coordinator lags.
     """
 
     membership: Membership
@@ -231,6 +237,8 @@
     on_use: Callable[[Demand, Granted], None] = field(
         default=lambda demand, granted: None
     )
+    rank_of: Callable[[Demand], int] | None = None
+    closed: ClosedRanks = field(default_factory=ClosedRanks)
     coordinator_stalled_s: float = COORDINATOR_STALLED_S
     pending: dict[RequestKey, Pending] = field(default_factory=dict)
     in_flight: dict[RequestKey, InFlight] = field(default_factory=dict)
@@ -246,6 +254,8 @@
         if demand.key in self.pending or demand.key in self.in_flight:
             detail = "the same request is in progress"
             return Refused(Reason.DUPLICATE, detail, may_have_run=True)
+        if (refused := self._refuse_closed(demand)) is not None:
+            return refused
         self.attempts += 1
         pending = Pending(demand, self._message(demand, self.attempts, avoid))
         self.pending[demand.key] = pending
@@ -264,6 +274,27 @@
             raise
         return self._finish_pending(pending)
 
+    def _refuse_closed(self, demand: Demand) -> Refused | None:
+        """Refuse a new request whose coordinator has just refused a like one."""
+        if self.rank_of is None or demand.has_begun or demand.is_retry:
+            return None
+        rank, now = self.rank_of(demand), trio.current_time()
+        retry_s = self.closed.retry_s(demand.pool, rank, now)
+        if retry_s is None:
+            return None
+        return Refused(Reason.OVERLOADED, CLOSED_DETAIL, retry_s)
+
+    def _note_closed(self, demand: Demand, answer: Grant | Refuse) -> None:
+        """Record whether the coordinator of a pool lags."""
+        if self.rank_of is None:
+            return
+        rank = self.rank_of(demand)
+        if isinstance(answer, Grant):
+            self.closed.record_granted(demand.pool, rank)
+        elif answer.reason is Reason.OVERLOADED and answer.retry_ms > 0:
+            retry_s, now = answer.retry_ms / 1000, trio.current_time()
+            self.closed.record_refused(demand.pool, rank, retry_s, now)
+
     async def _wait(self, pending: Pending, avoid: tuple[EndpointId, ...]) -> None:
         """Wait for an answer; place the request here if its coordinator is silent."""
         if self.place_fallback is None:
@@ -395,6 +426,7 @@
                 message.reason, message.detail, retry_s, message.may_have_run
             )
         pending.acknowledged = True
+        self._note_closed(pending.demand, message)
         pending.answered.set()
 
     def _return_grant(
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -18,7 +18,7 @@
 from savorydyke._configuration_age import boot_time
 from savorydyke._endpoint_load import Running
 from savorydyke._endpoint_states import EndpointStates
-from savorydyke._fair_queue import URGENCIES
+from savorydyke._fair_queue import URGENCIES, request_rank
 from savorydyke._ids import (
     EndpointId,
     InstanceId,
@@ -233,7 +233,7 @@
         if not isinstance(message, Acquire) or manifest is None:
             return 0
         tier = manifest.rank(message.team) if message.team in manifest.teams else 0
-        return tier * URGENCIES + min(message.urgency, URGENCIES - 1)
+        return request_rank(tier, message.urgency)
 
     async def work(self) -> None:
         """Process the messages in the inbox until cancelled."""
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -23,7 +23,7 @@
     new_load,
 )
 from savorydyke._estimates import Estimates
-from savorydyke._fair_queue import LATE_RANKS, URGENCIES, FairQueue, Waiting
+from savorydyke._fair_queue import LATE_RANKS, FairQueue, Waiting, request_rank
 from savorydyke._ids import (
     EndpointId,
     InstanceId,
@@ -301,8 +301,7 @@
         return Decision(frontend, refusal, rank, age_s)
 
     def _rank(self, message: Acquire) -> int:
-        urgency = min(message.urgency, URGENCIES - 1)
-        return self.manifest.rank(message.team) * URGENCIES + urgency
+        return request_rank(self.manifest.rank(message.team), message.urgency)
 
     def _hold_back(self, item: Waiting, now: float) -> Decision | None:
         """Refuse a request with a part that is held back, unless it is a trial."""
--- a/src/savorydyke/scheduling/__init__.py
+++ b/src/savorydyke/scheduling/__init__.py
@@ -1,5 +1,6 @@
 """Decisions about where requests go and when, at the coordinator of a pool."""
 
+from savorydyke.scheduling._closed_ranks import CLOSED_DETAIL, ClosedRanks
 from savorydyke.scheduling._endpoint_choice import MARGIN, EndpointChoice
 from savorydyke.scheduling._endpoint_index import EndpointIndex, GroupKey
 from savorydyke.scheduling._endpoint_memory import (
@@ -20,10 +21,12 @@
 from savorydyke.scheduling._slot_overlap import SlotOverlap
 
 __all__ = [
+    "CLOSED_DETAIL",
     "DEFAULT_REUSE_S",
     "MANY_CACHED",
     "MARGIN",
     "UNKNOWN_RATIO",
+    "ClosedRanks",
     "EndpointChoice",
     "EndpointIndex",
     "EndpointPace",
