Consider waiting requests again only once something has changed

A coordinator of a large pool considers each team's first requests again with each new one, 13 of them in the mean, although no endpoint has changed since the message before: half of its decisions' processor time.

A new request that is not more urgent than those that wait is now considered alone if all were considered within 5 ms and no endpoint has changed since. Endpoints that others wait for stay theirs.

--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -282,6 +282,8 @@
         decisions = self._shed_excess(now)
         if self.choice.must_wait(item, now):
             return decisions
+        if self.choice.is_just_scanned(now) and item.rank >= self.queue.ranks()[0]:
+            return decisions + self._grant_new(item, now)
         return decisions + self.grant_waiting(now)
 
     def _refuse_stale(
@@ -565,9 +567,21 @@
                 return decisions
             decisions.append(decision)
 
+    def _grant_new(self, item: Waiting, now: float) -> list[Decision]:
+        """Grant a new request that others wait before, if an endpoint is left for it.
+
+        Nothing has changed since these were considered, so that they wait on.
+        """
+        if not self.grants_enabled or item.key not in self.queue.by_key:
+            return []
+        if self.capacity.is_full(now) and self.estimates.index.usable:
+            return []
+        load = self._choose(item, set(self.choice.awaited), now)
+        return [] if load is None else [self._grant(item, load, now)]
+
     def _grant_next(self, now: float) -> Decision | None:
         """Grant the first request in order for which an endpoint has capacity."""
-        blocked: set[EndpointId] = set()
+        blocked = self.choice.awaited = set()
         index = self.capacity.updated_index(now)
         owed = self.capacity.owed_ranks(now)
         for item in self.queue.heads(owed):
--- a/src/savorydyke/scheduling/_endpoint_choice.py
+++ b/src/savorydyke/scheduling/_endpoint_choice.py
@@ -42,6 +42,9 @@
 MAX_BETTER = 4
 """Endpoints that changed for the better, beyond which all are compared again."""
 MAX_RESULTS = 2_000
+SCAN_S = 0.005
+"""Time for which waiting requests are not considered again if no endpoint has changed.
+Some stop to wait for a busy endpoint as time passes."""
 RESULT_S = 0.05
 """Time after which a result is not used again, since busy endpoints get slower."""
 
@@ -118,6 +121,8 @@
         for which that holds, since the latest grant.
     scanned, scanned_mark : float and int
         When the waiting requests were considered last, and the state of the index.
+    awaited : set of EndpointId
+        Endpoints without capacity for a request that was considered then.
     """
 
     capacity: Capacity
@@ -128,14 +133,22 @@
     waiting: dict[Size, float] = field(default_factory=dict)
     scanned: float = -math.inf
     scanned_mark: int = -1
+    awaited: set[EndpointId] = field(default_factory=set)
 
     def must_wait(self, item: Waiting, now: float) -> bool:
         """Return whether a new request waits because those of its size do already."""
-        if now - self.scanned > RESULT_S:
-            return False
-        if self.capacity.updated_index(now).mark != self.scanned_mark:
+        is_scanned = self._is_scanned(RESULT_S, now)
+        return is_scanned and self._size(item) in self.without_capacity
+
+    def is_just_scanned(self, now: float) -> bool:
+        """Return whether those who wait were considered a moment ago, in vain."""
+        return self._is_scanned(SCAN_S, now)
+
+    def _is_scanned(self, within_s: float, now: float) -> bool:
+        """Return whether the endpoints are as when requests were considered last."""
+        if now - self.scanned > within_s:
             return False
-        return self._size(item) in self.without_capacity
+        return self.capacity.updated_index(now).mark == self.scanned_mark
 
     def begin(self, now: float) -> None:
         """Begin with the waiting requests after a message."""
