--- a/features/routed.feature
+++ b/features/routed.feature
@@ -128,6 +128,7 @@
       | case                                                                           |
       | the configuration is confirmed although each watch is cut                      |
       | an endpoint that leaves while watches are cut gets no more requests            |
+      | changes that are too many to be read at once are listed instead                |
 
   Scenario Outline: A store that is restored from a backup
     Then the routed case "<case>" holds
--- a/features/steps/store_watch_cases.py
+++ b/features/steps/store_watch_cases.py
@@ -7,6 +7,10 @@
 import trio
 from routed_cases import BOUNDS, case, start_one
 
+from savorydyke.platform import Compacted, open_store
+from savorydyke.platform._store import MAX_ANSWER_BYTES
+
+LARGE_VALUE = 1_000_000
 CUT_AFTER_S = 0.2
 LEAVING_S = 2.0
 """Time after which an endpoint that has left gets no requests, by default."""
@@ -51,3 +55,18 @@
             await site.endpoint("e3", "desk")
         nursery.cancel_scope.cancel()
     assert {answer.status for answer in answers} == {200}
+
+
+@case("changes that are too many to be read at once are listed instead")
+async def _(site):
+    # Guards against a watch that fails for good after an outage with large changes.
+    store = open_store(site.store_address)
+    before = site.store.revision
+    for _ in range(MAX_ANSWER_BYTES // LARGE_VALUE + 1):
+        site.store.put("op/other", b"x" * LARGE_VALUE)
+    assert isinstance(await store.watch("", before, 0.0), Compacted)
+    (item,) = [i for i in (await store.list("")).items if i.key == "op/other"]
+    assert item.value == b"x" * LARGE_VALUE
+    # A watch from there on works.
+    changes = await store.watch("", site.store.revision, 0.0)
+    assert changes.changes == ()
--- a/src/savorydyke/platform/_store.py
+++ b/src/savorydyke/platform/_store.py
@@ -52,6 +52,7 @@
     RATE_LIMITED = "rate limited"
     ANSWER_LOST = "answer lost"
     UNREACHABLE = "unreachable"
+    TOO_LARGE = "answer too large"
 
 
 class StoreError(Exception):
@@ -181,19 +182,29 @@
     async def watch(
         self, prefix: str, revision: int, wait_s: float
     ) -> Changes | Compacted:
-        """Return the changes after a revision, waiting up to `wait_s` for one."""
+        """Return the changes after a revision, waiting up to `wait_s` for one.
+
+        More changes than can be read at once count as compacted: a listing has the
+        latest value of each key only.
+        """
         params = {
             "prefix": prefix,
             "after": str(revision),
             "wait_ms": str(int(wait_s * 1000)),
         }
         query = urlencode(params, quote_via=quote)
-        status, value = await self._call(
-            "watch",
-            "GET",
-            f"/savorydyke/kv-watch?{query}",
-            timeout_s=wait_s + WATCH_SLACK_S,
-        )
+        try:
+            status, value = await self._call(
+                "watch",
+                "GET",
+                f"/savorydyke/kv-watch?{query}",
+                timeout_s=wait_s + WATCH_SLACK_S,
+            )
+        except StoreError as error:
+            if error.fault is not StoreFault.TOO_LARGE:
+                raise
+            log.warning("Changes too many to be read.", extra={"error": str(error)})
+            return Compacted()
         if status == 410:
             return Compacted()
         return _decode(_changes, value)
@@ -304,6 +315,8 @@
                 await channel.send(self._outgoing(method, target, body), None)
                 head = await channel.read_head()
                 data = await _read_whole(channel)
+        except _TooLargeError as error:
+            raise StoreError(StoreFault.TOO_LARGE, str(error)) from None
         except (ChannelBrokenError, trio.TooSlowError) as error:
             raise StoreError(StoreFault.ANSWER_LOST, repr(error)) from None
         finally:
@@ -355,19 +368,25 @@
         return OutgoingRequest(method.encode(), target.encode(), headers, data)
 
 
+class _TooLargeError(Exception):
+    """Raised when an answer has more than `MAX_ANSWER_BYTES`."""
+
+
 async def _read_whole(channel: Channel) -> bytes:
     """Return the body of an answer.
 
     Raises
     ------
     ChannelBrokenError
-        If it is cut, or too large.
+        If it is cut.
+    _TooLargeError
+        If it is too large.
     """
     data = bytearray()
     async for part in channel.read_body():
         data += part
         if len(data) > MAX_ANSWER_BYTES:
-            raise ChannelBrokenError(f"an answer of over {MAX_ANSWER_BYTES} bytes")
+            raise _TooLargeError(f"an answer of over {MAX_ANSWER_BYTES} bytes")
     return bytes(data)
 
 
