Keep what a former coordinator has counted for ten seconds as before

A pool that another instance coordinates was dropped after 1 s if nothing was in flight. With it went the retries that were counted: a coordinator that comes back within a window begins with a third of the slack, so that several changes within 10 s would have allowed more retries than the budget. Only pools for which no request has ever come are dropped after 1 s now, as at the start of a fleet.

--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -56,8 +56,8 @@
 REGISTRATION_TIMEOUT_S = 1.5
 IDLE_S = 10.0
 """Time for which a pool is hosted on that another instance coordinates."""
-EMPTY_IDLE_S = 1.0
-"""Same if nothing is known of its requests. While a fleet starts, each instance is the
+UNUSED_IDLE_S = 1.0
+"""Same if no request for it has come. While a fleet starts, each instance is the
 coordinator of all pools for a moment."""
 STALL_S = 1.0
 UNKNOWN_STREAM_RETRY_MS = 500
@@ -136,9 +136,13 @@
         default_factory=dict
     )
 
-    def is_empty(self) -> bool:
-        """Return whether no request is known, waiting or in flight."""
-        return not (self.scheduler.placed or self.unresolved or self.deferred)
+    def is_unused(self) -> bool:
+        """Return whether no request has come, so that there is nothing to remember."""
+        scheduler = self.scheduler
+        budget = scheduler.retry_budget
+        has_counted = budget is not None and (budget.requests or budget.retries)
+        known = scheduler.placed or scheduler.recent or has_counted
+        return not (known or self.unresolved or self.deferred)
 
     def is_complete(self) -> bool:
         """Return whether all frontends have registered and all endpoints reported."""
@@ -698,7 +702,7 @@
         self._send(scheduler, scheduler.tick(now))
         if is_coordinator or len(scheduler.queue) > 0:
             hosted.used = now
-        elif now - hosted.used > (EMPTY_IDLE_S if hosted.is_empty() else IDLE_S):
+        elif now - hosted.used > (UNUSED_IDLE_S if hosted.is_unused() else IDLE_S):
             del self.hosted[pool]
             self.hosting.set(bool(self.hosted))
             log.info("Pool no longer hosted.", extra={"pool": pool})
