--- a/src/savorydyke/_answer_budget.py
+++ b/src/savorydyke/_answer_budget.py
@@ -23,10 +23,6 @@
 EVENTS_PER_S = 1000
 """Events of one stream that are relayed in a second. Engines make a tenth of that."""
 BURST_EVENTS = 1000
-FIRST_EVENTS = 4
-"""Events that are passed on at once."""
-FAST_SHARE = 0.7
-"""Part of a pause within which the next event has to be expected."""
 
 
 class WastefulAnswerError(Exception):
@@ -92,51 +88,32 @@
 
 @dataclass
 class EventPace:
-    """When to read on in a stream.
-
-    Events that come faster than any engine's are delayed. Besides, those that come
-    within a pause are read and passed on together, if the deployment allows that: each
-    read costs several system calls and a step of the event loop.
+    """Delays the relaying of a stream whose events come faster than any engine's.
 
     Attributes
     ----------
-    pause_s : float
-        Time between two reads, in seconds; 0 to read at once.
     began : float
-        When the first events came.
-    first, events : int
-        Number of events that came then, and so far.
+        When the first event came.
+    events : int
+        Events so far.
     """
 
-    pause_s: float = 0.0
     began: float = 0.0
-    first: int = 0
     events: int = 0
 
     async def wait(self, events: int) -> None:
-        """Wait until the stream is to be read on.
+        """Wait until more events may be relayed.
 
         Parameters
         ----------
         events : int
-            The total number of events so far.
+            Their total number so far.
         """
         now = trio.current_time()
-        due = self.due(events, now)
-        if due > now:
-            await trio.sleep_until(due)
-
-    def due(self, events: int, now: float) -> float:
-        """Return when the stream is to be read on, with as many events so far."""
         if not self.events:
-            self.began, self.first = now, events
+            self.began = now
         self.events = events
-        due = self.began + (events - BURST_EVENTS) / EVENTS_PER_S
-        if events >= FIRST_EVENTS and self._is_fast(now):
-            due = max(due, now + self.pause_s)
-        return due
-
-    def _is_fast(self, now: float) -> bool:
-        """Return whether the next event is to be expected well within a pause."""
-        later = self.events - self.first
-        return now - self.began < later * FAST_SHARE * self.pause_s
+        if events > BURST_EVENTS:
+            due = self.began + (events - BURST_EVENTS) / EVENTS_PER_S
+            if due > now:
+                await trio.sleep_until(due)
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -43,9 +43,6 @@
 ABORT_S = 0.3
 """Time to tell the callers of aborted requests."""
 STOP_CHECK_S = 0.02
-EVENT_PAUSE_SHARE = 0.4
-"""Part of the bound on passing events on for which a stream is not read on. The rest is
-for links, and for a process that is late."""
 METRICS_PATH = b"/metrics"
 
 log = _logs.component_logger("gateway")
@@ -85,7 +82,6 @@
             gateway.pool_host.versions,
             gateway.pool_host.route_pools,
             gateway.metrics,
-            event_pause_s=EVENT_PAUSE_SHARE * settings.bounds.relay_s,
             incarnation=gateway.membership.incarnation,
         )
         gateway.directory.listeners.append(handler.activity.keep)
--- a/src/savorydyke/_gateway_settings.py
+++ b/src/savorydyke/_gateway_settings.py
@@ -37,9 +37,6 @@
         Time since its last use in which a prompt part counts as held by an endpoint.
     trial : TrialBounds
         What a bad version may get in a roll-out.
-    relay_s : float
-        Time in which each event of a stream has to be passed on; 0 if there is no
-        bound, and events are passed on at once.
     """
 
     apply: ApplyBounds
@@ -52,7 +49,6 @@
     quota_window_s: float
     trial: TrialBounds
     prefix_reuse_s: float = DEFAULT_REUSE_S
-    relay_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -171,7 +167,6 @@
         quota_slack=fields.number("quota_slack", 0),
         quota_window_s=fields.number("quota_window_s", 8, 0.1),
         prefix_reuse_s=fields.number("prefix_reuse_s", DEFAULT_REUSE_S),
-        relay_s=fields.number("relay_ms", 0.0) / 1000,
         trial=TrialBounds(
             share=fields.number("trial_share", 0.1),
             slack=fields.number("trial_slack", 50),
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -12,7 +12,6 @@
 import trio
 
 from savorydyke import _logs
-from savorydyke._answer_budget import EventPace
 from savorydyke._configuration_age import boot_time
 from savorydyke._directory import Directory
 from savorydyke._endpoint_observer import EndpointObserver
@@ -158,8 +157,6 @@
         When endpoints were heard of.
     event_steps : dict of PoolId to EventSteps
         The usual steps between the ids of events, by pool.
-    event_pause_s : float
-        Time between two reads of a stream whose events come fast, in seconds.
     incarnation : int
         Distinguishes this process from earlier ones of the same instance,
         whose requests a coordinator may still hold.
@@ -188,7 +185,6 @@
     aborting: bool = False
     scopes: set[trio.CancelScope] = field(default_factory=set)
     waiting: dict[trio.CancelScope, float] = field(default_factory=dict)
-    event_pause_s: float = 0.0
     incarnation: int = 0
     serial: int = 0
 
@@ -853,7 +849,6 @@
             lambda: self._note_first_byte(request, key, endpoint, info.load.counts()),
             lambda: self._on_silence(request, endpoint, way),
             self.event_steps.setdefault(request.pool, EventSteps()),
-            EventPace(self.event_pause_s),
         )
         if isinstance(result, Done) and result.status < 500:
             is_delimited = head.is_delimited()
--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -77,7 +77,6 @@
     on_first_byte: OnFirstByte,
     on_silence: OnSilence,
     steps: EventSteps,
-    pace: EventPace,
 ) -> SendResult:
     """Relay an answer, or return why there is none.
 
@@ -108,7 +107,7 @@
         if why := why_not_stream(head.status, head.headers):
             raise ChannelBrokenError(f"not a stream: {why}")
         return await _relay_events(
-            request, channel, head, on_first_byte, on_silence, steps, pace
+            request, channel, head, on_first_byte, on_silence, steps
         )
     return await _relay_whole(request, channel, head, on_first_byte, on_silence)
 
@@ -218,7 +217,6 @@
     on_first_byte: OnFirstByte,
     on_silence: OnSilence,
     steps: EventSteps,
-    pace: EventPace,
 ) -> SendResult:
     """Relay complete events as they arrive.
 
@@ -231,6 +229,7 @@
     if is_limited:
         channel.read_until = trio.current_time() + STALLED_STREAM_S
     order = EventOrder(request.last_event_id, steps, more_fields=EVENT_FIELDS)
+    pace = EventPace()
     goes_on = bool(request.last_event_id)
     try:
         async for part in _body_parts(channel, on_silence):
