--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -29,7 +29,6 @@
       | ticks come only while they are needed                                      |
       | a burst at a coordinator that lags is refused where it arrives             |
       | a frontend refuses what its coordinator has just refused for its lag       |
-      | events that come fast are read together, and passed on in time             |
       | an instance that starts alone opens links at once                          |
       | a coordinator that returns does not count what ended or began meanwhile    |
       | a lost report of a first byte is corrected by a registration               |
