Let instances of a full mesh open their links at once

While the list of instances grows an instance that starts waits up to 1.5 s with links. In a full mesh each of them is kept, so that nothing is saved, and a start of nine instances was linked later.

--- a/src/savorydyke/_peers.py
+++ b/src/savorydyke/_peers.py
@@ -243,7 +243,10 @@
                 now = trio.current_time()
                 state = (self.changes, self.membership.changes)
                 is_changed = state != checked or bool(self.requested)
-                if is_changed and view.is_steady(self._count_known(), now):
+                known = self._count_known() if is_changed else 0
+                # In a full mesh each link is kept.
+                is_ready = view.is_steady(known, now) or known < MAX_FULL_MESH
+                if is_changed and is_ready:
                     checked = state
                     for address in self._missing_addresses():
                         self.dialling.add(address)
