Read HTTP with httptools in place of h11

Cause: a parser in Python for each head, chunk and answer, at callers' and endpoints' connections and at the store. Change: AnswerParser and RequestParser collect what httptools (llhttp) reports; answers are framed directly. Bare line feeds, folded headers, two lengths, and a length with chunks are rejected by the parser itself. What one answer may cost is bounded as before, also while nothing of a body comes.

--- a/src/savorydyke/_answer_budget.py
+++ b/src/savorydyke/_answer_budget.py
@@ -45,16 +45,21 @@
     body_bytes: int = 0
     received_bytes: int = 0
 
-    def count(self, part: bytes) -> None:
-        """Count a part of the body.
+    def count(self, body: bytes, parts: int = 1) -> None:
+        """Count parts of the body that came together.
+
+        Parameters
+        ----------
+        body : bytes
+            What they contain.
 
         Raises
         ------
         WastefulAnswerError
             If parts are too many for their size, or have too much framing.
         """
-        self.parts += 1
-        self.body_bytes += len(part)
+        self.parts += parts
+        self.body_bytes += len(body)
         if self.parts > MAX_SMALL_PARTS + self.body_bytes // MEAN_PART_BYTES:
             raise WastefulAnswerError(
                 f"{self.parts} parts of {self.body_bytes} bytes together"
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -7,18 +7,24 @@
 """
 
 import math
-import re
 import select
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
-from enum import Enum
 
-import h11
 import trio
 
 from savorydyke._answer_budget import AnswerBudget, WastefulAnswerError
+from savorydyke._http_parsers import (
+    AnswerHead,
+    AnswerParser,
+    Framing,
+    Headers,
+    head_of,
+)
 from savorydyke._sockets import receive, send
 
+__all__ = ["AnswerHead", "Framing", "Headers"]
+
 READ_BYTES = 16384
 """What is read at a time, so that other tasks run in between."""
 INLINE_BODY_BYTES = 8192
@@ -29,14 +35,6 @@
 LINK_SILENT_MS = 5000
 """Time without an acknowledgement after which a connection is broken. It also decides
 how many keep-alive probes are sent, whatever their count is set to."""
-MAX_HEAD_BYTES = 65536
-"""Largest head of an answer that is accepted."""
-BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
-MAX_INTERIM_ANSWERS = 8
-"""Interim answers (status 1xx) that may precede an answer."""
-
-Headers = list[tuple[bytes, bytes]]
-
 HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -93,47 +91,6 @@
     body: bytes = b""
 
 
-class Framing(Enum):
-    """What marks the end of a body."""
-
-    LENGTH = "length"
-    CHUNKED = "chunked"
-    CLOSE = "close"
-
-
-@dataclass(frozen=True)
-class AnswerHead:
-    """Status and headers of an answer.
-
-    Attributes
-    ----------
-    length : int or None
-        Size of the body in bytes, if the answer states it.
-    """
-
-    status: int
-    headers: Headers
-    length: int | None
-
-    def framing(self) -> Framing:
-        """Return what marks the end of the body."""
-        coding = self.get(b"transfer-encoding") or b""
-        if coding.lower().endswith(b"chunked"):
-            return Framing.CHUNKED
-        return Framing.CLOSE if self.length is None else Framing.LENGTH
-
-    def is_delimited(self) -> bool:
-        """Return whether the end of the body is marked, other than by a close."""
-        return self.framing() is not Framing.CLOSE
-
-    def get(self, name: bytes) -> bytes | None:
-        """Return the value of a header, by its name in lower case."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
-
-
 @dataclass(eq=False)
 class Channel:
     """A connection to an endpoint or to the store.
@@ -145,22 +102,17 @@
         Bytes that arrive do not extend it; the caller does when it sees progress.
     on_receive : callable
         Called when bytes have come.
-    head : bytearray
-        What was received until the head of the answer was complete.
     budget : AnswerBudget
         What the answer has cost and brought.
+    parser : AnswerParser
+        Parses the answer.
     """
 
     stream: trio.SocketStream
-    connection: h11.Connection = field(
-        default_factory=lambda: h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
-    )
     read_until: float = math.inf
     on_receive: Callable[[], None] = field(default=lambda: None)
-    head: bytearray = field(default_factory=bytearray)
     budget: AnswerBudget = field(default_factory=AnswerBudget)
+    parser: AnswerParser = field(default_factory=lambda: AnswerParser(b"GET"))
 
     async def send(
         self, request: OutgoingRequest, nursery: trio.Nursery | None
@@ -175,17 +127,8 @@
         """
         if self._has_unread():
             raise ChannelStaleError("bytes came before the request was sent")
-        headers = [(n, v) for n, v in request.headers if n.lower() != b"content-length"]
-        if request.body or request.method in {b"POST", b"PUT", b"PATCH"}:
-            headers.append((b"Content-Length", str(len(request.body)).encode()))
-        head = self.connection.send(
-            h11.Request(method=request.method, target=request.target, headers=headers)
-        )
-        body = b""
-        if request.body:
-            body = self.connection.send(h11.Data(data=request.body)) or b""
-        body += self.connection.send(h11.EndOfMessage()) or b""
-        assert head is not None
+        self.parser = AnswerParser(request.method)
+        head, body = _head(request), request.body
         if nursery is None or len(body) <= INLINE_BODY_BYTES:
             await self._write(head + body)
             return
@@ -220,32 +163,12 @@
         ChannelBrokenError
             If there is none.
         """
-        for _ in range(MAX_INTERIM_ANSWERS + 1):
-            event = await self._next_event()
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            if isinstance(event, h11.Response):
-                self._check_head()
-                headers = list(event.headers.raw_items())
-                return AnswerHead(event.status_code, headers, _length(event.headers))
-            raise ChannelBrokenError(f"no answer but {type(event).__name__}")
-        raise ChannelBrokenError(f"more than {MAX_INTERIM_ANSWERS} interim answers")
-
-    def _check_head(self) -> None:
-        """Check that no part of a body was read as one of the head.
-
-        After a head that was cut, events and other lines of a body look like headers.
-        Those end with a bare line feed, which h11 accepts.
-
-        Raises
-        ------
-        ChannelBrokenError
-            If a line of the head ends so.
-        """
-        head = self.head[: len(self.head) - len(self.connection.trailing_data[0])]
-        if BARE_LINE_FEED.search(head):
-            raise ChannelBrokenError("not an answer: a line feed within the head")
-        self.head.clear()
+        parser = self.parser
+        while parser.head is None:
+            if parser.failure is not None:
+                raise ChannelBrokenError(f"not an answer: {parser.failure}")
+            await self._receive(parser)
+        return parser.head
 
     async def read_body(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive.
@@ -255,56 +178,64 @@
         ChannelBrokenError
             If the body ends before it is complete, or costs too much to read.
         """
+        parser = self.parser
         while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Data):
-                part = bytes(event.data)
-                try:
-                    self.budget.count(part)
-                except WastefulAnswerError as error:
-                    raise ChannelBrokenError(f"wasteful answer: {error}") from None
-                yield part
-                if self.budget.is_turn_over():
-                    await trio.lowlevel.checkpoint()
-            elif isinstance(event, h11.EndOfMessage):
+            if parser.parts:
+                parts, parser.parts = parser.parts, []
+                body = parts[0] if len(parts) == 1 else b"".join(parts)
+                self._count(len(parts), body)
+                yield body
+            if parser.is_complete:
                 return
-            else:
-                raise ChannelBrokenError(f"no body but {type(event).__name__}")
+            if parser.failure is not None:
+                raise ChannelBrokenError(f"not an answer: {parser.failure}")
+            await self._receive(parser)
+
+    def _count(self, parts: int, body: bytes) -> None:
+        """Count what the answer costs, also if nothing of the body has come.
 
-    async def _next_event(self) -> h11.Event:
+        Raises
+        ------
+        ChannelBrokenError
+            If that is too much for what it has brought.
+        """
         try:
-            while True:
-                event = self.connection.next_event()
-                if event is h11.NEED_DATA:
-                    data = await self._receive()
-                    if self.connection.their_state is h11.SEND_RESPONSE:
-                        self.head += data
-                    self.connection.receive_data(data)
-                    continue
-                if isinstance(event, h11.Event):
-                    return event
-                raise ChannelBrokenError("the connection has ended")
-        except h11.RemoteProtocolError as error:
-            raise ChannelBrokenError(f"not an answer: {error}") from None
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise ChannelBrokenError(f"connection lost: {error!r}") from None
+            self.budget.count(body, parts)
+        except WastefulAnswerError as error:
+            raise ChannelBrokenError(f"wasteful answer: {error}") from None
 
     def has_read_timeout(self) -> bool:
         """Return whether reading is subject to a time-out."""
         return self.read_until != math.inf
 
-    async def _receive(self) -> bytes:
+    async def _receive(self, parser: AnswerParser) -> None:
+        """Wait for bytes, or the end of the connection, and parse them.
+
+        Raises
+        ------
+        ChannelBrokenError
+            If the connection is lost, or nothing comes in time.
+        """
         data = None
-        if self.has_read_timeout():
-            with trio.move_on_at(self.read_until):
+        try:
+            if self.has_read_timeout():
+                with trio.move_on_at(self.read_until):
+                    data = await receive(self.stream, READ_BYTES)
+            else:
                 data = await receive(self.stream, READ_BYTES)
-        else:
-            data = await receive(self.stream, READ_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ChannelBrokenError(f"connection lost: {error!r}") from None
         if data is None:
             raise ChannelTimeoutError("no progress in time")
         self.on_receive()
-        self.budget.received_bytes += len(data)
-        return data
+        if not data:
+            parser.feed_end()
+            return
+        parser.feed(data)
+        if parser.head is not None:
+            self.budget.received_bytes += len(data)
+            if not parser.parts:
+                self._count(0, b"")
 
     def close(self) -> None:
         """Close the connection at once."""
@@ -351,8 +282,15 @@
     return [(n, v) for n, v in headers if n.lower() not in HOP_BY_HOP]
 
 
-def _length(headers: h11._headers.Headers) -> int | None:
-    for name, value in headers:
-        if name == b"content-length":
-            return int(value)
-    return None
+def _head(request: OutgoingRequest) -> bytes:
+    """Return the head of a request, with the length of its body.
+
+    Raises
+    ------
+    ValueError
+        If a header contains the end of a line.
+    """
+    headers = [(n, v) for n, v in request.headers if n.lower() != b"content-length"]
+    if request.body or request.method in {b"POST", b"PUT", b"PATCH"}:
+        headers.append((b"Content-Length", b"%d" % len(request.body)))
+    return head_of(b"%s %s HTTP/1.1" % (request.method, request.target), headers)
--- a/src/savorydyke/_ingress.py
+++ b/src/savorydyke/_ingress.py
@@ -10,12 +10,18 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-import h11
 import trio
 
 from savorydyke import _logs
-from savorydyke._answer_budget import TURN_PARTS
-from savorydyke._http1 import Headers
+from savorydyke._http_parsers import (
+    NO_BODY_STATUSES,
+    Headers,
+    MessageError,
+    ParsedRequest,
+    RequestParser,
+    find_ambiguity,
+    head_of,
+)
 from savorydyke._sockets import receive
 from savorydyke.serving import (
     CallerDisconnectedError,
@@ -26,6 +32,8 @@
 )
 
 READ_BYTES = 65536
+CONTINUE = b"HTTP/1.1 100 \r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
 PIPELINED_BYTES = 65536
 """Bytes of pipelined requests that are read while one is handled."""
 BACKLOG = 1024
@@ -110,8 +118,10 @@
         Whether the request was a HEAD, whose answer has no body.
     on_give_way : callable or None
         Ends the request with a refusal, as long as nothing has been sent.
-    unsent : tuple of h11.Event
+    unsent : bytes
         The head, if it waits for the first part of the body.
+    in_chunks : bool
+        Whether the body is sent in chunks.
     """
 
     connection: "Connection"
@@ -119,7 +129,8 @@
     finished: bool = False
     omit_body: bool = False
     on_give_way: Callable[[], None] | None = None
-    unsent: tuple[h11.Event, ...] = ()
+    unsent: bytes = b""
+    in_chunks: bool = False
 
     def hold_answer(self, size: int) -> None:
         """Record the size of the part of an answer that is buffered."""
@@ -128,29 +139,47 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and headers."""
         self.begin(status, headers)
-        head, self.unsent = self.unsent, ()
-        await self.connection.write(*head)
+        head, self.unsent = self.unsent, b""
+        await self.connection.write(head)
 
     def begin(self, status: int, headers: Headers) -> None:
-        """Send status and headers with what follows, in one write."""
+        """Send status and headers with what follows, in one write.
+
+        Without a length the body goes in chunks, or ends with the connection if the
+        caller knows no chunks.
+        """
         self.started = True
-        if self.connection.closing():
+        request = self.connection.request
+        if status in NO_BODY_STATUSES:
+            self.omit_body = True
+        elif not any(name.lower() == b"content-length" for name, _ in headers):
+            if request.accepts_chunks:
+                self.in_chunks = True
+                headers = [*headers, (b"Transfer-Encoding", b"chunked")]
+            else:
+                request.keeps_alive = False
+        self.unsent = self._head(status, headers)
+
+    def _head(self, status: int, headers: Headers) -> bytes:
+        is_stated = any(name.lower() == b"connection" for name, _ in headers)
+        if self.connection.closing() and not is_stated:
             headers = [*headers, (b"Connection", b"close")]
-        head = h11.Response(status_code=status, headers=headers, reason=b"")
-        self.unsent = (head,)
+        return head_of(b"HTTP/1.1 %d " % status, headers)
 
     async def body(self, data: bytes) -> None:
         """Send a part of the body."""
-        unsent, self.unsent = self.unsent, ()
-        if not self.omit_body:
-            unsent = (*unsent, h11.Data(data=data))
+        unsent, self.unsent = self.unsent, b""
+        if data and not self.omit_body:
+            unsent += b"%x\r\n%b\r\n" % (len(data), data) if self.in_chunks else data
         if unsent:
-            await self.connection.write(*unsent)
+            await self.connection.write(unsent)
 
     async def end(self) -> None:
         """Complete the answer."""
-        unsent, self.unsent = self.unsent, ()
-        await self.connection.write(*unsent, h11.EndOfMessage(), is_end=True)
+        unsent, self.unsent = self.unsent, b""
+        if self.in_chunks and not self.omit_body:
+            unsent += LAST_CHUNK
+        await self.connection.write(unsent, is_end=True)
         self.finished = True
 
     async def drain(self) -> None:
@@ -166,12 +195,10 @@
     async def send_answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer in one write."""
         self.started = True
-        if self.connection.closing():
-            headers = [*headers, (b"Connection", b"close")]
-        headers = [*headers, (b"Content-Length", str(len(body)).encode())]
-        response = h11.Response(status_code=status, headers=headers, reason=b"")
-        data = [] if self.omit_body else [h11.Data(data=body)]
-        await self.connection.write(response, *data, h11.EndOfMessage())
+        if status not in NO_BODY_STATUSES:
+            headers = [*headers, (b"Content-Length", b"%d" % len(body))]
+        head = self._head(status, headers)
+        await self.connection.write(head if self.omit_body else head + body)
         self.finished = True
 
 
@@ -184,13 +211,19 @@
 
     Attributes
     ----------
+    unread : bytearray
+        What has come while a request was handled.
+    request : ParsedRequest
+        The request that is being answered.
     busy : bool
         Whether a request is being read or handled.
     """
 
     stream: trio.SocketStream
     ingress: "Ingress"
-    http: h11.Connection
+    parser: RequestParser = field(default_factory=RequestParser)
+    unread: bytearray = field(default_factory=bytearray)
+    request: ParsedRequest = field(default_factory=ParsedRequest)
     busy: bool = False
     disconnected: bool = False
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
@@ -226,26 +259,32 @@
 
     def closing(self) -> bool:
         """Return whether the connection closes after the current answer."""
-        return self.ingress.closing
+        return self.ingress.closing or not self.request.keeps_alive
 
-    async def write(self, *events: h11.Event, is_end: bool = False) -> None:
-        """Send events; `CallerWriter.write` describes when this waits.
+    async def write(self, data: bytes, is_end: bool = False) -> None:
+        """Send bytes; `CallerWriter.write` describes when this waits.
 
         Raises
         ------
         CallerDisconnectedError
             If the caller has disconnected.
         """
-        data = b"".join(self.http.send(event) or b"" for event in events)
         await self.writer.write(data, is_end)
 
-    async def receive(self) -> bool:
-        """Read more bytes; return False at the end of the connection."""
+    async def receive(self) -> bytes:
+        """Return more bytes, none at the end of the connection."""
         try:
-            data = await receive(self.stream, READ_BYTES)
+            return await receive(self.stream, READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            data = b""
-        self.http.receive_data(data)
+            return b""
+
+    async def parse_more(self, max_head_bytes: int) -> bool:
+        """Parse bytes that have come, or come now; return False if none do."""
+        data, self.unread = bytes(self.unread), bytearray()
+        if not data:
+            data = await self.receive()
+        if data:
+            self.parser.feed(data, max_head_bytes)
         return bool(data)
 
 
@@ -281,10 +320,7 @@
             stream.socket.close()
 
     async def _serve(self, stream: trio.SocketStream) -> None:
-        http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits().max_head_bytes
-        )
-        connection = Connection(stream, self, http)
+        connection = Connection(stream, self)
         with connection.scope as scope:
             self.connections[connection] = scope
             try:
@@ -323,14 +359,9 @@
                 # Closing the connection before the end of the answer tells the
                 # caller that the answer is incomplete.
                 return
-            http = connection.http
-            if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+            if connection.closing():
                 await self._linger(connection)
                 return
-            if self.closing:
-                await self._linger(connection)
-                return
-            http.start_next_cycle()
 
     async def _linger(self, connection: Connection) -> None:
         """Let the caller close first, so that no data in transit is lost."""
@@ -349,8 +380,7 @@
     async def _reject(
         self, connection: Connection, responder: Responder, rejected: Rejected
     ) -> None:
-        if connection.http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
-            return
+        connection.request.keeps_alive = False
         await self.refuse(responder, rejected)
         await self._linger(connection)
 
@@ -359,75 +389,48 @@
     async def _read(self, connection: Connection) -> IncomingRequest | Rejected | None:
         """Return the next request, or None at the end of the connection."""
         limits = self.limits()
+        parser = connection.parser
         try:
             with trio.move_on_after(limits.idle_timeout_s) as scope:
-                while not connection.http.trailing_data[0]:
-                    if not await connection.receive():
+                connection.reading = scope
+                while not parser.complete and parser.failure is None:
+                    if parser.has_begun and not connection.busy:
+                        connection.busy = True
+                        scope.deadline = trio.current_time() + limits.head_timeout_s
+                    if not await connection.parse_more(limits.max_head_bytes):
                         return None
+                    rejected = await self._check_progress(connection, limits)
+                    if rejected is not None:
+                        return rejected
                 connection.busy = True
-                connection.reading = scope
-                scope.deadline = trio.current_time() + limits.head_timeout_s
-                return await self._read_request(connection, limits)
+                return _take_request(connection, limits)
             if not connection.busy:
                 return None
             if connection.holder.gave_way:
                 return Rejected(503, "this instance holds too much for its callers")
             return Rejected(408, "the request did not arrive in time")
-        except h11.RemoteProtocolError as error:
-            status = error.error_status_hint
-            return Rejected(status if status == 431 else 400, str(error))
         finally:
             connection.reading = None
 
-    async def _read_request(
+    async def _check_progress(
         self, connection: Connection, limits: IngressLimits
-    ) -> IncomingRequest | Rejected | None:
-        http = connection.http
-        request = await self._next(connection)
-        if not isinstance(request, h11.Request):
+    ) -> Rejected | None:
+        """Return why a request whose body is being read is rejected, None if not."""
+        request = connection.parser.current
+        if connection.parser.complete or not request.has_head:
             return None
-        arrived = trio.current_time()
-        if _head_bytes(request) > limits.max_head_bytes:
-            return Rejected(431, "the head is too large")
-        ambiguity = _ambiguity(request)
-        if ambiguity:
-            return Rejected(400, ambiguity)
-        body = bytearray()
-        parts = 0
-        if http.they_are_waiting_for_100_continue:
-            await connection.write(
-                h11.InformationalResponse(status_code=100, headers=[])
-            )
-        while True:
-            event = await self._next(connection)
-            if isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > limits.max_body_bytes:
-                    return Rejected(413, "the body is too large")
-                connection.hold(Kind.REQUEST, len(body))
-                parts += 1
-                if parts % TURN_PARTS == 0:
-                    await trio.lowlevel.checkpoint()
-            elif isinstance(event, h11.EndOfMessage):
-                break
-            else:
-                return None
-        return IncomingRequest(
-            bytes(request.method),
-            bytes(request.target),
-            list(request.headers.raw_items()),
-            bytes(body),
-            arrived,
-        )
-
-    async def _next(self, connection: Connection) -> h11.Event | None:
-        while True:
-            event = connection.http.next_event()
-            if event is h11.NEED_DATA:
-                if not await connection.receive():
-                    return None
-                continue
-            return event if isinstance(event, h11.Event) else None
+        if not request.arrived:
+            request.arrived = trio.current_time()
+            connection.request = request
+            rejected = _check_head(request, limits)
+            if rejected is not None:
+                return rejected
+            if request.accepts_chunks and _expects_continue(request):
+                await connection.write(CONTINUE)
+        if len(request.body) > limits.max_body_bytes:
+            return Rejected(413, "the body is too large")
+        connection.hold(Kind.REQUEST, len(request.body))
+        return None
 
     # Handling
 
@@ -448,32 +451,50 @@
 
     async def _watch(self, connection: Connection, scope: trio.CancelScope) -> None:
         """Detect the end of the connection while a request is handled."""
-        while len(connection.http.trailing_data[0]) < PIPELINED_BYTES:
-            if not await connection.receive():
+        while len(connection.unread) < PIPELINED_BYTES:
+            data = await connection.receive()
+            if not data:
                 connection.disconnected = True
                 scope.cancel()
                 return
-
-
-def _head_bytes(request: h11.Request) -> int:
-    headers = sum(len(name) + len(value) + 4 for name, value in request.headers)
-    return len(request.method) + len(request.target) + 12 + headers
-
-
-def _ambiguity(request: h11.Request) -> str:
-    """Return why a request's framing or target is ambiguous, or an empty string.
-
-    Two parsers that read such a request differently would allow a second
-    request to be smuggled inside it.
-    """
-    names = [name for name, _ in request.headers]
-    if b"transfer-encoding" in names and b"content-length" in names:
-        return "both Transfer-Encoding and Content-Length"
-    if names.count(b"host") > 1:
-        return "more than one Host"
-    if not request.target.startswith(b"/"):
-        return "the target is not a path"
-    return ""
+            connection.unread += data
+
+
+def _take_request(
+    connection: Connection, limits: IngressLimits
+) -> IncomingRequest | Rejected:
+    """Return the next request that has been read, or why there is none."""
+    parser = connection.parser
+    if not parser.complete:
+        failure = parser.failure or MessageError("no request")
+        return Rejected(failure.status, str(failure))
+    request = connection.request = parser.complete.popleft()
+    rejected = _check_head(request, limits)
+    if rejected is not None:
+        return rejected
+    if len(request.body) > limits.max_body_bytes:
+        return Rejected(413, "the body is too large")
+    connection.hold(Kind.REQUEST, len(request.body))
+    return IncomingRequest(
+        request.method,
+        request.target,
+        request.headers,
+        bytes(request.body),
+        request.arrived or trio.current_time(),
+    )
+
+
+def _check_head(request: ParsedRequest, limits: IngressLimits) -> Rejected | None:
+    """Return why a request is rejected for its head, None if it is not."""
+    if request.head_bytes() > limits.max_head_bytes:
+        return Rejected(431, "the head is too large")
+    ambiguity = find_ambiguity(request)
+    return Rejected(400, ambiguity) if ambiguity else None
+
+
+def _expects_continue(request: ParsedRequest) -> bool:
+    values = request.get_all(b"expect")
+    return bool(values) and values[0].lower() == b"100-continue"
 
 
 def open_listener(address: str, send_buffer: int = 0) -> trio.SocketListener:
