Watch the deadlines of reads by one task

Each read from an endpoint had a cancel scope of its own, entered for each event of a stream. Now one task waits for the earliest deadline and looks again when that has moved. What the socket takes at once is written without further coroutines.

--- a/src/savorydyke/_answer_budget.py
+++ b/src/savorydyke/_answer_budget.py
@@ -106,19 +106,22 @@
     began: float = 0.0
     events: int = 0
 
-    async def wait(self, events: int) -> None:
-        """Wait until more events may be relayed.
+    def is_too_fast(self, events: int, now: float) -> bool:
+        """Return whether the next events should wait.
 
         Parameters
         ----------
         events : int
-            Their total number so far.
+            The total number of events so far.
         """
-        now = trio.current_time()
         if not self.events:
             self.began = now
         self.events = events
-        if events > BURST_EVENTS:
-            due = self.began + (events - BURST_EVENTS) / EVENTS_PER_S
-            if due > now:
-                await trio.sleep_until(due)
+        return events > BURST_EVENTS and self._due() > now
+
+    async def wait(self) -> None:
+        """Wait until more events may be relayed."""
+        await trio.sleep_until(self._due())
+
+    def _due(self) -> float:
+        return self.began + (self.events - BURST_EVENTS) / EVENTS_PER_S
--- a/src/savorydyke/_dispatch.py
+++ b/src/savorydyke/_dispatch.py
@@ -458,7 +458,8 @@
     async for chunk in chunks:
         if events := order.feed(chunk):
             yield events
-            await pace.wait(order.events)
+            if pace.is_too_fast(order.events, trio.current_time()):
+                await pace.wait()
         if order.stray is not None:
             raise order.stray
 
--- a/src/savorydyke/_endpoint_ways.py
+++ b/src/savorydyke/_endpoint_ways.py
@@ -36,6 +36,7 @@
 from savorydyke._ids import EndpointId, InstanceId, RequestKey
 from savorydyke._manifest import Endpoint, Manifest
 from savorydyke._membership import Member, Membership
+from savorydyke._read_deadlines import ReadDeadlines
 
 CONNECT_TIMEOUT_S = 0.3
 """Endpoints and instances are a few ms away; one that takes longer counts as
@@ -102,6 +103,8 @@
         Number of the latest order.
     forwarding : int
         Requests of other instances that this one is sending.
+    read_deadlines : ReadDeadlines
+        Ends the reads of silent endpoints.
     """
 
     membership: Membership
@@ -114,6 +117,7 @@
     turn: float = 0.0
     serial: int = 0
     forwarding: int = 0
+    read_deadlines: ReadDeadlines = field(default_factory=ReadDeadlines)
 
     async def open(self, endpoint: Endpoint, tried: set[InstanceId]) -> Way:
         """Return a connection by which a request can be sent to an endpoint.
@@ -143,6 +147,7 @@
             try:
                 address = forwarding_address(forwarder.address)
                 channel = await open_channel(address, CONNECT_TIMEOUT_S)
+                channel.deadlines = self.read_deadlines
             except ChannelBrokenError as error:
                 self.skip(forwarder.id, str(error))
                 continue
@@ -165,6 +170,7 @@
             self.links.record_failed(endpoint.id, trio.current_time())
             raise
         self.links.record_opened(endpoint.id, trio.current_time())
+        channel.deadlines = self.read_deadlines
         return channel
 
     async def probe_own_link(
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -105,6 +105,7 @@
         if costs is not None:
             nursery.start_soon(costs.log_regularly)
         nursery.start_soon(write_lines, log_buffer, sys.stdout.fileno())
+        nursery.start_soon(gateway.ways.read_deadlines.run)
         nursery.start_soon(_listen, settings.readiness, readiness)
         if settings.metrics:
             pages = Ingress(
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -21,6 +21,7 @@
     Headers,
     head_of,
 )
+from savorydyke._read_deadlines import ReadDeadlines
 from savorydyke._sockets import receive, send
 
 __all__ = ["AnswerHead", "Framing", "Headers"]
@@ -106,6 +107,12 @@
         What the answer has cost and brought.
     parser : AnswerParser
         Parses the answer.
+    deadlines : ReadDeadlines or None
+        Ends reads at `read_until`. Without it each read has a cancel scope.
+    watched_until : float
+        When `deadlines` looks at this channel.
+    is_reading, is_late : bool
+        Whether bytes are awaited, and whether they have not come in time.
     """
 
     stream: trio.SocketStream
@@ -113,6 +120,10 @@
     on_receive: Callable[[], None] = field(default=lambda: None)
     budget: AnswerBudget = field(default_factory=AnswerBudget)
     parser: AnswerParser = field(default_factory=lambda: AnswerParser(b"GET"))
+    deadlines: ReadDeadlines | None = None
+    watched_until: float = math.inf
+    is_reading: bool = False
+    is_late: bool = False
 
     async def send(
         self, request: OutgoingRequest, nursery: trio.Nursery | None
@@ -178,15 +189,26 @@
         ChannelBrokenError
             If the body ends before it is complete, or costs too much to read.
         """
+        while (part := await self.next_part()) is not None:
+            yield part
+
+    async def next_part(self) -> bytes | None:
+        """Return the next part of the body, None at its end.
+
+        Raises
+        ------
+        ChannelBrokenError
+            As `read_body` does.
+        """
         parser = self.parser
         while True:
             if parser.parts:
                 parts, parser.parts = parser.parts, []
                 body = parts[0] if len(parts) == 1 else b"".join(parts)
                 self._count(len(parts), body)
-                yield body
+                return body
             if parser.is_complete:
-                return
+                return None
             if parser.failure is not None:
                 raise ChannelBrokenError(f"not an answer: {parser.failure}")
             await self._receive(parser)
@@ -216,17 +238,12 @@
         ChannelBrokenError
             If the connection is lost, or nothing comes in time.
         """
-        data = None
         try:
-            if self.has_read_timeout():
-                with trio.move_on_at(self.read_until):
-                    data = await receive(self.stream, READ_BYTES)
-            else:
-                data = await receive(self.stream, READ_BYTES)
+            data = await self._receive_in_time()
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            if self.is_late:
+                raise ChannelTimeoutError("no progress in time") from None
             raise ChannelBrokenError(f"connection lost: {error!r}") from None
-        if data is None:
-            raise ChannelTimeoutError("no progress in time")
         self.on_receive()
         if not data:
             parser.feed_end()
@@ -237,8 +254,30 @@
             if not parser.parts:
                 self._count(0, b"")
 
+    async def _receive_in_time(self) -> bytes:
+        """Return bytes, none at the end of the connection."""
+        if not self.has_read_timeout():
+            return await receive(self.stream, READ_BYTES)
+        if self.deadlines is None or not self.deadlines.is_running:
+            with trio.move_on_at(self.read_until):
+                return await receive(self.stream, READ_BYTES)
+            raise ChannelTimeoutError("no progress in time")
+        self.is_late, self.is_reading = False, True
+        self.deadlines.watch(self)
+        try:
+            return await receive(self.stream, READ_BYTES)
+        finally:
+            self.is_reading = False
+
+    def end_read(self) -> None:
+        """End the read in progress, if there is one; the connection stays open."""
+        if self.is_reading:
+            self.is_late = True
+            trio.lowlevel.notify_closing(self.stream.socket)
+
     def close(self) -> None:
         """Close the connection at once."""
+        self.read_until = math.inf
         self.stream.socket.close()
 
 
--- a/src/savorydyke/_ingress.py
+++ b/src/savorydyke/_ingress.py
@@ -171,7 +171,7 @@
         unsent, self.unsent = self.unsent, b""
         if data and not self.omit_body:
             unsent += b"%x\r\n%b\r\n" % (len(data), data) if self.in_chunks else data
-        if unsent:
+        if unsent and not self.connection.writer.write_at_once(unsent):
             await self.connection.write(unsent)
 
     async def end(self) -> None:
--- a/src/savorydyke/_routed_relay.py
+++ b/src/savorydyke/_routed_relay.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -130,13 +130,11 @@
             channel.read_until = until
 
 
-async def _body_parts(channel: Channel, on_silence: OnSilence) -> AsyncIterator[bytes]:
-    """Yield the parts of a body until it ends, or its endpoint is left."""
+async def _next_part(channel: Channel, on_silence: OnSilence) -> bytes | None:
+    """Return the next part of a body, None at its end; its endpoint may be left."""
     while True:
         try:
-            async for part in channel.read_body():
-                yield part
-            return
+            return await channel.next_part()
         except ChannelTimeoutError:
             until = await on_silence()
             if until is None:
@@ -155,7 +153,7 @@
     parts: list[bytes] = []
     size = 0
     is_limited = channel.has_read_timeout()
-    async for part in _body_parts(channel, on_silence):
+    while (part := await _next_part(channel, on_silence)) is not None:
         on_first_byte()
         if is_limited:
             channel.read_until = trio.current_time() + STALLED_STREAM_S
@@ -232,15 +230,17 @@
     pace = EventPace()
     goes_on = bool(request.last_event_id)
     try:
-        async for part in _body_parts(channel, on_silence):
+        while (part := await _next_part(channel, on_silence)) is not None:
             complete = order.feed(part)
             if not complete:
                 continue
-            on_first_byte()
+            if request.first_byte is None:
+                on_first_byte()
             _start(request, head)
             _count_events(request, complete, order)
             await request.responder.body(complete)
-            await pace.wait(order.events)
+            if pace.is_too_fast(order.events, request.last_byte):
+                await pace.wait()
             if is_limited:
                 # Not before, since the caller may have been slow.
                 channel.read_until = trio.current_time() + STALLED_STREAM_S
@@ -248,16 +248,27 @@
                 raise order.stray
     except StrayEventError as error:
         raise ChannelBrokenError(f"not the stream: {error}") from None
-    if order.is_within_event():
-        raise ChannelBrokenError("the stream ended within an event")
-    if not order.events and not (goes_on and head.is_delimited()):
-        raise ChannelBrokenError("the stream ended without an event")
+    _check_end(order, may_be_empty=goes_on and head.is_delimited())
     request.result = ReleaseResult.COMPLETE
     _start(request, head)
     await request.responder.end()
     return Done(head.status)
 
 
+def _check_end(order: EventOrder, may_be_empty: bool) -> None:
+    """Check that a stream is whole.
+
+    Raises
+    ------
+    ChannelBrokenError
+        If it ended within an event, or without one where there must be some.
+    """
+    if order.is_within_event():
+        raise ChannelBrokenError("the stream ended within an event")
+    if not order.events and not may_be_empty:
+        raise ChannelBrokenError("the stream ended without an event")
+
+
 def _start(request: RoutedRequest, head: AnswerHead) -> None:
     """Begin the caller's answer, unless an earlier endpoint's answer has."""
     if not request.responder.started:
--- a/src/savorydyke/serving/_caller_writer.py
+++ b/src/savorydyke/serving/_caller_writer.py
@@ -78,20 +78,43 @@
         while self.waiting_bytes >= self.limit_bytes and not is_end:
             await self._wait_for_progress()
         self._check()
-        sent = 0
-        if not self.waiting and data:
-            try:
-                sent = send_some(self.stream, data)
-            except trio.BrokenResourceError:
-                self.is_broken = True
-                raise CallerDisconnectedError from None
+        if self.waiting:
+            self._keep(data)
+        elif data:
+            self._send_or_keep(data, self.nursery)
+
+    def write_at_once(self, data: bytes) -> bool:
+        """Write data if none is waiting; return whether that was so.
+
+        Raises
+        ------
+        CallerDisconnectedError
+            If the caller has disconnected.
+        """
+        if self.waiting or self.nursery is None:
+            return False
+        self._check()
+        self._send_or_keep(data, self.nursery)
+        return True
+
+    def _send_or_keep(self, data: bytes, nursery: trio.Nursery) -> None:
+        """Send what the socket takes of data, and let a task send the rest."""
+        try:
+            sent = send_some(self.stream, data)
+        except trio.BrokenResourceError:
+            self.is_broken = True
+            raise CallerDisconnectedError from None
         if sent == len(data):
             return
-        self.waiting.append((trio.current_time(), memoryview(data)[sent:]))
-        self.waiting_bytes += len(data) - sent
+        self._keep(memoryview(data)[sent:])
         if not self.is_flushing:
             self.is_flushing = True
-            self.nursery.start_soon(self._flush)
+            nursery.start_soon(self._flush)
+
+    def _keep(self, data: bytes | memoryview) -> None:
+        """Add data to what waits for the socket."""
+        self.waiting.append((trio.current_time(), memoryview(data)))
+        self.waiting_bytes += len(data)
         self.on_size(self.waiting_bytes)
 
     def unread_since(self) -> float | None:
