--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -29,6 +29,11 @@
       | ticks come only while they are needed                                      |
       | a burst at a coordinator that lags is refused where it arrives             |
       | a frontend refuses what its coordinator has just refused for its lag       |
+      | an instance with little to do handles each thing at once                   |
+      | a burst of events takes an instance fewer turns, and delays none for long  |
+      | a process that is late for lack of processor time does not wait as well    |
+      | reads end at their deadlines, which move either way                        |
+      | a silent endpoint is noticed in time, and may still answer afterwards      |
       | an instance that starts alone opens links at once                          |
       | a coordinator that returns does not count what ended or began meanwhile    |
       | a lost report of a first byte is corrected by a registration               |
--- a/features/steps/routed_steps.py
+++ b/features/steps/routed_steps.py
@@ -10,6 +10,7 @@
 import garbage_decisions  # noqa: F401  Registers its cases.
 import held_bytes_decisions  # noqa: F401  Registers its cases.
 import joining_version_cases  # noqa: F401  Registers its cases.
+import loop_pace_decisions  # noqa: F401  Registers its cases.
 import odd_record_cases  # noqa: F401  Registers its cases.
 import overlap_decisions  # noqa: F401  Registers its cases.
 import pace_decisions  # noqa: F401  Registers its cases.
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -78,8 +78,6 @@
 DEAD_AFTER_S = 0.9
 """A dead coordinator delays its requests by about twice the shortest objective, which
 is 0.4 s."""
-MAX_CLOSE_FLEET = 9
-"""Largest fleet in which all instances hear of each other at each interval."""
 LARGE_FLEET_TICKS = 3
 """Factor by which heartbeats and timeouts are slower in a large fleet."""
 FALLBACK_LIMIT_SHARE = 0.5
@@ -358,12 +356,12 @@
     def _due_peers(self, counter: int, has_changed: bool) -> list[InstanceId]:
         """Return the peers to send a heartbeat to.
 
-        In all but small fleets each instance and the coordinators hear of each other
-        at each interval, others at every second one, which is still within the timeout.
+        In a large fleet each instance and the coordinators hear of each other at each
+        interval, others at every second one, which is still within the timeout.
         """
         peers = list(self.peers.links)
         is_due = counter % 2 == 0 or has_changed
-        if is_due or self.membership.alive_count < MAX_CLOSE_FLEET:
+        if is_due or not self.membership.is_large_fleet():
             return peers
         coordinators = {self.membership.coordinator(pool) for pool in self.pools()}
         if self.membership.id in coordinators:
