Handle what other instances tell less often while at rest

An instance without a request in progress, which is ready, takes turns 25 ms apart, of 0.9 s and more after which silence is noticed.

Adds a case for the memory of answers without end on the product's own interface, which holds on the code before as well.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -31,6 +31,7 @@
       | a frontend refuses what its coordinator has just refused for its lag       |
       | an instance with little to do handles each thing at once                   |
       | a burst of events takes an instance fewer turns, and delays none for long  |
+      | an instance without requests takes half the turns, and is late for none    |
       | a process that is late for lack of processor time does not wait as well    |
       | reads end at their deadlines, which move either way                        |
       | a silent endpoint is noticed in time, and may still answer afterwards      |
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -224,6 +224,7 @@
       | comments without end cost their own request only                         |
       | sound events without end cost their own request only                     |
       | answers without end on the product's own interface leave time for others |
+      | answers without end on the product's own interface take no memory        |
       | the body of an answer to a control call is not read                      |
 
   Scenario Outline: Endpoints that limit the requests that they take
--- a/features/steps/endless_answer_cases.py
+++ b/features/steps/endless_answer_cases.py
@@ -6,10 +6,12 @@
 were late or lost.
 """
 
+import resource
 import statistics
 import time
 from contextlib import suppress
 from functools import partial
+from pathlib import Path
 
 import h11
 import httpx
@@ -27,7 +29,7 @@
 
 from savorydyke._answer_budget import WastefulAnswerError
 from savorydyke._dispatch import _events_after
-from savorydyke._endpoint_client import EndpointClient
+from savorydyke._endpoint_client import EndpointClient, Lost
 from savorydyke._event_order import StrayEventError
 from savorydyke_standins._routed_endpoint import answer_plainly, answer_stream, event
 from savorydyke_standins._routed_site import free_address
@@ -203,6 +205,65 @@
     return ended, time.process_time() - used_s, delays[0]
 
 
+HEADS = {
+    "a header": lambda n: b"HTTP/1.1 200 OK\r\nX: " * (n == 1) + b"x" * PIECE,
+    "headers": lambda n: b"HTTP/1.1 200 OK\r\n" * (n == 1) + b"X: x\r\n" * (PIECE // 6),
+    "interim answers": lambda n: b"HTTP/1.1 103 Hints\r\n\r\n" * (PIECE // 22),
+    "a chunk size": lambda n: (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" * (n == 1)
+        + b"0" * PIECE
+    ),
+    "a trailer": lambda n: (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " * (n == 1)
+        + b"x" * PIECE
+    ),
+}
+"""Heads and framing without end, as the pieces that follow each other."""
+
+
+def own_memory_mb():
+    """Return the memory that this process holds."""
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize() / 1e6
+
+
+async def read_flood(site, more):
+    """Read an answer that consists of pieces without end, as a stream and whole."""
+
+    async def flood(stream):
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            number = 0
+            while True:
+                number += 1
+                await stream.send_all(more(number))
+
+    endpoint = endpoint_at(site, await site.listen(flood, free_address()))
+    with trio.move_on_after(READING_S):
+        with suppress(httpx.HTTPError, StrayEventError, WastefulAnswerError):
+            opened = await EndpointClient().open(endpoint, "GET", "/", [], b"")
+            if isinstance(opened, Lost):
+                return
+            try:
+                async for _ in _events_after(0, opened.chunks, needs_ids=True):
+                    pass
+            finally:
+                await opened.close()
+
+
+@case("answers without end on the product's own interface take no memory")
+async def _(site):
+    for name, more in HEADS.items():
+        before = own_memory_mb()
+        await read_flood(site, more)
+        growth = own_memory_mb() - before
+        assert growth < MEMORY_GROWTH_MB, (name, growth)
+    for form in FORMS:
+        before = own_memory_mb()
+        await read_endless(site, form)
+        growth = own_memory_mb() - before
+        assert growth < MEMORY_GROWTH_MB, (form, growth)
+
+
 @case("answers without end on the product's own interface leave time for others")
 async def _(site):
     for form in FORMS:
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -403,6 +403,18 @@
         age_s = self.configuration_age.age_s(boot_time())
         return age_s <= READY_AGE_SHARE * self.settings.bounds.apply.revocation_s
 
+    def has_requests(self) -> bool:
+        """Return whether requests of other instances are in progress here.
+
+        These are waiting or running in a pool that this instance coordinates, or sent
+        by it for an instance that is cut off.
+        """
+        hosted = self.pool_host.hosted.values()
+        return bool(
+            self.ways.forwarding
+            or any(h.scheduler.queue.by_key or h.scheduler.placed for h in hosted)
+        )
+
     def update_gauges(self) -> None:
         """Set the gauges to the current values."""
         schedulers = [hosted.scheduler for hosted in self.pool_host.hosted.values()]
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -61,7 +61,6 @@
 async def _run(settings: GatewaySettings, path: str, log_buffer: LogBuffer) -> int:
     store = open_store(settings.store)
     gateway = new_gateway(settings, store, log_buffer)
-    pace_event_loop()
     costs = install_task_costs() if settings.counts_tasks else None
     async with trio.open_nursery() as nursery:
         observer = EndpointObserver(gateway.states, gateway.limits, gateway.rejections)
@@ -102,6 +101,11 @@
         forwarded = _new_forwarded_requests(
             gateway, observer, late_answers, check, nursery
         )
+        pace_event_loop(
+            lambda: (
+                gateway.is_ready() and not (ingress.active or gateway.has_requests())
+            )
+        )
         if costs is not None:
             nursery.start_soon(costs.log_regularly)
         nursery.start_soon(write_lines, log_buffer, sys.stdout.fileno())
--- a/src/savorydyke/_loop_pace.py
+++ b/src/savorydyke/_loop_pace.py
@@ -1,19 +1,26 @@
 """Lets a busy event loop handle several things in one turn.
 
 Each turn has a cost of its own: the wake-up of the process, the wait for sockets, and
-code that is no longer in the processor's caches. With little to do, a turn follows as
-soon as something has come. The more of its time a process works, the longer a turn
-waits for company, so that a burst of requests, refusals and messages between instances
-takes fewer turns. A turn that begins late for lack of processor time never waits.
+code that is no longer in the processor's caches. While requests are in progress and
+there is little to do, a turn follows as soon as something has come. The more of its
+time a process works, the longer a turn waits for company, so that a burst of requests,
+refusals and messages between instances takes fewer turns. A turn that begins late for
+lack of processor time never waits. Without any request, what other instances tell is
+handled a few times less often. Timers are never late for it.
 
 Times are seconds.
 """
 
 import time
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 import trio
 
+REST_INTERVAL_S = 0.025
+"""Time from turn to turn without a request. It is a thirtieth of the time after which a
+silent instance counts as dead, and the most by which a first request is late."""
+
 MAX_INTERVAL_S = 0.01
 """Longest time from turn to turn by intention. A request takes about six turns of
 frontends and coordinators, and objectives begin at 0.25 s."""
@@ -39,9 +46,12 @@
         Share of the time that was spent on work, of late.
     work_s : float
         Time that the latest turn took.
+    is_at_rest : callable
+        Returns whether no request is in progress.
     """
 
     woke_at: float
+    is_at_rest: Callable[[], bool] = field(default=lambda: False)
     share: float = 0.0
     work_s: float = 0.0
 
@@ -61,6 +71,8 @@
 
     def interval_s(self) -> float:
         """Return the time from the begin of one turn to that of the next."""
+        if self.is_at_rest():
+            return REST_INTERVAL_S
         weight = (self.share - LEAST_SHARE) / (FULL_SHARE - LEAST_SHARE)
         return MAX_INTERVAL_S * min(1.0, max(0.0, weight))
 
@@ -68,8 +80,8 @@
 class LoopPacer(trio.abc.Instrument):
     """Delays the turns of this event loop as `TurnPace` says."""
 
-    def __init__(self) -> None:
-        self.pace = TurnPace(time.perf_counter())
+    def __init__(self, is_at_rest: Callable[[], bool]) -> None:
+        self.pace = TurnPace(time.perf_counter(), is_at_rest)
 
     def before_io_wait(self, timeout: float) -> None:
         """Wait for company, unless tasks are ready to run."""
@@ -85,6 +97,12 @@
             self.pace.begin_turn(time.perf_counter())
 
 
-def pace_event_loop() -> None:
-    """Pace the event loop of the calling task from now on."""
-    trio.lowlevel.add_instrument(LoopPacer())
+def pace_event_loop(is_at_rest: Callable[[], bool]) -> None:
+    """Pace the event loop of the calling task from now on.
+
+    Parameters
+    ----------
+    is_at_rest : callable
+        Returns whether no request is in progress.
+    """
+    trio.lowlevel.add_instrument(LoopPacer(is_at_rest))
