--- a/src/savorydyke/_loop_pace.py
+++ b/src/savorydyke/_loop_pace.py
@@ -21,7 +21,7 @@
 """Time from turn to turn without a request. It is a thirtieth of the time after which a
 silent instance counts as dead, and the most by which a first request is late."""
 
-MAX_INTERVAL_S = 0.01
+MAX_INTERVAL_S = 0.015
 """Longest time from turn to turn by intention. A request takes about six turns of
 frontends and coordinators, and objectives begin at 0.25 s."""
 FULL_SHARE = 0.25
