Do not take a lost connection for a silent one after a time-out

A read that had timed out left a mark, so that a connection that was lost later on counted as silent again and again. Found by reading. The case "a silent endpoint is noticed in time, and may still answer afterwards" failed before.

--- a/features/steps/loop_pace_decisions.py
+++ b/features/steps/loop_pace_decisions.py
@@ -7,7 +7,12 @@
 from decision_cases import case
 
 from savorydyke._gateway import DEAD_AFTER_S
-from savorydyke._http1 import Channel, ChannelTimeoutError, OutgoingRequest
+from savorydyke._http1 import (
+    Channel,
+    ChannelBrokenError,
+    ChannelTimeoutError,
+    OutgoingRequest,
+)
 from savorydyke._loop_pace import (
     MAX_INTERVAL_S,
     REST_INTERVAL_S,
@@ -145,6 +150,12 @@
     trio.run(run)
 
 
+async def lose(sock):
+    """Let the read in progress end as if the connection was closed."""
+    await trio.sleep(0.05)
+    trio.lowlevel.notify_closing(sock)
+
+
 @case("a silent endpoint is noticed in time, and may still answer afterwards")
 def _():
     async def run():
@@ -180,6 +191,13 @@
                     pass
                 else:
                     raise AssertionError("not ended")
+            # A connection that is lost later is not taken for a silent one.
+            channel.read_until = math.inf
+            nursery.start_soon(lose, here)
+            try:
+                await channel.next_part()
+            except ChannelBrokenError as error:
+                assert not isinstance(error, ChannelTimeoutError), error
             nursery.cancel_scope.cancel()
         channel.close()
         there.close()
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -256,13 +256,14 @@
 
     async def _receive_in_time(self) -> bytes:
         """Return bytes, none at the end of the connection."""
+        self.is_late = False
         if not self.has_read_timeout():
             return await receive(self.stream, READ_BYTES)
         if self.deadlines is None or not self.deadlines.is_running:
             with trio.move_on_at(self.read_until):
                 return await receive(self.stream, READ_BYTES)
             raise ChannelTimeoutError("no progress in time")
-        self.is_late, self.is_reading = False, True
+        self.is_reading = True
         self.deadlines.watch(self)
         try:
             return await receive(self.stream, READ_BYTES)
