Read the body of a request that offers another protocol

What callers would have seen: a request with Connection: upgrade and a body reached its endpoint without the body, since llhttp takes what follows the head for the other protocol. h11 was not affected; the fault came with and was found by a new case for the forms of requests, which failed at it. The offer is declined as before: another parser reads the body, and the connection closes after the answer.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -511,3 +511,13 @@
       | an earlier build sends requests for an instance that is cut off |
       | requests of an earlier build that is cut off are sent for it |
       | instances that are replaced by this build one after the other lose no request |
+
+  @processes
+  Scenario Outline: Requests in every form that callers send
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                          |
+      | requests in every form that callers may send are served                       |
+      | a caller that knows no chunks gets a stream that ends with the connection     |
+      | requests that two parsers could read differently are refused unsent           |
--- a/features/steps/routed_steps.py
+++ b/features/steps/routed_steps.py
@@ -18,6 +18,7 @@
 import planned_stop_cases  # noqa: F401  Registers its cases.
 import quota_cases  # noqa: F401  Registers its cases.
 import rejection_cases  # noqa: F401  Registers its cases.
+import request_form_cases  # noqa: F401  Registers its cases.
 import rest_cases  # noqa: F401  Registers its cases.
 import retry_cases  # noqa: F401  Registers its cases.
 import route_pool_decisions  # noqa: F401  Registers its cases.
--- a/src/savorydyke/_http_parsers.py
+++ b/src/savorydyke/_http_parsers.py
@@ -22,6 +22,7 @@
 VERSIONS = frozenset({"1.0", "1.1"})
 WHITESPACE = b" \t"
 NO_BODY_STATUSES = frozenset({204, 304})
+FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 
 
 class MessageError(Exception):
@@ -245,10 +246,7 @@
         before = self.current
         body_bytes = len(before.body)
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # Only the request itself is served; what follows is of no known protocol.
-            self._end_connection()
+            self._parse(data)
         except httptools.HttpParserError as error:
             self._fail(MessageError(str(error)))
         if self.current is not before:
@@ -262,14 +260,33 @@
             if self.overhead_bytes > MAX_OVERHEAD_BYTES + len(before.body):
                 self._fail(MessageError("too much framing for the body"))
 
+    def _parse(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as offer:
+            self._decline(data[offer.args[0] :])
+
+    def _decline(self, rest: bytes) -> None:
+        """Go on with a request that offers another protocol, as if it did not.
+
+        The parser takes what follows its head for the other protocol. The body is read
+        by another parser, and the connection serves no further request.
+        """
+        request = self.complete.pop()
+        request.keeps_alive = False
+        framing = [pair for pair in request.headers if pair[0].lower() in FRAMING]
+        if not framing:
+            self.complete.append(request)
+            return
+        self.current, request.is_complete = request, False
+        self.has_begun = True
+        self.parser = httptools.HttpRequestParser(self)
+        self.parser.feed_data(head_of(b"POST / HTTP/1.1", framing) + rest)
+
     def _fail(self, failure: MessageError) -> None:
         if self.failure is None:
             self.failure = failure
 
-    def _end_connection(self) -> None:
-        for request in self.complete:
-            request.keeps_alive = False
-
     # Called by the parser
 
     def on_message_begin(self) -> None:
@@ -278,7 +295,8 @@
 
     def on_url(self, part: bytes) -> None:
         """Keep a part of the target."""
-        self.current.target += part
+        if not self.current.has_head:
+            self.current.target += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header; those of a trailer are ignored."""
@@ -288,6 +306,8 @@
     def on_headers_complete(self) -> None:
         """Keep what the head states."""
         request, version = self.current, self.parser.get_http_version()
+        if request.has_head:
+            return
         request.has_head = True
         request.method = self.parser.get_method()
         request.accepts_chunks = version == "1.1"
