Refuse an offer of another protocol in an unknown version of HTTP

The parser raised an error of its own kind for it, and the connection closed without an answer. By reading; the case for requests that are refused asks it now.

--- a/features/steps/request_form_cases.py
+++ b/features/steps/request_form_cases.py
@@ -130,6 +130,9 @@
         received = await exchange(daemon, head(site, *lines) + b"ab")
         assert received.startswith(b"HTTP/1.1 400 "), (form, received)
         assert b"not run" in received, (form, received)
+    offer = head(site, b"Connection: upgrade", b"Upgrade: other", version=b"2.0")
+    received = await exchange(daemon, offer)
+    assert received.startswith(b"HTTP/1.1 400 "), received
     # What comes before garbage is served, and the garbage refused.
     garbage = b"\x00garbage\r\n\r\n"
     received = await exchange(daemon, head(site, LENGTH) + b"ab" + garbage)
--- a/src/savorydyke/_http_parsers.py
+++ b/src/savorydyke/_http_parsers.py
@@ -31,7 +31,7 @@
     Attributes
     ----------
     status : int
-        With which a request of this kind is answered.
+        HTTP status with which such a request is refused.
     """
 
     def __init__(self, detail: str, status: int = 400) -> None:
@@ -264,7 +264,8 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as offer:
-            self._decline(data[offer.args[0] :])
+            if self.failure is None:
+                self._decline(data[offer.args[0] :])
 
     def _decline(self, rest: bytes) -> None:
         """Go on with a request that offers another protocol, as if it did not.
--- a/src/savorydyke/_loop_pace.py
+++ b/src/savorydyke/_loop_pace.py
@@ -5,8 +5,8 @@
 there is little to do, a turn follows as soon as something has come. The more of its
 time a process works, the longer a turn waits for company, so that a burst of requests,
 refusals and messages between instances takes fewer turns. A turn that begins late for
-lack of processor time never waits. Without any request, what other instances tell is
-handled a few times less often. Timers are never late for it.
+lack of processor time never waits. Without any request, messages of other instances are
+handled a few at a time. A timer that is due ends the wait.
 
 Times are seconds.
 """
@@ -22,10 +22,9 @@
 REST_INTERVAL_S = 0.025
 """Time from turn to turn without a request. It is a thirtieth of the time after which a
 silent instance counts as dead, and the most by which a first request is late."""
-
 MAX_INTERVAL_S = 0.015
-"""Longest time from turn to turn by intention. A request takes about six turns of
-frontends and coordinators, and objectives begin at 0.25 s."""
+"""Longest time from turn to turn while requests are in progress. A request takes about
+six turns of frontends and coordinators, and objectives begin at 0.25 s."""
 FULL_SHARE = 0.25
 """Share of its time that a process works from which on the interval is the longest."""
 LEAST_SHARE = 0.05
