Pause before the event loop's clock states how long to wait

What operators would have seen: timers up to 25 ms late, so that instances counted as slow or overloaded sooner, and refused. The pause was made by an instrument, after the event loop had computed how long to wait, and came on top of that. The clock of the event loop now makes the pause, a public interface of trio.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -34,6 +34,7 @@
       | an instance without requests takes half the turns, and is late for none    |
       | a process that is late for lack of processor time does not wait as well    |
       | a large message is read as fast as it comes, also at rest                  |
+      | timers of an instance at rest are on time                                  |
       | reads end at their deadlines, which move either way                        |
       | a silent endpoint is noticed in time, and may still answer afterwards      |
       | an instance that starts alone opens links at once                          |
--- a/features/steps/loop_pace_decisions.py
+++ b/features/steps/loop_pace_decisions.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+import statistics
 
 import trio
 from decision_cases import case
@@ -16,8 +17,8 @@
 from savorydyke._loop_pace import (
     MAX_INTERVAL_S,
     REST_INTERVAL_S,
+    PacedClock,
     TurnPace,
-    pace_event_loop,
 )
 from savorydyke._read_deadlines import ReadDeadlines
 from savorydyke._sockets import receive
@@ -96,7 +97,6 @@
 @case("a large message is read as fast as it comes, also at rest")
 def _():
     async def run():
-        pace_event_loop(lambda: True)
         here, there = trio.socket.socketpair()
         stream, left = trio.SocketStream(here), LARGE_BYTES
         began = trio.current_time()
@@ -109,7 +109,28 @@
         here.close()
         there.close()
 
-    trio.run(run)
+    run_at_rest(run)
+
+
+@case("timers of an instance at rest are on time")
+def _():
+    async def run():
+        late = []
+        for number in range(40):
+            due = trio.current_time() + 0.007 * (1 + number % 5)
+            await trio.sleep_until(due)
+            late.append(trio.current_time() - due)
+        # A pause that came on top of the wait would make most of them late.
+        assert statistics.median(late) < REST_INTERVAL_S / 8, late
+
+    run_at_rest(run)
+
+
+def run_at_rest(run):
+    """Run an event loop that is paced as that of an instance without requests."""
+    clock = PacedClock()
+    clock.pace.is_at_rest = lambda: True
+    trio.run(run, clock=clock, instruments=[clock])
 
 
 class Reader:
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -27,7 +27,7 @@
 )
 from savorydyke._late_answers import LateAnswers
 from savorydyke._log_writer import LogBuffer, flush, write_lines
-from savorydyke._loop_pace import pace_event_loop
+from savorydyke._loop_pace import PacedClock
 from savorydyke._lost_answers import LostAnswers
 from savorydyke._routed_handler import RoutedHandler
 from savorydyke._send_check import SendCheck
@@ -49,16 +49,24 @@
 log = _logs.component_logger("gateway")
 
 
-async def run(settings: GatewaySettings, path: str) -> int:
-    """Run an instance until it receives a stop signal; return the exit status."""
+async def run(settings: GatewaySettings, path: str, clock: PacedClock) -> int:
+    """Run an instance until it receives a stop signal; return the exit status.
+
+    Parameters
+    ----------
+    clock : PacedClock
+        That of the event loop.
+    """
     log_buffer = _logs.configure_buffered(settings.log_level, settings.instance)
     try:
-        return await _run(settings, path, log_buffer)
+        return await _run(settings, path, clock, log_buffer)
     finally:
         flush(log_buffer)
 
 
-async def _run(settings: GatewaySettings, path: str, log_buffer: LogBuffer) -> int:
+async def _run(
+    settings: GatewaySettings, path: str, clock: PacedClock, log_buffer: LogBuffer
+) -> int:
     store = open_store(settings.store)
     gateway = new_gateway(settings, store, log_buffer)
     costs = install_task_costs() if settings.counts_tasks else None
@@ -101,10 +109,8 @@
         forwarded = _new_forwarded_requests(
             gateway, observer, late_answers, check, nursery
         )
-        pace_event_loop(
-            lambda: (
-                gateway.is_ready() and not (ingress.active or gateway.has_requests())
-            )
+        clock.pace.is_at_rest = lambda: (
+            gateway.is_ready() and not (ingress.active or gateway.has_requests())
         )
         if costs is not None:
             nursery.start_soon(costs.log_regularly)
--- a/src/savorydyke/_loop_pace.py
+++ b/src/savorydyke/_loop_pace.py
@@ -78,39 +78,39 @@
         return MAX_INTERVAL_S * min(1.0, max(0.0, weight))
 
 
-class LoopPacer(trio.abc.Instrument):
-    """Delays the turns of this event loop as `TurnPace` says.
+class PacedClock(trio.abc.Clock, trio.abc.Instrument):
+    """The steady clock of an event loop whose turns follow as `TurnPace` says.
 
-    A turn that has read only a part of what has come is followed at once, so that large
-    messages are read as fast as they come.
+    The event loop asks its clock how long it may wait, once no task is ready to run.
+    The answer comes after the pause, so that no timer is late for it. A turn that read
+    only a part of what has come is followed at once, so that large messages are read
+    as fast as they come.
+
+    It has to be passed to `trio.run` both as the clock and as an instrument.
     """
 
-    def __init__(self, is_at_rest: Callable[[], bool]) -> None:
-        self.pace = TurnPace(time.perf_counter(), is_at_rest)
+    def __init__(self) -> None:
+        self.pace = TurnPace(time.perf_counter())
         self.full_reads = 0
 
-    def before_io_wait(self, timeout: float) -> None:
-        """Wait for company, unless tasks are ready to run."""
-        if timeout <= 0:
-            return
-        pause_s = min(self.pace.end_turn(time.perf_counter()), timeout)
+    def start_clock(self) -> None:
+        """Do nothing; the clock always runs."""
+
+    def current_time(self) -> float:
+        """Return the time on the steady clock."""
+        return time.perf_counter()
+
+    def deadline_to_sleep_time(self, deadline: float) -> float:
+        """Wait for company; return the time that is left until a deadline."""
+        now = time.perf_counter()
+        pause_s = min(self.pace.end_turn(now), deadline - now)
         if read_counts.full != self.full_reads:
             self.full_reads = read_counts.full
         elif pause_s > 0:
             time.sleep(pause_s)
+        return deadline - time.perf_counter()
 
     def after_io_wait(self, timeout: float) -> None:
-        """Note that a turn begins."""
+        """Note that a turn begins, unless it only goes on with ready tasks."""
         if timeout > 0:
             self.pace.begin_turn(time.perf_counter())
-
-
-def pace_event_loop(is_at_rest: Callable[[], bool]) -> None:
-    """Pace the event loop of the calling task from now on.
-
-    Parameters
-    ----------
-    is_at_rest : callable
-        Returns whether no request is in progress.
-    """
-    trio.lowlevel.add_instrument(LoopPacer(is_at_rest))
--- a/src/savorydyke/_main.py
+++ b/src/savorydyke/_main.py
@@ -59,8 +59,11 @@
         import trio
 
         from savorydyke import _gateway_run
+        from savorydyke._loop_pace import PacedClock
 
-        return trio.run(_gateway_run.run, settings, path)
+        clock = PacedClock()
+        run = _gateway_run.run
+        return trio.run(run, settings, path, clock, clock=clock, instruments=[clock])
 
     return start
 
