Tell what keeps a coordinator behind, and where objectives go

Nobody could tell from logs or metrics whether late answers were lost at a coordinator that was behind, at endpoints, or on the way, nor which messages kept the coordinator busy.

- `home: Messages processed.`, once a second: messages by kind with their time in the inbox and their processor time, grants that came back unused, length of the inbox.
- savorydyke_message_wait_seconds, savorydyke_message_work_seconds_total by kind; savorydyke_grants_total by pool and by how they came (coordinator, instance, unused); savorydyke_phase_objective_share by route and phase, in shares of the objective.

No decision changes. Not yet measured.

--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -505,6 +505,8 @@
 
     def note_use(self, demand: Demand, granted: Granted) -> None:
         """Count a request that goes to an endpoint."""
+        by = "instance" if granted.coordinator == FALLBACK else "coordinator"
+        self.metrics.grants.inc({"pool": demand.pool, "by": by})
         self.quota_reports.record_sent(
             demand.pool,
             demand.team,
@@ -644,6 +646,8 @@
         on_decided=lambda scheduler, decision: metrics.observe_decision(
             tier_of(scheduler, decision.rank or 0), decision.age_s
         ),
+        on_processed=metrics.observe_message,
+        on_unused=lambda pool: metrics.grants.inc({"pool": pool, "by": "unused"}),
     )
     quota_balances = QuotaBalances(
         store,
--- a/src/savorydyke/_metrics.py
+++ b/src/savorydyke/_metrics.py
@@ -19,6 +19,7 @@
 SLOWNESS = (0.25, 0.5, 0.75, 1, 1.5, 2, 3, 4, 6, 8, 12, 20, 50)
 EVENT_SECONDS = (0.002, 0.005, 0.01, 0.02, 0.028, 0.04, 0.06, 0.1, 0.25, 1, 5)
 
+OBJECTIVE_SHARES = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 4, 8, 16)
 TOKENS = (0, 30, 100, 300, 1000, 3000, 10_000, 30_000)
 PACES = (0.5, 0.75, 1.0, 1.25, 1.5, 2.0, 2.5, 3.0, 5.0)
 
@@ -54,6 +55,23 @@
             "savorydyke_decision_age_seconds",
             "Time from a request's arrival at its frontend until its decision here.",
         )
+        self.message_wait = self._histogram(
+            "savorydyke_message_wait_seconds",
+            "Time that messages of frontends wait for their coordinator, by kind.",
+        )
+        self.message_work = self._counter(
+            "savorydyke_message_work_seconds_total",
+            "Processor time of the messages of frontends, by kind.",
+        )
+        self.grants = self._counter(
+            "savorydyke_grants_total",
+            "Grants by pool and by how they came: coordinator, instance, or unused.",
+        )
+        self.phase_share = self._histogram(
+            "savorydyke_phase_objective_share",
+            "Time of the phases up to the first byte, as a share of the objective.",
+            OBJECTIVE_SHARES,
+        )
         self.first_token = self._histogram(
             "savorydyke_first_token_seconds", "Time from arrival to the first byte."
         )
@@ -154,6 +172,26 @@
             return
         self.decision_age.observe({"tier": tier}, age_s)
 
+    def observe_message(self, kind: str, waited_s: float, work_s: float) -> None:
+        """Observe a message of a frontend that was processed here."""
+        self.message_wait.observe({"kind": kind}, waited_s)
+        self.message_work.add({"kind": kind}, work_s)
+
+    def observe_phase(
+        self, route: str, phase: str, seconds: float, objective_s: float
+    ) -> None:
+        """Observe how long a phase of a request took.
+
+        Parameters
+        ----------
+        phase : str
+            `grant`: until its grants; `endpoint`: from the latest one to the first
+            byte; `all`: from its arrival to the first byte.
+        """
+        if objective_s > 0:
+            labels = {"route": route, "phase": phase}
+            self.phase_share.observe(labels, seconds / objective_s)
+
     def observe_store_call(self, name: str, seconds: float, result: str) -> None:
         """Count a call of the platform's store and observe its duration."""
         self.platform_calls.inc({"kind": name, "result": result})
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -48,7 +48,7 @@
 from savorydyke._timers import Gate, TimerService
 from savorydyke._timing import VIEW_WAIT_S
 from savorydyke._untrusted import shown
-from savorydyke.scheduling import Inbox, PoolMessage, Received
+from savorydyke.scheduling import Inbox, MessageCosts, PoolMessage, Received
 
 TICK_S = 0.1
 """Also the time until a waiting request is acknowledged. It is less than the silence
@@ -189,6 +189,13 @@
         Open while a pool is hosted here.
     inbox : Inbox
         Messages that wait to be processed, while `run` runs.
+    costs : MessageCosts
+        What the messages cost.
+    on_processed : callable
+        Called with the kind of each message, its time in the inbox and its processor
+        time.
+    on_unused : callable
+        Called with the pool of each grant that came back unused.
     """
 
     membership: Membership
@@ -218,6 +225,11 @@
     )
     hosting: Gate = field(default_factory=Gate)
     inbox: Inbox = field(default_factory=Inbox)
+    costs: MessageCosts = field(default_factory=MessageCosts)
+    on_processed: Callable[[str, float, float], None] = field(
+        default=lambda kind, waited_s, work_s: None
+    )
+    on_unused: Callable[[PoolId], None] = field(default=lambda pool: None)
     has_messages: trio.Event = field(default_factory=trio.Event)
     is_running: bool = False
 
@@ -254,12 +266,14 @@
 
     def _process_received(self, received: Received, now: float) -> None:
         """Process a message; one that can not be processed costs itself only."""
+        kind, waited_s = type(received.message).__name__, now - received.at
+        self.costs.begin()
         try:
-            self._process(received.sender, received.message, now - received.at)
+            self._process(received.sender, received.message, waited_s)
         except Exception as error:
-            kind = type(received.message).__name__
             extra = {"peer": received.sender, "kind": kind, "error": shown(error)}
             log.exception("Message failed.", extra=extra)
+        self.on_processed(kind, waited_s, self.costs.end(kind, waited_s))
 
     def _process(
         self, sender: InstanceId, message: PoolMessage, inbox_s: float
@@ -293,6 +307,9 @@
     ) -> list[Decision]:
         match message:
             case Release():
+                if message.result is ReleaseResult.NOT_SENT:
+                    self.costs.unused += 1
+                    self.on_unused(message.pool)
                 if message.result is ReleaseResult.UNREACHABLE:
                     extra = {"endpoint": message.endpoint, "entry": sender}
                     log.info("Endpoint not reached.", extra=extra)
@@ -660,6 +677,9 @@
         self._check_stall(now)
         for pool, hosted in list(self.hosted.items()):
             self._tick(pool, hosted, now)
+        if self.costs.is_due(now):
+            extra = {"inbox": len(self.inbox), **self.costs.report(now)}
+            log.info("Messages processed.", extra=extra)
 
     def _check_stall(self, now: float) -> None:
         """Treat all schedulers as new after a pause of this process.
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -952,6 +952,7 @@
         if request.first_byte is not None:
             first_s = (request.first_event or request.first_byte) - arrived
             metrics.observe(metrics.first_token, tier, team, first_s)
+            self._observe_phases(request, first_s)
             metrics.merge_events(tier, team, request.times)
         if how == "answered":
             metrics.observe(metrics.total, tier, team, now - arrived)
@@ -960,6 +961,16 @@
             metrics.wasted_prefill.add(labels, request.request_info.prompt_tokens)
         log.info("Ended.", extra=end_fields(request, how, now))
 
+    def _observe_phases(self, request: RoutedRequest, first_s: float) -> None:
+        """Observe which part of a request's objective went where."""
+        route, objective_s = request.route.name, request.route.objective_s
+        metrics = self.metrics
+        metrics.observe_phase(route, "grant", request.waited_s, objective_s)
+        metrics.observe_phase(route, "all", first_s, objective_s)
+        if request.first_byte is not None:
+            endpoint_s = request.first_byte - request.granted_at
+            metrics.observe_phase(route, "endpoint", endpoint_s, objective_s)
+
 
 def _stream(team: TeamId, route: Route, request_info: RequestInfo) -> RequestKey:
     """Return the caller's attempt with which the stream of a request began."""
--- a/src/savorydyke/scheduling/__init__.py
+++ b/src/savorydyke/scheduling/__init__.py
@@ -10,6 +10,7 @@
     coordinator_tokens,
 )
 from savorydyke.scheduling._inbox import Inbox, PoolMessage, Received, is_stale
+from savorydyke.scheduling._message_costs import MessageCosts
 from savorydyke.scheduling._pace import EndpointPace, PaceReports
 from savorydyke.scheduling._prompt_cache import (
     DEFAULT_REUSE_S,
@@ -33,6 +34,7 @@
     "FallbackMemory",
     "GroupKey",
     "Inbox",
+    "MessageCosts",
     "OutputTail",
     "PaceReports",
     "PoolMessage",
