--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -167,6 +167,7 @@
         nursery.start_soon(gateway.tell_next_coordinators)
         nursery.start_soon(gateway.observe_delays)
         nursery.start_soon(gateway.peers.maintain_links)
+        nursery.start_soon(gateway.peers.watch_traffic)
         nursery.start_soon(gateway.pool_host.run, gateway.timers)
         nursery.start_soon(gateway.grant_client.reconcile, gateway.timers)
 
--- a/src/savorydyke/_peers.py
+++ b/src/savorydyke/_peers.py
@@ -11,7 +11,7 @@
 import secrets
 import ssl
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, TypeVar
 
 import trio
@@ -57,6 +57,10 @@
 """States in the WebSocket handshake that fields which are not known are ignored.
 Earlier builds ignore the header, and refuse such fields."""
 HANDSHAKE_HEADERS = {EXTENSIBLE_HEADER: "1"}
+TRAFFIC_CHECK_S = 1.0
+MUCH_TRAFFIC_BYTES = 100_000
+"""Bytes sent or received between two checks from which on they are logged. It is three
+times what the control of an instance may take."""
 LINK_SILENT_S = 2.5
 """Five heartbeats. A connection may stop carrying data without being reset, so a
 silent one is closed."""
@@ -83,6 +87,12 @@
     bytes_received: int = 0
     refused: int = 0
 
+    def since(self, earlier: "Traffic") -> dict[str, int]:
+        """Return what was counted since an earlier copy, by name."""
+        return {
+            name: count - getattr(earlier, name) for name, count in vars(self).items()
+        }
+
 
 @dataclass
 class GrowingView:
@@ -259,6 +269,15 @@
                     await self.wanted.wait()
                 self.wanted = trio.Event()
 
+    async def watch_traffic(self) -> None:
+        """Log what all links carry if that is much, until cancelled."""
+        while True:
+            before = replace(self.traffic)
+            await trio.sleep(TRAFFIC_CHECK_S)
+            extra = self.traffic.since(before)
+            if max(extra["bytes_sent"], extra["bytes_received"]) > MUCH_TRAFFIC_BYTES:
+                log.info("Much traffic.", extra=extra | {"links": len(self.links)})
+
     def _count_known(self) -> int:
         """Return how many other instances are members or listed."""
         return len(self.membership.members.keys() | self.listed_addresses)
