Tell peers what is new of the evidence, not everything with each change

Cause shown here: each instance sent all evidence, up to 128 rows and 7.4 kB, to all its links at each quarter of a second in which it had learned a row, also one that a peer had told it. With the sound requests that a fifth of the endpoints loses, instances of a fleet of 70 each sent 262 to 294 kB/s for three seconds, of the 28 kB/s that control may take; the coordinators have five times as many links as the others. One such heartbeat takes 0.8 ms to read and merge.

Change: what is new is told once. Suspects under which several processes ended, and those on trial, go to all links at once, as before; single ends, which prove nothing, to four links at a time. All rows go to one link at each regular heartbeat.

A part that ends five more endpoints meanwhile is held back at all instances within contact time, as before.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -97,6 +97,7 @@
       | waiting requests with a part that is then held back are refused            |
       | a frontend without its coordinator does not place a part that is held back |
       | 195 instances hold back a part in time, each at a bounded cost             |
+      | a fifth of the endpoints that end do not fill the links between instances  |
       | a report of evidence is bounded, and begins with the most suspect parts    |
       | a new instance does not hold back a part that others have seen answered    |
       | evidence in the store keeps its age, and clocks that differ do no harm     |
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -88,6 +88,9 @@
 free."""
 STREAM_TELL_S = 0.1
 """Streams that began later than this before their coordinator ended do not go on."""
+EVIDENCE_FANOUT = 4
+"""Peers that are told of suspects under which one process has ended. Those whom nobody
+tells learn of it with the next complete reports."""
 DELAY_CHECK_S = 0.1
 """Two late timers in a row tell that an instance is slow, also one at rest."""
 READY_AGE_SHARE = 0.8
@@ -257,11 +260,14 @@
                         has_evidence,
                     )
                 )
-                if ticks_seen % self._adapt_to_fleet_size() and not has_changed:
+                is_regular = ticks_seen % self._adapt_to_fleet_size() == 0
+                if not (is_regular or has_changed):
                     continue
                 counter = self.membership.next_heartbeat(now)
                 self.configuration_age.record_heartbeat(counter, boot_time())
-                self._send_heartbeats(counter, now, has_changed, has_evidence)
+                self._send_heartbeats(
+                    counter, now, is_regular, has_changed, has_evidence
+                )
                 self.states.set_listed(self.directory.leaving_processes(), now)
                 self.membership.update(now)
                 self.apply_instance_records()
@@ -300,7 +306,7 @@
         """Return whether evidence or limits are new since the latest heartbeats."""
         changes = (self.limits.changes, self.rejections.changes)
         state = (self.quarantine.changes, *changes)
-        has_changed = self.announced_evidence != state
+        has_changed = self.announced_evidence != state or bool(self.quarantine.untold)
         self.announced_evidence = state
         return has_changed
 
@@ -369,10 +375,21 @@
         return [peer for peer in peers if peer in coordinators]
 
     def _send_heartbeats(
-        self, counter: int, now: float, has_changed: bool, has_evidence: bool
+        self,
+        counter: int,
+        now: float,
+        is_regular: bool,
+        has_changed: bool,
+        has_evidence: bool,
     ) -> None:
         peers = self._due_peers(counter, has_changed)
-        informed = self.rng.choice(peers) if peers else None
+        informed = self.rng.choice(peers) if peers and is_regular else None
+        # Each instance passes on what it learns, so that to send everything to everyone
+        # with each change would fill the links when many endpoints end together.
+        repeated, single = (
+            self.quarantine.take_untold(now) if has_evidence else ((), ())
+        )
+        told = self.rng.sample(peers, min(len(peers), EVIDENCE_FANOUT))
         losses, limits = self.quarantine.rows(now), self.limits.rows(now)
         rejections = self.rejections.rows(now)
         for peer in peers:
@@ -387,7 +404,11 @@
                 leaving_processes=self.states.observed_leaving(),
                 rows=rows,
                 slow=self.membership.slow,
-                losses=losses if has_evidence or peer == informed else (),
+                losses=(
+                    *repeated,
+                    *(single if peer in told else ()),
+                    *(losses if peer == informed else ()),
+                ),
                 limits=limits if has_evidence or peer == informed else (),
                 cut_off=self.membership.cut_off,
                 rejections=rejections if has_evidence or peer == informed else (),
--- a/src/savorydyke/_quarantine.py
+++ b/src/savorydyke/_quarantine.py
@@ -58,6 +58,8 @@
 REQUEST_DEPTH = 1000
 """Depth of whole requests, below all parts of prompts."""
 
+Rows = tuple[LossRow, ...]
+
 
 @dataclass(frozen=True)
 class Loss:
@@ -118,6 +120,8 @@
         The suspects that are held back.
     changes : int
         Increased when something is learned that other instances may not know.
+    untold : dict of SuspectId to None
+        The suspects of which that was learned, until `take_untold`, the oldest first.
     listeners : list of callable
         Called with a suspect and whether it is held back, when that changes.
     """
@@ -128,6 +132,7 @@
     lost_at: dict[ProcessId, set[SuspectId]] = field(default_factory=dict)
     held: set[SuspectId] = field(default_factory=set)
     changes: int = 0
+    untold: dict[SuspectId, None] = field(default_factory=dict)
     listeners: list[Callable[[SuspectId, bool], None]] = field(default_factory=list)
 
     # Evidence
@@ -146,9 +151,13 @@
 
     def record_end(self, process: ProcessId) -> None:
         """Record that a process has ended."""
-        if process not in self.ended and self._has_losses(process):
+        if process in self.ended:
+            return
+        suspects = [s for s, e in self.suspects.items() if process in e.losses]
+        if suspects:
             self.ended.add(process)
-            self.changes += 1
+            for suspect in suspects:
+                self._note_change(suspect)
 
     def record_answer(self, suspects: Iterable[SuspectId], now: float) -> None:
         """Record a complete answer, which clears the suspects of its request."""
@@ -162,8 +171,10 @@
             for suspect in suspects
         )
 
-    def _has_losses(self, process: ProcessId) -> bool:
-        return any(process in evidence.losses for evidence in self.suspects.values())
+    def _note_change(self, suspect: SuspectId) -> None:
+        """Record that other instances may not know what was learned of a suspect."""
+        self.changes += 1
+        self.untold[suspect] = None
 
     def _answered_at(self, suspect: SuspectId) -> float:
         return self.answered.get(suspect, -math.inf)
@@ -178,7 +189,8 @@
             return
         evidence.losses[process] = loss
         self.suspects.move_to_end(suspect)
-        self.changes += process in self.ended
+        if process in self.ended:
+            self._note_change(suspect)
         self._drop_excess()
 
     def _drop_excess(self) -> None:
@@ -204,7 +216,8 @@
         cleared = {p for p, loss in evidence.losses.items() if loss.at <= at}
         for process in cleared:
             del evidence.losses[process]
-        self.changes += bool(cleared & self.ended)
+        if cleared & self.ended:
+            self._note_change(suspect)
         if suspect in self.held and len(evidence.losses) < ENDS_TO_HOLD:
             self._release(suspect)
 
@@ -346,7 +359,7 @@
             if suspect in self.held:
                 self.suspects[suspect].trials += 1
                 self.suspects[suspect].trial_until = now + TRIAL_S
-                self.changes += 1
+                self._note_change(suspect)
 
     # Exchange with other instances
 
@@ -356,28 +369,61 @@
         A row without a process says when the suspect was last cleared. It comes with
         evidence too, since a part that has been answered needs more of it.
         """
-        rows: dict[bool, list[LossRow]] = {False: [], True: []}
         ranked = sorted(self.suspects.items(), key=lambda item: -len(item[1].losses))
+        rows: dict[bool, list[LossRow]] = {False: [], True: []}
         for suspect, evidence in ranked:
-            ended = [p for p in evidence.losses if p in self.ended]
-            evidence.is_shared = evidence.is_shared or bool(ended)
-            if len(ended) == 1 and now - evidence.losses[ended[0]].at > SPREAD_S:
-                continue
-            is_recent = now - self._answered_at(suspect) <= SPREAD_S
-            is_answered = suspect in self.answered
-            if (ended and is_answered) or (
-                evidence.is_shared and not ended and is_recent
-            ):
-                age_ms = _age_ms(self._answered_at(suspect), now)
-                row = (suspect, evidence.depth, ProcessId(""), age_ms, age_ms)
-                rows[is_digest(suspect)].append(LossRow(*row))
-            for process in ended:
-                loss = evidence.losses[process]
-                sent_ms, lost_ms = _age_ms(loss.sent, now), _age_ms(loss.at, now)
-                row = (suspect, evidence.depth, process, sent_ms, lost_ms)
-                rows[is_digest(suspect)].append(LossRow(*row, evidence.trials))
+            rows[is_digest(suspect)] += self._rows_of(suspect, evidence, now)
         return (*rows[False][:MAX_ROWS], *rows[True][:MAX_ROWS])
 
+    def take_untold(
+        self, now: float
+    ) -> tuple[tuple[LossRow, ...], tuple[LossRow, ...]]:
+        """Return the rows that others may not know; those left over come next time.
+
+        Returns
+        -------
+        repeated : Rows
+            Of suspects under which several processes have ended, or that are tried.
+        single : Rows
+            Of the others. Most of these are sound requests that were lost together.
+        """
+        repeated: list[LossRow] = []
+        single: list[LossRow] = []
+        while self.untold and len(repeated) + len(single) < MAX_ROWS:
+            suspect = next(iter(self.untold))
+            del self.untold[suspect]
+            evidence = self.suspects.get(suspect)
+            if evidence is None:
+                continue
+            is_repeated = (
+                evidence.trials or len(self.ended & evidence.losses.keys()) > 1
+            )
+            rows = self._rows_of(suspect, evidence, now)
+            (repeated if is_repeated else single).extend(rows)
+        return tuple(repeated), tuple(single)
+
+    def _rows_of(
+        self, suspect: SuspectId, evidence: Evidence, now: float
+    ) -> list[LossRow]:
+        """Return the rows of one suspect, of processes that have ended."""
+        ended = [p for p in evidence.losses if p in self.ended]
+        evidence.is_shared = evidence.is_shared or bool(ended)
+        if len(ended) == 1 and now - evidence.losses[ended[0]].at > SPREAD_S:
+            return []
+        rows = []
+        is_recent = now - self._answered_at(suspect) <= SPREAD_S
+        is_answered = suspect in self.answered
+        if (ended and is_answered) or (evidence.is_shared and not ended and is_recent):
+            age_ms = _age_ms(self._answered_at(suspect), now)
+            row = (suspect, evidence.depth, ProcessId(""), age_ms, age_ms)
+            rows.append(LossRow(*row))
+        for process in ended:
+            loss = evidence.losses[process]
+            sent_ms, lost_ms = _age_ms(loss.sent, now), _age_ms(loss.at, now)
+            row = (suspect, evidence.depth, process, sent_ms, lost_ms)
+            rows.append(LossRow(*row, evidence.trials))
+        return rows
+
     def merge(self, rows: Iterable[LossRow], now: float) -> None:
         """Add the evidence of another instance."""
         for row in rows:
@@ -393,7 +439,7 @@
             if evidence is not None and row.trials > evidence.trials:
                 evidence.trials = row.trials
                 evidence.trial_until = max(evidence.trial_until, now + TRIAL_S)
-                self.changes += 1
+                self._note_change(row.suspect)
             self.record_end(row.process)
 
 
