Keep requests with a coordinator that answers others

What callers saw: late answers for seconds after a burst.

Cause: silence was judged by request. A coordinator that confirms requests a fifth of a second late, since it is behind, has them all placed by 70 instances that do not know the load of the endpoints, one request an endpoint and instance each, and gets a withdrawal and a registration for each of them besides.

Change: a coordinator that has answered any request of a frontend within 0.2 s is not silent. What it does not confirm for 1 s may have been lost and is placed as before, as is everything if it answers nobody, has no link or has stalled.

The two new cases failed before: the request was placed after 0.2 s, while the coordinator answered others every 50 ms. Ruled out: a longer time for silence, which would delay the requests of a coordinator that ended.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -29,6 +29,8 @@
       | ticks come only while they are needed                                      |
       | a burst at a coordinator that lags is refused where it arrives             |
       | a frontend refuses what its coordinator has just refused for its lag       |
+      | a request is not placed blindly while its coordinator answers others       |
+      | a request whose coordinator answers nobody, or not this one, is placed     |
       | an instance with little to do handles each thing at once                   |
       | a burst of events takes an instance fewer turns, and delays none for long  |
       | an instance without requests takes half the turns, and is late for none    |
--- a/features/steps/routed_steps.py
+++ b/features/steps/routed_steps.py
@@ -23,6 +23,7 @@
 import rest_cases  # noqa: F401  Registers its cases.
 import retry_cases  # noqa: F401  Registers its cases.
 import route_pool_decisions  # noqa: F401  Registers its cases.
+import silent_coordinator_decisions  # noqa: F401  Registers its cases.
 import silent_endpoint_cases  # noqa: F401  Registers its cases.
 import slow_reader_cases  # noqa: F401  Registers its cases.
 import split_route_cases  # noqa: F401  Registers its cases.
--- a/src/savorydyke/_grant_client.py
+++ b/src/savorydyke/_grant_client.py
@@ -49,6 +49,9 @@
 
 COORDINATOR_SILENT_S = 0.2
 """A coordinator answers in a few ms; a longer silence means a stall or a lost link."""
+LOST_S = 1.0
+"""Time after which a request may have been lost that a coordinator which answers others
+has not confirmed."""
 COORDINATOR_STALLED_S = 0.6
 """Time without a heartbeat of a coordinator after which the frontend itself places the
 requests that are queued there."""
@@ -227,6 +230,8 @@
         a coordinator also while it lags.
     closed : ClosedRanks
         What is refused here since a coordinator lags.
+    heard_at : dict of InstanceId to float
+        When each coordinator answered last.
     """
 
     membership: Membership
@@ -244,6 +249,7 @@
     in_flight: dict[RequestKey, InFlight] = field(default_factory=dict)
     coordinators: dict[PoolId, CoordinatorLink] = field(default_factory=dict)
     attempts: int = 0
+    heard_at: dict[InstanceId, float] = field(default_factory=dict)
 
     # Acquiring
 
@@ -313,12 +319,20 @@
             pending.answer = Granted(FALLBACK, endpoint, attempt, False, (), now)
 
     def _is_unanswered(self, pending: Pending) -> bool:
-        """Return whether no live coordinator seems to have the request."""
-        if not pending.acknowledged:
-            return True
+        """Return whether no live coordinator seems to have the request.
+
+        One that answers other requests is behind, and has this one too. What instances
+        placed themselves meanwhile would fill endpoints whose load they do not know.
+        """
         coordinator = self.coordinators[pending.demand.pool].coordinator
         now = trio.current_time()
-        return self.membership.is_silent(coordinator, now, self.coordinator_stalled_s)
+        if self.membership.is_silent(coordinator, now, self.coordinator_stalled_s):
+            return True
+        if pending.acknowledged:
+            return False
+        heard_at = self.heard_at.get(coordinator, -math.inf)
+        is_answering = now - heard_at < COORDINATOR_SILENT_S
+        return not is_answering or now - pending.asked >= LOST_S
 
     def _finish_pending(self, pending: Pending) -> Granted | Refused:
         """End the wait for a grant and return the answer."""
@@ -391,6 +405,7 @@
 
     def handle(self, sender: InstanceId, message: Grant | Refuse | Queued) -> None:
         """Process the answer of a coordinator."""
+        self.heard_at[sender] = trio.current_time()
         pending = self.pending.get(message.key)
         if isinstance(message, Queued):
             if pending is not None and pending.message.attempt == message.attempt:
