Refuse stale requests also while reports keep coming

A coordinator that is behind processes reports first, then requests by rank. A request that had waited too long was refused only when its turn came, so that under steady reports its frontend heard nothing for its whole objective. Now those that are stale come first: each is a refusal without a decision.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -31,6 +31,7 @@
       | a frontend refuses what its coordinator has just refused for its lag       |
       | a request is not placed blindly while its coordinator answers others       |
       | a request whose coordinator answers nobody, or not this one, is placed     |
+      | requests that are stale are refused although reports keep coming           |
       | an instance with little to do handles each thing at once                   |
       | a burst of events takes an instance fewer turns, and delays none for long  |
       | an instance without requests takes half the turns, and is late for none    |
--- a/features/steps/decisions_under_load_steps.py
+++ b/features/steps/decisions_under_load_steps.py
@@ -63,7 +63,8 @@
     load.sent = {}
     while load.events or len(inbox):
         if len(inbox) and (not load.events or free_at <= load.events[0][0]):
-            free_at += process(load, inbox, inbox.take(), free_at, decided)
+            received = inbox.take(free_at)
+            free_at += process(load, inbox, received, free_at, decided)
             continue
         now, _, what, value = heapq.heappop(load.events)
         free_at = max(free_at, now)
--- a/features/steps/silent_coordinator_decisions.py
+++ b/features/steps/silent_coordinator_decisions.py
@@ -7,6 +7,8 @@
 from savorydyke._grant_client import FALLBACK, LOST_S, Demand, GrantClient
 from savorydyke._membership import Membership
 from savorydyke._messages import Acquire, Grant, MemberRow
+from savorydyke.scheduling import Inbox
+from savorydyke_bench._coordinator_load import KINDS, acquire
 
 HOME = "home"
 
@@ -93,3 +95,21 @@
         assert LOST_S <= took_s < LOST_S + 0.25, took_s
 
     trio.run(play, clock=MockClock(autojump_threshold=0))
+
+
+@case("requests that are stale are refused although reports keep coming")
+def _():
+    inbox = Inbox()
+    patient = acquire("team-0/patient", KINDS[0], 10.0)
+    urgent = acquire("team-0/urgent", KINDS[1], 10.0)
+    inbox.put("frontend", urgent, 0.0, rank=2)
+    inbox.put("frontend", patient, 0.0, rank=1)
+    for number in range(100):
+        grant = Grant(f"team-0/{number}", 1, "e1", False, ())
+        inbox.put("frontend", grant, 0.0)
+    assert inbox.take(0.01).message is not urgent
+    # A tenth of the objective of 0.269 s has passed for one of them.
+    assert inbox.take(0.03).message is urgent
+    assert inbox.take(0.03).message is not patient
+    assert inbox.take(0.07).message is patient
+    assert len(inbox) == 98
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -257,7 +257,7 @@
             await self.has_messages.wait()
             until = trio.current_time() + TURN_S
             while (now := trio.current_time()) < until:
-                received = self.inbox.take()
+                received = self.inbox.take(now)
                 if received is None:
                     self.has_messages = trio.Event()
                     break
--- a/src/savorydyke/scheduling/_inbox.py
+++ b/src/savorydyke/scheduling/_inbox.py
@@ -9,6 +9,7 @@
 """
 
 import heapq
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -47,11 +48,14 @@
     due : list of tuple
         Heap of their ranks and the times at which they become stale, with a number and
         their place.
+    stale : list of tuple
+        Heap of these times, with a number and a place.
     """
 
     reports: deque[Received] = field(default_factory=deque)
     acquires: dict[Place, Received] = field(default_factory=dict)
     due: list[tuple[int, float, int, Place]] = field(default_factory=list)
+    stale: list[tuple[float, int, Place]] = field(default_factory=list)
     number: int = 0
 
     def __len__(self) -> int:
@@ -72,19 +76,28 @@
             self.number += 1
             place = (sender, message.key)
             self.acquires[place] = received
-            due = (rank, now + stale_after_s(message), self.number, place)
-            heapq.heappush(self.due, due)
+            stale_at = now + stale_after_s(message)
+            heapq.heappush(self.due, (rank, stale_at, self.number, place))
+            stale_at = max(stale_at, now + LAG_S)
+            heapq.heappush(self.stale, (stale_at, self.number, place))
             return
         if isinstance(message, Withdraw):
             self.acquires.pop((sender, message.key), None)
         self.reports.append(received)
 
-    def take(self) -> Received | None:
+    def take(self, now: float = -math.inf) -> Received | None:
         """Return the message to process next, None if there is none.
 
-        Requests come by rank, so that the least urgent ones are refused in an overload,
-        and then in the order in which they become stale.
+        Requests that have become stale come first: they are refused unseen, and their
+        frontends need not wait until nothing else is left. The others come by rank, so
+        that the least urgent ones are refused in an overload, and then in the order in
+        which they become stale.
         """
+        while self.stale and self.stale[0][0] < now:
+            _, _, place = heapq.heappop(self.stale)
+            received = self.acquires.pop(place, None)
+            if received is not None:
+                return received
         if self.reports:
             return self.reports.popleft()
         while self.due:
