Grant requests that can be in time before those that would be late

What callers saw: while load is high answers came, but late.

Cause: until when a grant is useful was worked out from the least time to the first byte at an idle endpoint. In a full pool requests were granted just before that, and then took several times as long: each slot went to a request that had just become late.

Change: if the endpoint that is chosen for a request is predicted to answer after its objective, the request is queued with the late ones, which go after all that can be in time, and the next request is looked at.

The new case failed before (78 in 100 of help).

--- a/features/experiment.feature
+++ b/features/experiment.feature
@@ -15,4 +15,5 @@
       | bursts earn more credit than under any baseline        |
       | queueing late requests serves more and loses no credit |
       | higher ranks keep their credit in an overload          |
+      | nine in ten answers of an overload are in time         |
       | unknown patterns and policies are reported             |
--- a/features/steps/experiment_steps.py
+++ b/features/steps/experiment_steps.py
@@ -118,3 +118,14 @@
 @then('the experiment case "{name}" holds')
 def experiment_case(context, name):
     CASES[name]()
+
+
+@case("nine in ten answers of an overload are in time")
+def _():
+    # Guards against slots for requests that waited so long that they will be late.
+    trial = run(read_pattern("help-overload"), "ours", 1)
+    served = [o for o in trial.outcomes.values() if o.is_complete]
+    for kind in trial.pattern.kinds:
+        answers = [o for o in served if o.kind is kind]
+        in_time = sum(o.credit() == kind.worth for o in answers)
+        assert in_time >= 0.9 * len(answers), (kind.name, in_time, len(answers))
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -577,10 +577,27 @@
         if self.capacity.is_full(now) and self.estimates.index.usable:
             return []
         load = self._choose(item, set(self.choice.awaited), now)
-        return [] if load is None else [self._grant(item, load, now)]
+        if load is None or self._would_be_late(item, load, now):
+            return []
+        return [self._grant(item, load, now)]
 
     def _grant_next(self, now: float) -> Decision | None:
-        """Grant the first request in order for which an endpoint has capacity."""
+        """Grant the first request in order for which an endpoint has capacity.
+
+        Requests whose answers would be late give way to those that can be in time.
+        """
+        late: list[Waiting] = []
+        decision = self._grant_in_order(late, now)
+        for item in late:
+            self.queue.remove(item.key)
+            item.rank += LATE_RANKS
+            self._enqueue(item)
+        if decision is None and late:
+            return self._grant_in_order([], now)
+        return decision
+
+    def _grant_in_order(self, late: list[Waiting], now: float) -> Decision | None:
+        """Grant a request; add those before it that would be late to `late`."""
         blocked = self.choice.awaited = set()
         index = self.capacity.updated_index(now)
         owed = self.capacity.owed_ranks(now)
@@ -588,12 +605,21 @@
             # A more urgent request may use an endpoint that has no capacity for one
             # that only goes first because of its guaranteed share.
             load = self._choose(item, set() if item.rank in owed else blocked, now)
-            if load is not None:
+            if load is not None and self._would_be_late(item, load, now):
+                late.append(item)
+            elif load is not None:
                 return self._grant(item, load, now)
             if index.free_names <= blocked or self.choice.is_exhausted(item):
                 return None
         return None
 
+    def _would_be_late(self, item: Waiting, load: EndpointLoad, now: float) -> bool:
+        """Return whether a request would miss its objective at an endpoint."""
+        if item.is_late() or item.objective == math.inf:
+            return False
+        first_s = load.first_byte_s(self.estimates.uncached(load, item, now))
+        return now + first_s > item.objective
+
     def _choose(
         self, item: Waiting, blocked: set[EndpointId], now: float
     ) -> EndpointLoad | None:
@@ -823,6 +849,9 @@
             item = self.queue.by_key.get(key)
             if item is None or item.attempt != attempt:
                 continue
+            if self.capacity.latest_grant(item) > now:
+                # It was found to be late before, and has a later entry.
+                continue
             self.queue.remove(key)
             if not item.is_late():
                 item.rank += LATE_RANKS
