Use new endpoints as soon as a coordinator can know them

Cause: an instance of a large fleet pauses for up to 1.65 s between two watches of the store. So did the coordinators, which alone give new endpoints work; and a frontend that was granted an endpoint it had not read of took it for removed and gave the grant back.

Change: an instance that coordinates a pool pauses as in a small fleet, 0.4 s at most; these are two or three. A frontend that does not know a granted endpoint asks the store at once, for 0.1 s at most, unless it knows that the endpoint was removed.

In memory, twenty new endpoints: more than 1.0 s until some were known without asking, less than 0.1 s with it (new case). Ruled out: a shorter pause for all, 70 times as many calls; addresses in grants, which the frontend would have to believe for lack of a record.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -46,6 +46,8 @@
       | a bound that can not be met is refused at the start                        |
       | changes in the store are read within every bound                           |
       | links that an instance of a large fleet does not use are closed            |
+      | an endpoint that is granted before it is known is read at once             |
+      | a coordinator of a large fleet knows new endpoints as soon as in a small one |
       | the store is listed again without a pause when its history is compacted    |
       | the age of the configuration includes suspension                           |
       | a request leaves a silent endpoint that notices it, or is gone             |
--- a/features/steps/store_contact_decisions.py
+++ b/features/steps/store_contact_decisions.py
@@ -2,15 +2,17 @@
 
 import json
 import random
+from types import SimpleNamespace
 
 import trio
-from decision_cases import case
+from decision_cases import case, unconnected_gateway
 from trio.testing import MockClock
 
 from savorydyke._configuration_age import ConfigurationAge
 from savorydyke._directory import Directory
 from savorydyke._store_contact import MISSING_GRACE_S, StoreContact
 from savorydyke._store_restores import new_store_restores
+from savorydyke._timing import SHORT_PAUSE_S, ApplyBounds, watch_pause_s
 from savorydyke.platform import Change, Changes, Item, Listing, StoreError
 from savorydyke.platform._store import StoreFault
 
@@ -19,6 +21,15 @@
 FAILING_SHARE = 0.25
 ENDPOINTS = ("e1", "e2", "e3")
 ANSWER_S = 0.004
+RECORD = {
+    "service": "desk",
+    "address": "127.0.0.1:1",
+    "zone": "a",
+    "slots": 4,
+    "state": "ready",
+    "seq": 1,
+    "born": 1,
+}
 
 
 class FailingStore:
@@ -63,16 +74,7 @@
     while True:
         number += 1
         for name in sorted(names):
-            record = {
-                "service": "desk",
-                "address": "127.0.0.1:1",
-                "zone": "a",
-                "slots": 4,
-                "state": "ready",
-                "seq": number,
-                "born": 1,
-            }
-            store.put(name, record)
+            store.put(name, RECORD | {"seq": number})
         await trio.sleep(HEARTBEAT_S)
 
 
@@ -137,3 +139,69 @@
     contact.record_restore(20.0)
     assert contact.kept_until(19.9, 20.0) == 20.0 + MISSING_GRACE_S
     assert contact.kept_until(19.9, 22.5) < 22.5
+
+
+async def seconds_until_known(is_wanted):
+    """Return how long an instance of a large fleet takes to know a new endpoint."""
+    rng = random.Random(3)
+    store = FailingStore(rng, 0.0)
+    contact, restores = StoreContact(HEARTBEAT_S), new_store_restores(5.0)
+    directory = Directory(store, ConfigurationAge(), rng, restores, contact)
+    directory.watch_pause_s = watch_pause_s(ApplyBounds(5.0, 3.0, 3.0), True)
+    names = set(ENDPOINTS)
+    took = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(write_heartbeats, store, names)
+        nursery.start_soon(directory.watch_store)
+        await trio.sleep(3 * HEARTBEAT_S)
+        for number in range(20):
+            await trio.sleep(HEARTBEAT_S * rng.random())
+            name = f"new-{number}"
+            store.put(name, RECORD)
+            began = trio.current_time()
+            if is_wanted:
+                assert await directory.wait_for_endpoint(name, 0.1)
+            with trio.move_on_after(3.0):
+                while name not in directory.endpoints:
+                    await trio.sleep(0.01)
+            took.append(trio.current_time() - began)
+        # One that is not in the store, or was removed, is not waited for.
+        began = trio.current_time()
+        assert not await directory.wait_for_endpoint("unknown", 1.0)
+        store.put("new-0", None)
+        with trio.move_on_after(3.0):
+            while "new-0" in directory.endpoints:
+                await trio.sleep(0.01)
+        assert not await directory.wait_for_endpoint("new-0", 1.0)
+        took.append(trio.current_time() - began)
+        nursery.cancel_scope.cancel()
+    return took
+
+
+@case("an endpoint that is granted before it is known is read at once")
+def _():
+    *took, _ = trio.run(
+        seconds_until_known, False, clock=MockClock(autojump_threshold=0)
+    )
+    assert max(took) > 1.0, took
+    *took, _ = trio.run(
+        seconds_until_known, True, clock=MockClock(autojump_threshold=0)
+    )
+    assert max(took) < 0.1, took
+
+
+@case("a coordinator of a large fleet knows new endpoints as soon as in a small one")
+def _():
+    async def play():
+        gateway = unconnected_gateway()
+        gateway.membership.alive_count = 70
+        gateway._adapt_to_fleet_size()
+        assert gateway.directory.watch_pause_s > 1.0
+        gateway.pool_host.hosted["p"] = SimpleNamespace(is_coordinator=True)
+        gateway._adapt_to_fleet_size()
+        assert gateway.directory.watch_pause_s == SHORT_PAUSE_S
+        gateway.pool_host.hosted["p"].is_coordinator = False
+        gateway._adapt_to_fleet_size()
+        assert gateway.directory.watch_pause_s > 1.0
+
+    trio.run(play)
--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -137,6 +137,8 @@
         Up to when they are to be known.
     wanted, applied : trio.Event
         Set when a view is requested, and when changes have been applied.
+    hurried : trio.Event
+        Set when the next watch is wanted without a pause, and replaced at its begin.
     stored_version : int
         Highest version of the configuration that the store has held since it was
         last restored, 0 for none.
@@ -184,6 +186,7 @@
     view_wanted: float = -math.inf
     wanted: trio.Event = field(default_factory=trio.Event)
     applied: trio.Event = field(default_factory=trio.Event)
+    hurried: trio.Event = field(default_factory=trio.Event)
     stored_version: int = 0
     fleet_key: bytes = b""
     watch_pause_s: float = SHORT_PAUSE_S
@@ -218,6 +221,7 @@
         failures = 0
         while True:
             sent, sent_at = boot_time(), trio.current_time()
+            self.hurried = trio.Event()
             try:
                 if self.revision == 0:
                     self.revision = await self._read_all(sent)
@@ -239,13 +243,41 @@
                 await trio.sleep(RETRY_BASE_S / 2 + wait_s)
 
     async def _pause(self) -> None:
-        """Wait before the next watch, or until the store has been restored.
+        """Wait before the next watch, unless it is wanted at once.
 
-        The random delay after a restore spreads the listings of all instances.
+        It is after a restore of the store, too. The random delay spreads the listings
+        of all instances.
         """
         with trio.move_on_after(self.watch_pause_s):
-            await self.store.restored.wait()
-            await trio.sleep(self.watch_pause_s * self.rng.random())
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._wait_until_hurried, nursery.cancel_scope)
+                await self.store.restored.wait()
+                await trio.sleep(self.watch_pause_s * self.rng.random())
+                nursery.cancel_scope.cancel()
+
+    async def _wait_until_hurried(self, pause: trio.CancelScope) -> None:
+        await self.hurried.wait()
+        pause.cancel()
+
+    async def wait_for_endpoint(self, name: EndpointId, wait_s: float) -> bool:
+        """Return whether an endpoint is known, after a look at the store if it is not.
+
+        Parameters
+        ----------
+        wait_s : float
+            Longest time for that.
+        """
+        asked = boot_time()
+        with trio.move_on_after(wait_s):
+            while not self._is_settled(name, asked):
+                self.hurried.set()
+                await self.applied.wait()
+        return name in self.endpoints
+
+    def _is_settled(self, name: EndpointId, asked: float) -> bool:
+        """Return whether an endpoint is known, or is not in the store since a time."""
+        is_known = name in self.endpoints or name in self.removed
+        return is_known or self.viewed >= asked
 
     async def _read_all(self, sent: float) -> int:
         """Read all keys; return the revision from which to watch."""
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -356,7 +356,9 @@
         self.membership.dead_after_s = ticks * DEAD_AFTER_S
         self.grant_client.coordinator_stalled_s = ticks * COORDINATOR_STALLED_S
         bounds = self.settings.bounds.apply
-        self.directory.watch_pause_s = watch_pause_s(bounds, is_large)
+        # New endpoints get requests as soon as a coordinator knows them.
+        waits_long = is_large and not self.pool_host.is_coordinating()
+        self.directory.watch_pause_s = watch_pause_s(bounds, waits_long)
         return ticks
 
     def _due_peers(self, counter: int, has_changed: bool) -> list[InstanceId]:
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -569,6 +569,10 @@
         for item in unresolved:
             self._acquire(item.sender, item.message, now, asked=item.asked)
 
+    def is_coordinating(self) -> bool:
+        """Return whether this instance coordinates a pool."""
+        return any(hosted.is_coordinator for hosted in self.hosted.values())
+
     def set_share(self, scheduler: PoolScheduler) -> None:
         """Limit what a scheduler may use while another coordinator may exist."""
         share = self.membership.share(trio.current_time())
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -122,6 +122,9 @@
 ALTERNATIVE_FIRST_BYTE_S = 0.4
 """Time in which another endpoint must send a first byte to replace a silent one."""
 
+NEW_ENDPOINT_WAIT_S = 0.1
+"""Time to read of an endpoint that is not known yet: the store answers in some ms."""
+
 TOO_LONG_DETAIL = "this instance stops before the request would have to end"
 NO_KEY = RequestKey("")
 MOVED_DETAIL = "the pool that began this stream does not serve its route any more"
@@ -594,6 +597,11 @@
             metrics = self.metrics
             metrics.observe(metrics.cached_tokens, tier, request.team, cached)
         try:
+            if endpoint is None:
+                # Its coordinator may have learned of it first.
+                name = granted.endpoint
+                await self.directory.wait_for_endpoint(name, NEW_ENDPOINT_WAIT_S)
+                endpoint = self._endpoint(name)
             if endpoint is None:
                 request.unsent += 1
                 return NotRun("the endpoint has been removed")
