--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -176,6 +176,7 @@
       | an order that comes again is not carried out                                  |
       | bodies that are held for other instances are bounded by their size            |
       | an instance counts as cut off when several endpoints in a row are not reached |
+      | an instance that found ended endpoints is not cut off for long                |
       | requests of cut off instances are spread over all that reach endpoints        |
       | few requests of a cut off instance are spread by capacity too                 |
       | an instance that comes back is not asked for all that it missed               |
--- a/features/steps/cut_off_decisions.py
+++ b/features/steps/cut_off_decisions.py
@@ -10,6 +10,7 @@
 from trio.testing import MockClock
 
 from savorydyke._endpoint_links import EndpointLinks
+from savorydyke._endpoint_probes import probe_failed_links
 from savorydyke._endpoint_ways import Ended, EndpointWays
 from savorydyke._forward_headers import (
     RESULT,
@@ -321,3 +322,40 @@
     assert ends_recorded(ForwardResult.REACHED, 2) == [False, True]
     assert ends_recorded(ForwardResult.REACHED, 1) == [False, False]
     assert ends_recorded(ForwardResult.UNREACHABLE, 1) == [False, False]
+
+
+@case("an instance that found ended endpoints is not cut off for long")
+def _():
+    # Guards against a detour by other instances until the ended endpoints are back.
+    endpoints = {f"e{n}": SimpleNamespace(id=f"e{n}") for n in range(56)}
+    ended = {"e0", "e1", "e2", "e3"}
+    links = EndpointLinks()
+
+    async def probe(endpoint):
+        now = trio.current_time()
+        reached = endpoint.id not in ended
+        (links.record_opened if reached else links.record_failed)(endpoint.id, now)
+
+    async def play():
+        manifest = SimpleNamespace(endpoints=endpoints)
+        ways = SimpleNamespace(links=links, rng=random.Random(1), probe_own_link=probe)
+        for name in sorted(ended):
+            links.record_failed(name, trio.current_time())
+        assert links.is_cut_off
+        async with trio.open_nursery() as nursery:
+            directory = SimpleNamespace(manifest=manifest)
+            nursery.start_soon(probe_failed_links, ways, directory)
+            await trio.sleep(1.0)
+            assert not links.is_cut_off
+            # All links are cut now, and then there again.
+            ended.update(endpoints)
+            for name in ("e10", "e11"):
+                links.record_failed(name, trio.current_time())
+            await trio.sleep(5.0)
+            assert links.is_cut_off
+            ended.clear()
+            await trio.sleep(1.0)
+            assert not links.is_cut_off
+            nursery.cancel_scope.cancel()
+
+    trio.run(play, clock=MockClock(autojump_threshold=0))
