Try other endpoints with each round of probes, and date them by their end

Each round now tries two other endpoints besides, and one that stays open counts from its end, after the failures of the same round, whose order is random.

--- a/src/savorydyke/_endpoint_probes.py
+++ b/src/savorydyke/_endpoint_probes.py
@@ -12,8 +12,8 @@
 MAX_PROBES = 3
 """Connections that are opened at an interval while no endpoint is reached."""
 MAX_OTHERS = 2
-"""Connections to other endpoints besides, of which nothing is known. Endpoints that have
-ended would not show that the links are good."""
+"""Connections to other endpoints besides. Endpoints that have ended would not show that
+the links are good."""
 MAX_PROBES_REACHED = 16
 """Same once an endpoint has been reached again."""
 
@@ -36,7 +36,7 @@
     failed = ways.links.failed_at
     # The one that was tried longest ago comes first.
     names = sorted(failed, key=lambda name: failed[name])[:most]
-    if ways.links.is_cut_off and manifest is not None:
+    if manifest is not None:
         others = sorted(manifest.endpoints.keys() - failed.keys())
         names += ways.rng.sample(others, min(len(others), MAX_OTHERS))
     async with trio.open_nursery() as nursery:
--- a/src/savorydyke/_endpoint_ways.py
+++ b/src/savorydyke/_endpoint_ways.py
@@ -191,7 +191,8 @@
         finally:
             channel.close()
         if is_open:
-            self.links.record_opened(endpoint.id, now)
+            # Later than the failures of probes that began with this one.
+            self.links.record_opened(endpoint.id, trio.current_time())
             return ForwardResult.REACHED
         self.links.record_failed(endpoint.id, now)
         return ForwardResult.UNREACHABLE
