--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -245,8 +245,8 @@
     async def _pause(self) -> None:
         """Wait before the next watch, unless it is wanted at once.
 
-        It is after a restore of the store, too. The random delay spreads the listings
-        of all instances.
+        After a restore of the store it is wanted soon. The random delay spreads the
+        listings of all instances.
         """
         with trio.move_on_after(self.watch_pause_s):
             async with trio.open_nursery() as nursery:
--- a/src/savorydyke/_grant_client.py
+++ b/src/savorydyke/_grant_client.py
@@ -50,8 +50,8 @@
 COORDINATOR_SILENT_S = 0.2
 """A coordinator answers in a few ms; a longer silence means a stall or a lost link."""
 LOST_S = 1.0
-"""Time after which a request may have been lost that a coordinator which answers others
-has not confirmed."""
+"""Time after which a request without a confirmation counts as lost, although its
+coordinator answers others."""
 COORDINATOR_STALLED_S = 0.6
 """Time without a heartbeat of a coordinator after which the frontend itself places the
 requests that are queued there."""
--- a/src/savorydyke/_quarantine.py
+++ b/src/savorydyke/_quarantine.py
@@ -363,7 +363,7 @@
 
     # Exchange with other instances
 
-    def rows(self, now: float) -> tuple[LossRow, ...]:
+    def rows(self, now: float) -> Rows:
         """Return the evidence of processes that have ended, for other instances.
 
         A row without a process says when the suspect was last cleared. It comes with
@@ -375,9 +375,7 @@
             rows[is_digest(suspect)] += self._rows_of(suspect, evidence, now)
         return (*rows[False][:MAX_ROWS], *rows[True][:MAX_ROWS])
 
-    def take_untold(
-        self, now: float
-    ) -> tuple[tuple[LossRow, ...], tuple[LossRow, ...]]:
+    def take_untold(self, now: float) -> tuple[Rows, Rows]:
         """Return the rows that others may not know; those left over come next time.
 
         Returns
@@ -395,9 +393,8 @@
             evidence = self.suspects.get(suspect)
             if evidence is None:
                 continue
-            is_repeated = (
-                evidence.trials or len(self.ended & evidence.losses.keys()) > 1
-            )
+            ends = len(self.ended & evidence.losses.keys())
+            is_repeated = ends > 1 or evidence.trials > 0
             rows = self._rows_of(suspect, evidence, now)
             (repeated if is_repeated else single).extend(rows)
         return tuple(repeated), tuple(single)
