--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -386,8 +386,8 @@
     ) -> None:
         peers = self._due_peers(counter, has_changed)
         informed = self.rng.choice(peers) if peers and is_regular else None
-        # Each instance passes on what it learns. If it sent everything with each change,
-        # many endpoints that end together would fill the links.
+        # Each instance passes on what it learns. If it sent everything each time, many
+        # endpoints that end together would fill the links.
         repeated, single = (
             self.quarantine.take_untold(now) if has_evidence else ((), ())
         )
