Tell first, and to all, only what may soon be held back

Found on the way, by reading: news of suspects with several ends waited behind a crowd of single ones, 64 rows a beat.

Cause: sound parts of prompts that several of the endpoints held when they ended together counted as urgent and went to all links, though such parts are never held back for that: it takes ends in two rounds. Now these rounds decide what is urgent, and it goes first.

--- a/src/savorydyke/_quarantine.py
+++ b/src/savorydyke/_quarantine.py
@@ -381,24 +381,34 @@
         Returns
         -------
         repeated : Rows
-            Of suspects under which several processes have ended, or that are tried.
+            Of suspects that may soon be held back, or are tried.
         single : Rows
             Of the others. Most of these are sound requests that were lost together.
         """
         repeated: list[LossRow] = []
         single: list[LossRow] = []
-        while self.untold and len(repeated) + len(single) < MAX_ROWS:
-            suspect = next(iter(self.untold))
+        # The repeated ones do not wait behind a crowd of single ends.
+        for suspect in sorted(self.untold, key=self._is_repeated, reverse=True):
+            if len(repeated) + len(single) >= MAX_ROWS:
+                break
             del self.untold[suspect]
-            evidence = self.suspects.get(suspect)
-            if evidence is None:
-                continue
-            ends = len(self.ended & evidence.losses.keys())
-            is_repeated = ends > 1 or evidence.trials > 0
-            rows = self._rows_of(suspect, evidence, now)
-            (repeated if is_repeated else single).extend(rows)
+            if suspect in self.suspects:
+                rows = self._rows_of(suspect, self.suspects[suspect], now)
+                (repeated if self._is_repeated(suspect) else single).extend(rows)
         return tuple(repeated), tuple(single)
 
+    def _is_repeated(self, suspect: SuspectId) -> bool:
+        """Return whether a suspect may soon be held back, or is tried.
+
+        Parts of prompts whose processes ended together are not.
+        """
+        evidence = self.suspects.get(suspect)
+        if evidence is None:
+            return False
+        ends = [loss for p, loss in evidence.losses.items() if p in self.ended]
+        rounds = len(ends) if is_digest(suspect) else _count_rounds(ends)
+        return evidence.trials > 0 or rounds >= MIN_ROUNDS
+
     def _rows_of(
         self, suspect: SuspectId, evidence: Evidence, now: float
     ) -> list[LossRow]:
