--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -88,7 +88,7 @@
 free."""
 STREAM_TELL_S = 0.1
 """Streams that began later than this before their coordinator ended do not go on."""
-EVIDENCE_FANOUT = 4
+EVIDENCE_FANOUT = 3
 """Peers that are told of suspects under which one process has ended. Those whom nobody
 tells learn of it with the next complete reports."""
 DELAY_CHECK_S = 0.1
