--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -47,16 +47,23 @@
 CONTACT_S = 3.0
 
 
+TAKEN = set()
+
+
 def free_port(count=1):
     """Return the first of some successive free ports, below the ephemeral ones."""
     while True:
         first = random.SystemRandom().randrange(10_000, 32_000)
+        ports = set(range(first, first + count))
+        if ports & TAKEN:
+            continue
         try:
-            for port in range(first, first + count):
+            for port in ports:
                 with socket.socket() as probe:
                     probe.bind((HOST, port))
         except OSError:
             continue
+        TAKEN.update(ports)
         return first
 
 
