--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,177 +1,102 @@
-"""A tenant with large bodies sends 7.5 times its usual; instances run out of memory.
+"""An instance that was frozen for 4 s stays alone; cut off later, it serves nobody.
 
-The bodies are within `max_body_bytes`. Few of them are in progress at a time, but
-instances keep those of ended channels. The stand-in of the platform kills a process
-over its `memory_mb`, as DEPLOY.md says, and starts it again after 1 s. With TROUBLE=0
-the tenant sends its usual all the while.
+With TROUBLE=0 there is neither a freeze nor a cut, with TROUBLE=cut only the cut.
 """
 
 import asyncio
 import random
+import signal
 from pathlib import Path
 
-from fleet import HOST, REQUEST_HOST, read_message, run_case
+from fleet import CONTACT_S, is_served, run_case
 
-MEMORY_MB = 300
-BODY_BYTES = 4_000_000
-USUAL_PER_S = 1.0
-HOT = 7.5
-HOT_S = 6.5
-HOT_AT = (8.0, 36.0, 64.0)
-END_S = 84.0
-RESTART_S = 1.0
-KEEPERS = 4
+KEY = "key-of-crew-1"
+FREEZE_S = 4.0
+CALM_S = 8.0
+CUT_S = 8.0
+PER_S = 8.0
 
 
 def configure(fleet):
-    def route(name, **more):
+    def route(name, kind, **more):
         fields = {
             "name": name,
-            "host": REQUEST_HOST,
+            "host": "desk.example",
             "prefix": f"/{name}/",
-            "kind": "mutating",
-            "service": "desk",
+            "kind": kind,
+            "service": "counter-app",
             "timeout_ms": 3000,
             "slo_ms": 400,
-            "attempts": 1,
+            "attempts": 2,
             "priority": 0,
         }
         return fields | more
 
-    tenants = [
-        {"name": "crew", "api_keys": ["key-of-crew"], "priority": 0},
-        {"name": "scans", "api_keys": ["key-of-scans"], "priority": 0},
-    ]
-    fleet.configure([route("claim"), route("scan")], [{"name": "desk"}], tenants)
-
-
-def resident_mb(process):
-    """Return the resident memory of a process in MB, 0 if it has ended."""
-    try:
-        for line in Path(f"/proc/{process.pid}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) * 1024 / 1e6
-    except OSError:
-        pass
-    return 0.0
+    routes = [route("lookup", "idempotent"), route("claim", "mutating", attempts=1)]
+    tenants = [{"name": "crew", "api_keys": [KEY], "priority": 0}]
+    fleet.configure(routes, [{"name": "counter-app"}], tenants)
 
 
 async def case(fleet, trouble):
     configure(fleet)
     for number in range(4):
-        await fleet.engine("desk", f"i-desk-{number}", slots=6, work_s=0.12)
+        await fleet.engine("counter-app", f"i-desk-{number}", slots=6, work_s=0.06)
     for name in ("edge-a-1", "edge-b-1", "edge-c-1"):
         await fleet.instance(name)
     await fleet.wait_until_ready()
-    began = fleet.record.now()
-    ends, peaks, lost, counts = {}, {}, [], {"200": 0}
-    most_active = 0
-    active = 0
-    body = random.randbytes(1000) * (BODY_BYTES // 1000)
+    answers = {i.name: [] for i in fleet.instances}
 
-    async def platform(instance):
-        """Kill a process over its memory, and start it again."""
-        while True:
-            await asyncio.sleep(0.02)
-            used = resident_mb(instance.process)
-            peaks[instance.name] = max(used, peaks.get(instance.name, 0.0))
-            if used > MEMORY_MB:
-                fleet.record.say(f"{instance.name} is over its memory: {used:.0f} MB")
-                ends.setdefault(instance.name, []).append(fleet.record.now())
-                instance.kill()
-                await asyncio.sleep(RESTART_S)
-                await instance.start()
-
-    def request(key, path, size):
-        number = f"{next(fleet.serial):06d}{random.getrandbits(32):08x}"
-        lines = [
-            f"POST {path} HTTP/1.1",
-            f"Host: {REQUEST_HOST}",
-            f"X-Savorydyke-Request-Id: {number}",
-            "X-Savorydyke-Deadline-Ms: 3000",
-            f"Authorization: Bearer {key}",
-            f"Content-Length: {size}",
-        ]
-        return number, "\r\n".join(lines).encode() + b"\r\n\r\n"
-
-    async def scan(instance):
-        """Send one large request on a new channel."""
-        nonlocal active, most_active
-        active += 1
-        most_active = max(most_active, active)
-        number, head = request("key-of-scans", "/scan/1", len(body))
-        status = "none"
-        try:
-            async with asyncio.timeout(4.0):
-                reader, writer = await asyncio.open_connection(HOST, instance.callers)
-                writer.write(head)
-                for place in range(0, len(body), 65536):
-                    writer.write(body[place : place + 65536])
-                    await writer.drain()
-                if (message := await read_message(reader)) is not None:
-                    status = message[0].split(" ")[1]
-                writer.close()
-        except (OSError, TimeoutError):
-            pass
-        active -= 1
-        counts[status] = counts.get(status, 0) + 1
-        fleet.record.note("scan", request=number, to=instance.name, status=status)
-
-    async def scans(instance):
-        await asyncio.sleep(random.random() / USUAL_PER_S)
+    async def client(instance, path, method):
+        await asyncio.sleep(random.random() / PER_S)
         while True:
-            fleet.spawn(scan(instance))
-            now = fleet.record.now() - began
-            is_hot = any(at <= now < at + HOT_S for at in HOT_AT)
-            rate = USUAL_PER_S * (HOT if is_hot and trouble != "0" else 1.0)
-            await asyncio.sleep(1 / rate)
-
-    async def keeper(instance):
-        """Send small requests on a channel that is kept."""
-        while True:
-            try:
-                reader, writer = await asyncio.open_connection(HOST, instance.callers)
-            except OSError:
-                await asyncio.sleep(0.3)
-                continue
-            is_kept = False
-            while True:
-                number, head = request("key-of-crew", "/claim/1", 4)
-                fleet.record.note("sent", request=number, to=instance.name)
-                message = None
-                try:
-                    writer.write(head + b"body")
-                    async with asyncio.timeout(4.0):
-                        message = await read_message(reader)
-                except (OSError, TimeoutError):
-                    pass
-                if message is None:
-                    ran = any(number == other for _, other, _ in fleet.runs[-200:])
-                    fleet.record.note("closed", request=number, ran=ran, kept=is_kept)
-                    if ran and is_kept:
-                        lost.append((number, instance.name))
-                    break
-                fleet.record.note("answered", request=number, head=message[0])
-                is_kept = True
-                if message[1].get("connection", "").lower() == "close":
-                    break
-                await asyncio.sleep(0.02)
-            writer.close()
-
-    for instance in fleet.instances:
-        fleet.spawn(platform(instance))
-        fleet.spawn(scans(instance))
-        for _ in range(KEEPERS):
-            fleet.spawn(keeper(instance))
-    await asyncio.sleep(END_S)
-    shown = {name: round(peak) for name, peak in peaks.items()}
-    fleet.record.say(f"most resident memory in MB: {shown} of {MEMORY_MB}")
-    fleet.record.say(
-        f"large requests: {counts}; at most {most_active} in progress at all"
-    )
-    fleet.record.say(f"ends by memory: { {n: len(e) for n, e in ends.items()} }")
-    fleet.record.say(f"requests of kept channels run and not answered: {len(lost)}")
-    return int(len(lost) > 3)
+            fleet.spawn(ask(instance, path, method))
+            await asyncio.sleep(2 / PER_S)
+
+    async def ask(instance, path, method):
+        answer = await fleet.ask(instance, path, KEY, method=method)
+        answers[instance.name].append(answer)
+
+    clients = [
+        asyncio.create_task(client(instance, path, method))
+        for instance in fleet.instances
+        for path, method in (("/lookup/1", "GET"), ("/claim/1", "POST"))
+    ]
+    await asyncio.sleep(4.0)
+    one = fleet.instances[2]
+    if trouble == "1":
+        one.signal(signal.SIGSTOP)
+        await asyncio.sleep(FREEZE_S)
+        one.signal(signal.SIGCONT)
+    else:
+        await asyncio.sleep(FREEZE_S)
+    await asyncio.sleep(CALM_S)
+    pages = {i.name: await i.readiness() for i in fleet.instances}
+    fleet.record.say(f"readiness pages {CALM_S} s after the freeze: {pages}")
+    began = fleet.record.now()
+    if trouble != "0":
+        await one.cut_from_engines()
+    await asyncio.sleep(CUT_S)
+    ended = fleet.record.now()
+    if trouble != "0":
+        await one.heal()
+    await asyncio.sleep(4.5)
+    for task in clients:
+        task.cancel()
+    await asyncio.sleep(4.0)
+
+    def counted(name):
+        return [a for a in answers[name] if began + CONTACT_S <= a[1] <= ended]
+
+    served = {n: (sum(map(is_served, counted(n))), len(counted(n))) for n in answers}
+    fleet.record.say(f"first tries served, from contact_ms after the cut: {served}")
+    there, tries_there = served.pop(one.name)
+    others = sum(s for s, _ in served.values())
+    tries = sum(n for _, n in served.values())
+    failed = tries_there - there
+    if not tries_there or not tries:
+        return 2
+    is_less = there / tries_there < 2 / 3 * others / tries
+    return int(is_less and failed > 10 + (tries_there + tries) / 50)
 
 
 run_case(Path(__file__).parent, case)
