--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -47,23 +47,29 @@
 CONTACT_S = 3.0
 
 
-TAKEN = set()
+RESERVED = []
 
 
 def free_port(count=1):
-    """Return the first of some successive free ports, below the ephemeral ones."""
+    """Return the first of some successive free ports, below the ephemeral ones.
+
+    A datagram socket of the same number, which is kept open, reserves each of them among
+    all scripts that run at the same time.
+    """
     while True:
         first = random.SystemRandom().randrange(10_000, 32_000)
-        ports = set(range(first, first + count))
-        if ports & TAKEN:
-            continue
+        reserved = []
         try:
-            for port in ports:
+            for port in range(first, first + count):
+                reserved.append(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+                reserved[-1].bind((HOST, port))
                 with socket.socket() as probe:
                     probe.bind((HOST, port))
         except OSError:
+            for one in reserved:
+                one.close()
             continue
-        TAKEN.update(ports)
+        RESERVED.extend(reserved)
         return first
 
 
