Judge a member that lives on without a link by what others tell of it

In a fleet of more than 16, a member whose link has broken and is not wanted again counted as dead after each 1.5 s (4.5 s in a large fleet) without a row about it, though rows come in turns and may take several times that. It died and came back without end, with its pools, its grants and the ring of links each time.

Cause: `has_direct_heartbeats` stayed set when a link broke; only a link that was closed as not needed cleared it. Evidence: 30 instances in one process, half of which lost their links: three to ten of them had a member of this kind as dead at each of 29 looks a second apart, all with the flag and without a link.

Change: a row that tells of a heartbeat later than the member's death clears it. Rows from before its silence do not, so that a member that ended is not taken for alive. After it, all 30 see each other as live 4 s later and at each later look.

The case failed before: the member counted as dead 2 s after a row about it.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -142,6 +142,13 @@
       | streams are stored again after a restore of the store |
       | telling 195 instances' streams costs their coordinators a bounded part |
 
+  Scenario Outline: Links between instances
+    Then the decision case "<case>" holds
+
+    Examples:
+      | case |
+      | a member that comes back without a link is judged by what others tell of it |
+
   Scenario Outline: Retry budgets
     Then the decision case "<case>" holds
 
--- a/features/steps/routed_steps.py
+++ b/features/steps/routed_steps.py
@@ -8,9 +8,11 @@
 import endless_answer_cases  # noqa: F401  Registers its cases.
 import endpoint_restart_cases  # noqa: F401  Registers its cases.
 import evidence_decisions  # noqa: F401  Registers its cases.
+
 import garbage_decisions  # noqa: F401  Registers its cases.
 import held_bytes_decisions  # noqa: F401  Registers its cases.
 import joining_version_cases  # noqa: F401  Registers its cases.
+import link_decisions  # noqa: F401  Registers its cases.
 import loop_pace_decisions  # noqa: F401  Registers its cases.
 import odd_record_cases  # noqa: F401  Registers its cases.
 import overlap_decisions  # noqa: F401  Registers its cases.
--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -60,6 +60,8 @@
         Whether it is too slow to coordinate a pool.
     cut_off : bool
         Whether it reaches no endpoint itself.
+    died_at : float
+        Since when it has counted as dead, infinite if it does not.
     """
 
     id: InstanceId
@@ -76,6 +78,7 @@
     dial_failed_at: float = float("-inf")
     slow: bool = False
     cut_off: bool = False
+    died_at: float = float("inf")
 
 
 @dataclass
@@ -137,7 +140,11 @@
         member.leaving = member.leaving or row.leaving
         self._set_slow(member, row.slow)
         member.cut_off = row.cut_off
-        member.last_seen = max(member.last_seen, now - row.age_ms / 1000)
+        seen = now - row.age_ms / 1000
+        if seen > member.died_at and not member.linked:
+            # It lives on without a link, so that only rows tell of it from now on.
+            member.has_direct_heartbeats = False
+        member.last_seen = max(member.last_seen, seen)
 
     def _set_slow(self, member: Member, slow: bool) -> None:
         if member.slow != slow:
@@ -197,7 +204,11 @@
             if now - member.last_seen > FORGET_AFTER_S:
                 del self.members[member.id]
                 continue
-            states[member.id] = self._state(member, now)
+            state = states[member.id] = self._state(member, now)
+            if state is not MemberState.DEAD:
+                member.died_at = math.inf
+            elif member.died_at == math.inf:
+                member.died_at = now
         died = [
             name
             for name, state in self.states.items()
