Link to instances again that were silent and are still listed

Cause: members that count as dead were dialled by nobody until they were forgotten after 120 s. Links went to members that are not dead, and to listed instances that are no members; a dead member is neither. In a full mesh the side with the larger name opens no link anyway.

Change: both sides dial dead members for as long as the store lists them. In a large fleet these are the neighbours on the ring of the live and the listed instances.

The cases failed before: no link within 2 s at 3, 7, 30 and 70 instances whose state is made certain in one process, and for processes that stand still for 4 s. After it all link within 2 s, with no more connections than at a start.

Ruled out: longer silence before a death is counted. It would move the fault to longer freezes.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -147,6 +147,9 @@
 
     Examples:
       | case |
+      | instances that were frozen or cut off are linked again within two seconds |
+      | instances of a large fleet are linked again without a burst of connections |
+      | an instance whose record the store has lost is linked again too |
       | a member that comes back without a link is judged by what others tell of it |
 
   Scenario Outline: Retry budgets
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -322,6 +322,14 @@
       | instances that are cut off together report no endpoint as unreachable |
       | endpoints that are silent for a second are not taken for gone |
 
+  @processes
+  Scenario Outline: Instances that stand still
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                           |
+      | instances that stand still for some seconds are linked again   |
+
   Scenario Outline: Endpoints that bear few rejections
     Then the routed case "<case>" holds
 
--- a/features/steps/routed_steps.py
+++ b/features/steps/routed_steps.py
@@ -8,7 +8,7 @@
 import endless_answer_cases  # noqa: F401  Registers its cases.
 import endpoint_restart_cases  # noqa: F401  Registers its cases.
 import evidence_decisions  # noqa: F401  Registers its cases.
-
+import frozen_instance_cases  # noqa: F401  Registers its cases.
 import garbage_decisions  # noqa: F401  Registers its cases.
 import held_bytes_decisions  # noqa: F401  Registers its cases.
 import joining_version_cases  # noqa: F401  Registers its cases.
--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -5,12 +5,16 @@
 its heartbeat counter has not advanced for `DEAD_AFTER_S`, or longer for members
 without a link in a large fleet. Counters increase with each heartbeat and are
 passed on by peers, so messages that arrive out of order have no effect.
+
+A member that is dead only for this instance is reached again by a link. Links to dead
+members are therefore tried for as long as the store lists them: what was learned of an
+instance is kept until a better source says that it is gone.
 """
 
 import hashlib
 import math
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from functools import lru_cache
 
@@ -451,6 +455,20 @@
         names = ring_neighbours(self.id, {member.id for member in others})
         return [self.members[name] for name in names]
 
+    def links_to_restore(self, listed: Collection[InstanceId]) -> list[Member]:
+        """Return the dead members to which this instance should open a link as well.
+
+        A member counts as dead once it has been silent, but it may only have been
+        suspended, or cut off. While the store lists it, both sides try to link to it,
+        since neither knows whether the other one does.
+        """
+        all_dead = self._dead_members()
+        dead = all_dead & set(listed)
+        expected = (self.members.keys() - all_dead) | dead
+        if len(expected) >= MAX_FULL_MESH:
+            dead &= set(ring_neighbours(self.id, expected))
+        return [self.members[name] for name in dead]
+
     def _dead_members(self) -> set[InstanceId]:
         return {n for n, s in self.states.items() if s is MemberState.DEAD}
 
--- a/src/savorydyke/_peers.py
+++ b/src/savorydyke/_peers.py
@@ -319,6 +319,9 @@
     def _missing_addresses(self) -> list[str]:
         members = self.membership.members
         wanted = {m.id: m.address for m in self.membership.wanted_links()}
+        for member in self.membership.links_to_restore(self.listed_addresses):
+            # It may have restarted elsewhere.
+            wanted[member.id] = self.listed_addresses[member.id]
         for peer in self.requested & members.keys():
             wanted[peer] = members[peer].address
         self.requested.clear()
