Judge streams from before a start by the versions that were stored then

Cause: the versions that may have begun an unknown stream were those stored and those listed now. The list was needed since streams could begin at a version up to 0.25 s before the store named it.

Change: the record comes first. Known streams of a pool are stored, then the new set of versions, and only then do requests go to endpoints of the version that joins. So the record is right at each moment, and an instance that starts keeps it for 30 s as it was. Versions that are added later count for instances that may not be told of the streams that begin there, and for all once an instance is lost. Streams are stored in records of 5,000 at most, which keeps them below the store's largest value.

Ruled out: ending the 30 s sooner, and storing every stream at all times, 12.5 kB/s a pool at each instance.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -141,6 +141,9 @@
       | all streams of several pools that may be taken up are stored |
       | streams are stored again after a restore of the store |
       | telling 195 instances' streams costs their coordinators a bounded part |
+      | a stream from before a start is of the version that was stored then |
+      | new streams begin at a version that joins once the store names it |
+      | whenever writing ends streams are of one version, or are stored |
 
   Scenario Outline: Links between instances
     Then the decision case "<case>" holds
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -274,6 +274,16 @@
       | a stream of a version that joins while instances stand still is not mixed          |
       | a stream of the only version goes on at an instance that has not seen it           |
 
+  @processes
+  Scenario Outline: Versions that join while all instances are killed
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                          |
+      | streams go on after a restart of all during which versions join               |
+      | streams go on after a restart of all at the last endpoint of their version    |
+      | streams of a version that joins just before a kill of all are not mixed       |
+
   Scenario Outline: Streams on split routes
     Then the routed case "<case>" holds
 
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -2224,18 +2224,18 @@
     manifest = manifest_of(a="v1", b="v1")
     now = KEPT_S + 1.0
     versions = versions_known_since(manifest, 0.0, now)
-    assert versions.only_version(POOL, now, now) == "v1"
+    assert versions.only_version(POOL, now, now, True) == "v1"
     # The stream was asked for after the list, in which a version may be missing.
-    assert versions.only_version(POOL, now + 0.1, now + 0.1) == UNKNOWN_VERSION
+    assert versions.only_version(POOL, now + 0.1, now + 0.1, True) == UNKNOWN_VERSION
     versions.observe_view(now + 0.1)
-    assert versions.only_version(POOL, now + 0.2, now + 0.1) == "v1"
+    assert versions.only_version(POOL, now + 0.2, now + 0.1, True) == "v1"
 
 
 @case("a stream that nobody knows does not go on soon after a start")
 def _():
     versions = versions_known_since(manifest_of(a="v1"), 0.0, KEPT_S - 1.0)
     now = KEPT_S - 1.0
-    assert versions.only_version(POOL, now, now) == UNKNOWN_VERSION
+    assert versions.only_version(POOL, now, now, True) == UNKNOWN_VERSION
 
 
 @case("a version whose endpoints have left counts as long as a stream may be taken up")
@@ -2243,12 +2243,12 @@
     now = KEPT_S + 1.0
     versions = versions_known_since(manifest_of(a="v1", b="v2"), 0.0, now)
     versions.observe_endpoints(manifest_of(b="v2"), now)
-    assert versions.only_version(POOL, now, now) == UNKNOWN_VERSION
+    assert versions.only_version(POOL, now, now, True) == UNKNOWN_VERSION
     asked = now
     while asked < now + KEPT_S + 1.0:
         asked += 1.0
         versions.observe_view(asked)
-    assert versions.only_version(POOL, asked, asked) == "v2"
+    assert versions.only_version(POOL, asked, asked, True) == "v2"
 
 
 @case("versions that came and went while the store was away are not ruled out")
@@ -2258,7 +2258,7 @@
     after = now + MAX_GAP_S + 1.0
     versions.observe_listing(after)
     versions.observe_view(after)
-    assert versions.only_version(POOL, after, after) == UNKNOWN_VERSION
+    assert versions.only_version(POOL, after, after, True) == UNKNOWN_VERSION
 
 
 @case("versions that came and went are known from the history of the store")
@@ -2270,10 +2270,10 @@
     versions.observe_record(POOL, "v2", after)
     versions.observe_endpoints(manifest_of(a="v1"), after)
     versions.observe_view(after)
-    assert versions.only_version(POOL, after, after) == UNKNOWN_VERSION
+    assert versions.only_version(POOL, after, after, True) == UNKNOWN_VERSION
     later = after + KEPT_S + 0.1
     versions.observe_view(later)
-    assert versions.only_version(POOL, later, later) == "v1"
+    assert versions.only_version(POOL, later, later, True) == "v1"
 
 
 @case("what an instance keeps about streams is bounded in number and in time")
--- a/src/savorydyke/_directory.py
+++ b/src/savorydyke/_directory.py
@@ -414,10 +414,13 @@
         return any(map(self._changes_endpoint, changes.changes))
 
     def _changes_endpoint(self, change: Change) -> bool:
-        """Return whether a change is of an endpoint, and more than a heartbeat."""
+        """Return whether a change is of an endpoint, and more than a heartbeat.
+
+        A change of the versions at which streams may begin counts as well.
+        """
         endpoint = endpoint_of_key(change.key)
         if endpoint is None:
-            return False
+            return versions_of_key(change.key) is not None
         known = self.endpoints.get(endpoint)
         if known is None or change.value is None:
             return True
--- a/src/savorydyke/_endpoint_load.py
+++ b/src/savorydyke/_endpoint_load.py
@@ -172,6 +172,7 @@
     unstarted_tokens: int = 0
     leaving: bool = False
     removed: bool = False
+    joining: bool = False
     failures: int = 0
     open_until: float = 0.0
     failing: float = 0.0
@@ -199,8 +200,8 @@
         self.changed.add(self.spec.id)
 
     def is_closed(self) -> bool:
-        """Return whether the endpoint is leaving, removed or drained."""
-        return self.leaving or self.removed or self.spec.drained
+        """Return whether the endpoint is joining, leaving, removed or drained."""
+        return self.joining or self.leaving or self.removed or self.spec.drained
 
     def set_held(self, held: bool, ended: bool) -> None:
         """Set what a roll-out gives the endpoint."""
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -551,7 +551,7 @@
         if version or not demand.is_pool_certain:
             return version
         self.directory.request_view(demand.asked)
-        return versions.only_version(demand.pool, now, demand.asked)
+        return versions.only_version(demand.pool, now, demand.asked, is_told=False)
 
     def _takes_retry(self, demand: Demand, now: float) -> bool:
         """Count a request that is placed here; return whether it may be sent again.
@@ -592,12 +592,16 @@
         in_flight = [item.granted.endpoint for item in placed]
         memory, used = self.fallback_memory, own_tokens(placed)
         memory.set_instances(self.membership.listed | self.membership.members.keys())
+        versions = self.pool_host.versions
         name = place_fallback(
             manifest,
             demand,
             avoid,
             lambda endpoint: (
-                self.states.is_unusable(endpoint, now)
+                not versions.may_begin(
+                    demand.pool, manifest.endpoints[endpoint].version
+                )
+                or self.states.is_unusable(endpoint, now)
                 or not self._allows_fallback(endpoint, now)
                 or self.rollouts.bars_fallback(manifest.endpoints[endpoint], manifest)
             ),
@@ -759,8 +763,6 @@
     directory.restart_listeners.append(gateway.forget_process)
     quarantine.listeners.append(lambda part, held: _note_held(gateway, part, held))
     directory.evidence_listeners.append(gateway.shared_evidence.receive)
-    directory.version_listeners.append(gateway.stream_records.receive_versions)
-    directory.stream_listeners.append(gateway.stream_records.receive_streams)
     membership.listeners.append(lambda: gateway.follow_coordinators())
     membership.loss_listeners.append(pool_host.frontend_lost)
     states.listeners.append(pool_host.set_leaving)
@@ -769,24 +771,34 @@
         lambda manifest: states.observe_manifest(manifest, trio.current_time())
     )
     directory.listeners.append(lambda manifest: links.keep(set(manifest.endpoints)))
+    _follow_versions(gateway)
     directory.listeners.append(pool_host.reconfigure)
-    directory.listeners.append(
-        lambda manifest: pool_host.versions.observe_endpoints(manifest, boot_time())
-    )
     directory.listeners.append(lambda manifest: _observe_routes(gateway))
-    directory.view_listeners.append(pool_host.versions.observe_view)
-    directory.view_listeners.append(lambda sent: pool_host.resolve_streams())
-    directory.listing_listeners.append(pool_host.versions.observe_listing)
-    directory.record_listeners.append(
-        lambda record: pool_host.versions.observe_record(
-            record.pool, record.version, boot_time()
-        )
-    )
     directory.listeners.append(lambda manifest: _update_quota_limits(gateway))
     directory.listeners.append(lambda manifest: gateway.follow_coordinators())
     return gateway
 
 
+def _follow_versions(gateway: Gateway) -> None:
+    """Let the software versions of streams follow endpoints and records."""
+    directory, pool_host = gateway.directory, gateway.pool_host
+    versions, records = pool_host.versions, gateway.stream_records
+    records.on_stored = pool_host.update_joining
+    directory.version_listeners.append(records.receive_versions)
+    directory.stream_listeners.append(records.receive_streams)
+    directory.listing_listeners.append(lambda sent: records.observe_listing())
+    directory.listing_listeners.append(versions.observe_listing)
+    directory.listeners.append(
+        lambda manifest: versions.observe_endpoints(manifest, boot_time())
+    )
+    directory.record_listeners.append(
+        lambda record: versions.observe_record(record.pool, record.version, boot_time())
+    )
+    directory.view_listeners.append(versions.observe_view)
+    directory.view_listeners.append(lambda sent: pool_host.resolve_streams())
+    gateway.membership.loss_listeners.append(lambda peer: versions.observe_loss())
+
+
 def _scheduler(hosted: HostedPool | None) -> PoolScheduler | None:
     return hosted.scheduler if hosted is not None else None
 
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -415,7 +415,10 @@
         version = self.versions.known_version(message.stream, pool, now)
         if version or self.route_pools.is_shared(pool, now):
             return version
-        return self.versions.only_version(pool, now, asked)
+        is_told = self.membership.reaches_most_listed(
+            trio.current_time()
+        ) and self.membership.is_coordinator(pool)
+        return self.versions.only_version(pool, now, asked, is_told)
 
     def _defer_unknown(self, hosted: HostedPool, unresolved: Unresolved) -> None:
         """Refuse a stream, unless it may become known soon.
@@ -524,6 +527,8 @@
         scheduler = new_pool_scheduler(pool, manifest, now, self.rng)
         self.configure_scheduler(scheduler)
         scheduler.grants_enabled = False
+        scheduler.may_begin_at = lambda version: self.versions.may_begin(pool, version)
+        scheduler.update_joining(now)
         for endpoint in self.states.leaving:
             scheduler.set_leaving(endpoint, True)
         frontends = {*self.membership.live(), self.membership.id}
@@ -634,6 +639,12 @@
             for endpoint in self.states.leaving:
                 hosted.scheduler.set_leaving(endpoint, True)
 
+    def update_joining(self) -> None:
+        """Let new requests begin at the software versions that are stored by now."""
+        now = trio.current_time()
+        for hosted in list(self.hosted.values()):
+            self._send(hosted.scheduler, hosted.scheduler.update_joining(now))
+
     def set_limit(self, endpoint: EndpointId, per_s: float | None) -> None:
         """Apply in all schedulers the limit that an endpoint has named, or its end."""
         now = trio.current_time()
--- a/src/savorydyke/_pool_scheduler.py
+++ b/src/savorydyke/_pool_scheduler.py
@@ -31,6 +31,7 @@
     Reason,
     ReleaseResult,
     RequestKey,
+    SoftwareVersion,
     is_digest,
 )
 from savorydyke._manifest import Manifest, PoolKind
@@ -115,6 +116,8 @@
     data_centre_of : callable
         Returns the data centre of a frontend, empty if it is not known or plays no
         part.
+    may_begin_at : callable
+        Whether new requests may begin at a software version.
     placed : dict of RequestKey to EndpointId
         The endpoint of each request in flight.
     recent : OrderedDict of RequestKey to Recent
@@ -144,6 +147,9 @@
     rollout: RolloutControl | None = None
     quarantine: Quarantine = field(default_factory=Quarantine)
     data_centre_of: Callable[[InstanceId], str] = field(default=lambda frontend: "")
+    may_begin_at: Callable[[SoftwareVersion], bool] = field(
+        default=lambda version: True
+    )
     placed: dict[RequestKey, EndpointId] = field(default_factory=dict)
     recent: OrderedDict[RequestKey, Recent] = field(default_factory=OrderedDict)
     expiry: list[tuple[float, RequestKey, int]] = field(default_factory=list)
@@ -193,10 +199,21 @@
         self.estimates.largest_memory = max(memories) if all(memories or [0]) else 0
         if self.rollout is not None:
             self.rollout.observe(self.endpoints.values(), now)
+        for load in self.endpoints.values():
+            load.joining = not self.may_begin_at(load.spec.version)
         self.estimates.index.clear()
         self.capacity.updated_index(now)
         return self._recheck_access(now) + self.grant_waiting(now)
 
+    def update_joining(self, now: float) -> list[Decision]:
+        """Use endpoints whose software version takes requests by now."""
+        for load in self.endpoints.values():
+            joining = not self.may_begin_at(load.spec.version)
+            if load.joining != joining:
+                load.joining = joining
+                load.note_change()
+        return self.grant_waiting(now)
+
     def _end_process(self, load: EndpointLoad, now: float) -> None:
         """End the grants for a process that another one has replaced."""
         self.estimates.forget_cached(load.id)
--- a/src/savorydyke/_stream_records.py
+++ b/src/savorydyke/_stream_records.py
@@ -4,9 +4,14 @@
 mostly has one version, and its name is all that is stored. While there are several, or
 its routes have other pools as well, the coordinator also stores the streams that began,
 a few times a second, in records of which each holds what is new.
+
+When a version joins, the streams of the others are stored first, then its name, and
+only then streams begin there: at each moment either all streams of a pool are of one
+version, or the store has them one by one.
 """
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from savorydyke import _logs
@@ -14,7 +19,7 @@
 from savorydyke._ids import PoolId, RequestKey, SoftwareVersion
 from savorydyke._membership import Membership
 from savorydyke._route_pools import RoutePools
-from savorydyke._stream_versions import KEPT_S, StreamVersions
+from savorydyke._stream_versions import KEPT_S, MAX_STREAMS, StreamVersions
 from savorydyke._timers import Gate, TimerService
 from savorydyke._untrusted import MAX_SHOWN, parse_json, shown
 from savorydyke.platform import (
@@ -26,8 +31,10 @@
 )
 
 WRITE_INTERVAL_S = 0.25
-SEGMENTS = int(KEPT_S / WRITE_INTERVAL_S)
-"""Records of a pool; the oldest is replaced."""
+MAX_RECORD_STREAMS = 5000
+"""Streams in one record, so that it stays below the store's largest value of 1 MB."""
+SEGMENTS = int(KEPT_S / WRITE_INTERVAL_S) + MAX_STREAMS // MAX_RECORD_STREAMS
+"""Records of a pool; the oldest is replaced. The first ones hold what began before."""
 LEASE_S = 2 * KEPT_S
 LEASE_USED_S = KEPT_S
 """Time for which records get the same lease, so that none ends too early."""
@@ -41,6 +48,8 @@
 
     Attributes
     ----------
+    on_stored : callable
+        Called when the versions that are stored for a pool have changed.
     written_until : dict of PoolId to float
         Time up to which the streams of a pool have been written.
     generations : dict of PoolId to int
@@ -61,6 +70,7 @@
     versions: StreamVersions
     route_pools: RoutePools
     membership: Membership
+    on_stored: Callable[[], None] = field(default=lambda: None)
     written_until: dict[PoolId, float] = field(default_factory=dict)
     generations: dict[PoolId, int] = field(default_factory=dict)
     distrusted: dict[PoolId, float] = field(default_factory=dict)
@@ -95,15 +105,17 @@
             is_written = not versions or self._is_stored(pool, versions)
             # Streams have to be told apart by version, or by pool.
             is_mixed = len(versions) > 1 or self.route_pools.is_shared(pool, now)
+            if not is_mixed:
+                self.written_until.pop(pool, None)
             # Who coordinates a pool costs more to find out, in a large fleet.
             if is_written and not is_mixed:
                 continue
             if not self.membership.is_coordinator(pool):
                 continue
-            if not is_written:
-                await self._write_versions(pool, versions)
             if is_mixed:
                 await self._write_streams(pool, now)
+            if not is_written:
+                await self._write_versions(pool, versions)
 
     def _is_stored(self, pool: PoolId, versions: frozenset[SoftwareVersion]) -> bool:
         is_same = self.versions.stored.get(pool) == versions
@@ -119,19 +131,44 @@
         generation = self.store.generation
         value = {"generation": generation, "versions": sorted(versions)}
         await self.store.write({versions_key(pool): json.dumps(value).encode()})
-        self.versions.stored[pool] = versions
+        self._set_stored(pool, versions, generation)
+
+    def _set_stored(
+        self, pool: PoolId, versions: frozenset[SoftwareVersion], generation: int
+    ) -> None:
         self.generations[pool] = generation
+        if self.versions.stored.get(pool) != versions:
+            self.versions.stored[pool] = versions
+            log.info(
+                "Versions stored.", extra={"pool": pool, "versions": sorted(versions)}
+            )
+            self.on_stored()
 
     async def _write_streams(self, pool: PoolId, now: float) -> None:
         if self.lease_generation != self.store.generation:
             # A restored store may lack what was written.
             self.written_until.clear()
             self.lease, self.lease_generation = 0, self.store.generation
-        rows = self.versions.coordinated_since(
-            pool, self.written_until.get(pool, now - KEPT_S)
-        )
-        if not rows:
-            return
+        since = self.written_until.get(pool)
+        if since is None:
+            # Also those that earlier coordinators have told of.
+            rows = self.versions.streams_of(pool)
+        else:
+            rows = self.versions.coordinated_since(pool, since)
+        for first in range(0, len(rows), MAX_RECORD_STREAMS):
+            part = rows[first : first + MAX_RECORD_STREAMS]
+            if not await self._write_segment(pool, part, now):
+                return
+        if rows or since is None:
+            self.written_until[pool] = max((at for at, *_ in rows), default=now)
+
+    async def _write_segment(
+        self,
+        pool: PoolId,
+        rows: list[tuple[float, RequestKey, SoftwareVersion]],
+        now: float,
+    ) -> bool:
+        """Write streams in a record of their own; return whether that was done."""
         by_version: dict[SoftwareVersion, list[RequestKey]] = {}
         for _, stream, version in rows:
             by_version.setdefault(version, []).append(stream)
@@ -143,9 +180,9 @@
         values = {streams_key(pool, name): json.dumps(by_version).encode()}
         if isinstance(await self.store.write(values, self.lease), LeaseExpired):
             self.lease = 0
-            return
+            return False
         self.segments[pool] = segment + 1
-        self.written_until[pool] = rows[-1][0]
+        return True
 
     # Reading
 
@@ -163,8 +200,13 @@
             self.versions.stored.pop(pool, None)
             self.distrusted[pool] = boot_time()
             return
-        self.versions.stored[pool] = versions
-        self.generations[pool] = generation
+        self._set_stored(pool, versions, generation)
+
+    def observe_listing(self) -> None:
+        """Forget what was stored before a restore, unless a listing has it."""
+        for pool in list(self.versions.stored):
+            if self.generations.get(pool) != self.store.generation:
+                del self.versions.stored[pool]
 
     def receive_streams(self, pool: PoolId, record: bytes) -> None:
         """Apply streams that the coordinator of a pool has stored."""
--- a/src/savorydyke/_stream_versions.py
+++ b/src/savorydyke/_stream_versions.py
@@ -5,6 +5,10 @@
 coordinator of a pool that of all its streams, and the next coordinator is told. A
 stream that nobody knows is known all the same if its pool has had one version only.
 
+No stream begins at a version before the store says that the pool has it. What the store
+said when an instance started thus tells which versions may have begun streams until
+then, whatever endpoints are listed since.
+
 Times are seconds on a clock that counts suspension and are passed in.
 """
 
@@ -69,6 +73,9 @@
     stored : dict of PoolId to frozenset of SoftwareVersion
         The versions that may have begun streams that callers may still take up, as
         coordinators have stored them.
+    stored_before : dict of PoolId to frozenset of SoftwareVersion
+        The same, as it was at `complete_since`. Streams that began at versions added
+        since are known to those who coordinate.
     """
 
     streams: OrderedDict[tuple[PoolId, RequestKey], Begun] = field(
@@ -87,6 +94,9 @@
         default_factory=dict
     )
     stored: dict[PoolId, frozenset[SoftwareVersion]] = field(default_factory=dict)
+    stored_before: dict[PoolId, frozenset[SoftwareVersion]] = field(
+        default_factory=dict
+    )
 
     # Streams
 
@@ -176,9 +186,19 @@
         self.viewed = max(self.viewed, asked)
 
     def observe_listing(self, asked: float) -> None:
-        """Record that endpoints were listed without what happened before."""
+        """Record that all records were listed without what happened before."""
         if asked - self.viewed > MAX_GAP_S:
             self.complete_since = asked
+            self.stored_before = dict(self.stored)
+
+    def observe_loss(self) -> None:
+        """Record that an instance was lost, which may have told nobody of its streams.
+
+        They may have begun at versions that were added lately.
+        """
+        for pool, versions in self.stored.items():
+            if pool in self.stored_before:
+                self.stored_before[pool] |= versions
 
     def observe_record(
         self, pool: PoolId, version: SoftwareVersion, now: float
@@ -195,8 +215,10 @@
                 self.last_seen[pool][version] = now
         self.listed = listed
 
-    def only_version(self, pool: PoolId, now: float, asked: float) -> SoftwareVersion:
-        """Return the only version that can have begun a stream of a pool.
+    def only_version(
+        self, pool: PoolId, now: float, asked: float, is_told: bool
+    ) -> SoftwareVersion:
+        """Return the only version that can have begun a stream that is not known here.
 
         `UNKNOWN_VERSION` is returned if there may have been several, also if the
         endpoints have not been known for long enough.
@@ -206,14 +228,38 @@
         asked : float
             When the stream was asked for. An endpoint that began it was listed by
             then, and an instance that has not seen it may not guess.
+        is_told : bool
+            Whether this instance is told of the streams that begin, as a coordinator
+            that reaches the others is.
         """
         if self.viewed < asked:
             return UNKNOWN_VERSION
-        if now - self.complete_since < KEPT_S and pool not in self.stored:
-            return UNKNOWN_VERSION
         versions = self.recent_versions(pool, now)
+        if now - self.complete_since < KEPT_S:
+            versions = self.stored_before.get(pool, frozenset())
+            if not is_told:
+                versions |= self.stored.get(pool, frozenset())
         return min(versions) if len(versions) == 1 else UNKNOWN_VERSION
 
+    def may_begin(self, pool: PoolId, version: SoftwareVersion) -> bool:
+        """Return whether new streams of a pool may begin at a listed version.
+
+        They may if the store names it, or names none that is listed. A stream that
+        nobody knows is not taken for one of the others then.
+        """
+        stored = self.stored.get(pool, frozenset())
+        return version in stored or not stored & self.listed.get(pool, set())
+
+    def streams_of(
+        self, pool: PoolId
+    ) -> list[tuple[float, RequestKey, SoftwareVersion]]:
+        """Return all known streams of a pool, with the times of their latest news."""
+        return [
+            (begun.at, stream, begun.version)
+            for (its_pool, stream), begun in self.streams.items()
+            if its_pool == pool
+        ]
+
     def recent_versions(self, pool: PoolId, now: float) -> frozenset[SoftwareVersion]:
         """Return the versions that may have begun streams of a pool lately.
 
