Take no failed connection for the end of an answer

Cause: the kernel reports a failure of a connection once. The task that sends the body got it and dropped it; the reader then found a sound end. The HTTP library of the own interface does the same.

Change: a channel keeps how sending failed, in the same step of the event loop, and its end ends no answer then. EPIPE is no such failure: Linux reports it only once the other side has ended its stream, so that sound early answers are still served. The own interface learns of failures by its library's trace extension. A read that is ended for lateness no longer stops the upload. `early` in the line of a request that has ended.

Sound early answers with a length, in chunks or by a close were served before and are now.

With it: the own interface refuses values of headers with control bytes, which its library passes on; the case of odd heads failed for it before. The routed parser and the library refuse a status of 000 and odd names, as before.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -203,6 +203,18 @@
       | an endpoint sends a failure without end                                     |
       | a report without end is not read to its end                                 |
 
+  @processes
+  Scenario Outline: Answers that come while their request is being sent
+    Then the routed case "<case>" holds
+
+    Examples:
+      | case                                                                         |
+      | an answer that is reset during a long upload is not complete                 |
+      | an answer that is reset during a long upload is not complete when forwarded  |
+      | an answer that is complete before its request was sent is served             |
+      | an answer that is reset during a long upload is lost on the own interface    |
+      | an answer whose head is odd is none, routed and on the own interface         |
+
   @alone
   Scenario Outline: A fleet at rest
     Then the routed case "<case>" holds
--- a/features/steps/routed_steps.py
+++ b/features/steps/routed_steps.py
@@ -5,6 +5,7 @@
 import cut_head_cases  # noqa: F401  Registers its cases.
 import cut_off_cases  # noqa: F401  Registers its cases.
 import cut_off_decisions  # noqa: F401  Registers its cases.
+import early_answer_cases  # noqa: F401  Registers its cases.
 import endless_answer_cases  # noqa: F401  Registers its cases.
 import endpoint_restart_cases  # noqa: F401  Registers its cases.
 import evidence_decisions  # noqa: F401  Registers its cases.
--- a/src/savorydyke/_answer_kinds.py
+++ b/src/savorydyke/_answer_kinds.py
@@ -41,6 +41,8 @@
         What the endpoint states, cut after 100 characters; empty for nothing.
     size : int
         Bytes of the body that the caller has got of all answers.
+    is_early : bool
+        Whether the answer was complete before its request had been sent whole.
     """
 
     relayed_as: RelayedAs
@@ -48,6 +50,7 @@
     content_type: str
     framing: Framing
     size: int = 0
+    is_early: bool = False
 
 
 def why_not_stream(status: int, headers: Headers) -> str:
--- a/src/savorydyke/_endpoint_client.py
+++ b/src/savorydyke/_endpoint_client.py
@@ -4,16 +4,18 @@
 decides which outcome a refusal may state.
 """
 
+import re
 import ssl
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
-from typing import cast
+from typing import Any, cast
 
 import httpx
 import trio
 
 from savorydyke._answer_budget import WastefulAnswerError, bounded_parts
 from savorydyke._answer_kinds import stated_types, why_not_stream
+from savorydyke._http1 import is_after_end
 from savorydyke._manifest import Endpoint
 from savorydyke._untrusted import parse_json
 
@@ -23,6 +25,11 @@
 MAX_REPORT_BYTES = 1_048_576
 """Largest report of an endpoint that is read."""
 STREAM_IDLE_TIMEOUT_S = 60.0
+SENDING_FAILED = frozenset(
+    {"http11.send_request_headers.failed", "http11.send_request_body.failed"}
+)
+"""Events of the HTTP library's trace extension."""
+CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 UNFORWARDED_HEADERS = frozenset(
     {
         b"connection",
@@ -166,6 +173,8 @@
                 read_timeout_s, connect=CONNECT_TIMEOUT_S, pool=CONNECT_TIMEOUT_S
             ),
         )
+        sending = Sending()
+        request.extensions["trace"] = sending.observe
         pooled.active += 1
         response = None
         try:
@@ -177,7 +186,11 @@
         finally:
             if response is None:
                 pooled.active -= 1
-        return _opened(response, pooled)
+        if _has_control_bytes(response.headers.raw):
+            pooled.active -= 1
+            await response.aclose()
+            return Lost("a control byte in a header")
+        return _opened(response, pooled, sending)
 
     async def resume(
         self, endpoint: Endpoint, stream_id: str, after_event: int
@@ -242,14 +255,62 @@
         return body
 
 
-def _opened(response: httpx.Response, pooled: PooledClient) -> Opened:
+@dataclass
+class Sending:
+    """How the sending of a request went, which the HTTP library does not tell.
+
+    It passes over failures, since an endpoint may answer before it has read a request.
+    The kernel reports a failure once, so that reading then ends as after a sound close.
+
+    Attributes
+    ----------
+    failure : str
+        How the connection failed, empty if it did not.
+    """
+
+    failure: str = ""
+
+    async def observe(self, event: str, info: dict[str, Any]) -> None:
+        """Process an event of the library's trace extension."""
+        error = info.get("exception")
+        if event in SENDING_FAILED and error is not None and not is_after_end(error):
+            self.failure = repr(error)
+
+
+async def _checked_end(
+    response: httpx.Response, sending: Sending, parts: AsyncIterator[bytes]
+) -> AsyncIterator[bytes]:
+    """Yield the parts of a body, whose end may be that of the connection.
+
+    Raises
+    ------
+    httpx.ReadError
+        If the connection had failed before.
+    """
+    async for part in parts:
+        yield part
+    headers = response.headers
+    is_delimited = "content-length" in headers or "transfer-encoding" in headers
+    if sending.failure and not is_delimited:
+        raise httpx.ReadError(f"connection lost: {sending.failure}")
+
+
+def _has_control_bytes(headers: list[tuple[bytes, bytes]]) -> bool:
+    """Return whether a value has a byte that no sound one has (RFC 9110, 5.5).
+
+    The library rejects those in names, and the ends of lines in values.
+    """
+    return any(CONTROL_BYTE.search(value) for _, value in headers)
+
+
+def _opened(response: httpx.Response, pooled: PooledClient, sending: Sending) -> Opened:
     # The raw stream yields the body as received, without httpx's re-chunking and
     # decoding, which a relay does not need.
     stream = cast(httpx.AsyncByteStream, response.stream)
     return Opened(
         response.status_code,
         forwarded_headers(response.headers.raw),
-        bounded_parts(stream.__aiter__()),
+        bounded_parts(_checked_end(response, sending, stream.__aiter__())),
         response,
         pooled,
     )
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -6,6 +6,7 @@
 library's pool.
 """
 
+import errno
 import math
 import select
 from collections.abc import AsyncIterator, Callable
@@ -113,6 +114,11 @@
         When `deadlines` looks at this channel.
     is_reading, is_late : bool
         Whether bytes are awaited, and whether they have not come in time.
+    is_sending : bool
+        Whether a part of the request has not been sent yet.
+    send_failure : str
+        How the connection failed while the request was sent, empty if it did not. The
+        kernel reports a failure once, so that reading then ends as after a sound close.
     """
 
     stream: trio.SocketStream
@@ -124,6 +130,8 @@
     watched_until: float = math.inf
     is_reading: bool = False
     is_late: bool = False
+    is_sending: bool = False
+    send_failure: str = ""
 
     async def send(
         self, request: OutgoingRequest, nursery: trio.Nursery | None
@@ -144,6 +152,7 @@
             await self._write(head + body)
             return
         await self._write(head)
+        self.is_sending = True
         nursery.start_soon(self._send_body, body)
 
     def _has_unread(self) -> bool:
@@ -154,18 +163,28 @@
 
     async def _write(self, data: bytes) -> None:
         try:
-            await send(self.stream, data)
+            await self._send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ChannelBrokenError(f"send failed: {error!r}") from None
 
     async def _send_body(self, body: bytes) -> None:
         try:
-            await self.stream.send_all(body)
+            await self._send_all(body)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            # Either reading the answer fails too, or the endpoint has answered
-            # without reading the body.
+            # The endpoint may have answered without reading the body. Reading finds
+            # out whether that answer is whole.
             return
 
+    async def _send_all(self, data: bytes) -> None:
+        self.is_sending = True
+        try:
+            await send(self.stream, data)
+            self.is_sending = False
+        except trio.BrokenResourceError as error:
+            if not is_after_end(error):
+                self.send_failure = str(error)
+            raise
+
     async def read_head(self) -> AnswerHead:
         """Return status and headers of the answer.
 
@@ -246,6 +265,8 @@
             raise ChannelBrokenError(f"connection lost: {error!r}") from None
         self.on_receive()
         if not data:
+            if self.send_failure:
+                raise ChannelBrokenError(f"connection lost: {self.send_failure}")
             parser.feed_end()
             return
         parser.feed(data)
@@ -282,6 +303,23 @@
         self.stream.socket.close()
 
 
+def is_after_end(error: BaseException) -> bool:
+    """Return whether sending failed since the other side had closed the connection.
+
+    Its stream has ended soundly then (EPIPE); if it resets the connection without an
+    end, that is another error (Linux, `tcp_reset`).
+
+    Parameters
+    ----------
+    error : BaseException
+        Caused by the error of the socket, directly or through other exceptions.
+    """
+    cause: BaseException | None = error
+    while cause is not None and not isinstance(cause, OSError):
+        cause = cause.__cause__
+    return cause is not None and cause.errno == errno.EPIPE
+
+
 async def open_channel(address: str, timeout_s: float) -> Channel:
     """Return a new channel to `address`, an IP number and a port.
 
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -858,6 +858,8 @@
             lambda: self._on_silence(request, endpoint, way),
             self.event_steps.setdefault(request.pool, EventSteps()),
         )
+        if isinstance(result, Done) and request.relayed is not None:
+            request.relayed.is_early = way.channel.is_sending
         if isinstance(result, Done) and result.status < 500:
             is_delimited = head.is_delimited()
             self.lost_answers.record_complete(
--- a/src/savorydyke/_sockets.py
+++ b/src/savorydyke/_sockets.py
@@ -47,14 +47,39 @@
 async def send(stream: trio.SocketStream, data: bytes) -> None:
     """Send all of `data`; wait only if the socket's send buffer is full.
 
+    The kernel reports an error of a connection once. Nothing else runs between that
+    and the exception here, so that whoever reads meanwhile can be told.
+
     Raises
     ------
     trio.BrokenResourceError
-        If the connection is closed.
+        If the connection is closed. Its cause is the error of the socket.
+    trio.ClosedResourceError
+        If it was closed here.
     """
-    sent = send_some(stream, data)
-    if sent < len(data):
-        await stream.send_all(data[sent:])
+    left = memoryview(data)[send_some(stream, data) :]
+    while left:
+        await _wait_writable(stream)
+        left = left[send_some(stream, left) :]
+
+
+async def _wait_writable(stream: trio.SocketStream) -> None:
+    """Wait until a socket takes more bytes.
+
+    Raises
+    ------
+    trio.ClosedResourceError
+        If the socket was closed here.
+    """
+    while True:
+        if stream.socket.fileno() < 0:
+            raise trio.ClosedResourceError("the socket was closed")
+        try:
+            await trio.lowlevel.wait_writable(stream.socket)
+            return
+        except trio.ClosedResourceError:
+            # A read that was ended wakes all that wait for the socket.
+            continue
 
 
 def receive_at_once(stream: trio.SocketStream, size: int) -> bytes:
--- a/src/savorydyke/serving/_request_log.py
+++ b/src/savorydyke/serving/_request_log.py
@@ -47,4 +47,5 @@
         "type": relayed.content_type,
         "framing": relayed.framing.value,
         "bytes": relayed.size,
+        "early": relayed.is_early,
     }
