Reset the connection of an HTTP/1.0 caller whose answer is cut

A caller that knows no chunks took a stream that was cut for a whole one: only the end of the connection marks the end of its answer, and the connection was closed soundly.

Such a connection is now reset if its answer is not finished.

--- a/features/routed.feature
+++ b/features/routed.feature
@@ -550,4 +550,5 @@
       | case                                                                          |
       | requests in every form that callers may send are served                       |
       | a caller that knows no chunks gets a stream that ends with the connection     |
+      | a caller that knows no chunks gets a reset when its stream is cut             |
       | requests that two parsers could read differently are refused unsent           |
--- a/features/steps/request_form_cases.py
+++ b/features/steps/request_form_cases.py
@@ -123,6 +123,28 @@
     assert body.startswith(b"id: 1\n") and body.endswith(b"\n\n"), body
 
 
+# Guards against a cut answer that looks complete, since only the close ends it.
+@case("a caller that knows no chunks gets a reset when its stream is cut")
+async def _(site):
+    async def cut(exchange):
+        await exchange.stream_events(1, 2, end=False)
+        exchange.reset()
+
+    _, daemon = await open_desk(site)
+    site.endpoints["e1"].scripts[:] = [cut]
+    caller = await site.connect(daemon.callers)
+    await caller.send(
+        head(site, b"Content-Length: 0", path="/question/1", version=b"1.0")
+    )
+    received, was_reset = b"", False
+    try:
+        while part := await caller.stream.receive_some(65_536):
+            received += part
+    except trio.BrokenResourceError:
+        was_reset = True
+    assert b"id: 2\n" in received and was_reset, received
+
+
 @case("requests that two parsers could read differently are refused unsent")
 async def _(site):
     endpoint, daemon = await open_desk(site)
--- a/src/savorydyke/_ingress.py
+++ b/src/savorydyke/_ingress.py
@@ -22,7 +22,7 @@
     find_ambiguity,
     head_of,
 )
-from savorydyke._sockets import receive, receive_at_once
+from savorydyke._sockets import receive, receive_at_once, reset_when_closed
 from savorydyke.serving import (
     CallerDisconnectedError,
     CallerWriter,
@@ -122,6 +122,8 @@
         The head, if it waits for the first part of the body.
     in_chunks : bool
         Whether the body is sent in chunks.
+    ends_by_close : bool
+        Whether only the end of the connection marks that of the body.
     """
 
     connection: "Connection"
@@ -131,6 +133,7 @@
     on_give_way: Callable[[], None] | None = None
     unsent: bytes = b""
     in_chunks: bool = False
+    ends_by_close: bool = False
 
     def hold_answer(self, size: int) -> None:
         """Record the size of the part of an answer that is buffered."""
@@ -157,6 +160,7 @@
                 self.in_chunks = True
                 headers = [*headers, (b"Transfer-Encoding", b"chunked")]
             else:
+                self.ends_by_close = True
                 request.keeps_alive = False
         self.unsent = self._head(status, headers)
 
@@ -257,6 +261,11 @@
         else:
             self.scope.cancel()
 
+    def is_cut(self) -> bool:
+        """Return whether a close would make a cut answer look complete."""
+        answer = self.responder
+        return answer is not None and answer.ends_by_close and not answer.finished
+
     def closing(self) -> bool:
         """Return whether the connection closes after the current answer."""
         return self.ingress.closing or not self.request.keeps_alive
@@ -330,6 +339,8 @@
             finally:
                 del self.connections[connection]
                 self.held.forget(connection.holder)
+        if connection.is_cut():
+            reset_when_closed(stream)
         stream.socket.close()
 
     def close_idle(self) -> None:
--- a/src/savorydyke/_sockets.py
+++ b/src/savorydyke/_sockets.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import struct
 from dataclasses import dataclass
 
 import trio
@@ -82,6 +83,13 @@
             continue
 
 
+def reset_when_closed(stream: trio.SocketStream) -> None:
+    """Let the close of a connection reset it, so that it ends no answer."""
+    linger = struct.pack("ii", 1, 0)
+    option = trio.socket.SO_LINGER
+    stream.socket.setsockopt(trio.socket.SOL_SOCKET, option, linger)
+
+
 def receive_at_once(stream: trio.SocketStream, size: int) -> bytes:
     """Return up to `size` bytes that have come already, none if that fails."""
     try:
