Let the stand-in's links pass resets and ends on as they are

A reset of an endpoint became a sound close behind a link that can be cut, so that cases and trials took a part of an answer without a length for a whole one on any code.

--- a/src/savorydyke_standins/_faulty_links.py
+++ b/src/savorydyke_standins/_faulty_links.py
@@ -42,7 +42,9 @@
 
 
 def reset(stream: trio.SocketStream) -> None:
-    """Close a connection with a reset."""
+    """Close a connection with a reset, unless it has been closed."""
+    if stream.socket.fileno() < 0:
+        return
     linger = struct.pack("ii", 1, 0)
     stream.socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger)
     stream.socket.close()
@@ -167,10 +169,11 @@
                 await sink.send_all(data)
             while self.open is OpenLinks.HANGING:
                 await trio.sleep(CHECK_S)
+            await sink.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            # One side has closed its connection, so the other one is closed too.
-            pass
-        scope.cancel()
+            # Passed on as it is, since a sound close may be the end of an answer.
+            reset(sink)
+            scope.cancel()
 
 
 @dataclass
