Take no reset for lateness, after which reading finds a sound end

Cause: a read whose deadline has passed is woken and reports lateness; if no other endpoint is granted, reading goes on. If a reset came in the same turn of the event loop, the read got the failure, which the kernel reports once, and reported lateness all the same. The next read found the end, which ends an answer without a length.

Change: a channel keeps failures of reading as it keeps those of sending, and only being woken is lateness.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -39,6 +39,7 @@
       | a large message is read as fast as it comes, also at rest                  |
       | timers of an instance at rest are on time                                  |
       | reads end at their deadlines, which move either way                        |
+      | an answer that is reset just when it is late is not complete               |
       | a silent endpoint is noticed in time, and may still answer afterwards      |
       | an instance that starts alone opens links at once                          |
       | a coordinator that returns does not count what ended or began meanwhile    |
--- a/features/steps/routed_steps.py
+++ b/features/steps/routed_steps.py
@@ -23,6 +23,7 @@
 import quota_cases  # noqa: F401  Registers its cases.
 import rejection_cases  # noqa: F401  Registers its cases.
 import request_form_cases  # noqa: F401  Registers its cases.
+import reset_decisions  # noqa: F401  Registers its cases.
 import rest_cases  # noqa: F401  Registers its cases.
 import restart_version_cases  # noqa: F401  Registers its cases.
 import retry_cases  # noqa: F401  Registers its cases.
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -116,9 +116,9 @@
         Whether bytes are awaited, and whether they have not come in time.
     is_sending : bool
         Whether a part of the request has not been sent yet.
-    send_failure : str
-        How the connection failed while the request was sent, empty if it did not. The
-        kernel reports a failure once, so that reading then ends as after a sound close.
+    failure : str
+        How the connection has failed, in sending or in reading, empty if it has not.
+        The kernel reports a failure once; reading then ends as after a sound close.
     """
 
     stream: trio.SocketStream
@@ -131,7 +131,7 @@
     is_reading: bool = False
     is_late: bool = False
     is_sending: bool = False
-    send_failure: str = ""
+    failure: str = ""
 
     async def send(
         self, request: OutgoingRequest, nursery: trio.Nursery | None
@@ -182,7 +182,7 @@
             self.is_sending = False
         except trio.BrokenResourceError as error:
             if not is_after_end(error):
-                self.send_failure = str(error)
+                self.failure = str(error)
             raise
 
     async def read_head(self) -> AnswerHead:
@@ -259,14 +259,18 @@
         """
         try:
             data = await self._receive_in_time()
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+        except trio.BrokenResourceError as error:
+            # Also if it is late: this is reported to nobody again.
+            self.failure = str(error)
+            raise ChannelBrokenError(f"connection lost: {error!r}") from None
+        except trio.ClosedResourceError as error:
             if self.is_late:
                 raise ChannelTimeoutError("no progress in time") from None
             raise ChannelBrokenError(f"connection lost: {error!r}") from None
         self.on_receive()
         if not data:
-            if self.send_failure:
-                raise ChannelBrokenError(f"connection lost: {self.send_failure}")
+            if self.failure:
+                raise ChannelBrokenError(f"connection lost: {self.failure}")
             parser.feed_end()
             return
         parser.feed(data)
