Store which routes lead to a pool, for instances that start

Cause: after a start the present configuration counted as one that had been in force before, so that a stream that nobody knows was taken for one of the route's new pool.

An earlier build ignores the field, and records of one without it are read as before.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -180,6 +180,7 @@
       | a new route has the streams of the route whose paths it takes over            |
       | an unknown stream of a pool that shares its routes has no known version       |
       | the next coordinator is told of which pool streams are                        |
+      | a route that was moved while all instances were down has two pools for a while |
 
   Scenario Outline: Instances cut off from all endpoints
     Then the decision case "<case>" holds
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -305,6 +305,7 @@
       | streams on a split route go on in their pools when a coordinator is killed         |
       | streams on a split route go on in their pools after a restart of all instances     |
       | streams of a pool that has lost its route do not go on in another one              |
+      | streams whose route is moved while all are down do not go on in another pool       |
       | streams go on in their pools after their route has been split                      |
 
   Scenario Outline: Instances cut off from all endpoints
--- a/features/steps/route_pool_decisions.py
+++ b/features/steps/route_pool_decisions.py
@@ -70,6 +70,39 @@
     assert pools.candidates(HOST, "/digest/new/1", 301.0) == {"a", "c"}
 
 
+# Guards against a stream that goes on in another pool, since only the present routes
+# are known after a start.
+@case("a route that was moved while all instances were down has two pools for a while")
+def _():
+    before = RoutePools()
+    before.observe_configuration(version(1, digest="a", question="b"), 100.0)
+    stored = {PoolId(p): before.recent_routes(PoolId(p), 100.0) for p in "abc"}
+    assert stored["a"] == {(HOST, "/digest/")} and not stored["c"]
+    # The same configuration is no change.
+    pools = RoutePools()
+    pools.observe_stored(stored)
+    pools.observe_configuration(version(1, digest="a", question="b"), 200.0)
+    assert pools.candidates(HOST, "/digest/1", 201.0) == {"a"}
+    assert not any(pools.is_shared(PoolId(p), 201.0) for p in "abc")
+    # Nor is a route that is new, beside the others.
+    pools = RoutePools()
+    pools.observe_stored(stored)
+    new = version(2, digest="a", question="b", more="a")
+    pools.observe_configuration(new, 200.0)
+    assert not any(pools.is_shared(PoolId(p), 201.0) for p in "abc")
+    pools = RoutePools()
+    pools.observe_stored(stored)
+    pools.observe_configuration(version(2, digest="b", question="b"), 200.0)
+    assert pools.candidates(HOST, "/digest/1", 201.0) == {"a", "b"}
+    assert pools.is_shared("a", 201.0) and pools.is_shared("b", 201.0)
+    assert not pools.is_shared("b", 201.0 + KEPT_S)
+    # A move is stored for as long as streams from before it may be taken up.
+    before.observe_configuration(version(2, digest="c", question="b"), 300.0)
+    assert before.recent_routes(PoolId("a"), 301.0) == {(HOST, "/digest/")}
+    assert before.recent_routes(PoolId("c"), 301.0) == {(HOST, "/digest/")}
+    assert not before.recent_routes(PoolId("a"), 306.0 + KEPT_S)
+
+
 @case("an unknown stream of a pool that shares its routes has no known version")
 def _():
     versions = StreamVersions()
--- a/features/steps/split_route_cases.py
+++ b/features/steps/split_route_cases.py
@@ -21,9 +21,17 @@
 """Time in which instances learn of a new configuration."""
 
 
-def configure(site, targets):
-    """Split the route of streams over pools, with equal weights."""
+def configure(site, targets, questions="engines"):
+    """Split the route of streams over pools, with equal weights.
+
+    Parameters
+    ----------
+    questions : str
+        The pool of another route of streams.
+    """
     routes = site.routes()
+    question = next(route for route in routes if route["name"] == "question")
+    question["service"] = questions
     digest = next(route for route in routes if route["name"] == "digest")
     digest["split"] = [{"service": name, "weight": 1} for name in targets]
     digest["service"] = targets[0]
@@ -44,6 +52,14 @@
     return StreamTraffic(site)
 
 
+async def ask_question(site, daemon):
+    """Let an instance serve a stream of the other route."""
+    caller = await site.connect(daemon.callers)
+    answer = await caller.request("POST", "/question/1", site.headers(), b"body")
+    await caller.stream.aclose()
+    assert answer.status == 200, answer
+
+
 def mixed(traffic):
     """Return the pools of each stream that several pools wrote."""
     return [pools for pools, *_ in traffic.streams if len(pools) > 1]
@@ -97,6 +113,29 @@
     assert any(is_taken_up for *_, is_taken_up in traffic.streams)
 
 
+# Guards against streams that go on in another pool after a restart of all.
+@case("streams whose route is moved while all are down do not go on in another pool")
+async def _(site):
+    traffic = await start(site, POOLS[:1])
+    # The other pool is in use, so that its versions are stored.
+    configure(site, POOLS[:1], questions=POOLS[1])
+    await trio.sleep(APPLIED_S)
+    async with trio.open_nursery() as nursery:
+        for daemon in site.daemons:
+            nursery.start_soon(ask_question, site, daemon)
+    async with trio.open_nursery() as nursery:
+        for _ in range(12):
+            nursery.start_soon(partial(traffic.call, tries=60, deadline_ms=3000))
+            await trio.sleep(0.05)
+        await trio.sleep(0.3)
+        async with trio.open_nursery() as restart:
+            restart.start_soon(kill_all, site, 0.5)
+            await trio.sleep(0.2)
+            configure(site, POOLS[1:2], questions=POOLS[1])
+    assert not mixed(traffic), mixed(traffic)
+    assert any(is_taken_up for *_, is_taken_up in traffic.streams)
+
+
 @case("streams go on in their pools after their route has been split")
 async def _(site):
     traffic = await start(site, POOLS[:1])
--- a/src/savorydyke/_route_pools.py
+++ b/src/savorydyke/_route_pools.py
@@ -7,13 +7,18 @@
 """
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from savorydyke._ids import PoolId
 from savorydyke._routes import RoutedConfiguration
 from savorydyke._stream_versions import KEPT_S
 
+RouteKey = tuple[str, str]
+"""Host and prefix of a route."""
+RECENT_S = 5.0
+"""Time after which it is found out again which routes led to pools lately."""
+
 
 @dataclass
 class RoutePools:
@@ -30,12 +35,47 @@
         Up to when streams of a pool may be taken for those of another one.
     version : int
         The version of the configuration that was observed last, 0 for none.
+    stored_pools : set of PoolId
+        Those of which is known where routes led to them before this instance started.
+    recent : dict of PoolId to frozenset
+        Host and prefix of the routes that led to each pool lately.
+    recent_at : float
+        When that was last found out.
     """
 
     until: dict[str, dict[str, dict[PoolId, float]]] = field(default_factory=dict)
     since: dict[tuple[str, str], float] = field(default_factory=dict)
     shared_until: dict[PoolId, float] = field(default_factory=dict)
     version: int = 0
+    stored_pools: set[PoolId] = field(default_factory=set)
+    recent: dict[PoolId, frozenset[RouteKey]] = field(default_factory=dict)
+    recent_at: float = -math.inf
+
+    def observe_stored(self, routes: Mapping[PoolId, Iterable[RouteKey]]) -> None:
+        """Record which routes led to pools before this instance started.
+
+        The first configuration then counts as a change. Without this, it counts as one
+        that was in force before.
+        """
+        self.stored_pools = set(routes)
+        for pool, keys in routes.items():
+            for host, prefix in keys:
+                pools = self.until.setdefault(host, {}).setdefault(prefix, {})
+                pools[pool] = math.inf
+                self.since[host, prefix] = -math.inf
+
+    def recent_routes(self, pool: PoolId, now: float) -> frozenset[RouteKey]:
+        """Return host and prefix of the routes whose streams a pool may have begun."""
+        if now - self.recent_at > RECENT_S:
+            found: dict[PoolId, set[RouteKey]] = {}
+            for host, prefixes in self.until.items():
+                for prefix, pools in prefixes.items():
+                    for name, until in pools.items():
+                        if now - until <= KEPT_S:
+                            found.setdefault(name, set()).add((host, prefix))
+            self.recent = {name: frozenset(keys) for name, keys in found.items()}
+            self.recent_at = now
+        return self.recent.get(pool, frozenset())
 
     def observe_configuration(
         self, configuration: RoutedConfiguration, now: float
@@ -53,6 +93,7 @@
         for key in sorted({*targets, *self._present()}, key=lambda k: -len(k[1])):
             self._set_targets(key, targets.get(key, set()), now)
         self.version = configuration.version
+        self.recent_at = -math.inf
 
     def candidates(self, host: str, path: str, now: float) -> frozenset[PoolId]:
         """Return the pools that may have begun a stream at a path."""
@@ -87,10 +128,13 @@
         pools = self.until.setdefault(host, {}).setdefault(prefix, {})
         present = {pool for pool, until in pools.items() if until == math.inf}
         if present != targets:
-            mixed = self.candidates(host, prefix, now) | targets
+            mixed = set(self.candidates(host, prefix, now)) | targets
             if not present:
-                # The first configuration counts as one that was in force before.
-                self.since[key] = now if self.version else -math.inf
+                is_new = self.version or targets <= self.stored_pools
+                if not is_new:
+                    # The first configuration counts as one that was in force before.
+                    mixed = targets
+                self.since[key] = now if is_new else -math.inf
             pools.update(dict.fromkeys(present - targets, now))
             pools.update(dict.fromkeys(targets, math.inf))
             if len(mixed) > 1:
--- a/src/savorydyke/_stream_records.py
+++ b/src/savorydyke/_stream_records.py
@@ -18,7 +18,7 @@
 from savorydyke._configuration_age import boot_time
 from savorydyke._ids import PoolId, RequestKey, SoftwareVersion
 from savorydyke._membership import Membership
-from savorydyke._route_pools import RoutePools
+from savorydyke._route_pools import RouteKey, RoutePools
 from savorydyke._stream_versions import KEPT_S, MAX_STREAMS, StreamVersions
 from savorydyke._timers import Gate, TimerService
 from savorydyke._untrusted import MAX_SHOWN, parse_json, shown
@@ -56,6 +56,9 @@
         Generation of the store in which the versions of a pool were written or read.
     distrusted : dict of PoolId to float
         When versions were read that later ones may be missing from.
+    routes : dict of PoolId to frozenset
+        Host and prefix of the routes that lead to pools, as coordinators have stored
+        them. An earlier build does not store them.
     segments : dict of PoolId to int
         Number of the next record with streams of a pool.
     lease : int
@@ -74,6 +77,7 @@
     written_until: dict[PoolId, float] = field(default_factory=dict)
     generations: dict[PoolId, int] = field(default_factory=dict)
     distrusted: dict[PoolId, float] = field(default_factory=dict)
+    routes: dict[PoolId, frozenset[RouteKey]] = field(default_factory=dict)
     segments: dict[PoolId, int] = field(default_factory=dict)
     lease: int = 0
     lease_opened: float = 0.0
@@ -102,7 +106,7 @@
         """
         for pool in list(self.versions.listed):
             versions = self.versions.recent_versions(pool, now)
-            is_written = not versions or self._is_stored(pool, versions)
+            is_written = not versions or self._is_stored(pool, versions, now)
             # Streams have to be told apart by version, or by pool.
             is_mixed = len(versions) > 1 or self.route_pools.is_shared(pool, now)
             if not is_mixed:
@@ -115,22 +119,32 @@
             if is_mixed:
                 await self._write_streams(pool, now)
             if not is_written:
-                await self._write_versions(pool, versions)
+                await self._write_versions(pool, versions, now)
 
-    def _is_stored(self, pool: PoolId, versions: frozenset[SoftwareVersion]) -> bool:
+    def _is_stored(
+        self, pool: PoolId, versions: frozenset[SoftwareVersion], now: float
+    ) -> bool:
+        routes = self.route_pools.recent_routes(pool, now)
         is_same = self.versions.stored.get(pool) == versions
+        is_same = is_same and self.routes.get(pool, frozenset()) == routes
         return is_same and self.generations.get(pool) == self.store.generation
 
     async def _write_versions(
-        self, pool: PoolId, versions: frozenset[SoftwareVersion]
+        self, pool: PoolId, versions: frozenset[SoftwareVersion], now: float
     ) -> None:
         if len(versions) == 1 and pool in self.distrusted:
             if boot_time() - self.distrusted[pool] < KEPT_S:
                 return
             del self.distrusted[pool]
         generation = self.store.generation
-        value = {"generation": generation, "versions": sorted(versions)}
+        routes = self.route_pools.recent_routes(pool, now)
+        value = {
+            "generation": generation,
+            "versions": sorted(versions),
+            "routes": sorted(routes),
+        }
         await self.store.write({versions_key(pool): json.dumps(value).encode()})
+        self.routes[pool] = routes
         self._set_stored(pool, versions, generation)
 
     def _set_stored(
@@ -192,6 +206,7 @@
             value = parse_json(record)
             versions = frozenset(SoftwareVersion(str(v)) for v in value["versions"])
             generation = int(value["generation"])
+            routes = frozenset((str(h), str(p)) for h, p in value.get("routes", ()))
         except (ValueError, TypeError, LookupError, AttributeError) as error:
             self._report_unreadable(pool, error)
             return
@@ -200,13 +215,21 @@
             self.versions.stored.pop(pool, None)
             self.distrusted[pool] = boot_time()
             return
+        if "routes" in value:
+            self.routes[pool] = routes
         self._set_stored(pool, versions, generation)
 
     def observe_listing(self) -> None:
-        """Forget what was stored before a restore, unless a listing has it."""
+        """Forget what was stored before a restore, unless a listing has it.
+
+        At the start, what is stored tells which routes led to pools before.
+        """
         for pool in list(self.versions.stored):
             if self.generations.get(pool) != self.store.generation:
                 del self.versions.stored[pool]
+                self.routes.pop(pool, None)
+        if not self.route_pools.version:
+            self.route_pools.observe_stored(self.routes)
 
     def receive_streams(self, pool: PoolId, record: bytes) -> None:
         """Apply streams that the coordinator of a pool has stored."""
