--- a/src/savorydyke_standins/_routed_site.py
+++ b/src/savorydyke_standins/_routed_site.py
@@ -129,12 +129,9 @@
         self.process.send_signal(signal.SIGTERM)
 
     def log_records(self) -> list[dict]:
-        """Return the records of its JSON log."""
-        return [
-            json.loads(line)
-            for line in self.log.read_text().splitlines()
-            if line[:1] == "{"
-        ]
+        """Return the records of its JSON log, without one that is being written."""
+        complete = self.log.read_text().rpartition("\n")[0]
+        return [json.loads(line) for line in complete.splitlines() if line[:1] == "{"]
 
 
 def start_process(
