Let the soak break answers off by pauses and resets, and freeze for longer

Endpoints of the soak also send answers without a length and reset them after about the pause for which instances wait, its proxies pass resets and ends on as they are, and instances stand still for up to 4 s.

--- a/src/savorydyke_bench/_soak.py
+++ b/src/savorydyke_bench/_soak.py
@@ -17,13 +17,14 @@
 
 import trio
 
-from savorydyke_standins._faulty_links import InstanceLinks, NewLinks, OpenLinks
+from savorydyke_standins._faulty_links import InstanceLinks, NewLinks, OpenLinks, reset
 from savorydyke_standins._routed_endpoint import EVENTS, Exchange, event
 from savorydyke_standins._routed_site import (
     BOUNDS,
     KEY,
     Answer,
     Daemon,
+    Header,
     Site,
     free_address,
     open_site,
@@ -38,6 +39,8 @@
 CALL_PAUSE_S = 0.05
 FAULT_PAUSE_S = (0.2, 1.2)
 FAULT_S = (0.3, 2.5)
+FREEZE_S = (0.3, 4.0)
+"""Up to more than the silence after which the others close their links."""
 BACKUP_AGE_S = (0.3, 4.0)
 REWRITE_S = (0.1, 0.9)
 """Time after a restore until the operator and the endpoints have written again. It is
@@ -108,13 +111,18 @@
                 while self.fault == "silent":
                     await trio.sleep(0.05)
                 if self.fault == "reset":
+                    reset(source)
                     break
                 if self.fault == "slow":
                     await trio.sleep(0.15)
                 await sink.send_all(data)
+            if self.fault != "reset":
+                await sink.send_eof()
+                return
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            # One side has closed its connection, so the other one is closed too.
+            # Passed on as it is, since a sound close may be the end of an answer.
             pass
+        reset(sink)
         scope.cancel()
 
 
@@ -223,10 +231,15 @@
         is_stream = exchange.request.target.startswith((b"/digest", b"/question"))
         if draw < 0.08:
             exchange.reset()
+        elif is_stream and draw < 0.12:
+            kind = (b"Content-Type", b"text/event-stream")
+            await self._break_off(exchange, draw, event(1) + event(2), kind)
         elif is_stream:
             first = int(exchange.request.headers.get(b"last-event-id", b"0")) + 1
             last = EVENTS if draw > 0.15 else max(first, EVENTS - 2)
             await exchange.stream_events(first, last, 0.02, end=last == EVENTS)
+        elif draw < 0.10:
+            await self._break_off(exchange, draw, b"torn")
         elif draw < 0.12:
             length = (b"Content-Length", b"99")
             await exchange.send(exchange.response_head(200, length) + b"torn")
@@ -234,6 +247,20 @@
             await trio.sleep(0.03)
             await exchange.send_complete(200, f"of {request_id}".encode())
 
+    async def _break_off(
+        self, exchange: Exchange, draw: float, part: bytes, *headers: Header
+    ) -> None:
+        """Send a part of an answer without a length, and reset after a pause.
+
+        The pause is about that after which instances ask for another endpoint.
+        """
+        first = int(exchange.request.headers.get(b"last-event-id", b"0")) + 1
+        await exchange.send(exchange.response_head(200, *headers))
+        if first == 1:
+            await exchange.send(part)
+        await trio.sleep(0.45 + draw * 1000 % 0.2)
+        exchange.reset()
+
     async def _end_endpoint(self, name: str) -> None:
         """End an endpoint's process, and start another one under its name."""
         if not self.endpoint_proxies[name].listener.cancel_called:
@@ -343,7 +370,7 @@
         if daemon.process.poll() is None:
             self.interruptions.append(trio.current_time())
             daemon.process.send_signal(signal.SIGSTOP)
-            await trio.sleep(self._fault_s())
+            await trio.sleep(self.rng.uniform(*FREEZE_S))
             if daemon.process.poll() is None:
                 daemon.process.send_signal(signal.SIGCONT)
 
