Tell instances that start last what was stored before a version joined

Cause: what was stored at an instance's own start was taken for what was stored before the restart of all, and a first record that was written after it did not count.

Change: the record names the versions before the addition and the process that saw them. They count while that process runs. The first record that an instance sees counts as well, if none was there.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -143,6 +143,8 @@
       | streams are stored again after a restore of the store |
       | telling 195 instances' streams costs their coordinators a bounded part |
       | a stream from before a start is of the version that was stored then |
+      | an instance that starts last is told what was stored before |
+      | who adds a version tells what was stored before, for a time |
       | new streams begin at a version that joins once the store names it |
       | whenever writing ends streams are of one version, or are stored |
 
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -293,6 +293,7 @@
     Examples:
       | case                                                                          |
       | streams go on after a restart of all during which versions join               |
+      | streams go on after a restart of all one by one during which a version joins  |
       | streams go on after a restart of all at the last endpoint of their version    |
       | streams of a version that joins just before a kill of all are not mixed       |
 
--- a/features/steps/restart_version_cases.py
+++ b/features/steps/restart_version_cases.py
@@ -10,7 +10,7 @@
 import trio
 from decision_cases import FRONTEND, POOL, acquire, granted, manifest_of, scheduler_of
 from decision_cases import case as decision_case
-from routed_cases import StreamTraffic, case, kill_all, versioned
+from routed_cases import StreamTraffic, case, kill_all, replace_daemon, versioned
 
 from savorydyke._ids import (
     UNKNOWN_VERSION,
@@ -22,7 +22,7 @@
 from savorydyke._membership import Membership
 from savorydyke._route_pools import RoutePools
 from savorydyke._stream_records import StreamRecords
-from savorydyke._stream_versions import KEPT_S, StreamVersions
+from savorydyke._stream_versions import KEPT_S, StoredBefore, StreamVersions
 from savorydyke.platform import StoreError, StoreFault, streams_key, versions_key
 
 V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
@@ -33,16 +33,23 @@
 # Decisions
 
 
-def started(stored, listed):
+def started(stored, listed, told_by=None, before=()):
     """Return what an instance knows that starts when these versions are stored."""
     versions = StreamVersions()
-    versions.stored[POOL] = frozenset(stored)
+    told = StoredBefore(frozenset(before or stored), told_by)
+    versions.observe_stored(POOL, frozenset(stored), told)
     versions.observe_listing(100.0)
     versions.observe_endpoints(manifest_of(**listed), 100.0)
     versions.observe_view(102.0)
     return versions
 
 
+def add_version(versions):
+    """Let the coordinator add a version to those that are stored."""
+    both = frozenset({V1, V2})
+    versions.observe_stored(POOL, both, StoredBefore(both))
+
+
 # Guards against a stream of the past that is judged by the present list of endpoints.
 @decision_case("a stream from before a start is of the version that was stored then")
 def _():
@@ -50,15 +57,12 @@
     assert versions.only_version(POOL, 102.0, 102.0, True) == V1
     assert versions.only_version(POOL, 102.0, 102.0, False) == V1
     # Once streams may begin at the other one, only who is told of them can tell.
-    versions.stored[POOL] = frozenset({V1, V2})
+    add_version(versions)
     assert versions.only_version(POOL, 102.0, 102.0, True) == V1
     assert versions.only_version(POOL, 102.0, 102.0, False) == UNKNOWN_VERSION
     # Nobody tells of the streams of an instance that was lost.
     versions.observe_loss()
     assert versions.only_version(POOL, 102.0, 102.0, True) == UNKNOWN_VERSION
-    # An instance that starts after the change does not know at which one they began.
-    versions = started({V1, V2}, {"a": "v1", "b": "v2"})
-    assert versions.only_version(POOL, 102.0, 102.0, True) == UNKNOWN_VERSION
     # Streams of a version that is gone are known as well, and have no endpoint.
     versions = started({V1}, {"b": "v2", "c": "v3"})
     assert versions.only_version(POOL, 102.0, 102.0, True) == V1
@@ -67,6 +71,43 @@
     assert versions.only_version(POOL, later, later, True) == UNKNOWN_VERSION
 
 
+# Guards against instances that start later than others, which have added a version.
+@decision_case("an instance that starts last is told what was stored before")
+def _():
+    versions = started({V1, V2}, {"a": "v1", "b": "v2"})
+    assert versions.only_version(POOL, 102.0, 102.0, True) == UNKNOWN_VERSION
+    first = (InstanceId("first"), 7)
+    versions = started({V1, V2}, {"a": "v1", "b": "v2"}, first, {V1})
+    # Who says so may have been killed with all others since.
+    assert versions.only_version(POOL, 102.0, 102.0, True) == UNKNOWN_VERSION
+    versions.is_running = lambda *process: process == first
+    assert versions.only_version(POOL, 102.0, 102.0, True) == V1
+    assert versions.only_version(POOL, 102.0, 102.0, False) == UNKNOWN_VERSION
+    # The coordinator tells it no more.
+    add_version(versions)
+    assert versions.only_version(POOL, 102.0, 102.0, True) == UNKNOWN_VERSION
+
+
+# Guards against a record that does not tell it, or tells it for too long.
+@decision_case("who adds a version tells what was stored before, for a time")
+def _():
+    store = FailingStore(99)
+    me = Membership(InstanceId("me"), "127.0.0.1:1", DataCentreId("a"), 7)
+    versions = started({V1}, {"a": "v1", "b": "v2"})
+    versions.is_running = me.is_running
+    records = StreamRecords(store, versions, RoutePools(), me)
+    write_all(records, 102.0)
+    record = json.loads(store.values[versions_key(POOL)])
+    assert record["versions"] == ["v1", "v2"], record
+    assert (record["before"], record["by"]) == (["v1"], ["me", 7]), record
+    other = StreamRecords(store, StreamVersions(), RoutePools(), me)
+    other.receive_versions(POOL, store.values[versions_key(POOL)])
+    assert other.versions.before[POOL] == StoredBefore(frozenset({V1}), ("me", 7))
+    versions.observe_endpoints(manifest_of(a="v1", b="v2"), 131.0)
+    write_all(records, 131.0)
+    assert "before" not in json.loads(store.values[versions_key(POOL)])
+
+
 # Guards against streams that begin at a version before the store says that it is there.
 @decision_case("new streams begin at a version that joins once the store names it")
 def _():
@@ -149,7 +190,7 @@
 # Processes
 
 
-async def add_version(site, version, number):
+async def add_engines(site, version, number):
     """Start engines whose records name their version from the start."""
     for index in range(number):
         name = f"{version}-{index}"
@@ -159,7 +200,7 @@
 
 async def start(site, engines=3):
     """Start engines of one version and three instances."""
-    await add_version(site, "v1", engines)
+    await add_engines(site, "v1", engines)
     for number in range(3):
         await site.daemon(f"instance-{number}")
     traffic = StreamTraffic(site)
@@ -186,8 +227,26 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(kill_all, site, 0.5)
             await trio.sleep(0.2)
-            await add_version(site, "v2", 2)
-            await add_version(site, "v3", 1)
+            await add_engines(site, "v2", 2)
+            await add_engines(site, "v3", 1)
+
+    await run_streams(site, traffic, trouble)
+    traffic.check(8)
+
+
+# Guards against the same where the instances start one after the other.
+@case("streams go on after a restart of all one by one during which a version joins")
+async def _(site):
+    traffic = await start(site)
+
+    async def trouble():
+        killed = list(site.daemons)
+        for daemon in killed:
+            daemon.process.kill()
+        await add_engines(site, "v2", 2)
+        for daemon in killed:
+            await replace_daemon(site, daemon)
+            await trio.sleep(0.7)
 
     await run_streams(site, traffic, trouble)
     traffic.check(8)
@@ -202,7 +261,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(kill_all, site, 0.5)
             await trio.sleep(0.2)
-            await add_version(site, "v2", 2)
+            await add_engines(site, "v2", 2)
             site.endpoints["v1-0"].crash()
             site.store.remove("servers/v1-0")
 
@@ -217,7 +276,7 @@
     traffic = await start(site)
 
     async def trouble():
-        await add_version(site, "v2", 2)
+        await add_engines(site, "v2", 2)
         async with trio.open_nursery() as nursery:
             for _ in range(STREAMS):
                 nursery.start_soon(partial(traffic.call, tries=40, deadline_ms=3000))
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -784,6 +784,7 @@
     directory, pool_host = gateway.directory, gateway.pool_host
     versions, records = pool_host.versions, gateway.stream_records
     records.on_stored = pool_host.update_joining
+    versions.is_running = gateway.membership.is_running
     directory.version_listeners.append(records.receive_versions)
     directory.stream_listeners.append(records.receive_streams)
     directory.listing_listeners.append(lambda sent: records.observe_listing())
--- a/src/savorydyke/_stream_records.py
+++ b/src/savorydyke/_stream_records.py
@@ -11,15 +11,20 @@
 """
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from savorydyke import _logs
 from savorydyke._configuration_age import boot_time
-from savorydyke._ids import PoolId, RequestKey, SoftwareVersion
+from savorydyke._ids import InstanceId, PoolId, RequestKey, SoftwareVersion
 from savorydyke._membership import Membership
 from savorydyke._route_pools import RouteKey, RoutePools
-from savorydyke._stream_versions import KEPT_S, MAX_STREAMS, StreamVersions
+from savorydyke._stream_versions import (
+    KEPT_S,
+    MAX_STREAMS,
+    StoredBefore,
+    StreamVersions,
+)
 from savorydyke._timers import Gate, TimerService
 from savorydyke._untrusted import MAX_SHOWN, parse_json, shown
 from savorydyke.platform import (
@@ -59,6 +64,8 @@
     routes : dict of PoolId to frozenset
         Host and prefix of the routes that lead to pools, as coordinators have stored
         them. An earlier build does not store them.
+    told : dict of PoolId to StoredBefore
+        What the record of a pool says of the time before versions were added.
     segments : dict of PoolId to int
         Number of the next record with streams of a pool.
     lease : int
@@ -78,6 +85,7 @@
     generations: dict[PoolId, int] = field(default_factory=dict)
     distrusted: dict[PoolId, float] = field(default_factory=dict)
     routes: dict[PoolId, frozenset[RouteKey]] = field(default_factory=dict)
+    told: dict[PoolId, StoredBefore | None] = field(default_factory=dict)
     segments: dict[PoolId, int] = field(default_factory=dict)
     lease: int = 0
     lease_opened: float = 0.0
@@ -124,10 +132,29 @@
     def _is_stored(
         self, pool: PoolId, versions: frozenset[SoftwareVersion], now: float
     ) -> bool:
-        routes = self.route_pools.recent_routes(pool, now)
-        is_same = self.versions.stored.get(pool) == versions
-        is_same = is_same and self.routes.get(pool, frozenset()) == routes
-        return is_same and self.generations.get(pool) == self.store.generation
+        return (
+            self.versions.stored.get(pool) == versions
+            and self.generations.get(pool) == self.store.generation
+            and self.routes.get(pool, frozenset())
+            == self.route_pools.recent_routes(pool, now)
+            and self.told.get(pool) == self._before_to_tell(pool, versions, now)
+        )
+
+    def _before_to_tell(
+        self, pool: PoolId, versions: frozenset[SoftwareVersion], now: float
+    ) -> StoredBefore | None:
+        """Return what instances that start now can not see, None for nothing."""
+        before = self.versions.versions_before(pool, now)
+        if before is None or before == versions:
+            return None
+        told = self.told.get(pool)
+        if told is not None and told.versions == before and self._is_valid(told):
+            return told
+        return StoredBefore(before, (self.membership.id, self.membership.incarnation))
+
+    def _is_valid(self, told: StoredBefore) -> bool:
+        process = told.told_by
+        return process is not None and self.membership.is_running(*process)
 
     async def _write_versions(
         self, pool: PoolId, versions: frozenset[SoftwareVersion], now: float
@@ -138,21 +165,30 @@
             del self.distrusted[pool]
         generation = self.store.generation
         routes = self.route_pools.recent_routes(pool, now)
-        value = {
+        told = self._before_to_tell(pool, versions, now)
+        value: dict[str, object] = {
             "generation": generation,
             "versions": sorted(versions),
             "routes": sorted(routes),
         }
+        if told is not None:
+            value |= {"before": sorted(told.versions), "by": told.told_by}
         await self.store.write({versions_key(pool): json.dumps(value).encode()})
-        self.routes[pool] = routes
-        self._set_stored(pool, versions, generation)
+        self.routes[pool], self.told[pool] = routes, told
+        before = self.versions.before.get(pool, StoredBefore(versions))
+        self._set_stored(pool, versions, before, generation)
 
     def _set_stored(
-        self, pool: PoolId, versions: frozenset[SoftwareVersion], generation: int
+        self,
+        pool: PoolId,
+        versions: frozenset[SoftwareVersion],
+        before: StoredBefore,
+        generation: int,
     ) -> None:
         self.generations[pool] = generation
-        if self.versions.stored.get(pool) != versions:
-            self.versions.stored[pool] = versions
+        has_changed = self.versions.stored.get(pool) != versions
+        self.versions.observe_stored(pool, versions, before)
+        if has_changed:
             log.info(
                 "Versions stored.", extra={"pool": pool, "versions": sorted(versions)}
             )
@@ -204,20 +240,29 @@
         """Apply the versions that the coordinator of a pool has stored."""
         try:
             value = parse_json(record)
-            versions = frozenset(SoftwareVersion(str(v)) for v in value["versions"])
+            versions = _versions(value["versions"])
             generation = int(value["generation"])
             routes = frozenset((str(h), str(p)) for h, p in value.get("routes", ()))
+            told = None
+            if "before" in value:
+                instance, incarnation = value["by"]
+                told_by = InstanceId(str(instance)), int(incarnation)
+                told = StoredBefore(_versions(value["before"]), told_by)
         except (ValueError, TypeError, LookupError, AttributeError) as error:
             self._report_unreadable(pool, error)
             return
         if generation != self.store.generation:
             # From before a restore, so that later versions may be missing.
-            self.versions.stored.pop(pool, None)
-            self.distrusted[pool] = boot_time()
+            self._distrust(pool)
             return
         if "routes" in value:
             self.routes[pool] = routes
-        self._set_stored(pool, versions, generation)
+        self.told[pool] = told
+        self._set_stored(pool, versions, told or StoredBefore(versions), generation)
+
+    def _distrust(self, pool: PoolId) -> None:
+        self.versions.forget_stored(pool)
+        self.distrusted[pool] = boot_time()
 
     def observe_listing(self) -> None:
         """Forget what was stored before a restore, unless a listing has it.
@@ -226,7 +271,7 @@
         """
         for pool in list(self.versions.stored):
             if self.generations.get(pool) != self.store.generation:
-                del self.versions.stored[pool]
+                self._distrust(pool)
                 self.routes.pop(pool, None)
         if not self.route_pools.version:
             self.route_pools.observe_stored(self.routes)
@@ -248,3 +293,7 @@
     def _report_unreadable(self, pool: PoolId, error: Exception) -> None:
         extra = {"pool": pool[:MAX_SHOWN], "error": shown(error)}
         log.error("Streams unreadable.", extra=extra)
+
+
+def _versions(names: Iterable[object]) -> frozenset[SoftwareVersion]:
+    return frozenset(SoftwareVersion(str(name)) for name in names)
--- a/src/savorydyke/_stream_versions.py
+++ b/src/savorydyke/_stream_versions.py
@@ -14,10 +14,16 @@
 
 import math
 from collections import OrderedDict, defaultdict, deque
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
-from savorydyke._ids import UNKNOWN_VERSION, PoolId, RequestKey, SoftwareVersion
+from savorydyke._ids import (
+    UNKNOWN_VERSION,
+    InstanceId,
+    PoolId,
+    RequestKey,
+    SoftwareVersion,
+)
 from savorydyke._manifest import Manifest
 from savorydyke._messages import StreamPush
 
@@ -47,6 +53,22 @@
     at: float
 
 
+@dataclass(frozen=True)
+class StoredBefore:
+    """The versions at which streams that are not known may have begun.
+
+    Attributes
+    ----------
+    told_by : tuple or None
+        The process, by instance and incarnation, that says so. It has seen what was
+        stored before versions were added, and counts while it runs. None if that was
+        seen here.
+    """
+
+    versions: frozenset[SoftwareVersion]
+    told_by: tuple[InstanceId, int] | None = None
+
+
 @dataclass
 class StreamVersions:
     """The streams that this instance knows, and the versions of each pool.
@@ -73,9 +95,11 @@
     stored : dict of PoolId to frozenset of SoftwareVersion
         The versions that may have begun streams that callers may still take up, as
         coordinators have stored them.
-    stored_before : dict of PoolId to frozenset of SoftwareVersion
+    before : dict of PoolId to StoredBefore
         The same, as it was at `complete_since`. Streams that began at versions added
         since are known to those who coordinate.
+    is_running : callable
+        Whether the process of an instance is running still.
     """
 
     streams: OrderedDict[tuple[PoolId, RequestKey], Begun] = field(
@@ -94,8 +118,9 @@
         default_factory=dict
     )
     stored: dict[PoolId, frozenset[SoftwareVersion]] = field(default_factory=dict)
-    stored_before: dict[PoolId, frozenset[SoftwareVersion]] = field(
-        default_factory=dict
+    before: dict[PoolId, StoredBefore] = field(default_factory=dict)
+    is_running: Callable[[InstanceId, int], bool] = field(
+        default=lambda instance, incarnation: False
     )
 
     # Streams
@@ -187,18 +212,52 @@
 
     def observe_listing(self, asked: float) -> None:
         """Record that all records were listed without what happened before."""
-        if asked - self.viewed > MAX_GAP_S:
-            self.complete_since = asked
-            self.stored_before = dict(self.stored)
+        if asked - self.viewed <= MAX_GAP_S:
+            return
+        if self.complete_since < math.inf:
+            # Others may have added versions that this instance was not told of.
+            self.before = {p: StoredBefore(v) for p, v in self.stored.items()}
+        self.complete_since = asked
+
+    def observe_stored(
+        self, pool: PoolId, versions: frozenset[SoftwareVersion], before: StoredBefore
+    ) -> None:
+        """Record what the store says of a pool now, and what it said before.
+
+        What was seen here first is kept.
+        """
+        self.stored[pool] = versions
+        known = self.before.get(pool)
+        if known is None or known.told_by is not None:
+            self.before[pool] = before
+
+    def forget_stored(self, pool: PoolId) -> None:
+        """Forget what the store said of a pool."""
+        self.stored.pop(pool, None)
+        self.before.pop(pool, None)
 
     def observe_loss(self) -> None:
         """Record that an instance was lost, which may have told nobody of its streams.
 
         They may have begun at versions that were added lately.
         """
-        for pool, versions in self.stored.items():
-            if pool in self.stored_before:
-                self.stored_before[pool] |= versions
+        for pool, before in list(self.before.items()):
+            versions = before.versions | self.stored.get(pool, frozenset())
+            self.before[pool] = StoredBefore(versions)
+
+    def versions_before(
+        self, pool: PoolId, now: float
+    ) -> frozenset[SoftwareVersion] | None:
+        """Return the versions that may have begun unknown streams, None if not known.
+
+        They are known for as long as callers may take up streams from before.
+        """
+        before = self.before.get(pool)
+        if before is None or now - self.complete_since >= KEPT_S:
+            return None
+        if before.told_by is not None and not self.is_running(*before.told_by):
+            return None
+        return before.versions
 
     def observe_record(
         self, pool: PoolId, version: SoftwareVersion, now: float
@@ -236,7 +295,7 @@
             return UNKNOWN_VERSION
         versions = self.recent_versions(pool, now)
         if now - self.complete_since < KEPT_S:
-            versions = self.stored_before.get(pool, frozenset())
+            versions = self.versions_before(pool, now) or frozenset()
             if not is_told:
                 versions |= self.stored.get(pool, frozenset())
         return min(versions) if len(versions) == 1 else UNKNOWN_VERSION
