Settle ends of endpoints in doubt by the list, and by several others

Cause: whether an endpoint ended or this instance is cut off was asked of one other endpoint, drawn at random, which had often ended as well; and a doubt was settled only once any endpoint was reached, when the next processes were already in use.

Change: up to three others are asked at once, and one that is reached suffices. A process that is listed no more, or was replaced in the list, has ended: a cut between instances and endpoints does not keep these from being listed. That is seen before requests are granted to what is listed.

Evidence: two decision cases; on the one of several others fails, and the other lacks its method.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -199,6 +199,8 @@
       | an instance that comes back is not asked for all that it missed               |
       | an instance that could not send a request is not asked again for a moment     |
       | an end that is in doubt counts once an endpoint is reached again              |
+      | an end that is in doubt counts once its process is listed no more             |
+      | an endpoint's end is told from a cut if any of a few others is reached        |
       | instances that could not send a request are asked again without others        |
       | a slow instance is asked only if no other one reaches endpoints |
 
--- a/features/steps/cut_off_decisions.py
+++ b/features/steps/cut_off_decisions.py
@@ -324,6 +324,58 @@
     assert ends_recorded(ForwardResult.UNREACHABLE, 1) == [False, False]
 
 
+# Guards against ends that stay in doubt until the next processes have ended as well.
+@case("an end that is in doubt counts once its process is listed no more")
+def _():
+    async def play():
+        endpoint = decision_cases.endpoint_of("e", started_ms=1)
+        other = decision_cases.endpoint_of("f", started_ms=1)
+
+        async def has_ended(_):
+            return Ended.IN_DOUBT
+
+        async def is_any_reached(_):
+            return False
+
+        ways = SimpleNamespace(has_ended=has_ended, is_any_reached=is_any_reached)
+        quarantine = Quarantine()
+        async with trio.open_nursery() as nursery:
+            lost = LostAnswers(quarantine, ways, nursery)
+            for one in (endpoint, other):
+                lost.record_lost(one, ("part",), trio.current_time())
+            await trio.sleep(1.0)
+            lost.observe_manifest(
+                SimpleNamespace(endpoints={"e": endpoint, "f": other})
+            )
+            assert not quarantine.ended
+            newer = decision_cases.endpoint_of("f", started_ms=2)
+            lost.observe_manifest(SimpleNamespace(endpoints={"f": newer}))
+            assert quarantine.ended == {endpoint.process, other.process}
+            nursery.cancel_scope.cancel()
+
+    trio.run(play, clock=MockClock(autojump_threshold=0))
+
+
+# Guards against the end of two of three endpoints that is taken for an own cut.
+@case("an endpoint's end is told from a cut if any of a few others is reached")
+def _():
+    async def play(ended):
+        ways = ways_among([])
+        endpoints = {f"e{n}": SimpleNamespace(id=f"e{n}") for n in range(3)}
+        ways.manifest = lambda: SimpleNamespace(endpoints=endpoints)
+
+        async def probe(endpoint, timeout_s):
+            is_there = endpoint.id not in ended
+            return ForwardResult.REACHED if is_there else ForwardResult.REFUSED
+
+        ways.probe_own_link = probe
+        since = trio.current_time()
+        return [await ways.is_at_fault(endpoints["e0"], since) for _ in range(20)]
+
+    assert trio.run(play, {"e0", "e1"}) == [True] * 20
+    assert trio.run(play, {"e0", "e1", "e2"}) == [False] * 20
+
+
 @case("an instance that found ended endpoints is not cut off for long")
 def _():
     # Guards against a detour by other instances until the ended endpoints are back.
--- a/src/savorydyke/_endpoint_ways.py
+++ b/src/savorydyke/_endpoint_ways.py
@@ -47,6 +47,8 @@
 """Time for another instance to tell whether it reaches an endpoint."""
 QUICK_PROBE_S = 0.1
 """Time to reach another endpoint, while a request waits."""
+PROBED_AT_ONCE = 3
+"""Endpoints of which one has to be reached, since several may end together."""
 MAX_FORWARDERS = 3
 """Instances that are asked in turn to send one request."""
 SKIP_S = 1.0
@@ -208,19 +210,29 @@
         others = self._other_endpoints(endpoint)
         if not others:
             return True
-        other = self.rng.choice(others)
-        result = await self.probe_own_link(other, QUICK_PROBE_S)
-        return result is ForwardResult.REACHED
+        return await self._reaches_one_of(others)
 
     async def is_any_reached(self, since: float) -> bool:
         """Return whether an endpoint was reached after a time or is now."""
         if self.links.opened_at > since:
             return True
         known = self._other_endpoints(None)
-        if not known:
-            return False
-        result = await self.probe_own_link(self.rng.choice(known), QUICK_PROBE_S)
-        return result is ForwardResult.REACHED
+        return bool(known) and await self._reaches_one_of(known)
+
+    async def _reaches_one_of(self, endpoints: list[Endpoint]) -> bool:
+        """Return whether one of a few endpoints is reached; several may have ended."""
+        found: list[ForwardResult] = []
+        chosen = self.rng.sample(endpoints, min(len(endpoints), PROBED_AT_ONCE))
+        async with trio.open_nursery() as nursery:
+
+            async def probe(endpoint: Endpoint) -> None:
+                found.append(await self.probe_own_link(endpoint, QUICK_PROBE_S))
+                if found[-1] is ForwardResult.REACHED:
+                    nursery.cancel_scope.cancel()
+
+            for endpoint in chosen:
+                nursery.start_soon(probe, endpoint)
+        return ForwardResult.REACHED in found
 
     def _other_endpoints(self, endpoint: Endpoint | None) -> list[Endpoint]:
         manifest = self.manifest()
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -74,6 +74,9 @@
         observer = EndpointObserver(gateway.states, gateway.limits, gateway.rejections)
         check = SendCheck(gateway.states, gateway.directory, gateway.rollouts)
         late_answers = LateAnswers(observer, nursery)
+        lost_answers = LostAnswers(gateway.quarantine, gateway.ways, nursery)
+        # Before requests are granted to what is listed now.
+        gateway.directory.listeners.insert(0, lost_answers.observe_manifest)
         handler = RoutedHandler(
             settings.instance,
             gateway.directory,
@@ -86,7 +89,7 @@
             observer,
             late_answers,
             gateway.quarantine,
-            LostAnswers(gateway.quarantine, gateway.ways, nursery),
+            lost_answers,
             gateway.overload,
             gateway.pool_host.versions,
             gateway.pool_host.route_pools,
--- a/src/savorydyke/_lost_answers.py
+++ b/src/savorydyke/_lost_answers.py
@@ -13,7 +13,7 @@
 from savorydyke._endpoint_ways import Ended, EndpointWays
 from savorydyke._forward_headers import ForwardResult
 from savorydyke._ids import ProcessId, SuspectId
-from savorydyke._manifest import Endpoint
+from savorydyke._manifest import Endpoint, Manifest
 from savorydyke._quarantine import Quarantine
 
 CHECK_DELAY_S = 0.03
@@ -110,6 +110,17 @@
 
     # Ends in doubt
 
+    def observe_manifest(self, manifest: Manifest) -> None:
+        """Record the ends in doubt of processes that are not listed any more.
+
+        A cut between instances and endpoints does not keep these from being listed.
+        """
+        for process, endpoint in list(self.in_doubt.items()):
+            known = manifest.endpoints.get(endpoint.id)
+            if known is None or known.started_ms > endpoint.started_ms:
+                del self.in_doubt[process]
+                self._record_ended(endpoint)
+
     def _settle_later(self, endpoint: Endpoint, process: ProcessId) -> None:
         is_settling = bool(self.in_doubt)
         self.in_doubt[process] = endpoint
@@ -127,13 +138,13 @@
                 continue
             since = trio.current_time()
             checked = list(self.in_doubt.items())
-            ended = [one for _, one in checked if await self._is_gone(one)]
+            ended = [process for process, one in checked if await self._is_gone(one)]
             if not await self.ways.is_any_reached(since):
                 continue
-            for process, _ in checked:
-                self.in_doubt.pop(process, None)
-            for endpoint in ended:
-                self._record_ended(endpoint)
+            for process, endpoint in checked:
+                is_open = self.in_doubt.pop(process, None) is not None
+                if is_open and process in ended:
+                    self._record_ended(endpoint)
 
     async def _is_gone(self, endpoint: Endpoint) -> bool:
         found = await self.ways.probe_own_link(endpoint)
