Leave what a record tells of the time before until most instances are reached

An instance that had just started, and was linked to nobody yet, could take the versions before an addition out of the record, since it did not see the process that had told them. A pool whose time before is not known is judged by nothing else any more.

--- a/features/steps/restart_version_cases.py
+++ b/features/steps/restart_version_cases.py
@@ -103,6 +103,14 @@
     other = StreamRecords(store, StreamVersions(), RoutePools(), me)
     other.receive_versions(POOL, store.values[versions_key(POOL)])
     assert other.versions.before[POOL] == StoredBefore(frozenset({V1}), ("me", 7))
+    # An instance that has just started, and is not linked, leaves that as it is.
+    alone = Membership(InstanceId("alone"), "127.0.0.1:1", DataCentreId("a"), 8)
+    alone.listed = {InstanceId("me"), InstanceId("alone")}
+    late = started({V1, V2}, {"a": "v1", "b": "v2"}, ("me", 7), {V1})
+    records_of_late = StreamRecords(store, late, RoutePools(), alone)
+    records_of_late.receive_versions(POOL, store.values[versions_key(POOL)])
+    write_all(records_of_late, 102.5)
+    assert json.loads(store.values[versions_key(POOL)]) == record
     versions.observe_endpoints(manifest_of(a="v1", b="v2"), 131.0)
     write_all(records, 131.0)
     assert "before" not in json.loads(store.values[versions_key(POOL)])
--- a/src/savorydyke/_stream_records.py
+++ b/src/savorydyke/_stream_records.py
@@ -14,6 +14,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+import trio
+
 from savorydyke import _logs
 from savorydyke._configuration_age import boot_time
 from savorydyke._ids import InstanceId, PoolId, RequestKey, SoftwareVersion
@@ -144,14 +146,20 @@
         self, pool: PoolId, versions: frozenset[SoftwareVersion], now: float
     ) -> StoredBefore | None:
         """Return what instances that start now can not see, None for nothing."""
+        told = self.told.get(pool)
+        if told is not None and not self._reaches_most():
+            # Who told it may run, and be linked soon.
+            return told
         before = self.versions.versions_before(pool, now)
         if before is None or before == versions:
             return None
-        told = self.told.get(pool)
         if told is not None and told.versions == before and self._is_valid(told):
             return told
         return StoredBefore(before, (self.membership.id, self.membership.incarnation))
 
+    def _reaches_most(self) -> bool:
+        return self.membership.reaches_most_listed(trio.current_time())
+
     def _is_valid(self, told: StoredBefore) -> bool:
         process = told.told_by
         return process is not None and self.membership.is_running(*process)
--- a/src/savorydyke/_stream_versions.py
+++ b/src/savorydyke/_stream_versions.py
@@ -295,9 +295,11 @@
             return UNKNOWN_VERSION
         versions = self.recent_versions(pool, now)
         if now - self.complete_since < KEPT_S:
-            versions = self.versions_before(pool, now) or frozenset()
-            if not is_told:
-                versions |= self.stored.get(pool, frozenset())
+            before = self.versions_before(pool, now)
+            if before is None:
+                return UNKNOWN_VERSION
+            added = frozenset() if is_told else self.stored.get(pool, frozenset())
+            versions = before | added
         return min(versions) if len(versions) == 1 else UNKNOWN_VERSION
 
     def may_begin(self, pool: PoolId, version: SoftwareVersion) -> bool:
