Let a spoilt date in Retry-After cost its value only, not the instance

Most parsers of outside bytes had a list of exceptions of their own.

Change: raises_only in _untrusted lets a parser raise its own error only, whatever a library below it raises; the message states the original type. The parsers of headers, records, peers' frames, evidence, claims and the platform's answers use it in place of their lists.

The new scenario "Values that libraries cannot represent" gives every such parser odd dates, digits and nested values: with _retry_after.py as it was it fails with OverflowError, now it passes. The fuzz of answers' headers made no dates before, which is why it found nothing.

--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -25,3 +25,7 @@
     And hypothesis finds no message of a peer that ends an instance
     And hypothesis finds no header of an endpoint that raises an error
     And hypothesis finds no entry of the platform's list that hides the others
+
+  @first
+  Scenario: Values that libraries cannot represent
+    Then hypothesis finds no bytes on which a parser raises anything but its own error
--- a/features/steps/odd_record_steps.py
+++ b/features/steps/odd_record_steps.py
@@ -13,15 +13,40 @@
 from odd_record_cases import DEEP, ODD_RECORDS, ODD_SHARED, SHARED_KEYS, VALID
 
 from savorydyke import _messages
+from savorydyke._claims import parse_claim
+from savorydyke._configuration import read_record
 from savorydyke._exceptions import PlatformUnavailableError, ProtocolError
 from savorydyke._messages import Heartbeat, decode
-from savorydyke._platform import _decode_list
+from savorydyke._platform import _decode_list, _decode_values
 from savorydyke._quota_balances import decode_balances, decode_generation
+from savorydyke._request_limits import BadLimitError, parse_limit
 from savorydyke._retry_after import BadRetryAfterError, parse_retry_after
+from savorydyke._shared_evidence import decode_evidence
 from savorydyke._store_restores import read_generation
 from savorydyke._untrusted import UnreadableError, parse_json
-from savorydyke.platform import Change, parse_response_headers
-from savorydyke.platform._store import _changes, _decode, _readable
+from savorydyke.platform import (
+    BadRecordError,
+    BadRequestHeadError,
+    Change,
+    StoreError,
+    parse_request_headers,
+    parse_response_headers,
+    read_configuration,
+    read_endpoint,
+)
+from savorydyke.platform._headers import (
+    AUTHORIZATION,
+    DEADLINE,
+    LENGTH_HINT,
+    LOAD,
+    PREFIX,
+    REQUEST_ID,
+    TOKENS,
+    parse_load_report,
+)
+from savorydyke.platform._records import read_instance, read_order
+from savorydyke.platform._store import _changes, _decode, _decode_body, _readable
+from savorydyke.rollouts._records import read_record as read_rollout
 
 NUMBERS = st.sampled_from(
     [10**400, -(10**30), 2**63, 2**64, 65536, -1, 0, 1e308, -1e308, 1e-320, math.inf]
@@ -196,8 +221,12 @@
             b"Date",
         ]
     )
-    values = st.binary(max_size=12) | st.sampled_from(
-        [b"1e999", b"9" * 5000, b"nan", b"-1", b"\xb2,1,1", b"1,1,\xb3"]
+    values = (
+        st.binary(max_size=12)
+        | ODD_DATES
+        | st.sampled_from(
+            [b"1e999", b"9" * 5000, b"nan", b"-1", b"\xb2,1,1", b"1,1,\xb3"]
+        )
     )
 
     def read(headers):
@@ -208,6 +237,54 @@
     check(headers, read, BadRetryAfterError)
 
 
+# A date whose parts are each sound, absent or beyond what a library can represent.
+DIGITS = st.sampled_from(["", "0", "07", "99", "2026", "9" * 20, "9" * 5000, "-1"])
+ODD_DATES = st.builds(
+    lambda day, year, hour, zone: f"Mon, {day} Dec {year} {hour}:00:07 {zone}".encode(),
+    DIGITS,
+    DIGITS | st.integers(0, 10**12).map(str),
+    DIGITS,
+    st.sampled_from(["GMT", "+9999", "-2359", "+" + "9" * 30, "", "EST"]),
+)
+
+
+@then("hypothesis finds no bytes on which a parser raises anything but its own error")
+def all_parsers(context):
+    texts = ODD_DATES | RECORDS | st.sampled_from([b"9" * 5000, b"-1e400", b"\xff"])
+    pairs = st.lists(st.tuples(HEADER_NAMES, texts), max_size=4)
+    times = st.tuples(ODD_DATES, texts).map(
+        lambda pair: [data.decode("latin-1") for data in pair]
+    )
+    check(times, lambda pair: parse_retry_after(*pair), BadRetryAfterError)
+    for parse, error in PARSERS_OF_BYTES.items():
+        check(texts, parse, error)
+    for parse, error in PARSERS_OF_TEXT.items():
+        check(texts.map(lambda data: data.decode("latin-1")), parse, error)
+    check(pairs, parse_request_headers, BadRequestHeadError)
+    check(pairs, lambda headers: parse_response_headers(503, headers))
+
+
+HEADER_NAMES = st.sampled_from(
+    [REQUEST_ID, DEADLINE, TOKENS, PREFIX, LENGTH_HINT, AUTHORIZATION, LOAD, b"host"]
+)
+PARSERS_OF_BYTES = {
+    parse_json: UnreadableError,
+    parse_claim: ProtocolError,
+    read_record: ProtocolError,
+    read_rollout: UnreadableError,
+    decode: ProtocolError,
+    _decode_values: PlatformUnavailableError,
+    _decode_list: PlatformUnavailableError,
+    read_configuration: BadRecordError,
+    lambda data: read_endpoint("e1", data): BadRecordError,
+    lambda data: read_instance("i1", data): BadRecordError,
+    lambda data: read_order(POOL, data, "1.1"): BadRecordError,
+    lambda data: decode_evidence(data, 10**13): UnreadableError,
+    lambda data: _decode_body(200, data): StoreError,
+}
+PARSERS_OF_TEXT = {parse_limit: BadLimitError, parse_load_report: ()}
+
+
 @then("hypothesis finds no entry of the platform's list that hides the others")
 def platform_list(context):
     valid = {
--- a/src/savorydyke/_calls.py
+++ b/src/savorydyke/_calls.py
@@ -177,7 +177,7 @@
     """Return a call of a model engine, or why it is refused."""
     try:
         value = json.loads(body)
-    except (ValueError, RecursionError) as error:
+    except Exception as error:
         return Refusal(Reason.BAD_REQUEST, f"the body is not JSON: {error}")
     problem = _model_problem(value, head.path)
     if problem:
--- a/src/savorydyke/_claims.py
+++ b/src/savorydyke/_claims.py
@@ -31,7 +31,7 @@
     Written,
 )
 from savorydyke._timers import TimerService
-from savorydyke._untrusted import parse_json, shown
+from savorydyke._untrusted import parse_json, raises_only
 
 PREFIX = "savorydyke/claims"
 MAX_KEPT_BYTES = 200_000
@@ -111,6 +111,7 @@
         return json.dumps(value).encode()
 
 
+@raises_only(ProtocolError)
 def parse_claim(data: bytes) -> Claim:
     """Return the claim in `data`.
 
@@ -119,25 +120,22 @@
     ProtocolError
         If `data` is not a claim.
     """
-    try:
-        value = parse_json(data)
-        fields = value.get("answer")
-        answer = None
-        if fields is not None:
-            headers = tuple((str(n), str(v)) for n, v in fields["headers"])
-            body = base64.b64decode(fields["body"])
-            answer = KeptAnswer(int(fields["status"]), headers, body)
-        return Claim(
-            ClaimState(value["state"]),
-            str(value["attempt"]),
-            InstanceId(str(value["instance"])),
-            int(value["incarnation"]),
-            str(value["digest"]),
-            float(value["at"]),
-            answer,
-        )
-    except (ValueError, TypeError, LookupError, AttributeError) as error:
-        raise ProtocolError(f"no claim: {shown(error)}") from None
+    value = parse_json(data)
+    fields = value.get("answer")
+    answer = None
+    if fields is not None:
+        headers = tuple((str(n), str(v)) for n, v in fields["headers"])
+        body = base64.b64decode(fields["body"])
+        answer = KeptAnswer(int(fields["status"]), headers, body)
+    return Claim(
+        ClaimState(value["state"]),
+        str(value["attempt"]),
+        InstanceId(str(value["instance"])),
+        int(value["incarnation"]),
+        str(value["digest"]),
+        float(value["at"]),
+        answer,
+    )
 
 
 @dataclass(frozen=True)
--- a/src/savorydyke/_configuration.py
+++ b/src/savorydyke/_configuration.py
@@ -33,7 +33,7 @@
     Unknown,
     Written,
 )
-from savorydyke._untrusted import parse_json, shown
+from savorydyke._untrusted import parse_json, raises_only
 
 KEY = "savorydyke/configuration"
 WATCHERS = 16
@@ -69,6 +69,7 @@
         return json.dumps(self.__dict__).encode()
 
 
+@raises_only(ProtocolError)
 def read_record(data: bytes) -> Record:
     """Return the record in `data`.
 
@@ -77,11 +78,7 @@
     ProtocolError
         If `data` is not a valid record.
     """
-    try:
-        value = parse_json(data)
-        record = Record(**value)
-    except (ValueError, TypeError) as error:
-        raise ProtocolError(f"no configuration record: {shown(error)}") from None
+    record = Record(**parse_json(data))
     texts = (record.by, record.at, record.token, record.text)
     if type(record.revision) is not int or any(type(x) is not str for x in texts):
         raise ProtocolError("a field of the configuration record has the wrong type")
--- a/src/savorydyke/_messages.py
+++ b/src/savorydyke/_messages.py
@@ -31,7 +31,7 @@
     SuspectId,
     TeamId,
 )
-from savorydyke._untrusted import MAX_INTEGER, shown
+from savorydyke._untrusted import MAX_INTEGER, raises_only
 
 PROTOCOL_VERSION = 7
 MAX_FRAME_BYTES = 2_000_000
@@ -506,6 +506,7 @@
     return replace(message, prefix=()) if message.prefix_tokens else message
 
 
+@raises_only(ProtocolError)
 def decode(frame: bytes) -> list[Message]:
     """Return the messages of one frame.
 
@@ -514,10 +515,7 @@
     ProtocolError
         If the frame is not valid.
     """
-    try:
-        rows = cbor2.loads(frame)
-    except Exception as error:
-        raise ProtocolError(f"not CBOR: {shown(error)}") from None
+    rows = cbor2.loads(frame)
     if not isinstance(rows, list):
         raise ProtocolError("a frame must be an array")
     return [_decode_message(row) for row in rows]
--- a/src/savorydyke/_platform.py
+++ b/src/savorydyke/_platform.py
@@ -213,7 +213,7 @@
             )
             for item in _decode_array(content)
         ]
-    except (LookupError, TypeError, ValueError, ArithmeticError) as error:
+    except Exception as error:
         raise PlatformUnavailableError(f"bad answer: {shown(error)}") from None
 
 
@@ -222,7 +222,7 @@
     for entry in _decode_array(content):
         try:
             instances.append(_listed_instance(entry))
-        except (LookupError, TypeError, ValueError) as error:
+        except Exception as error:
             log.warning("List entry unreadable.", extra={"error": shown(error)})
     return instances
 
@@ -244,7 +244,7 @@
 def _decode_array(content: bytes) -> list[Any]:
     try:
         value = json.loads(content)
-    except (ValueError, RecursionError) as error:
+    except Exception as error:
         raise PlatformUnavailableError(f"bad answer: {shown(error)}") from None
     if not isinstance(value, list):
         raise PlatformUnavailableError("bad answer: not a list")
--- a/src/savorydyke/_request_limits.py
+++ b/src/savorydyke/_request_limits.py
@@ -14,6 +14,7 @@
 
 from savorydyke._ids import EndpointId
 from savorydyke._messages import LimitRow
+from savorydyke._untrusted import raises_only
 
 MIN_PER_S = 0.1
 """Least rate. Only an answer shows that an endpoint takes more again."""
@@ -32,6 +33,7 @@
     """Raised when a named limit is not a number of requests a second."""
 
 
+@raises_only(BadLimitError)
 def parse_limit(text: str) -> float:
     """Return the requests a second that an endpoint takes.
 
@@ -40,10 +42,7 @@
     BadLimitError
         If the value is not a decimal number, or is negative.
     """
-    try:
-        per_s = float(text)
-    except ValueError:
-        raise BadLimitError(f"not a number: {text!r}") from None
+    per_s = float(text)
     if math.isnan(per_s) or per_s < 0:
         raise BadLimitError(f"not a number of requests a second: {text!r}")
     return min(per_s, MAX_LIMIT_PER_S)
--- a/src/savorydyke/_retry_after.py
+++ b/src/savorydyke/_retry_after.py
@@ -4,6 +4,8 @@
 from datetime import UTC, datetime
 from email.utils import parsedate_to_datetime
 
+from savorydyke._untrusted import raises_only
+
 MAX_PAUSE_S = 300.0
 """Longest pause that an endpoint may ask for. A faulty value must not exclude it for
 good."""
@@ -13,6 +15,7 @@
     """Raised when a value is neither a number of seconds nor a date."""
 
 
+@raises_only(BadRetryAfterError)
 def parse_retry_after(value: str, sent: str) -> float:
     """Return the seconds to wait, at most `MAX_PAUSE_S`.
 
--- a/src/savorydyke/_shared_evidence.py
+++ b/src/savorydyke/_shared_evidence.py
@@ -19,7 +19,14 @@
 from savorydyke._messages import LimitRow, LossRow
 from savorydyke._quarantine import Quarantine
 from savorydyke._request_limits import NO_LIMIT_ROW, RequestLimits
-from savorydyke._untrusted import MAX_INTEGER, MAX_SHOWN, parse_json, shown
+from savorydyke._untrusted import (
+    MAX_INTEGER,
+    MAX_SHOWN,
+    UnreadableError,
+    parse_json,
+    raises_only,
+    shown,
+)
 from savorydyke.platform import LeaseExpired, Store, StoreError, evidence_key
 
 WRITE_INTERVAL_S = 0.5
@@ -138,7 +145,7 @@
         """Add the evidence in a record, possibly of this instance before a restart."""
         try:
             evidence = decode_evidence(record, time.time_ns() // 1_000_000)
-        except (ValueError, TypeError, LookupError, AttributeError) as error:
+        except UnreadableError as error:
             extra = {"peer": instance[:MAX_SHOWN], "error": shown(error)}
             log.error("Evidence unreadable.", extra=extra)
             return
@@ -167,12 +174,13 @@
     return json.dumps(value).encode()
 
 
+@raises_only(UnreadableError)
 def decode_evidence(record: bytes, now_ms: int) -> Evidence:
     """Return the rows of a record, with their present ages.
 
     Raises
     ------
-    ValueError, TypeError, LookupError
+    UnreadableError
         If the record is not valid.
     """
     value: dict[str, Any] = parse_json(record)
--- a/src/savorydyke/_untrusted.py
+++ b/src/savorydyke/_untrusted.py
@@ -1,10 +1,12 @@
 """Reading of what others have written, which may be anything."""
 
+import functools
 import ipaddress
 import json
 import math
 import re
-from typing import Any
+from collections.abc import Callable
+from typing import Any, ParamSpec, TypeVar
 
 MAX_INTEGER = 2**64 - 1
 MAX_PORT = 65_535
@@ -14,10 +16,54 @@
 """Visible ASCII characters but for the slash, so that a name fits into a header."""
 
 
+P = ParamSpec("P")
+R = TypeVar("R")
+
+
 class UnreadableError(ValueError):
     """Raised when a record is not what it should be."""
 
 
+def raises_only(
+    error_type: type[Exception],
+) -> Callable[[Callable[P, R]], Callable[P, R]]:
+    """Let a parser of untrusted bytes raise one type of error only.
+
+    Libraries raise more than they document on odd input, such as `OverflowError` on
+    dates. The message states the type of the original error.
+
+    Parameters
+    ----------
+    error_type : type
+        The parser's own error, which is passed on unchanged.
+
+    Examples
+    --------
+    >>> @raises_only(UnreadableError)
+    ... def parse_port(text):
+    ...     return int(text)
+    >>> parse_port("x")
+    Traceback (most recent call last):
+        ...
+    savorydyke._untrusted.UnreadableError: ValueError: invalid literal ...
+    """
+
+    def decorate(parse: Callable[P, R]) -> Callable[P, R]:
+        @functools.wraps(parse)
+        def parse_untrusted(*args: P.args, **kwargs: P.kwargs) -> R:
+            try:
+                return parse(*args, **kwargs)
+            except error_type:
+                raise
+            except Exception as error:
+                raise error_type(shown(error)) from error
+
+        return parse_untrusted
+
+    return decorate
+
+
+@raises_only(UnreadableError)
 def parse_json(data: bytes | str) -> Any:
     """Return a JSON value whose numbers are finite and fit into 64 bits.
 
@@ -26,15 +72,12 @@
     UnreadableError
         If `data` is anything else.
     """
-    try:
-        return json.loads(
-            data,
-            parse_int=_parse_integer,
-            parse_float=_parse_float,
-            parse_constant=_refuse_constant,
-        )
-    except (ValueError, RecursionError) as error:
-        raise UnreadableError(f"not JSON: {shown(error)}") from None
+    return json.loads(
+        data,
+        parse_int=_parse_integer,
+        parse_float=_parse_float,
+        parse_constant=_refuse_constant,
+    )
 
 
 def _parse_integer(text: str) -> int:
--- a/src/savorydyke/platform/_headers.py
+++ b/src/savorydyke/platform/_headers.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from savorydyke._http1 import Headers, without_hop_headers
-from savorydyke._untrusted import MAX_SHOWN
+from savorydyke._untrusted import MAX_SHOWN, raises_only
 
 REQUEST_ID = b"x-savorydyke-request-id"
 DEADLINE = b"x-savorydyke-deadline-ms"
@@ -113,6 +113,7 @@
     has_tokens: bool
 
 
+@raises_only(BadRequestHeadError)
 def parse_request_headers(headers: Headers) -> RequestInfo:
     """Return the contents of a request's headers.
 
--- a/src/savorydyke/platform/_records.py
+++ b/src/savorydyke/platform/_records.py
@@ -28,11 +28,10 @@
 )
 from savorydyke._untrusted import (
     MAX_INTEGER,
-    UnreadableError,
     is_address,
     is_name,
     parse_json,
-    shown,
+    raises_only,
 )
 from savorydyke.rollouts._records import Order, Record, Stage
 
@@ -204,6 +203,7 @@
     return None
 
 
+@raises_only(BadRecordError)
 def read_order(pool: PoolId, data: bytes, order_id: str) -> Order:
     """Return an operator's order.
 
@@ -249,6 +249,7 @@
     return json.dumps(value).encode()
 
 
+@raises_only(BadRecordError)
 def read_instance(instance: InstanceId, data: bytes) -> InstanceRecord:
     """Return an instance's record.
 
@@ -269,6 +270,7 @@
     )
 
 
+@raises_only(BadRecordError)
 def read_endpoint(
     endpoint: EndpointId, data: bytes, known: EndpointRecord | None = None
 ) -> EndpointRecord:
@@ -312,6 +314,7 @@
     )
 
 
+@raises_only(BadRecordError)
 def read_configuration(data: bytes) -> RoutedConfiguration:
     """Return the stored configuration.
 
@@ -321,22 +324,19 @@
         If it is invalid.
     """
     value = _object(data)
-    try:
-        limits = value.get("limits") or {}
-        return build_configuration(
-            _integer(value, "version"),
-            [_route(item) for item in value["routes"]],
-            [_pool(item) for item in value["services"]],
-            [_team(item) for item in value.get("tenants") or []],
-            IngressLimits(
-                max_head_bytes=int(limits.get("max_header_bytes", 16384)),
-                max_body_bytes=int(limits.get("max_body_bytes", 4_194_304)),
-                head_timeout_s=limits.get("header_timeout_ms", 3000) / 1000,
-                idle_timeout_s=limits.get("idle_timeout_ms", 15000) / 1000,
-            ),
-        )
-    except (LookupError, TypeError, ArithmeticError, ValueError, AttributeError) as e:
-        raise BadRecordError(f"configuration: {shown(e)}") from None
+    limits = value.get("limits") or {}
+    return build_configuration(
+        _integer(value, "version"),
+        [_route(item) for item in value["routes"]],
+        [_pool(item) for item in value["services"]],
+        [_team(item) for item in value.get("tenants") or []],
+        IngressLimits(
+            max_head_bytes=int(limits.get("max_header_bytes", 16384)),
+            max_body_bytes=int(limits.get("max_body_bytes", 4_194_304)),
+            head_timeout_s=limits.get("header_timeout_ms", 3000) / 1000,
+            idle_timeout_s=limits.get("idle_timeout_ms", 15000) / 1000,
+        ),
+    )
 
 
 def _route(item: dict[str, Any]) -> Route:
@@ -413,10 +413,7 @@
 
 
 def _object(data: bytes) -> dict[str, Any]:
-    try:
-        value = parse_json(data)
-    except UnreadableError as error:
-        raise BadRecordError(str(error)) from None
+    value = parse_json(data)
     if not isinstance(value, dict):
         raise BadRecordError("not an object")
     return value
--- a/src/savorydyke/platform/_store.py
+++ b/src/savorydyke/platform/_store.py
@@ -406,7 +406,7 @@
         return {}
     try:
         value = json.loads(data)
-    except (ValueError, RecursionError) as error:
+    except Exception as error:
         raise StoreError(StoreFault.ANSWER_LOST, shown(error)) from None
     if not isinstance(value, dict):
         raise StoreError(StoreFault.ANSWER_LOST, "bad answer: not an object")
@@ -416,14 +416,11 @@
 def _decode(read: Callable[[Any], Any], value: Any) -> Any:
     try:
         return read(value)
-    except _UNREADABLE as error:
+    except Exception as error:
         detail = f"bad answer: {shown(error)}"
         raise StoreError(StoreFault.ANSWER_LOST, detail) from None
 
 
-_UNREADABLE = (LookupError, TypeError, ValueError, AttributeError, ArithmeticError)
-
-
 def _readable(value: Any) -> Item | None:
     """Return an item of a listing, without value if that can not be read.
 
@@ -431,7 +428,7 @@
     """
     try:
         return _item(value)
-    except _UNREADABLE as error:
+    except Exception as error:
         key = value.get("key") if isinstance(value, dict) else None
         log.warning("Item unreadable.", extra={"error": shown(error)})
         return Item(key, b"", 0) if isinstance(key, str) else None
--- a/src/savorydyke/rollouts/_records.py
+++ b/src/savorydyke/rollouts/_records.py
@@ -11,7 +11,7 @@
 from enum import Enum
 
 from savorydyke._ids import SoftwareVersion
-from savorydyke._untrusted import parse_json
+from savorydyke._untrusted import UnreadableError, parse_json, raises_only
 
 MAX_REASON = 300
 
@@ -145,38 +145,36 @@
     return json.dumps(value).encode()
 
 
+@raises_only(UnreadableError)
 def read_record(data: bytes) -> Record:
     """Return a stored record.
 
     Raises
     ------
-    ValueError
+    UnreadableError
         If it is not one.
     """
     value = parse_json(data)
-    try:
-        order = value["order"]
-        return Record(
-            order=Order(
-                str(order["id"]),
-                SoftwareVersion(str(order["to"])),
-                _finite(order["within_s"]),
-            ),
-            ordered_at=_finite(value["ordered_at"]),
-            stage=Stage(value["stage"]),
-            stage_at=_finite(value["stage_at"]),
-            begun_at=_finite(value["begun_at"]),
-            old=tuple(SoftwareVersion(str(v)) for v in value["old"]),
-            barred=tuple(SoftwareVersion(str(v)) for v in value["barred"]),
-            sent=max(0, int(value["sent"])),
-            reserved=max(0, int(value["reserved"])),
-            answers=max(0, int(value["answers"])),
-            score=max(0.0, _finite(value["score"])),
-            why=str(value["why"])[:MAX_REASON],
-            by=str(value["by"]),
-        )
-    except (LookupError, TypeError, AttributeError, ArithmeticError) as error:
-        raise ValueError(f"not a roll-out: {error!r}") from None
+    order = value["order"]
+    return Record(
+        order=Order(
+            str(order["id"]),
+            SoftwareVersion(str(order["to"])),
+            _finite(order["within_s"]),
+        ),
+        ordered_at=_finite(value["ordered_at"]),
+        stage=Stage(value["stage"]),
+        stage_at=_finite(value["stage_at"]),
+        begun_at=_finite(value["begun_at"]),
+        old=tuple(SoftwareVersion(str(v)) for v in value["old"]),
+        barred=tuple(SoftwareVersion(str(v)) for v in value["barred"]),
+        sent=max(0, int(value["sent"])),
+        reserved=max(0, int(value["reserved"])),
+        answers=max(0, int(value["answers"])),
+        score=max(0.0, _finite(value["score"])),
+        why=str(value["why"])[:MAX_REASON],
+        by=str(value["by"]),
+    )
 
 
 def _finite(value: object) -> float:
