Let an error in a task cost what the task serves, not the instance

Cause: tasks that serve one late answer, endpoint, link or body ran in the root nursery, where an unforeseen error cancels all others.

Change: BackgroundTasks contains such tasks, and starts services again that an instance can do without for a second. Errors are logged with their traceback and counted in savorydyke_task_failures_total. A long body whose sending fails closes its connection, and ends in doubt are settled again after an error. The own interface's cancellations, claims and polls belong to it.

Evidence: with the source as it was, the new case 'a pause that can not be represented ends no instance' ends the instance with OverflowError; now it passes. The 11 cases of 'Unforeseen errors in tasks' inject an error into each kind of task; with start_soon going straight to the nursery all 11 fail.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -213,6 +213,23 @@
       | only an outage that lets records expire lets missing ones count as expired    |
       | a restored store may lack any record                                          |
 
+  Scenario Outline: Unforeseen errors in tasks
+    Then the decision case "<case>" holds
+
+    Examples:
+      | case                                                                        |
+      | an error in a late answer costs this answer                                 |
+      | an error in the check of an endpoint costs this check                       |
+      | ends stay in doubt for a moment longer after an error                       |
+      | an error in a probe leaves the probes of other endpoints running            |
+      | an error on a link costs this link, whoever has opened it                   |
+      | an error in sending a long body ends the wait for its answer                |
+      | an error in a claim's last write costs this write                           |
+      | an error in cancelling a request at its endpoint costs this cancellation    |
+      | an error in reading an endpoint's report costs this report                  |
+      | a service is started again after an error until it returns                  |
+      | an error beside a cancellation does not end the others                      |
+
   @first @fleet
   Scenario Outline: Quotas of a fleet
     Then the decision case "<case>" holds
--- a/features/routed.feature
+++ b/features/routed.feature
@@ -372,6 +372,7 @@
       | a pause that a silent endpoint asks for after it was given up is kept  |
       | a pause that an endpoint asks for when the caller has left is kept     |
       | a pause that an endpoint asks for before it reads a long body is kept  |
+      | a pause that can not be represented ends no instance                   |
       | a pause is kept by requests that were granted before it                |
       | a pause is kept by requests that are tried again                       |
       | a pause is kept by instances without links                             |
--- a/features/steps/cut_off_decisions.py
+++ b/features/steps/cut_off_decisions.py
@@ -9,6 +9,7 @@
 from decision_cases import case
 from trio.testing import MockClock
 
+from savorydyke._background import BackgroundTasks
 from savorydyke._endpoint_links import EndpointLinks
 from savorydyke._endpoint_probes import probe_failed_links
 from savorydyke._endpoint_ways import Ended, EndpointWays
@@ -304,7 +305,7 @@
         began = trio.current_time()
         quarantine = Quarantine()
         async with trio.open_nursery() as nursery:
-            lost = LostAnswers(quarantine, ways, nursery)
+            lost = LostAnswers(quarantine, ways, BackgroundTasks(nursery))
             lost.record_lost(endpoint, ("part",), began)
             process, recorded = endpoint.process, []
             for _ in range(2):
@@ -340,7 +341,7 @@
         ways = SimpleNamespace(has_ended=has_ended, is_any_reached=is_any_reached)
         quarantine = Quarantine()
         async with trio.open_nursery() as nursery:
-            lost = LostAnswers(quarantine, ways, nursery)
+            lost = LostAnswers(quarantine, ways, BackgroundTasks(nursery))
             for one in (endpoint, other):
                 lost.record_lost(one, ("part",), trio.current_time())
             await trio.sleep(1.0)
--- a/features/steps/pause_cases.py
+++ b/features/steps/pause_cases.py
@@ -4,6 +4,8 @@
 may send it another request before the end of the pause.
 """
 
+from functools import partial
+
 import trio
 from routed_cases import NOT_RUN, case, count, cut_links
 
@@ -179,3 +181,40 @@
     names = [daemon.name for daemon in site.daemons]
     highest = max(names, key=lambda name: rendezvous_score("desk", name))
     return site.daemons[names.index(highest)]
+
+
+# Guards against a pause that no library can represent, in an answer that comes when its
+# request has expired: it ended the instance, and all requests of other endpoints.
+@case("a pause that can not be represented ends no instance")
+async def _(site):
+    # Years, zones and times of day beyond those of dates, and dates beside them.
+    odd = (
+        (b"Retry-After", b"Mon, 07 Dec 20262026202620262026 18:00:07 GMT"),
+        (b"Retry-After", b"Mon, 07 Dec 2026 18:00:07 +99999999999999999999"),
+        (b"Retry-After", b"Mon, 07 Dec 2026 99999999999999999999:00:07 GMT"),
+    )
+    sound = (b"Retry-After", b"Mon, 07 Dec 2026 18:00:07 GMT")
+    spoilt = [(value,) for value in odd]
+    spoilt += [(sound, (b"Date", value)) for _, value in odd]
+    unsent = list(spoilt)
+
+    async def refuse_late(exchange):
+        with trio.CancelScope(shield=True):
+            await trio.sleep(0.45)
+            await exchange.send_complete(503, b"", NOT_RUN, *unsent.pop())
+
+    await site.endpoint("e1", "engines", refuse_late)
+    await site.endpoint("e2", "desk", answer_after_work)
+    daemon = await site.daemon()
+    while unsent:
+        async with trio.open_nursery() as nursery:
+            ask_late = partial(ask_one, site, daemon, "/question/1", deadline_ms=400)
+            nursery.start_soon(ask_late)
+            await trio.sleep(0.42)
+            answer = await site.ask("/claim/1")
+            assert answer.status == 200
+    await trio.sleep(0.3)
+    assert daemon.process.poll() is None
+    lines = [record["message"] for record in daemon.log_records()]
+    assert lines.count("request: Pause unreadable.") == len(spoilt), lines
+    assert not any("Task failed." in line for line in lines)
--- a/features/steps/routed_steps.py
+++ b/features/steps/routed_steps.py
@@ -1,6 +1,7 @@
 """Steps of the routed feature."""
 
 import answer_kind_cases  # noqa: F401  Registers its cases.
+import background_task_decisions  # noqa: F401  Registers its cases.
 import closed_rank_decisions  # noqa: F401  Registers its cases.
 import cut_head_cases  # noqa: F401  Registers its cases.
 import cut_off_cases  # noqa: F401  Registers its cases.
--- a/src/savorydyke/_claims.py
+++ b/src/savorydyke/_claims.py
@@ -18,6 +18,7 @@
 import trio
 
 from savorydyke import _logs
+from savorydyke._background import BackgroundTasks
 from savorydyke._backoff import backoff_s
 from savorydyke._exceptions import PlatformUnavailableError, ProtocolError
 from savorydyke._ids import InstanceId, PoolId, TeamId
@@ -200,6 +201,8 @@
 
     Attributes
     ----------
+    background : BackgroundTasks
+        Runs the writes that nobody awaits.
     now_unix : callable
         Returns the Unix time in seconds.
     pending_writes : int
@@ -208,7 +211,7 @@
 
     platform: Platform
     membership: Membership
-    nursery: trio.Nursery
+    background: BackgroundTasks
     rng: random.Random
     now_unix: Callable[[], float] = time.time
     pending_writes: int = 0
@@ -301,12 +304,12 @@
     ) -> None:
         """Record that the request ran, with its answer; retried during an outage."""
         done = self._claim(ClaimState.DONE, attempt, digest, answer)
-        self.nursery.start_soon(self._write_final, key, done, True)
+        self.background.start_soon(self._write_final, key, done, True)
 
     def record_lost_later(self, key: str, digest: str, attempt: str) -> None:
         """Record that the request was sent and that its answer was lost."""
         lost = self._claim(ClaimState.LOST, attempt, digest)
-        self.nursery.start_soon(self._write_final, key, lost, True)
+        self.background.start_soon(self._write_final, key, lost, True)
 
     def release_later(self, key: str, digest: str, attempt: str) -> None:
         """Release a claim that was, or may have been, acquired but not used.
@@ -315,7 +318,7 @@
         claim fails.
         """
         released = self._claim(ClaimState.RELEASED, attempt, digest)
-        self.nursery.start_soon(self._write_final, key, released, False)
+        self.background.start_soon(self._write_final, key, released, False)
 
     async def _write_final(self, key: str, claim: Claim, only_if_present: bool) -> None:
         """Write the final state of an attempt's claim, retrying until it is confirmed.
--- a/src/savorydyke/_daemon.py
+++ b/src/savorydyke/_daemon.py
@@ -17,6 +17,7 @@
 from hypercorn.trio import serve
 
 from savorydyke import _logs
+from savorydyke._background import BackgroundTasks
 from savorydyke._build import build_digest
 from savorydyke._caller_app import CallerApp
 from savorydyke._calls import stream_id
@@ -186,7 +187,7 @@
         manifest = self.configuration.manifest
         return list(manifest.pools) if manifest else []
 
-    def cancel_orphan(self, nursery: trio.Nursery) -> Callable:
+    def cancel_orphan(self, background: BackgroundTasks) -> Callable:
         """Return a function that cancels an orphaned request at its endpoint.
 
         A request is orphaned when its frontend instance is lost, or when its caller
@@ -200,7 +201,7 @@
             if spec is None or not spec.resumes:
                 return
             request_id = RequestId(item.key.removeprefix(f"{item.team}/"))
-            nursery.start_soon(
+            background.start_soon(
                 self.endpoint_client.cancel, spec, stream_id(item.team, request_id)
             )
 
@@ -250,6 +251,7 @@
         server_tls,
     )
     peers.seeds = set(settings.seeds)
+    peers.on_failure = metrics.count_failure
     configuration = Configuration(platform, membership, peers)
     states = EndpointStates()
     pool_host = PoolHost(
@@ -260,6 +262,7 @@
         cancel_orphan=lambda endpoint, item: None,
         orphan_grace_s=settings.limits.resume_grace_s,
         rng=rng,
+        on_failure=metrics.count_failure,
     )
     grant_client = GrantClient(
         membership=membership,
@@ -275,6 +278,7 @@
         membership,
         peers,
         lambda: configuration.manifest,
+        on_failure=metrics.count_failure,
     )
     instance = Instance(
         settings,
@@ -314,18 +318,23 @@
     """Run an instance until it receives a stop signal; return the exit status."""
     instance = new_instance(settings)
     async with trio.open_nursery() as nursery:
-        instance.pool_host.cancel_orphan = instance.cancel_orphan(nursery)
-        claims = Claims(instance.platform, instance.membership, nursery, instance.rng)
+        background = BackgroundTasks(nursery, instance.metrics.count_failure)
+        instance.pool_host.cancel_orphan = instance.cancel_orphan(background)
+        claims = Claims(
+            instance.platform, instance.membership, background, instance.rng
+        )
         dispatcher = Dispatcher(
             instance.grant_client,
             instance.configuration,
             instance.endpoint_client,
-            nursery,
+            background,
         )
         at_most_once = AtMostOnceDispatcher(dispatcher, claims)
         callers = _new_caller_app(instance, dispatcher, at_most_once)
-        for task in _tasks(instance, claims):
+        for task in _tasks(instance):
             nursery.start_soon(task)
+        for service in _services(instance, claims):
+            background.keep_running(service)
         stopped = trio.Event()
         await nursery.start(instance.peers.listen, settings.peers)
         await _serve_http(instance, callers, nursery, stopped)
@@ -343,18 +352,26 @@
     return status
 
 
-def _tasks(instance: Instance, claims: Claims) -> list[Callable]:
+def _tasks(instance: Instance) -> list[Callable]:
+    """Return the tasks without which the instance serves nobody soundly."""
     timers = instance.timers
     return [
         timers.run,
         instance.run_heartbeats,
         instance.peers.maintain_links,
         instance.configuration.watch,
-        lambda: instance.pool_host.run(timers),
-        lambda: instance.monitor.poll_endpoints(timers),
-        lambda: instance.monitor.poll_list(timers),
-        lambda: instance.grant_client.reconcile(timers),
-        lambda: claims.sweep(timers),
+        partial(instance.pool_host.run, timers),
+        partial(instance.grant_client.reconcile, timers),
+    ]
+
+
+def _services(instance: Instance, claims: Claims) -> list[Callable]:
+    """Return the tasks that the instance can do without for a moment."""
+    timers = instance.timers
+    return [
+        partial(instance.monitor.poll_endpoints, timers),
+        partial(instance.monitor.poll_list, timers),
+        partial(claims.sweep, timers),
     ]
 
 
--- a/src/savorydyke/_dispatch.py
+++ b/src/savorydyke/_dispatch.py
@@ -12,6 +12,7 @@
 
 from savorydyke import _logs
 from savorydyke._answer_budget import EventPace, WastefulAnswerError
+from savorydyke._background import BackgroundTasks
 from savorydyke._calls import Call, not_approved
 from savorydyke._configuration import Configuration
 from savorydyke._endpoint_client import (
@@ -106,7 +107,7 @@
     grant_client: GrantClient
     configuration: Configuration
     endpoint_client: EndpointClient
-    background: trio.Nursery
+    background: BackgroundTasks
 
     async def run(self, dispatch: Dispatch) -> DispatchResult:
         """Answer a request that needs no claim, and return how it ended."""
--- a/src/savorydyke/_forwarded_requests.py
+++ b/src/savorydyke/_forwarded_requests.py
@@ -13,6 +13,7 @@
 import trio
 
 from savorydyke import _logs
+from savorydyke._background import BackgroundTasks
 from savorydyke._directory import Directory
 from savorydyke._endpoint_observer import EndpointObserver
 from savorydyke._endpoint_ways import EndpointWays
@@ -70,7 +71,7 @@
 
     Attributes
     ----------
-    background : trio.Nursery
+    background : BackgroundTasks
         Runs the tasks that send the rest of a long body while its answer is read.
     stopping : callable
         Whether this instance takes no more requests of others.
@@ -89,7 +90,7 @@
     check: SendCheck
     overload: Overload
     stopping: Callable[[], bool]
-    background: trio.Nursery
+    background: BackgroundTasks
     attempts: OrderedDict[RequestKey, None] = field(default_factory=OrderedDict)
     held_bytes: int = 0
 
--- a/src/savorydyke/_gateway.py
+++ b/src/savorydyke/_gateway.py
@@ -653,6 +653,7 @@
     peers = Peers(
         membership, "", lambda sender, message: gateway.handle(sender, message), rng
     )
+    peers.on_failure = metrics.count_failure
     states, links = EndpointStates(), EndpointLinks()
     quarantine = Quarantine()
     limits, rejections = RequestLimits(), RequestLimits()
@@ -675,6 +676,7 @@
         ),
         on_processed=metrics.observe_message,
         on_unused=lambda pool: metrics.grants.inc({"pool": pool, "by": "unused"}),
+        on_failure=metrics.count_failure,
     )
     quota_balances = QuotaBalances(
         store,
--- a/src/savorydyke/_gateway_run.py
+++ b/src/savorydyke/_gateway_run.py
@@ -10,6 +10,7 @@
 import trio
 
 from savorydyke import _logs
+from savorydyke._background import BackgroundTasks
 from savorydyke._build import build_digest
 from savorydyke._directory import Directory
 from savorydyke._endpoint_observer import EndpointObserver
@@ -71,17 +72,18 @@
     gateway = new_gateway(settings, store, log_buffer)
     costs = install_task_costs() if settings.counts_tasks else None
     async with trio.open_nursery() as nursery:
+        background = BackgroundTasks(nursery, gateway.metrics.count_failure)
         observer = EndpointObserver(gateway.states, gateway.limits, gateway.rejections)
         check = SendCheck(gateway.states, gateway.directory, gateway.rollouts)
-        late_answers = LateAnswers(observer, nursery)
-        lost_answers = LostAnswers(gateway.quarantine, gateway.ways, nursery)
+        late_answers = LateAnswers(observer, background)
+        lost_answers = LostAnswers(gateway.quarantine, gateway.ways, background)
         # Before requests are granted to what is listed now.
         gateway.directory.listeners.insert(0, lost_answers.observe_manifest)
         handler = RoutedHandler(
             settings.instance,
             gateway.directory,
             gateway.grant_client,
-            nursery,
+            background,
             gateway.rng,
             settings.bounds.apply.revocation_s,
             gateway.ways,
@@ -103,6 +105,7 @@
             handler.refuse_unreadable,
             lambda: _limits(gateway.directory),
             held=held,
+            on_failure=gateway.metrics.count_failure,
         )
         readiness = Ingress(
             lambda request, responder: _answer_ready(gateway, request, responder),
@@ -110,13 +113,13 @@
             IngressLimits,
         )
         forwarded = _new_forwarded_requests(
-            gateway, observer, late_answers, check, nursery
+            gateway, observer, late_answers, check, background
         )
         clock.pace.is_at_rest = lambda: (
             gateway.is_ready() and not (ingress.active or gateway.has_requests())
         )
         if costs is not None:
-            nursery.start_soon(costs.log_regularly)
+            background.keep_running(costs.log_regularly)
         nursery.start_soon(write_lines, log_buffer, sys.stdout.fileno())
         nursery.start_soon(gateway.ways.read_deadlines.run)
         nursery.start_soon(_listen, settings.readiness, readiness)
@@ -152,27 +155,32 @@
     """Join the fleet and run the tasks that need peers until cancelled."""
     secret = await read_or_create_fleet_key(gateway.store, gateway.rng)
     gateway.peers.shared_key = secret.encode()
+    count_failure = gateway.metrics.count_failure
     async with trio.open_nursery() as nursery:
         await nursery.start(gateway.peers.listen, gateway.settings.peers)
+        # The instance serves nobody soundly without one of these.
         nursery.start_soon(_listen_for_forwarded, gateway, forwarded, held)
-        nursery.start_soon(probe_failed_links, gateway.ways, gateway.directory)
-        nursery.start_soon(gateway.store_records.keep_instance_record)
-        nursery.start_soon(gateway.store_records.rewrite_fleet_records)
-        nursery.start_soon(gateway.quota_balances.run)
-        nursery.start_soon(gateway.quota_reports.run, gateway.timers)
-        nursery.start_soon(gateway.shared_evidence.run)
-        nursery.start_soon(
-            gateway.stream_records.run, gateway.timers, gateway.pool_host.hosting
-        )
-        nursery.start_soon(gateway.rollouts.run_ticks, gateway.timers)
-        nursery.start_soon(gateway.rollouts.run_writes)
         nursery.start_soon(gateway.run_heartbeats)
-        nursery.start_soon(gateway.tell_next_coordinators)
-        nursery.start_soon(gateway.observe_delays)
         nursery.start_soon(gateway.peers.maintain_links)
-        nursery.start_soon(gateway.peers.watch_traffic)
         nursery.start_soon(gateway.pool_host.run, gateway.timers)
         nursery.start_soon(gateway.grant_client.reconcile, gateway.timers)
+        services = BackgroundTasks(nursery, count_failure)
+        services.keep_running(
+            probe_failed_links, gateway.ways, gateway.directory, count_failure
+        )
+        services.keep_running(gateway.store_records.keep_instance_record)
+        services.keep_running(gateway.store_records.rewrite_fleet_records)
+        services.keep_running(gateway.quota_balances.run)
+        services.keep_running(gateway.quota_reports.run, gateway.timers)
+        services.keep_running(gateway.shared_evidence.run)
+        services.keep_running(
+            gateway.stream_records.run, gateway.timers, gateway.pool_host.hosting
+        )
+        services.keep_running(gateway.rollouts.run_ticks, gateway.timers)
+        services.keep_running(gateway.rollouts.run_writes)
+        services.keep_running(gateway.tell_next_coordinators)
+        services.keep_running(gateway.observe_delays)
+        services.keep_running(gateway.peers.watch_traffic)
 
 
 def _new_forwarded_requests(
@@ -180,7 +188,7 @@
     observer: EndpointObserver,
     late_answers: LateAnswers,
     check: SendCheck,
-    nursery: trio.Nursery,
+    background: BackgroundTasks,
 ) -> ForwardedRequests:
     return ForwardedRequests(
         gateway.membership,
@@ -192,7 +200,7 @@
         check,
         gateway.overload,
         lambda: gateway.stopping,
-        nursery,
+        background,
     )
 
 
@@ -206,7 +214,13 @@
         head_bytes = found.max_head_bytes + MORE_HEAD_BYTES
         return replace(found, max_head_bytes=head_bytes)
 
-    ingress = Ingress(forwarded.handle, forwarded.refuse_unreadable, limits, held=held)
+    ingress = Ingress(
+        forwarded.handle,
+        forwarded.refuse_unreadable,
+        limits,
+        held=held,
+        on_failure=gateway.metrics.count_failure,
+    )
     await _listen(forwarding_address(gateway.settings.peers), ingress)
 
 
--- a/src/savorydyke/_http1.py
+++ b/src/savorydyke/_http1.py
@@ -15,6 +15,7 @@
 import trio
 
 from savorydyke._answer_budget import AnswerBudget, WastefulAnswerError
+from savorydyke._background import BackgroundTasks
 from savorydyke._http_parsers import (
     AnswerHead,
     AnswerParser,
@@ -134,9 +135,9 @@
     failure: str = ""
 
     async def send(
-        self, request: OutgoingRequest, nursery: trio.Nursery | None
+        self, request: OutgoingRequest, background: BackgroundTasks | None
     ) -> None:
-        """Send a request; a long body is sent by a task in `nursery`.
+        """Send a request; a long body is sent by a task in `background`.
 
         Raises
         ------
@@ -148,12 +149,12 @@
             raise ChannelStaleError("bytes came before the request was sent")
         self.parser = AnswerParser(request.method)
         head, body = _head(request), request.body
-        if nursery is None or len(body) <= INLINE_BODY_BYTES:
+        if background is None or len(body) <= INLINE_BODY_BYTES:
             await self._write(head + body)
             return
         await self._write(head)
         self.is_sending = True
-        nursery.start_soon(self._send_body, body)
+        background.start_soon(self._send_body, body)
 
     def _has_unread(self) -> bool:
         """Return whether bytes, or the end of the connection, have come already."""
@@ -174,6 +175,11 @@
             # The endpoint may have answered without reading the body. Reading finds
             # out whether that answer is whole.
             return
+        except Exception as error:
+            # The rest is not sent, so that no answer to the request may be awaited.
+            self.failure = repr(error)
+            self.close()
+            raise
 
     async def _send_all(self, data: bytes) -> None:
         self.is_sending = True
--- a/src/savorydyke/_ingress.py
+++ b/src/savorydyke/_ingress.py
@@ -309,6 +309,8 @@
         Counts what is held for callers.
     active : int
         Requests being handled or refused, without those still being read.
+    on_failure : callable
+        Called with the name of this task when a connection has failed.
     """
 
     handler: Handler
@@ -318,6 +320,7 @@
     held: HeldBytes = field(default_factory=HeldBytes)
     active: int = 0
     connections: dict[Connection, trio.CancelScope] = field(default_factory=dict)
+    on_failure: Callable[[str], None] = field(default=lambda task: None)
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection until it ends."""
@@ -326,6 +329,7 @@
         except Exception:
             # An error on one connection must not affect the others.
             log.exception("Connection failed.")
+            self.on_failure("Ingress.serve")
             stream.socket.close()
 
     async def _serve(self, stream: trio.SocketStream) -> None:
--- a/src/savorydyke/_late_answers.py
+++ b/src/savorydyke/_late_answers.py
@@ -9,6 +9,7 @@
 import trio
 
 from savorydyke import _logs
+from savorydyke._background import BackgroundTasks
 from savorydyke._endpoint_observer import EndpointObserver
 from savorydyke._http1 import Channel, ChannelBrokenError
 from savorydyke._manifest import Endpoint
@@ -33,14 +34,14 @@
 
     Attributes
     ----------
-    background : trio.Nursery
+    background : BackgroundTasks
         Runs the tasks that wait.
     waiting : int
         Connections that are kept.
     """
 
     observer: EndpointObserver
-    background: trio.Nursery
+    background: BackgroundTasks
     waiting: int = 0
 
     def take_over(
--- a/src/savorydyke/_lost_answers.py
+++ b/src/savorydyke/_lost_answers.py
@@ -10,6 +10,7 @@
 import trio
 
 from savorydyke import _logs
+from savorydyke._background import BackgroundTasks
 from savorydyke._endpoint_ways import Ended, EndpointWays
 from savorydyke._forward_headers import ForwardResult
 from savorydyke._ids import ProcessId, SuspectId
@@ -33,7 +34,7 @@
     ----------
     ways : EndpointWays
         By which endpoints are checked.
-    background : trio.Nursery
+    background : BackgroundTasks
         Runs the checks.
     checking : set of ProcessId
         Processes that are being checked.
@@ -43,7 +44,7 @@
 
     quarantine: Quarantine
     ways: EndpointWays
-    background: trio.Nursery
+    background: BackgroundTasks
     checking: set[ProcessId] = field(default_factory=set)
     in_doubt: dict[ProcessId, Endpoint] = field(default_factory=dict)
 
@@ -127,7 +128,7 @@
         if len(self.in_doubt) > MAX_IN_DOUBT:
             del self.in_doubt[next(iter(self.in_doubt))]
         if not is_settling:
-            self.background.start_soon(self._settle)
+            self.background.keep_running(self._settle)
 
     async def _settle(self) -> None:
         """Find out which endpoints have ended once any endpoint is reached."""
--- a/src/savorydyke/_metrics.py
+++ b/src/savorydyke/_metrics.py
@@ -133,6 +133,10 @@
             "savorydyke_readers_gave_way_total",
             "Requests that were ended because too much was held.",
         )
+        self.failures = self._counter(
+            "savorydyke_task_failures_total",
+            "Unforeseen errors by the task or connection that each one ended.",
+        )
         self.task_seconds = self._gauge(
             "savorydyke_task_seconds", "Processor time of tasks by kind, if counted."
         )
@@ -219,6 +223,10 @@
         target.sum += times.total_s  # type: ignore[union-attr]
         target.observations += cumulative  # type: ignore[union-attr]
 
+    def count_failure(self, task: str) -> None:
+        """Count an unforeseen error that has ended a task or a connection."""
+        self.failures.inc({"task": task})
+
     def count_quota_tokens(self, team: TeamId, placed_by: str, tokens: int) -> None:
         """Count what a request that was sent takes of its team's quota."""
         self.quota_tokens.add({"team": team, "placed_by": placed_by}, tokens)
--- a/src/savorydyke/_monitor.py
+++ b/src/savorydyke/_monitor.py
@@ -6,6 +6,7 @@
 import trio
 
 from savorydyke import _logs
+from savorydyke._background import BackgroundTasks
 from savorydyke._endpoint_client import EndpointClient
 from savorydyke._endpoint_states import EndpointStates
 from savorydyke._exceptions import PlatformUnavailableError
@@ -50,6 +51,7 @@
     peers: Peers
     manifest: Callable[[], Manifest | None]
     last_cache_serial: dict[EndpointId, int] = field(default_factory=dict)
+    on_failure: Callable[[str], None] = field(default=lambda task: None)
 
     async def poll_endpoints(self, timers: TimerService) -> None:
         """Poll the endpoints of all pools coordinated here until cancelled.
@@ -66,28 +68,29 @@
             finally:
                 polling.discard(endpoint.id)
 
-        def start_polls(nursery: trio.Nursery) -> None:
+        def start_polls(tasks: BackgroundTasks) -> None:
             manifest = self.manifest()
             for endpoint in self._hosted(manifest):
                 if endpoint.id in polling or manifest is None:
                     continue
                 polling.add(endpoint.id)
                 kind = manifest.pools[endpoint.pool].kind
-                nursery.start_soon(poll, endpoint, kind is PoolKind.ENGINE)
+                tasks.start_soon(poll, endpoint, kind is PoolKind.ENGINE)
 
-        async def poll_when_awaited(nursery: trio.Nursery) -> None:
+        async def poll_when_awaited(tasks: BackgroundTasks) -> None:
             while True:
                 await self.pool_host.awaits_reports.wait()
                 self.pool_host.awaits_reports = trio.Event()
-                start_polls(nursery)
+                start_polls(tasks)
 
         async with (
             trio.open_nursery() as nursery,
             timers.every(REPORT_INTERVAL_S) as ticks,
         ):
-            nursery.start_soon(poll_when_awaited, nursery)
+            tasks = BackgroundTasks(nursery, self.on_failure)
+            nursery.start_soon(poll_when_awaited, tasks)
             async for _ in ticks:
-                start_polls(nursery)
+                start_polls(tasks)
 
     def _hosted(self, manifest: Manifest | None) -> list[Endpoint]:
         if manifest is None:
--- a/src/savorydyke/_peers.py
+++ b/src/savorydyke/_peers.py
@@ -18,6 +18,7 @@
 from websockets.exceptions import WebSocketException
 
 from savorydyke import _logs
+from savorydyke._background import BackgroundTasks
 from savorydyke._backoff import backoff_s
 from savorydyke._exceptions import HandshakeError, ProtocolError
 from savorydyke._frame_stream import FrameStream, accept_frames, connect_frames
@@ -183,6 +184,8 @@
         Number of changes of links and of the list.
     wanted_peers : tuple or None
         Peers to keep links to, and the number of changes of the membership then.
+    on_failure : callable
+        Called with what has failed, a link or a message, on an unforeseen error.
     """
 
     def __init__(
@@ -198,6 +201,7 @@
         self.shared_key = shared_key.encode()
         self.handler = handler
         self.rng = rng
+        self.on_failure: Callable[[str], None] = lambda task: None
         self.client_tls = client_tls
         self.server_tls = server_tls
         self.links: dict[InstanceId, Link] = {}
@@ -249,6 +253,7 @@
         view = GrowingView(trio.current_time())
         checked: tuple[int, int] | None = None
         async with trio.open_nursery() as nursery:
+            tasks = BackgroundTasks(nursery, self.on_failure)
             while True:
                 now = trio.current_time()
                 state = (self.changes, self.membership.changes)
@@ -260,7 +265,7 @@
                     checked = state
                     for address in self._missing_addresses():
                         self.dialling.add(address)
-                        nursery.start_soon(self._dial, address)
+                        tasks.start_soon(self._dial, address)
                 self._close_silent_links(now)
                 for link in self._unused_links(now):
                     self.membership.expect_no_heartbeats(link.peer)
@@ -414,6 +419,7 @@
         except Exception:
             # An error on one link must not affect the others.
             log.exception("Link failed.")
+            self.on_failure("Peers._accept")
 
     async def _serve_accepted(self, frames: FrameStream) -> None:
         try:
@@ -572,6 +578,7 @@
             kind = type(message).__name__
             extra = {"peer": peer, "kind": kind, "error": shown(error)}
             log.exception("Message failed.", extra=extra)
+            self.on_failure(kind)
 
     async def _write(self, link: Link) -> None:
         try:
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -230,6 +230,7 @@
         default=lambda kind, waited_s, work_s: None
     )
     on_unused: Callable[[PoolId], None] = field(default=lambda pool: None)
+    on_failure: Callable[[str], None] = field(default=lambda kind: None)
     has_messages: trio.Event = field(default_factory=trio.Event)
     is_running: bool = False
 
@@ -273,6 +274,7 @@
         except Exception as error:
             extra = {"peer": received.sender, "kind": kind, "error": shown(error)}
             log.exception("Message failed.", extra=extra)
+            self.on_failure(kind)
         self.on_processed(kind, waited_s, self.costs.end(kind, waited_s))
 
     def _process(
--- a/src/savorydyke/_routed_handler.py
+++ b/src/savorydyke/_routed_handler.py
@@ -12,6 +12,7 @@
 import trio
 
 from savorydyke import _logs
+from savorydyke._background import BackgroundTasks
 from savorydyke._configuration_age import boot_time
 from savorydyke._directory import Directory
 from savorydyke._endpoint_observer import EndpointObserver
@@ -141,7 +142,7 @@
 
     Attributes
     ----------
-    background : trio.Nursery
+    background : BackgroundTasks
         Runs the tasks that send the rest of a long body while its answer is read.
     revocation_s : float
         Time after which a revoked key must no longer be accepted.
@@ -168,7 +169,7 @@
     instance: InstanceId
     directory: Directory
     grant_client: GrantClient
-    background: trio.Nursery
+    background: BackgroundTasks
     rng: random.Random
     revocation_s: float
     ways: EndpointWays
