Write a coordinator's record of the quotas only over the one it knows

The coordinator was killed, and the next one gave a team its quota again: 2.0 million tokens in 8 s of 1,464,214 allowed.

Cause: balances were written without a condition.

Change: the write names the revision that it replaces, so that a late one fails. On a conflict the writer merges the record that the store has and writes again.

--- a/features/steps/quota_simulation.py
+++ b/features/steps/quota_simulation.py
@@ -142,14 +142,9 @@
             raise StoreError(StoreFault.ANSWER_LOST, "lost")
         return self._replace(key, value, revision)
 
-    async def write(self, values, lease=0):
-        """Write values."""
-        for key, value in values.items():
-            await self.replace(key, value, None)
-
     def _replace(self, key, value, revision):
         found = self.items.get(key)
-        if revision is not None and revision != (found.revision if found else 0):
+        if revision != (found.revision if found else 0):
             return found
         self.items[key] = Item(key, value, next(self.revisions))
         return Written(self.items[key].revision)
@@ -194,11 +189,6 @@
         await self._fail()
         return await self.store.replace(key, value, revision)
 
-    async def write(self, values, lease=0):
-        """Write values."""
-        await self._fail()
-        await self.store.write(values)
-
     async def _fail(self):
         if self.fault is not None:
             await trio.sleep(self.fails_after_s)
--- a/src/savorydyke/_quota_balances.py
+++ b/src/savorydyke/_quota_balances.py
@@ -5,6 +5,10 @@
 A record holds the coordinator's ledger, that is what each process has admitted. Ledgers
 are merged, so that an old copy of a record does no harm wherever it comes from.
 
+A write names the revision of the record that it replaces. It fails if another record
+was written since, also if the store carries it out late; its writer then merges that
+record and writes again.
+
 A store that was restored from a backup holds older records. The coordinator then writes
 its record again; until it has, balances in the store are not used.
 """
@@ -34,7 +38,7 @@
     instance_process,
 )
 from savorydyke._untrusted import UnreadableError, parse_json, raises_only, shown
-from savorydyke.platform import Item, Store, StoreError, StoreFault
+from savorydyke.platform import Item, Store, StoreError, StoreFault, Written
 
 BALANCES_PREFIX = "savorydyke/quotas/"
 CHECK_S = 0.2
@@ -56,6 +60,8 @@
 MAX_AGE_S = 60.0
 """Age by the time of day from which a record's use is outside of any window. Clocks of
 instances may differ, so that younger records count as just written."""
+MAX_CONFLICTS = 3
+"""Writes of a record that are tried in a row, each over a newer one in the store."""
 LOGGED_TEAMS = 4
 RETRY_BASE_S = 0.2
 RETRY_MAX_S = 1.0
@@ -119,6 +125,8 @@
         Whether the store has all that it acknowledged before it was restored.
     written : dict of PoolId to int
         Generation of the store in which the record of a pool was last written.
+    revisions : dict of PoolId to int
+        Revision of the record in the store that this instance has read or written last.
     pushed : dict of PoolId to float
         When the record of a pool was last sent to another instance.
     followers : dict of PoolId to list of InstanceId
@@ -141,6 +149,7 @@
     ledgers: dict[PoolId, Ledger] = field(default_factory=dict)
     received: dict[PoolId, tuple[float, Record]] = field(default_factory=dict)
     written: dict[PoolId, int] = field(default_factory=dict)
+    revisions: dict[PoolId, int] = field(default_factory=dict)
     pushed: dict[PoolId, float] = field(default_factory=dict)
     followers: dict[PoolId, list[InstanceId]] = field(default_factory=dict)
     reported: dict[PoolId, float] = field(default_factory=dict)
@@ -315,25 +324,36 @@
         )
 
     async def _write(self, pool: PoolId, quotas: Quotas) -> None:
-        """Write the record of a pool.
+        """Write the record of a pool over the one that this instance knows.
 
         Raises
         ------
         StoreError
             If the store does not take it.
         """
-        generation, unreported = self.store.generation, dict(quotas.unreported)
-        record = self._encode(quotas, trio.current_time())
-        await self.store.write({BALANCES_PREFIX + pool: record})
-        self.written[pool] = generation
-        self.reported[pool] = trio.current_time()
-        quotas.record_reported(unreported)
+        for _ in range(MAX_CONFLICTS):
+            generation = self.store.generation
+            unreported = dict(quotas.unreported)
+            found = await self.store.replace(
+                BALANCES_PREFIX + pool,
+                self._encode(quotas, trio.current_time()),
+                self.revisions.get(pool, 0),
+            )
+            if isinstance(found, Written):
+                self.revisions[pool] = found.revision
+                self.written[pool] = generation
+                self.reported[pool] = trio.current_time()
+                quotas.record_reported(unreported)
+                return
+            self._observe_stored(pool, found)
+        raise StoreError(StoreFault.REFUSED, "the record changes all the time")
 
     def _observe_stored(self, pool: PoolId, item: Item | None) -> Record | None:
         """Merge the record that the store holds; return it, None if it is unreadable.
 
         Its age is not known exactly.
         """
+        self.revisions[pool] = item.revision if item else 0
         if item is None:
             return None
         try:
