Look up the followers of a coordinator each second, and ask one to write from the first term on

The list was kept while the membership's count of changes stood, which does not see links and slowness; and a coordinator that the store had rejected since it took over never asked a follower. Encodes nothing where nobody follows.

--- a/src/savorydyke/_quota_balances.py
+++ b/src/savorydyke/_quota_balances.py
@@ -105,6 +105,23 @@
     relay: InstanceId
 
 
+@dataclass(frozen=True)
+class Followers:
+    """The instances that would coordinate a pool next.
+
+    Attributes
+    ----------
+    at : float
+        When they were looked up, which costs more than sending to them.
+    changes : int
+        Number of changes of the membership then.
+    """
+
+    names: list[InstanceId]
+    at: float
+    changes: int
+
+
 @dataclass
 class QuotaBalances:
     """Reads and writes the records of the pools hosted here.
@@ -141,8 +158,8 @@
         Revision of the record in the store that this instance has read or written last.
     pushed : dict of PoolId to float
         When the record of a pool was last sent to another instance.
-    followers : dict of PoolId to tuple
-        The instances to which it was, after how many changes of the membership.
+    followers : dict of PoolId to Followers
+        The instances to which it was.
     reported : dict of PoolId to float
         When the store last knew what had been admitted here.
     """
@@ -165,7 +182,7 @@
     written: dict[PoolId, int] = field(default_factory=dict)
     revisions: dict[PoolId, int] = field(default_factory=dict)
     pushed: dict[PoolId, float] = field(default_factory=dict)
-    followers: dict[PoolId, tuple[int, list[InstanceId]]] = field(default_factory=dict)
+    followers: dict[PoolId, Followers] = field(default_factory=dict)
     reported: dict[PoolId, float] = field(default_factory=dict)
 
     def ledger(self, pool: PoolId) -> Ledger:
@@ -261,28 +278,33 @@
             if is_due or quotas.should_tell():
                 self._push_to_followers(pool, quotas, now)
                 quotas.told = dict(quotas.admitted)
-        reported = max(quotas.opened, self.reported.get(pool, 0.0), self._known(pool))
+        reported = max(self._stored_at(pool, quotas), self._known(pool))
         limit_s = UNREPORTED_BEATS * self.membership.heartbeat_interval_s
         # A process that is late itself has not read what others acknowledged.
         is_late = now - self.checked > MAX_LATE * CHECK_S
         quotas.is_unreported = not is_late and now - reported > limit_s
 
     def _push_to_followers(self, pool: PoolId, quotas: Quotas, now: float) -> None:
-        known = self.followers.get(pool)
-        if known is None or known[0] != self.membership.changes:
+        known, changes = self.followers.get(pool), self.membership.changes
+        if known is None or known.changes != changes or now - known.at >= PUSH_S:
             names = self.membership.next_coordinators(pool, FOLLOWERS)
-            known = self.followers[pool] = (self.membership.changes, names)
-        self._push(pool, quotas, known[1], now)
+            known = self.followers[pool] = Followers(names, now, changes)
+        if known.names:
+            self._push(pool, quotas, known.names, now)
+
+    def _stored_at(self, pool: PoolId, quotas: Quotas) -> float:
+        """Return until when the store knows what was admitted in this term."""
+        return max(quotas.opened, self.reported.get(pool, -math.inf))
 
     def _known(self, pool: PoolId) -> float:
         """Return until when followers have acknowledged what they were sent.
 
         A heartbeat that is acknowledged came after all that was sent before it.
         """
-        members = self.membership.members
+        known, members = self.followers.get(pool), self.membership.members
         acknowledged = (
             members[name].acknowledged_at
-            for name in self.followers.get(pool, (0, []))[1]
+            for name in (known.names if known else ())
             if name in members
         )
         return max(acknowledged, default=-math.inf)
@@ -292,8 +314,8 @@
     ) -> None:
         self.pushed[pool] = now
         relay = None
-        if quotas.should_report() and now - self.reported.get(pool, now) > RELAY_S:
-            relay = self.rng.choice(instances) if instances else None
+        if quotas.should_report() and now - self._stored_at(pool, quotas) > RELAY_S:
+            relay = self.rng.choice(instances)
         message = QuotaPush(pool, self._encode(quotas, now, relay))
         for instance in instances:
             self.send(instance, message)
