Write versions, statuses and the generation only over what is known of them

Cause: Store.write sends no condition, so that a late write always holds.

Change: Store.overwrite names the revision that it replaces and tries again over a newer one; versions of pools, statuses of roll-outs and the store's generation use it.

Evidence: 'a write that is carried out late replaces no newer value' fails if the store ignores the condition, and passes with it.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -212,6 +212,7 @@
       | an endpoint that leaves is removed in time although watches fail              |
       | only an outage that lets records expire lets missing ones count as expired    |
       | a restored store may lack any record                                          |
+      | a write that is carried out late replaces no newer value                      |
 
   Scenario Outline: Unforeseen errors in tasks
     Then the decision case "<case>" holds
--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -2376,6 +2376,10 @@
         """Keep values."""
         self.values |= values
 
+    async def overwrite(self, key, value):
+        """Keep a value."""
+        self.values[key] = value
+
     def streams(self, pool):
         """Return the streams of a pool that are stored."""
         prefix = streams_key(pool, "")
--- a/features/steps/store_contact_decisions.py
+++ b/features/steps/store_contact_decisions.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from base64 import b64decode, b64encode
 from types import SimpleNamespace
 
 import trio
@@ -13,7 +14,7 @@
 from savorydyke._store_contact import MISSING_GRACE_S, StoreContact
 from savorydyke._store_restores import new_store_restores
 from savorydyke._timing import SHORT_PAUSE_S, ApplyBounds, watch_pause_s
-from savorydyke.platform import Change, Changes, Item, Listing, StoreError
+from savorydyke.platform import Change, Changes, Item, Listing, Store, StoreError
 from savorydyke.platform._store import StoreFault
 
 HEARTBEAT_S = 1.2
@@ -205,3 +206,68 @@
         assert gateway.directory.watch_pause_s > 1.0
 
     trio.run(play)
+
+
+class LateStore(Store):
+    """A client of a store that carries out a call later than the ones after it.
+
+    Attributes
+    ----------
+    item : tuple of bytes and int
+        The value of the only key and its revision, 0 for none.
+    late : list of dict
+        Calls that were not answered and are not carried out yet.
+    loses : bool
+        Whether the next write is one of these.
+    """
+
+    def __init__(self):
+        super().__init__("127.0.0.1:1")
+        self.item, self.late, self.loses = (b"", 0), [], False
+
+    async def _call(self, name, method, target, body=None, timeout_s=0.0):
+        if self.loses:
+            self.loses = False
+            self.late.append(body)
+            raise StoreError(StoreFault.ANSWER_LOST, "lost")
+        return self.carry_out(body)
+
+    def carry_out(self, body):
+        """Carry out a transaction, if its condition holds."""
+        conditions = body["if_rev"]
+        value, revision = self.item
+        if any(condition["revision"] != revision for condition in conditions):
+            items = [{"key": "k", "value": b64encode(value).decode()}]
+            present = [items[0] | {"revision": revision}] if revision else []
+            return 412, {"items": present}
+        (write,) = body["writes"]
+        self.item = (b64decode(write["value"]), revision + 1)
+        return 200, {"revision": revision + 1}
+
+
+# Guards against an old record, such as the versions of a pool, that replaces a newer
+# one when the store carries out a write late.
+@case("a write that is carried out late replaces no newer value")
+def _():
+    async def play():
+        for is_first in (True, False):
+            store = LateStore()
+            if not is_first:
+                await store.overwrite("k", b"first")
+            store.loses = True
+            try:
+                await store.overwrite("k", b"old")
+            except StoreError:
+                pass
+            else:
+                raise AssertionError("the answer was not lost")
+            await store.overwrite("k", b"new")
+            store.carry_out(store.late.pop())
+            assert store.item[0] == b"new"
+            # Another instance, which knows no revision, writes over it.
+            other = LateStore()
+            other.item = store.item
+            await other.overwrite("k", b"newer")
+            assert other.item[0] == b"newer"
+
+    trio.run(play)
--- a/src/savorydyke/_store_records.py
+++ b/src/savorydyke/_store_records.py
@@ -125,7 +125,7 @@
             await self.store.create(FLEET_KEY, self.peers.shared_key)
         if directory.should_note_generation():
             generation = directory.restores.generation
-            await self.store.write({GENERATION_KEY: write_generation(generation)})
+            await self.store.overwrite(GENERATION_KEY, write_generation(generation))
             log.info("Store complete.", extra={"generation": generation})
 
 
--- a/src/savorydyke/_stream_records.py
+++ b/src/savorydyke/_stream_records.py
@@ -181,7 +181,7 @@
         }
         if told is not None:
             value |= {"before": sorted(told.versions), "by": told.told_by}
-        await self.store.write({versions_key(pool): json.dumps(value).encode()})
+        await self.store.overwrite(versions_key(pool), json.dumps(value).encode())
         self.routes[pool], self.told[pool] = routes, told
         before = self.versions.before.get(pool, StoredBefore(versions))
         self._set_stored(pool, versions, before, generation)
--- a/src/savorydyke/platform/_store.py
+++ b/src/savorydyke/platform/_store.py
@@ -37,6 +37,8 @@
 """Time beyond the requested wait after which a watch counts as lost."""
 GENERATION_HEADER = b"store-era"
 MAX_GENERATION_DIGITS = 18
+MAX_CONFLICTS = 3
+"""Writes of a value that are tried in a row, each over a newer one."""
 MAX_ANSWER_BYTES = 16_777_216
 """Largest answer that is read. A page of a listing has about 1 MB, and a watch what was
 written since the one before."""
@@ -140,6 +142,8 @@
         Highest generation stated in an answer; 0 if none was.
     restored : trio.Event
         Set when the generation rises, and replaced then.
+    revisions : dict of str to int
+        Latest known revision of each key that was overwritten here.
     """
 
     address: str
@@ -148,6 +152,7 @@
     )
     generation: int = 0
     restored: trio.Event = field(default_factory=trio.Event)
+    revisions: dict[str, int] = field(default_factory=dict)
 
     async def read(self, key: str) -> Item | None:
         """Return the current item of a key, or None."""
@@ -262,6 +267,25 @@
             return items[0] if items else None
         return Written(_decode(lambda v: int(v["revision"]), answer))
 
+    async def overwrite(self, key: str, value: bytes) -> Written:
+        """Write a value over the present one, whatever that is.
+
+        If the store carries a call out late, after others have written, it changes
+        nothing.
+
+        Raises
+        ------
+        StoreError
+            Also if others write all the time.
+        """
+        for _ in range(MAX_CONFLICTS):
+            found = await self.replace(key, value, self.revisions.get(key, 0))
+            if isinstance(found, Written):
+                self.revisions[key] = found.revision
+                return found
+            self.revisions[key] = found.revision if found else 0
+        raise StoreError(StoreFault.REFUSED, f"{key} changes all the time")
+
     async def _transact(self, body: dict[str, Any]) -> Written | LeaseExpired:
         status, value = await self._call("transact", "POST", "/savorydyke/kv-txn", body)
         if status == 404:
--- a/src/savorydyke/rollouts/_keeper.py
+++ b/src/savorydyke/rollouts/_keeper.py
@@ -343,7 +343,7 @@
             await self._write_record(pool, state, proposal)
         status = write_rollout_status(record)
         if status != state.status and self._has_stage(state, record):
-            await self.store.write({rollout_status_key(pool): status})
+            await self.store.overwrite(rollout_status_key(pool), status)
             state.status = status
             extra = {"pool": pool, "to": record.to, "stage": record.stage.value}
             log.info("Status stored.", extra=extra)
