--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -57,7 +57,13 @@
         print(f"KNOWN-RED.txt names a scenario that does not exist: {name}")
     # A scenario that did not run to its end has not passed either.
     failed = [(n, e) for n, e in found if e["status"] != "passed"]
-    for name, element in failed:
-        print(f"{'known red, passed over' if name in known else 'failed'}: {name}")
+    titles = [
+        f"{'known red, passed over' if name in known else 'failed'}: {name}"
+        for name, _ in failed
+    ]
+    for title, (_, element) in zip(titles, failed, strict=True):
+        print(title)
         print_failure(Path(element["folder"]))
+    # Again, since only the end of a long output may be kept.
+    print("\n".join(titles))
     return int(bool(missing) or any(name not in known for name, _ in failed))
