Hand on what a coordinator admits that does not know the use before its term

Callers saw a quota exceeded when one process was killed again and again while the store answered nobody: 1,146,000 to 1,316,000 of 1,130,000 tokens allowed.

Cause: a process that started without the store took the frontends' reports for complete before any had come, and counted itself among those whose reports cover the window, though its earlier process had sent requests that nobody reports. It then admitted as if nothing had been used. It sent no record, since it had no balances, so that the next coordinator did not learn of what it had admitted. Sending records alone made it worse: teams without a balance count as unused.

Change: reports are used when all instances, the coordinator included, have run for a window. A coordinator that does not know the earlier use sends its own counts without balances; its record in the store counts as incomplete. After a window it knows all that counts.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -280,6 +280,7 @@
       | a team stays within its quota when a coordinator ends without a store |
       | a team stays within its quota when a coordinator ends cut off |
       | a team stays within its quota when two handovers overlap |
+      | a team stays within its quota when a coordinator returns without a store |
       | 61 instances stay within a quota when coordinators end or stand still |
       | a team within its quota is not refused when coordinators change |
 
--- a/features/steps/quota_cases.py
+++ b/features/steps/quota_cases.py
@@ -329,17 +329,32 @@
     for seed in range(6):
         rng = random.Random(seed)
         names = rng.sample(sorted(HANDOVERS), 2)
-
-        async def act(fleet, names=names, rng=rng):
-            async with trio.open_nursery() as nursery:
-                for name in names:
-                    nursery.start_soon(_try, HANDOVERS[name], fleet)
-                    await trio.sleep(3 * rng.random())
-
+        act = overlapping(names, rng)
         count = rng.choice((3, 6, 9, 12))
         assert_within(play(count, seed, act, hot=3.0), (names, count, seed))
 
 
+def overlapping(names, rng):
+    """Return a situation in which handovers begin within some seconds."""
+
+    async def act(fleet):
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                nursery.start_soon(_try, HANDOVERS[name], fleet)
+                await trio.sleep(3 * rng.random())
+
+    return act
+
+
+# Guards against a process that knows no earlier use, and of whose use nobody learns.
+@case("a team stays within its quota when a coordinator returns without a store")
+def _():
+    names = "a coordinator ends without a store", "a coordinator ends and returns"
+    for seed in range(6):
+        act = overlapping(names, random.Random(seed))
+        assert_within(play(3, seed, act, hot=3.0), seed)
+
+
 # Guards against a quota that counts as used when nobody knows better.
 @case("a team within its quota is not refused when coordinators change")
 def _():
--- a/features/steps/quota_simulation.py
+++ b/features/steps/quota_simulation.py
@@ -378,6 +378,8 @@
         views = [
             i.gateway.membership.coordinator(pool) for i in self.instances.values()
         ]
+        if not views:
+            raise KeyError("no instance runs")
         return max(set(views), key=views.count)
 
     # Links
--- a/src/savorydyke/_pool_host.py
+++ b/src/savorydyke/_pool_host.py
@@ -618,7 +618,8 @@
             for name in membership.members
             if now - quotas.followers.get(name, -math.inf) <= FOLLOWER_MAX_AGE_S
         }
-        if 1 + len(quotas.covering & following) >= expected:
+        # What an earlier process of this instance sent is known to nobody.
+        if len(quotas.covering & {*following, membership.id}) >= expected:
             quotas.use_reports()
         earlier_builds = membership.members.keys() - self.reporting
         heard = {name for name in earlier_builds if membership.is_heard(name, now)}
--- a/src/savorydyke/_quota.py
+++ b/src/savorydyke/_quota.py
@@ -579,6 +579,14 @@
             account.tokens += opening.tokens - before[team].tokens
             account.stated, account.assumed = opening.stated, opening.assumed
 
+    def knows_use(self, now: float) -> bool:
+        """Return whether all that was used in the window is known here.
+
+        Use before this term leaves the window in time.
+        """
+        terms = self.place(now) - self.place(self.opened)
+        return self.balances is not None or terms >= SLOTS + 1
+
     def teams_to_tell(self) -> list[TeamId]:
         """Return the teams whose use must be told to the next coordinators."""
         return [team for team in self.admitted if self._is_to_be_told(team)]
--- a/src/savorydyke/_quota_balances.py
+++ b/src/savorydyke/_quota_balances.py
@@ -9,6 +9,9 @@
 was written since, also if the store carries it out late; its writer then merges that
 record and writes again.
 
+A coordinator that does not know what was used before its term hands on what it admits
+itself, but no balances: a team that it does not know may have used its whole quota.
+
 A store that was restored from a backup holds older records. The coordinator then writes
 its record again; until it has, balances in the store are not used.
 """
@@ -52,6 +55,9 @@
 """Shortest time between two messages on what was admitted since the record."""
 USE = "quota-use:"
 """Prefix of the pool in these messages, which earlier versions ignore."""
+UNKNOWN_GENERATION = -1
+"""Generation of a record without the use before its writer's term. It is none of the
+store's, so that nobody takes the balances for complete."""
 FOLLOWERS = 2
 """Instances that get them, since the next coordinator may end with the present one."""
 FRESH_S = 4.0
@@ -142,6 +148,8 @@
         this instance would follow.
     received : dict of PoolId to tuple of float and Record
         The latest records of coordinators, with the time of their arrival.
+    received_use : dict of PoolId to tuple of float and Record
+        Same for what they have admitted since, or without a record.
     bursting : set of PoolId
         Pools whose next coordinators are to be told soon.
     much_admitted : trio.Event
@@ -184,6 +192,7 @@
     unread: set[PoolId] = field(default_factory=set)
     ledgers: dict[PoolId, Ledger] = field(default_factory=dict)
     received: dict[PoolId, tuple[float, Record]] = field(default_factory=dict)
+    received_use: dict[PoolId, tuple[float, Record]] = field(default_factory=dict)
     written: dict[PoolId, int] = field(default_factory=dict)
     revisions: dict[PoolId, int] = field(default_factory=dict)
     pushed: dict[PoolId, float] = field(default_factory=dict)
@@ -230,8 +239,9 @@
     def _receive_use(self, pool: PoolId, use: Record, now: float) -> None:
         """Merge what a coordinator has admitted of some teams since its record."""
         self._merge(pool, use, now)
-        _, record = self.received.get(pool, (now, use))
-        if record.writer == use.writer:
+        self.received_use[pool] = (now, use)
+        _, record = self.received.get(pool, (now, None))
+        if record is not None and record.writer == use.writer:
             record = replace(record, balances={**record.balances, **use.balances})
             self.received[pool] = (now, record)
 
@@ -246,6 +256,9 @@
 
         The store may answer late or not at all.
         """
+        use = self._recent(self.received_use, pool, quotas.opened)
+        if use is not None:
+            self._assume(pool, use, quotas)
         record = self._received(pool, quotas.opened)
         if record is not None:
             self._assume(pool, record, quotas)
@@ -304,19 +317,30 @@
         known, teams = self.followers.get(pool), quotas.teams_to_tell()
         if known is None or not teams:
             return
-        now = trio.current_time()
         quotas.record_told(teams)
+        self._send_use(pool, quotas, teams, known.names[:1], trio.current_time())
+
+    def _send_use(
+        self,
+        pool: PoolId,
+        quotas: Quotas,
+        teams: list[TeamId],
+        instances: list[InstanceId],
+        now: float,
+    ) -> None:
+        """Send what was admitted here of some teams."""
+        teams = [team for team in teams if team in quotas.limits]
         place = quotas.place(now)
         counts = {quotas.ledger.owner: quotas.ledger.export_own(place, teams)}
         balances = {team: Balance(quotas.tokens_of(team, now), ()) for team in teams}
         record = encode_use(counts, balances, place, quotas.ledger.owner)
-        for instance in known.names[:1]:
+        for instance in instances:
             self.send(instance, QuotaPush(PoolId(USE + pool), record))
 
     def _report(self, pool: PoolId, quotas: Quotas, now: float) -> None:
         """Send the record of a pool that is coordinated here, if it is due."""
         is_due = now - self.pushed.get(pool, -math.inf) >= PUSH_S
-        if quotas.balances_loaded and is_due:
+        if is_due:
             self._push_to_followers(pool, quotas, now)
             quotas.record_told(list(quotas.admitted))
         reported = max(self._stored_at(pool, quotas), self._known(pool))
@@ -355,6 +379,9 @@
         self, pool: PoolId, quotas: Quotas, instances: list[InstanceId], now: float
     ) -> None:
         self.pushed[pool] = now
+        if not quotas.knows_use(now):
+            self._send_use(pool, quotas, list(quotas.admitted), instances, now)
+            return
         relay = None
         if quotas.should_report() and now - self._stored_at(pool, quotas) > RELAY_S:
             relay = self.rng.choice(instances)
@@ -369,7 +396,7 @@
             quotas.ledger,
             quotas.export(now),
             quotas.place(now),
-            self.store.generation,
+            self.store.generation if quotas.knows_use(now) else UNKNOWN_GENERATION,
             _now_ms(),
             quotas.ledger.owner,
             relay,
@@ -562,7 +589,15 @@
 
     def _received(self, pool: PoolId, opened: float) -> Record | None:
         """Return the record that the previous coordinator sent, if it is recent."""
-        arrived, record = self.received.get(pool, (-math.inf, None))
+        return self._recent(self.received, pool, opened)
+
+    def _recent(
+        self,
+        records: Mapping[PoolId, tuple[float, Record]],
+        pool: PoolId,
+        opened: float,
+    ) -> Record | None:
+        arrived, record = records.get(pool, (-math.inf, None))
         return record if opened - arrived <= FRESH_S else None
 
     def _most_used(
