Link neighbours that only gossip calls live

Cause: the live neighbours came from the ring of the live members, the dead ones from the ring of all that the store lists. A neighbour of the second ring that gossip called live before it was dialled was in neither list.

Change: the second list has all neighbours on the ring of the live and the listed dead, whatever their state, while there are any such dead. Links to them are kept.

The outline of links and membership.feature pass.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -157,6 +157,7 @@
       | instances of a large fleet are linked again without a burst of connections |
       | an instance whose record the store has lost is linked again too |
       | a member that comes back without a link is judged by what others tell of it |
+      | a neighbour that only gossip calls live is linked while others count as dead |
 
   Scenario Outline: Retry budgets
     Then the decision case "<case>" holds
--- a/features/steps/link_decisions.py
+++ b/features/steps/link_decisions.py
@@ -200,6 +200,28 @@
         trio.run(lose_and_link, size, away, 1)
 
 
+# Guards against a neighbour that is dialled neither as a live nor as a dead member.
+@case("a neighbour that only gossip calls live is linked while others count as dead")
+def _():
+    size = 2 * MAX_FULL_MESH
+    names = [InstanceId(f"i{number:02}") for number in range(size)]
+    own = names[-1]
+    membership = Membership(own, "own:1", DataCentreId("dc"), 1)
+    for name in names[:-1]:
+        membership.merge_row(row(name, 1), 0.0)
+    membership.update(0.0)
+    membership.update(AWAY_S)
+    assert membership.live() == [own]
+    neighbours = set(ring_neighbours(own, names))
+    for count, name in enumerate(sorted(neighbours)):
+        membership.merge_row(row(name, 2), AWAY_S)
+        membership.update(AWAY_S)
+        assert membership.states[name] is MemberState.LIVE
+        found = {m.id for m in membership.links_to_restore(names)}
+        found |= {m.id for m in membership.wanted_links()}
+        assert neighbours <= found, (count, neighbours - found)
+
+
 # Guards against a live member that counts as dead again and again for lack of a link.
 @case("a member that comes back without a link is judged by what others tell of it")
 def _():
--- a/src/savorydyke/_membership.py
+++ b/src/savorydyke/_membership.py
@@ -467,18 +467,23 @@
         return [self.members[name] for name in names]
 
     def links_to_restore(self, listed: Collection[InstanceId]) -> list[Member]:
-        """Return the dead members to which this instance should open a link as well.
+        """Return the members to which this instance should open a link as well.
 
         A member counts as dead once it has been silent, but it may only have been
         suspended, or cut off. While the store lists it, both sides try to link to it,
         since neither knows whether the other one does.
+
+        In a large fleet these are the neighbours on the ring of all that may run. Each
+        stays one when gossip tells that it is live, which comes without a link.
         """
         all_dead = self._dead_members()
         dead = all_dead & set(listed)
+        if not dead:
+            return []
         expected = (self.members.keys() - all_dead) | dead
-        if len(expected) >= MAX_FULL_MESH:
-            dead &= set(ring_neighbours(self.id, expected))
-        return [self.members[name] for name in dead]
+        if len(expected) < MAX_FULL_MESH:
+            return [self.members[name] for name in dead]
+        return [self.members[name] for name in ring_neighbours(self.id, expected)]
 
     def _dead_members(self) -> set[InstanceId]:
         return {n for n, s in self.states.items() if s is MemberState.DEAD}
--- a/src/savorydyke/_peers.py
+++ b/src/savorydyke/_peers.py
@@ -238,6 +238,7 @@
         """Set which instances the platform lists, and where they take links."""
         if addresses != self.listed_addresses:
             self.listed_addresses = addresses
+            self.wanted_peers = None
             self.changes += 1
 
     # Accepting and dialling
@@ -318,7 +319,8 @@
         changes = self.membership.changes
         if self.wanted_peers is None or self.wanted_peers[0] != changes:
             wanted = {member.id for member in self.membership.wanted_links()}
-            self.wanted_peers = (changes, wanted)
+            restored = self.membership.links_to_restore(self.listed_addresses)
+            self.wanted_peers = (changes, wanted | {member.id for member in restored})
         return self.wanted_peers[1]
 
     def _missing_addresses(self) -> list[str]:
@@ -326,7 +328,7 @@
         wanted = {m.id: m.address for m in self.membership.wanted_links()}
         for member in self.membership.links_to_restore(self.listed_addresses):
             # It may have restarted elsewhere.
-            wanted[member.id] = self.listed_addresses[member.id]
+            wanted[member.id] = self.listed_addresses.get(member.id, member.address)
         for peer in self.requested & members.keys():
             wanted[peer] = members[peer].address
         self.requested.clear()
