Play a late write that the store carries out beside the next coordinator

The suite's late writes came before the end of the coordinator that sent them. In this case it has ended, and another one has begun; all restart after the write, so that the store's record is all that is left.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -274,6 +274,7 @@
       | a team stays within its quota when its store is not reached by the coordinator before its end |
       | a team stays within its quota when an old write is done late |
       | a team stays within its quota when an old write is done late and all restart |
+      | a team stays within its quota when an old write is done late beside the next coordinator |
       | a team stays within its quota when two coordinators end in turn |
       | a team stays within its quota when a coordinator ends with its follower |
       | a team stays within its quota when coordinators stand still |
--- a/features/steps/quota_cases.py
+++ b/features/steps/quota_cases.py
@@ -219,9 +219,23 @@
 async def late_write_before_restart(fleet):
     """Let a write be carried out after newer ones, and restart all instances then."""
     fleet.store.lost_writes = 1
+    await _restart_after_late_write(fleet)
+
+
+async def late_write_beside_next(fleet):
+    """Kill the coordinator before its old write is carried out, and restart then."""
+    fleet.store.lost_writes = 1
+    while fleet.store.lost_writes:
+        await trio.sleep(0.02)
+    await trio.sleep(fleet.store.late_s - 1.0)
+    fleet.kill(fleet.coordinator())
+    await _restart_after_late_write(fleet)
+
+
+async def _restart_after_late_write(fleet):
     while not fleet.store.late_writes:
         await trio.sleep(0.02)
-    for name in fleet.names:
+    for name in list(fleet.instances):
         fleet.kill(name)
     await trio.sleep(0.5)
     for name in fleet.names:
@@ -300,6 +314,9 @@
     "an old write is done late and all restart": through_coordinator(
         late_write_before_restart
     ),
+    "an old write is done late beside the next coordinator": through_coordinator(
+        late_write_beside_next
+    ),
     "two coordinators end in turn": through_coordinator(kill_two),
     "a coordinator ends with its follower": through_coordinator(kill_with_follower),
     "coordinators stand still": through_coordinator(freeze_coordinator),
