--- a/features/steps/decision_cases.py
+++ b/features/steps/decision_cases.py
@@ -75,7 +75,8 @@
     Quarantine,
 )
 from savorydyke._quota import Quotas, Tolerance
-from savorydyke._quota_balances import CHECK_S, decode_balances, encode_balances
+from savorydyke._quota_balances import CHECK_S
+from savorydyke._quota_records import decode_balances, encode_balances
 from savorydyke._request_limits import (
     BadLimitError,
     RequestAllowance,
@@ -1515,6 +1516,7 @@
         "_pool_host",
         "_peers",
         "_quota_balances",
+        "_quota_records",
         "_endpoint_ways",
         "_endpoint_observer",
         "_forwarded_requests",
--- a/features/steps/odd_record_steps.py
+++ b/features/steps/odd_record_steps.py
@@ -18,7 +18,7 @@
 from savorydyke._exceptions import PlatformUnavailableError, ProtocolError
 from savorydyke._messages import Heartbeat, decode
 from savorydyke._platform import _decode_list, _decode_values
-from savorydyke._quota_balances import decode_balances, decode_record
+from savorydyke._quota_records import decode_balances, decode_record
 from savorydyke._request_limits import BadLimitError, parse_limit
 from savorydyke._retry_after import BadRetryAfterError, parse_retry_after
 from savorydyke._shared_evidence import decode_evidence
--- a/src/savorydyke/_quota.py
+++ b/src/savorydyke/_quota.py
@@ -582,10 +582,10 @@
     def knows_use(self, now: float) -> bool:
         """Return whether all that was used in the window is known here.
 
-        Use before this term leaves the window in time.
+        Use before this term has left the window after a while.
         """
-        terms = self.place(now) - self.place(self.opened)
-        return self.balances is not None or terms >= SLOTS + 1
+        passed = self.place(now) - self.place(self.opened)
+        return self.balances is not None or passed >= SLOTS + 1
 
     def teams_to_tell(self) -> list[TeamId]:
         """Return the teams whose use must be told to the next coordinators."""
